Add workspace, protocol schemas, RPC connection, daemon shell and design page

The design page answers the ownership, recovery, limits, at-most-once and configuration questions before code. Binaries are therefore bundled with their registry packages.

--- /dev/null
+++ b/packages/bench/src/benchmarks.ts
@@ -0,0 +1,7 @@
+/** A benchmark reports each case as a row of named figures; units are part of the names. */
+export type Benchmark = (report: (row: Record<string, string | number>) => void) => Promise<void> | void
+
+export const benchmarks: Record<string, Benchmark> = {
+}
+
+export type BenchmarkName = string
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,1 @@
+export type * from './types.ts'
--- /dev/null
+++ b/packages/daemon/src/entry/addEntryParts.ts
@@ -0,0 +1,6 @@
+import type { ProcessContext } from '../runDaemon.ts'
+
+/** Adds the parts of the entry role to the life cycle. */
+export function addEntryParts (context: ProcessContext): void {
+  context.lifecycle.add({ name: 'entry' })
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,6 @@
+export * from './describeSchemaErrors/index.ts'
+export * from './manifest/index.ts'
+export * from './outcome/index.ts'
+export * from './parseManifest/index.ts'
+export * from './rpc/index.ts'
+export * from './rpcMessages/index.ts'
--- /dev/null
+++ b/packages/protocol/src/rpc/RpcClient.ts
@@ -0,0 +1,111 @@
+import { connect, type Socket } from 'node:net'
+import { JSONRPCClient } from 'json-rpc-2.0'
+import { done, notDone, unknownEffect, type Outcome } from '../outcome/index.ts'
+import type { RpcMethod, RpcParams, RpcResult } from '../rpcMessages/index.ts'
+import { CONNECT_TIMEOUT_MS, DEFAULT_CALL_TIMEOUT_MS, INVALID_PARAMS, METHOD_NOT_FOUND } from './constants/index.ts'
+import { readFrames, writeFrame } from './_lib/readFrames.ts'
+
+interface CallOptions {
+  /** Longest wait for the answer in ms. Default: 2,000. */
+  timeoutMs?: number
+}
+
+/** A connection to one peer, opened on the first call and again after it was lost. Owns its socket. */
+export class RpcClient {
+  readonly #host: string
+  readonly #port: number
+  #connection: Promise<Connection> | undefined
+
+  constructor (address: string) {
+    const separator = address.lastIndexOf(':')
+    this.#host = address.slice(0, separator).replace(/^\[|\]$/g, '')
+    this.#port = Number(address.slice(separator + 1))
+  }
+
+  /**
+   * Calls a method of the peer.
+   *
+   * @returns The result; `not-done` when the request can't have reached the peer or the peer rejected it; `unknown`
+   * when it was sent and no answer arrived in time or the connection was lost.
+   */
+  async call<Method extends RpcMethod> (
+    method: Method, params: RpcParams<Method>, options: CallOptions = {}
+  ): Promise<Outcome<RpcResult<Method>>> {
+    let connection: Connection
+    try {
+      this.#connection ??= this.#open()
+      connection = await this.#connection
+    } catch (error) {
+      this.#connection = undefined
+      return notDone('unavailable', `no connection to ${this.#host}:${this.#port} (${(error as Error).message})`)
+    }
+    const timeoutMs = options.timeoutMs ?? DEFAULT_CALL_TIMEOUT_MS
+    return await connection.call(method, params, timeoutMs) as Outcome<RpcResult<Method>>
+  }
+
+  close (): void {
+    this.#connection?.then((connection) => connection.close(), () => {})
+    this.#connection = undefined
+  }
+
+  #open (): Promise<Connection> {
+    return new Promise((resolve, reject) => {
+      const socket = connect(this.#port, this.#host)
+      const timer = setTimeout(() => socket.destroy(new Error('connect timed out')), CONNECT_TIMEOUT_MS)
+      socket.setNoDelay(true)
+      socket.once('error', reject)
+      socket.once('close', () => {
+        clearTimeout(timer)
+        this.#connection = undefined
+      })
+      socket.once('connect', () => {
+        clearTimeout(timer)
+        resolve(new Connection(socket))
+      })
+    })
+  }
+}
+
+/** An open socket with the calls that wait for an answer on it. */
+class Connection {
+  readonly #socket: Socket
+  readonly #client: JSONRPCClient
+
+  constructor (socket: Socket) {
+    this.#socket = socket
+    this.#client = new JSONRPCClient((request) => writeFrame(socket, request))
+    readFrames(socket, (message) => this.#client.receive(message as never), () => {})
+    socket.once('close', () => this.#client.rejectAllPendingRequests('connection lost'))
+  }
+
+  async call (method: string, params: unknown, timeoutMs: number): Promise<Outcome<unknown>> {
+    if (!this.#socket.writable) return notDone('closed', `${method}: connection closed before the request was sent`)
+    try {
+      return done(await this.#client.timeout(timeoutMs, timeoutResponse).request(method, params))
+    } catch (error) {
+      return toFailure(method, error)
+    }
+  }
+
+  close (): void {
+    this.#socket.destroy()
+  }
+}
+
+const TIMEOUT_CODE = -32001
+
+/** Code that json-rpc-2.0 gives to calls rejected by `rejectAllPendingRequests`. */
+const CONNECTION_LOST_CODE = 0
+
+function timeoutResponse (id: string | number | null) {
+  return { jsonrpc: '2.0' as const, id: id as string, error: { code: TIMEOUT_CODE, message: 'timed out' } }
+}
+
+function toFailure (method: string, error: unknown): Outcome<never> {
+  const { code, message } = error as { code?: number, message?: string }
+  if (code === TIMEOUT_CODE) return unknownEffect('timeout', `${method}: no answer in time`)
+  if (code === undefined || code === CONNECTION_LOST_CODE) return unknownEffect('closed', `${method}: ${message ?? String(error)}`)
+  return code === INVALID_PARAMS || code === METHOD_NOT_FOUND
+    ? notDone('invalid', `${method}: ${message}`)
+    : unknownEffect('unavailable', `${method}: ${message}`)
+}
--- /dev/null
+++ b/packages/protocol/src/rpc/RpcServer.ts
@@ -0,0 +1,91 @@
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { TypeCompiler, type TypeCheck } from '@sinclair/typebox/compiler'
+import type { TObject } from '@sinclair/typebox'
+import {
+  isJSONRPCRequest, isJSONRPCRequests, JSONRPCErrorException, JSONRPCServer, type JSONRPCRequest
+} from 'json-rpc-2.0'
+import { describeSchemaErrors } from '../describeSchemaErrors/index.ts'
+import { rpcMethods, type RpcMethod, type RpcParams, type RpcResult } from '../rpcMessages/index.ts'
+import { INVALID_PARAMS } from './constants/index.ts'
+import { readFrames, writeFrame, type FrameFault } from './_lib/readFrames.ts'
+
+export type RpcHandlers = {
+  [Method in RpcMethod]?: (params: RpcParams<Method>) => Promise<RpcResult<Method>> | RpcResult<Method>
+}
+
+export type RpcFault = FrameFault | 'invalid-request' | 'invalid-params' | 'handler-error'
+
+interface ServerOptions {
+  /** Called once per rejected frame or request, for counters and logs. Default: nothing. */
+  onFault?: (fault: RpcFault, detail: string) => void
+}
+
+/** Serves the RPC methods of one process over TCP. Owns its listening socket and all accepted connections. */
+export class RpcServer {
+  readonly #server: Server
+  readonly #methods = new JSONRPCServer({ errorListener: () => {} })
+  readonly #sockets = new Set<Socket>()
+  readonly #onFault: (fault: RpcFault, detail: string) => void
+
+  constructor (handlers: RpcHandlers, options: ServerOptions = {}) {
+    this.#onFault = options.onFault ?? (() => {})
+    this.#server = createServer((socket) => this.#accept(socket))
+    for (const [name, handler] of Object.entries(handlers)) {
+      this.#addMethod(name as RpcMethod, handler as (params: unknown) => unknown)
+    }
+  }
+
+  /** Starts listening; resolves with the port. Rejects when the address can't be bound. */
+  listen (port: number, host: string): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(port, host, () => resolve((this.#server.address() as AddressInfo).port))
+    })
+  }
+
+  /** Stops listening and closes all connections. */
+  close (): Promise<void> {
+    for (const socket of this.#sockets) socket.destroy()
+    return new Promise((resolve) => this.#server.close(() => resolve()))
+  }
+
+  #addMethod (name: RpcMethod, handler: (params: unknown) => unknown): void {
+    const schema: TObject = rpcMethods[name].params
+    // Compiled on first use: a process receives only a few of the methods.
+    let check: TypeCheck<TObject> | undefined
+    this.#methods.addMethod(name, async (params: unknown) => {
+      check ??= TypeCompiler.Compile(schema)
+      if (!check.Check(params)) {
+        const [violation] = describeSchemaErrors(schema, params, { limit: 1 })
+        const detail = `${name}: ${violation?.path} is ${violation?.value}: ${violation?.allowed}`
+        this.#onFault('invalid-params', detail)
+        throw new JSONRPCErrorException(detail, INVALID_PARAMS)
+      }
+      return await handler(params)
+    })
+    this.#methods.mapErrorToJSONRPCErrorResponse = (id, error) => {
+      const code = error instanceof JSONRPCErrorException ? error.code : -32603
+      if (!(error instanceof JSONRPCErrorException)) this.#onFault('handler-error', String(error))
+      return { jsonrpc: '2.0', id, error: { code, message: String(error?.message ?? error) } }
+    }
+  }
+
+  #accept (socket: Socket): void {
+    this.#sockets.add(socket)
+    socket.setNoDelay(true)
+    socket.once('close', () => this.#sockets.delete(socket))
+    const peer = `${socket.remoteAddress}:${socket.remotePort}`
+    const onMessage = (message: unknown) => { this.#receive(socket, message).catch((error) => { throw error }) }
+    readFrames(socket, onMessage, (fault) => this.#onFault(fault, peer))
+  }
+
+  async #receive (socket: Socket, message: unknown): Promise<void> {
+    if (!isJSONRPCRequest(message) && !isJSONRPCRequests(message)) {
+      this.#onFault('invalid-request', 'not a JSON-RPC 2.0 request')
+      socket.destroy()
+      return
+    }
+    const response = await this.#methods.receive(message as JSONRPCRequest)
+    if (response !== null) writeFrame(socket, response)
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/rpc/test.ts
@@ -0,0 +1,83 @@
+import { connect } from 'node:net'
+import { once } from 'node:events'
+import { expect } from 'chai'
+import { RpcClient } from './RpcClient.ts'
+import { RpcServer, type RpcFault } from './RpcServer.ts'
+import { MAX_FRAME_BYTES } from './constants/index.ts'
+
+const params = { from: 'a', configVersion: 3, atLeast: 1 }
+
+describe('RPC connection', () => {
+  let server: RpcServer
+  let client: RpcClient
+  let port: number
+  let faults: RpcFault[]
+
+  beforeEach(async () => {
+    faults = []
+    server = new RpcServer(
+      { 'config.fetch': () => ({ configuration: null }), 'shard.status': () => new Promise(() => {}) },
+      { onFault: (fault) => faults.push(fault) })
+    port = await server.listen(0, '127.0.0.1')
+    client = new RpcClient(`127.0.0.1:${port}`)
+  })
+
+  afterEach(async () => {
+    client.close()
+    await server.close()
+  })
+
+  it('answers a valid call', async () => {
+    const outcome = await client.call('config.fetch', params)
+    expect(outcome.extract()).to.deep.equal({ configuration: null })
+  })
+
+  it('reports a call without an answer as unknown, since the peer may have acted on it', async () => {
+    const outcome = await client.call('shard.status', { from: 'a', configVersion: 1 }, { timeoutMs: 20 })
+    expect(outcome.extract()).to.include({ certainty: 'unknown', reason: 'timeout' })
+  })
+
+  it('reports a refused connection as not done', async () => {
+    await server.close()
+    const outcome = await client.call('config.fetch', params)
+    expect(outcome.extract()).to.include({ certainty: 'not-done', reason: 'unavailable' })
+  })
+
+  it('reports a connection lost while waiting as unknown, and connects again for the next call', async () => {
+    const pending = client.call('shard.status', { from: 'a', configVersion: 1 })
+    await client.call('config.fetch', params)
+    await server.close()
+    expect((await pending).extract()).to.include({ certainty: 'unknown', reason: 'closed' })
+    await server.listen(port, '127.0.0.1')
+    expect((await client.call('config.fetch', params)).isRight()).to.equal(true)
+  })
+
+  it('rejects params that violate the schema, naming the field', async () => {
+    const outcome = await client.call('config.fetch', { ...params, atLeast: 'x' as unknown as number })
+    expect(outcome.extract()).to.include({ certainty: 'not-done', reason: 'invalid' })
+    expect(outcome.extract()).to.have.property('message').that.includes('/atLeast is "x"')
+    expect(faults).to.deep.equal(['invalid-params'])
+  })
+
+  const badFrames: Array<{ name: string, bytes: string | Buffer, end: boolean, fault: RpcFault }> = [
+    { name: 'garbage', bytes: 'not json\n', end: false, fault: 'invalid-json' },
+    { name: 'binary garbage', bytes: Buffer.from([0xff, 0x00, 0x80, 0x0a]), end: false, fault: 'invalid-json' },
+    { name: 'a torn frame', bytes: '{"jsonrpc":"2.0","id":1,"meth', end: true, fault: 'torn-frame' },
+    { name: 'an oversized frame', bytes: Buffer.alloc(MAX_FRAME_BYTES + 2, 0x61), end: false, fault: 'oversized-frame' },
+    { name: 'JSON that is no request', bytes: '{"hello":1}\n', end: false, fault: 'invalid-request' }
+  ]
+  for (const { name, bytes, end, fault } of badFrames) {
+    it(`closes only the connection that sent ${name}`, async () => {
+      await client.call('config.fetch', params)
+      const socket = connect(port, '127.0.0.1')
+      socket.on('error', () => {})
+      await once(socket, 'connect')
+      if (end) socket.end(bytes)
+      else socket.write(bytes)
+      socket.resume()
+      await once(socket, 'close')
+      expect(faults).to.deep.equal([fault])
+      expect((await client.call('config.fetch', params)).isRight()).to.equal(true)
+    })
+  }
+})
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,5 @@
+export * from './faults/index.ts'
+export * from './memoryInventory/index.ts'
+export * from './memoryObjectStore/index.ts'
+export * from './memoryTable/index.ts'
+export * from './memoryWorker/index.ts'
--- /dev/null
+++ b/packages/standins/src/memoryObjectStore/index.ts
@@ -0,0 +1,27 @@
+import type { ObjectStore } from '@gypsumspring/adapters'
+import { done, type Outcome } from '@gypsumspring/protocol'
+import { FaultSwitch } from '../faults/index.ts'
+
+/** An object store in memory, with faults. */
+export class MemoryObjectStore implements ObjectStore {
+  readonly faults = new FaultSwitch()
+  readonly #objects = new Map<string, Uint8Array>()
+
+  put (key: string, bytes: Uint8Array): Promise<Outcome<void>> {
+    return this.faults.apply(() => {
+      this.#objects.set(key, Uint8Array.from(bytes))
+      return done(undefined)
+    })
+  }
+
+  get (key: string): Promise<Outcome<Uint8Array | undefined>> {
+    return this.faults.apply(() => done(this.#objects.get(key)))
+  }
+
+  remove (key: string): Promise<Outcome<void>> {
+    return this.faults.apply(() => {
+      this.#objects.delete(key)
+      return done(undefined)
+    })
+  }
+}
--- /dev/null
+++ b/packages/standins/src/memoryTable/index.ts
@@ -0,0 +1,53 @@
+import type { Row, Table, Transaction } from '@gypsumspring/adapters'
+import { done, notDone, type Outcome } from '@gypsumspring/protocol'
+import { FaultSwitch } from '../faults/index.ts'
+
+/** A table service in memory, with faults. Values are copied, as over a network. */
+export class MemoryTable implements Table {
+  readonly faults = new FaultSwitch()
+  readonly #rows = new Map<string, Row>()
+  /** Versions go on rising after a delete, so that a row written again is never mistaken for the old one. */
+  readonly #lastVersions = new Map<string, number>()
+  writeCount = 0
+  readCount = 0
+
+  transact (transaction: Transaction): Promise<Outcome<{ versions: number[] }>> {
+    return this.faults.apply(() => {
+      for (const check of transaction.checks) {
+        const version = this.#rows.get(check.key)?.version ?? 0
+        if (version !== check.version) {
+          return notDone('conflict', `row ${check.key} has version ${version}, expected ${check.version}`)
+        }
+      }
+      this.writeCount++
+      return done({ versions: transaction.writes.flatMap((write) => this.#write(write)) })
+    })
+  }
+
+  read (key: string): Promise<Outcome<Row | undefined>> {
+    return this.faults.apply(() => {
+      this.readCount++
+      const row = this.#rows.get(key)
+      return done(row && structuredClone(row))
+    })
+  }
+
+  scan (prefix: string): Promise<Outcome<Row[]>> {
+    return this.faults.apply(() => {
+      this.readCount++
+      const rows = [...this.#rows.values()].filter((row) => row.key.startsWith(prefix))
+      return done(structuredClone(rows.sort((a, b) => a.key < b.key ? -1 : 1)))
+    })
+  }
+
+  #write (write: Transaction['writes'][number]): number[] {
+    if (write.kind === 'delete') {
+      this.#rows.delete(write.key)
+      return []
+    }
+    const version = (this.#lastVersions.get(write.key) ?? 0) + 1
+    this.#lastVersions.set(write.key, version)
+    this.#rows.set(write.key, { key: write.key, version, value: structuredClone(write.value) })
+    return [version]
+  }
+}
--- /dev/null
+++ b/scripts/build.js
@@ -0,0 +1,33 @@
+/**
+ * Bundles the binaries and the stand-in programs with esbuild. Registry packages are bundled too, because
+ * unused code left out of the bundle costs no resident memory. Roles are loaded by dynamic import, so that a process
+ * loads only the code of its own role.
+ */
+import { chmod, rm } from 'node:fs/promises'
+import { build } from 'esbuild'
+
+const programs = [
+  { directory: 'packages/daemon', entryPoints: ['gypsumspringd'] },
+  { directory: 'packages/cli', entryPoints: ['gypsumctl'] },
+  { directory: 'packages/bench', entryPoints: ['bench'] }
+]
+
+for (const { directory, entryPoints } of programs) {
+  await rm(`${directory}/dist`, { recursive: true, force: true })
+  await build({
+    entryPoints: entryPoints.map((name) => `${directory}/src/${name}.ts`),
+    outdir: `${directory}/dist`,
+    bundle: true,
+    splitting: true,
+    format: 'esm',
+    platform: 'node',
+    target: 'node20',
+    sourcemap: true,
+    logLevel: 'warning',
+    // CommonJS packages in the bundle call require for Node's own modules.
+    banner: { js: "import { createRequire as createRequireOfBundle } from 'node:module'; const require = createRequireOfBundle(import.meta.url);" }
+  })
+  for (const name of entryPoints) {
+    await chmod(`${directory}/dist/${name}.js`, 0o755)
+  }
+}
