--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -1,5 +1,7 @@
 import type { Platform } from '@gypsumspring/adapters'
-import type { Configuration, Member, Outcome, RpcHandlers, RpcMethod, RpcParams, RpcResult } from '@gypsumspring/protocol'
+import type {
+  Configuration, Member, Outcome, RpcHandlers, RpcMethod, RpcParams, RpcResult
+} from '@gypsumspring/protocol'
 import type { Lifecycle } from './lifecycle/index.ts'
 import type { Logger } from './logging/index.ts'
 import type { Metrics } from './metrics/index.ts'
@@ -11,7 +13,7 @@
   readonly current: Configuration | undefined
   /** 0 while `current` is undefined. */
   readonly version: number
-  /** Calls the listener at each change, and at once when a configuration is in force; returns the unsubscribe function. */
+  /** Calls the listener at each change, and at once when one is in force; returns the unsubscribe function. */
   subscribe (listener: (configuration: Configuration) => void): () => void
 }
 
