--- /dev/null
+++ b/packages/daemon/src/membership/index.ts
@@ -0,0 +1,2 @@
+export { MembershipTask } from './MembershipTask.ts'
+export { MemberTable } from './MemberTable.ts'
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -26,6 +26,12 @@
   flushMs: Milliseconds(100, 'shortest time between two journal writes'),
   configPollMs: Milliseconds(1_000, 'time between reads of the configuration row'),
   exchangeMs: Milliseconds(1_000, 'time between exchanges with random peers'),
+  memberTimeoutMs: Milliseconds(10_000, 'a process not heard of for this long is taken for dead'),
+  peerPorts: Type.String({
+    pattern: '^[0-9]{1,5}(,[0-9]{1,5})*$',
+    default: '7101,7102',
+    description: 'RPC ports of the processes on each entry VM, separated by commas'
+  }),
   inventoryMs: Milliseconds(2_000, 'time between reads of the list of VMs'),
   slotReportMs: Milliseconds(50, 'time between slot reports while requests wait or tokens are spare'),
   storeTimeoutMs: Milliseconds(1_000, 'longest wait for the table service or the object store')
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -48,6 +48,8 @@
   peers: Peers
   /** Parts add the RPC methods that they serve here before the process starts listening. */
   handlers: RpcHandlers
-  /** Set once the RPC server listens: the address under which peers reach this process. */
+  /** Address under which peers reach this process; known once the RPC server listens. */
   rpcAddress: string
+  /** Set when the process starts to shut down; announced to peers. */
+  leaving: boolean
 }
--- a/packages/protocol/src/rpc/test.ts
+++ b/packages/protocol/src/rpc/test.ts
@@ -16,7 +16,7 @@
   beforeEach(async () => {
     faults = []
     server = new RpcServer(
-      { 'config.fetch': () => ({ configuration: null }), 'shard.status': () => new Promise(() => {}) },
+      { 'config.fetch': () => ({ index: null }), 'shard.status': () => new Promise(() => {}) },
       { onFault: (fault) => faults.push(fault) })
     port = await server.listen(0, '127.0.0.1')
     client = new RpcClient(`127.0.0.1:${port}`)
@@ -29,7 +29,7 @@
 
   it('answers a valid call', async () => {
     const outcome = await client.call('config.fetch', params)
-    expect(outcome.extract()).to.deep.equal({ configuration: null })
+    expect(outcome.extract()).to.deep.equal({ index: null })
   })
 
   it('reports a call without an answer as unknown, since the peer may have acted on it', async () => {
--- a/packages/protocol/src/rpcMessages/index.ts
+++ b/packages/protocol/src/rpcMessages/index.ts
@@ -1,6 +1,6 @@
 /** Schemas of the messages between our own processes; docs/design.md section 5 lists who sends which. */
 import { Type, type Static, type TObject, type TSchema } from '@sinclair/typebox'
-import { Configuration } from '../manifest/index.ts'
+import { ConfigurationIndex, Manifest } from '../manifest/index.ts'
 
 const Count = Type.Integer({ minimum: 0 })
 
@@ -82,7 +82,10 @@
     Type.Object({ configVersion: Count, members: Type.Array(Member) })),
   'config.fetch': method(
     Type.Object({ atLeast: Count }),
-    Type.Object({ configuration: Type.Union([Configuration, Type.Null()]) })),
+    Type.Object({ index: Type.Union([ConfigurationIndex, Type.Null()]) })),
+  'config.manifest': method(
+    Type.Object({ hash: Type.String() }),
+    Type.Object({ manifest: Type.Union([Manifest, Type.Null()]) })),
   'slots.report': method(
     Type.Object({
       entry: Type.String(),
