Add HTTP adapters and repair the in-memory fakes

The in-memory worker kept every acknowledged attempt in its report loop, numbered sessions from 1 after a restart and answered a repeated start without the attempt's state (A3); the inventory and the object store handed out their own objects. undici's Pool is replaced by single clients, since its connection limit is fixed at construction.

--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -1,1 +1,5 @@
+export * from './connectPlatform/index.ts'
+export * from './httpRunnerClient/index.ts'
+export * from './httpWorkerConnector/index.ts'
 export type * from './types.ts'
+export * from './wire/index.ts'
--- a/packages/adapters/src/types.ts
+++ b/packages/adapters/src/types.ts
@@ -93,6 +93,8 @@
   task: string
   attempt: number
   accepted: boolean
+  /** State of an attempt that was known before (assumption A3) or has just started. */
+  state?: AttemptState
   /** Why the attempt was not accepted. */
   detail?: string
 }
--- a/packages/standins/src/memoryInventory/index.ts
+++ b/packages/standins/src/memoryInventory/index.ts
@@ -2,6 +2,9 @@
 import { done, type Outcome } from '@gypsumspring/protocol'
 import { FaultSwitch } from '../faults/index.ts'
 
+/** Changes kept for the fault `lagMs`. The first entry, the empty list, always stays. */
+const MAX_HISTORY = 1000
+
 /** A list of VMs in memory; answers are as old as the fault `lagMs` says. */
 export class MemoryInventory implements Inventory {
   readonly faults = new FaultSwitch()
@@ -11,13 +14,14 @@
     return this.faults.apply(() => {
       const visibleUntil = performance.now() - this.faults.settings.lagMs
       const visible = this.#history.findLast((entry) => entry.at <= visibleUntil)
-      return done(visible?.machines ?? [])
+      return done(structuredClone(visible?.machines ?? []))
     })
   }
 
-  /** Adds a VM or replaces the one with the same id. */
-  put (machine: Machine): void {
-    this.#replace([...this.#current.filter(({ id }) => id !== machine.id), machine])
+  /** Adds VMs or replaces those with the same ids. */
+  put (...machines: Machine[]): void {
+    const replaced = new Set(machines.map(({ id }) => id))
+    this.#replace([...this.#current.filter(({ id }) => !replaced.has(id)), ...structuredClone(machines)])
   }
 
   remove (id: string): void {
@@ -30,5 +34,6 @@
 
   #replace (machines: Machine[]): void {
     this.#history.push({ at: performance.now(), machines })
+    if (this.#history.length > MAX_HISTORY) this.#history.splice(1, 1)
   }
 }
--- a/packages/standins/src/memoryObjectStore/index.ts
+++ b/packages/standins/src/memoryObjectStore/index.ts
@@ -15,7 +15,10 @@
   }
 
   get (key: string): Promise<Outcome<Uint8Array | undefined>> {
-    return this.faults.apply(() => done(this.#objects.get(key)))
+    return this.faults.apply(() => {
+      const bytes = this.#objects.get(key)
+      return done(bytes && Uint8Array.from(bytes))
+    })
   }
 
   remove (key: string): Promise<Outcome<void>> {
--- a/packages/standins/src/memoryWorker/index.ts
+++ b/packages/standins/src/memoryWorker/index.ts
@@ -1,5 +1,6 @@
+import { randomUUID } from 'node:crypto'
 import type {
-  AttemptReport, AttemptStart, StartResult, WorkerClient, WorkerInspection, WorkerSession
+  AttemptReport, AttemptStart, AttemptState, StartResult, WorkerClient, WorkerInspection, WorkerSession
 } from '@gypsumspring/adapters'
 import { done, notDone, type Outcome, type Resources } from '@gypsumspring/protocol'
 import { FaultSwitch } from '../faults/index.ts'
@@ -7,6 +8,10 @@
 type Timer = ReturnType<typeof setTimeout>
 
 interface Attempt extends AttemptReport {
+  /** On the clock of `performance.now()`, in ms. */
+  startedAt: number
+  /** Shown as the measured use once the fault `lagMs` has passed. */
+  usageLater?: Resources
   leaseTimer?: Timer
   runTimer?: Timer
 }
@@ -14,6 +19,7 @@
 interface ShardState {
   epoch: number
   session: string
+  ttlMs: number
   sessionExpiresAt: number
   label: string
 }
@@ -23,6 +29,8 @@
   /** Run time in ms; absent for a task that runs until it is stopped. */
   runMs?: number
   fails?: boolean
+  /** Use to report; may be above the resources of the attempt. */
+  usage?: Resources
 }
 
 /** Called when an attempt starts or ends, for tests that watch for double runs. */
@@ -42,7 +50,8 @@
   readonly #observe: AttemptObserver
   readonly #attempts = new Map<string, Attempt>()
   readonly #shards = new Map<string, ShardState>()
-  #sessionCount = 0
+  /** Attempts that ended and were acknowledged. Their ids stay known, so that a late start is not run again (A3). */
+  readonly #forgotten = new Map<string, AttemptState>()
 
   constructor (id: string, capacity: Resources, observe: AttemptObserver = () => {}) {
     this.#id = id
@@ -56,23 +65,22 @@
     return this.faults.apply(() => {
       const known = this.#shards.get(request.shard)
       if (known !== undefined && known.epoch > request.epoch) return staleEpoch(known.epoch)
-      const session = `${this.#id}-${++this.#sessionCount}`
+      // Never the id of a session from before a restart.
+      const session = randomUUID()
       const { epoch, label } = request
-      this.#shards.set(request.shard, { epoch, label, session, sessionExpiresAt: performance.now() + request.ttlMs })
-      this.#ttls.set(session, request.ttlMs)
+      const sessionExpiresAt = performance.now() + request.ttlMs
+      this.#shards.set(request.shard, { epoch, label, session, ttlMs: request.ttlMs, sessionExpiresAt })
       return done({ worker: this.#id, session, shard: request.shard, ...this.#inspect(request.shard) })
     })
   }
 
-  readonly #ttls = new Map<string, number>()
-
   heartbeat (session: WorkerSession, request: {
     renewals: Array<{ task: string, attempt: number }>
     leaseMs: number
     acknowledge: Array<{ task: string, attempt: number }>
   }): Promise<Outcome<{ attempts: AttemptReport[] }>> {
     return this.faults.apply(() => this.#withSession<{ attempts: AttemptReport[] }>(session, false, (state) => {
-      state.sessionExpiresAt = performance.now() + (this.#ttls.get(session.session) ?? 0)
+      state.sessionExpiresAt = performance.now() + state.ttlMs
       for (const { task, attempt } of request.renewals) this.#renew(attemptKey(task, attempt), request.leaseMs)
       for (const { task, attempt } of request.acknowledge) this.#forget(attemptKey(task, attempt))
       return done({ attempts: this.#reports() })
@@ -114,9 +122,15 @@
     this.faults.set({ down: true })
     for (const [key, attempt] of this.#attempts) if (attempt.state === 'running') this.#end(key, 'failed')
     this.#attempts.clear()
+    this.#forgotten.clear()
     this.#shards.clear()
   }
 
+  /** Lets a failed worker answer again, as a VM that was started anew. */
+  recover (): void {
+    this.faults.set({ down: false })
+  }
+
   get running (): AttemptReport[] {
     return this.#reports().filter(({ state }) => state === 'running')
   }
@@ -124,15 +138,17 @@
   #start (start: AttemptStart): StartResult {
     const { task, attempt, resources } = start
     const key = attemptKey(task, attempt)
-    if (this.#attempts.has(key)) return { task, attempt, accepted: true }
-    const { runMs, fails } = start.payload as StandInPayload
-    const started: Attempt = { task, attempt, resources, state: 'running' }
+    const known = this.#attempts.get(key)?.state ?? this.#forgotten.get(key)
+    if (known !== undefined) return { task, attempt, accepted: true, state: known }
+    const { runMs, fails, usage } = start.payload as StandInPayload
+    const startedAt = performance.now()
+    const started: Attempt = { task, attempt, resources, state: 'running', startedAt, usageLater: usage }
     this.#attempts.set(key, started)
     this.#observe('start', this.#id, toReport(started))
     this.#renew(key, start.leaseMs)
     if (this.failsEverything || fails === true) this.#end(key, 'failed', 'exit code 1')
     else if (runMs !== undefined) started.runTimer = setTimeout(() => this.#end(key, 'succeeded'), runMs)
-    return { task, attempt, accepted: true }
+    return { task, attempt, accepted: true, state: started.state }
   }
 
   #renew (key: string, leaseMs: number): void {
@@ -152,16 +168,20 @@
     this.#observe('end', this.#id, toReport(attempt))
   }
 
-  /** Ended attempts stay known until acknowledged, and their ids afterwards, so that a late start is not run again. */
   #forget (key: string): void {
     const attempt = this.#attempts.get(key)
-    if (attempt !== undefined && attempt.state !== 'running') this.#acknowledged.add(key)
+    if (attempt === undefined || attempt.state === 'running') return
+    this.#attempts.delete(key)
+    this.#forgotten.set(key, attempt.state)
   }
 
-  readonly #acknowledged = new Set<string>()
-
   #reports (): AttemptReport[] {
-    return [...this.#attempts].filter(([key]) => !this.#acknowledged.has(key)).map(([, attempt]) => toReport(attempt))
+    const measuredUntil = performance.now() - this.faults.settings.lagMs
+    return [...this.#attempts.values()].map((attempt) => {
+      const { startedAt, usageLater } = attempt
+      const measured = usageLater !== undefined && startedAt <= measuredUntil
+      return measured ? { ...toReport(attempt), usage: usageLater } : toReport(attempt)
+    })
   }
 
   #inspect (shard: string): WorkerInspection {
