--- a/scripts/build.js
+++ b/scripts/build.js
@@ -9,7 +9,8 @@
 const programs = [
   { directory: 'packages/daemon', entryPoints: ['gypsumspringd'] },
   { directory: 'packages/cli', entryPoints: ['gypsumctl'] },
-  { directory: 'packages/bench', entryPoints: ['bench'] }
+  { directory: 'packages/bench', entryPoints: ['bench'] },
+  { directory: 'packages/standins', entryPoints: ['endpoints', 'platform', 'workers'] }
 ]
 
 for (const { directory, entryPoints } of programs) {
