Test the certainty of each failure of the platform adapters

Found by the tests: a body that stopped arriving was reported as closed instead of timeout, an answer that is not HTTP as closed instead of invalid (undici's parser error has no code), and the stand-in's object store answered every failure of a read with 500 (JSON sent under a binary content type).

--- a/packages/adapters/src/_lib/Deadline.ts
+++ b/packages/adapters/src/_lib/Deadline.ts
@@ -1,3 +1,13 @@
+/** Why an exchange was aborted from this side. */
+export class AbortedExchange extends Error {
+  readonly reason: 'timeout' | 'closed'
+
+  constructor (reason: 'timeout' | 'closed', message: string) {
+    super(message)
+    this.reason = reason
+  }
+}
+
 /** Aborts its signal after a time or when another signal aborts, and tells which of the two it was. */
 export class Deadline {
   readonly #controller = new AbortController()
@@ -40,6 +50,6 @@
 
   readonly #abort = (): void => {
     this.clear()
-    this.#controller.abort(new Error(this.text))
+    this.#controller.abort(new AbortedExchange(this.reason, this.text))
   }
 }
--- a/packages/adapters/src/_lib/callJson.ts
+++ b/packages/adapters/src/_lib/callJson.ts
@@ -5,7 +5,7 @@
 } from '@gypsumspring/protocol'
 import { MAX_ANSWER_BYTES, MAX_REQUEST_BYTES } from '../constants/index.ts'
 import type { ConnectionPool } from './ConnectionPool.ts'
-import { exchange } from './exchange.ts'
+import { exchange, toReason } from './exchange.ts'
 import { readBody } from './readBody.ts'
 import { readFailure } from './readFailure.ts'
 
@@ -46,7 +46,7 @@
   try {
     bytes = await readBody(answer.body, MAX_ANSWER_BYTES)
   } catch (error) {
-    return unknownEffect('closed', `the answer was cut off: ${(error as Error).message}`)
+    return unknownEffect(toReason(error as Error), `the answer was cut off: ${(error as Error).message}`)
   }
   if (answer.status >= 300) return readFailure(answer.status, answer.headers, bytes)
   if (bytes === undefined) return unknownEffect('invalid', `the answer is larger than ${MAX_ANSWER_BYTES} bytes`)
--- a/packages/adapters/src/_lib/exchange.ts
+++ b/packages/adapters/src/_lib/exchange.ts
@@ -2,7 +2,7 @@
 import request from 'undici/lib/api/api-request.js'
 import { done, notDone, unknownEffect, type FailureReason, type Outcome } from '@gypsumspring/protocol'
 import type { ConnectionPool } from './ConnectionPool.ts'
-import { Deadline } from './Deadline.ts'
+import { AbortedExchange, Deadline } from './Deadline.ts'
 
 export interface ExchangeRequest {
   method: string
@@ -75,7 +75,7 @@
       deadline.signal.removeEventListener('abort', onAbort)
       deadline.clear()
       pool.release(client)
-      const reason = deadline.signal.aborted ? deadline.reason : toReason(error.code)
+      const reason = toReason(error)
       resolve(written ? unknownEffect(reason, error.message) : notDone(reason, error.message))
     })
   })
@@ -92,7 +92,14 @@
   UND_ERR_HEADERS_OVERFLOW: 'invalid'
 }
 
-function toReason (code: string | undefined): FailureReason {
-  if (code === undefined) return 'closed'
-  return code.startsWith('HPE_') ? 'invalid' : REASONS[code] ?? 'closed'
+/**
+ * Finds the reason of a failure for an error of an exchange or of its body.
+ *
+ * @param error - What was thrown.
+ * @returns `timeout` or `closed` when aborted from this side; else by the error's code, `closed` for unknown ones.
+ */
+export function toReason (error: Error & { code?: string }): FailureReason {
+  if (error instanceof AbortedExchange) return error.reason
+  const { code = '' } = error
+  return error.name === 'HTTPParserError' ? 'invalid' : REASONS[code] ?? 'closed'
 }
--- a/packages/adapters/src/httpObjectStore/index.ts
+++ b/packages/adapters/src/httpObjectStore/index.ts
@@ -1,7 +1,7 @@
 import { done, notDone, unknownEffect, type Outcome } from '@gypsumspring/protocol'
 import type { ConnectionPool } from '../_lib/ConnectionPool.ts'
 import { encodeKey } from '../_lib/encodeKey.ts'
-import { exchange } from '../_lib/exchange.ts'
+import { exchange, toReason } from '../_lib/exchange.ts'
 import { readBody } from '../_lib/readBody.ts'
 import { readFailure } from '../_lib/readFailure.ts'
 import { MAX_OBJECT_BYTES } from '../constants/index.ts'
@@ -55,7 +55,7 @@
       if (bytes === undefined) return unknownEffect('invalid', `the object is larger than ${MAX_OBJECT_BYTES} bytes`)
       return done(bytes)
     } catch (error) {
-      return unknownEffect('closed', `the answer was cut off: ${(error as Error).message}`)
+      return unknownEffect(toReason(error as Error), `the answer was cut off: ${(error as Error).message}`)
     }
   }
 }
--- a/packages/standins/src/servePlatform/index.ts
+++ b/packages/standins/src/servePlatform/index.ts
@@ -118,7 +118,10 @@
     const found = outcome.chain((bytes) => {
       return bytes === undefined ? notDone('not-found', `no object ${params.key}`) : outcome
     })
-    return sendOutcome(reply.type('application/octet-stream'), found, (bytes) => Buffer.from(bytes!))
+    return sendOutcome(reply, found, (bytes) => {
+      reply.type('application/octet-stream')
+      return Buffer.from(bytes!)
+    })
   })
 }
 
