--- a/packages/daemon/src/configuration/_lib/manifestObjects.ts
+++ b/packages/daemon/src/configuration/_lib/manifestObjects.ts
@@ -3,39 +3,31 @@
 import { done, Manifest, notDone, type Outcome } from '@gypsumspring/protocol'
 import { Value } from '@sinclair/typebox/value'
 
-/** Hashes the content of a manifest, independent of the order of its fields. */
-export function hashManifest (manifest: Manifest): string {
-  return createHash('sha256').update(toCanonicalJson(manifest)).digest('hex')
-}
-
-/** Stores a manifest under its hash and returns the hash. */
+/** Stores a manifest under the hash of its bytes and returns the hash. A repeated put is harmless. */
 export async function putManifest (objects: ObjectStore, manifest: Manifest): Promise<Outcome<string>> {
-  const hash = hashManifest(manifest)
-  const stored = await objects.put(toObjectKey(hash), Buffer.from(toCanonicalJson(manifest)))
+  const bytes = Buffer.from(JSON.stringify(manifest))
+  const hash = hashBytes(bytes)
+  const stored = await objects.put(toObjectKey(hash), bytes)
   return stored.map(() => hash)
 }
 
-/** Reads a manifest; `not-found` when it is absent or its content does not match its hash. */
+/** Reads a manifest; `not-found` when it is absent or its bytes do not match the hash. */
 export async function getManifest (objects: ObjectStore, hash: string): Promise<Outcome<Manifest>> {
   const outcome = await objects.get(toObjectKey(hash))
-  return outcome.chain<never, Manifest>((bytes) => parseContent(hash, bytes) as never)
+  return outcome.chain((bytes) => parseContent(hash, bytes))
 }
 
 function parseContent (hash: string, bytes: Uint8Array | undefined): Outcome<Manifest> {
   if (bytes === undefined) return notDone('not-found', `manifest ${hash} is absent`)
+  if (hashBytes(bytes) !== hash) return notDone('not-found', `manifest ${hash} is damaged`)
   const content: unknown = JSON.parse(Buffer.from(bytes).toString())
-  return Value.Check(Manifest, content) && hashManifest(content) === hash
-    ? done(content)
-    : notDone('not-found', `manifest ${hash} is damaged`)
+  return Value.Check(Manifest, content) ? done(content) : notDone('invalid', `manifest ${hash} violates its schema`)
 }
 
-function toObjectKey (hash: string): string {
-  return `manifest/${hash}`
+function hashBytes (bytes: Uint8Array): string {
+  return createHash('sha256').update(bytes).digest('hex')
 }
 
-function toCanonicalJson (value: unknown): string {
-  return JSON.stringify(value, (_key, nested: unknown) =>
-    typeof nested === 'object' && nested !== null && !Array.isArray(nested)
-      ? Object.fromEntries(Object.entries(nested).sort(([a], [b]) => a < b ? -1 : 1))
-      : nested)
+function toObjectKey (hash: string): string {
+  return `manifest/${hash}`
 }
--- a/packages/daemon/src/configuration/index.ts
+++ b/packages/daemon/src/configuration/index.ts
@@ -1,3 +1,3 @@
 export { ConfigurationStore } from './ConfigurationStore.ts'
 export { CONFIGURATION_ROW, ConfigurationTask } from './ConfigurationTask.ts'
-export { getManifest, hashManifest, putManifest } from './_lib/manifestObjects.ts'
+export { getManifest, putManifest } from './_lib/manifestObjects.ts'
--- a/packages/daemon/src/entry/addEntryParts.ts
+++ b/packages/daemon/src/entry/addEntryParts.ts
@@ -1,4 +1,4 @@
-import type { ProcessContext } from '../runDaemon.ts'
+import type { ProcessContext } from '../types.ts'
 
 /** Adds the parts of the entry role to the life cycle. */
 export function addEntryParts (context: ProcessContext): void {
