--- a/scripts/build.js
+++ b/scripts/build.js
@@ -10,7 +10,7 @@
   { directory: 'packages/daemon', entryPoints: ['gypsumspringd'] },
   { directory: 'packages/cli', entryPoints: ['gypsumctl'] },
   { directory: 'packages/bench', entryPoints: ['bench'] },
-  { directory: 'packages/standins', entryPoints: ['endpoints', 'platform', 'workers'] }
+  { directory: 'packages/standins', entryPoints: ['endpoints', 'platform', 'quickstart', 'workers'] }
 ]
 
 for (const { directory, entryPoints } of programs) {
