--- a/packages/adapters/src/_lib/exchange.ts
+++ b/packages/adapters/src/_lib/exchange.ts
@@ -64,23 +64,33 @@
       resolve(notDone(deadline.reason, `no connection was made: ${deadline.text}`))
     }
     deadline.signal.addEventListener('abort', onAbort, { once: true })
-    request.call({ dispatch }, options).then((answer) => {
+    const onAnswer = (answer: Dispatcher.ResponseData) => {
       answer.body.on('error', () => {})
       answer.body.once('close', () => {
         deadline.clear()
         pool.release(client)
       })
       resolve(done({ status: answer.statusCode, headers: answer.headers, body: answer.body }))
-    }, (error: Error & { code?: string }) => {
+    }
+    const onError = (error: Error) => {
       deadline.signal.removeEventListener('abort', onAbort)
       deadline.clear()
       pool.release(client)
       const reason = toReason(error)
       resolve(written ? unknownEffect(reason, error.message) : notDone(reason, error.message))
-    })
+    }
+    const send = () => request.call({ dispatch }, options)
+    // An idle connection that turns out to be broken fails the request before it is written; a new one is made then.
+    const sendAgain = (error: Error & { code?: string }) => {
+      if (written || deadline.signal.aborted || !BROKEN_CONNECTION.has(error.code ?? '')) throw error
+      return send()
+    }
+    send().catch(sendAgain).then(onAnswer, onError)
   })
 }
 
+const BROKEN_CONNECTION = new Set(['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET'])
+
 const REASONS: Record<string, FailureReason> = {
   ECONNREFUSED: 'unavailable',
   EHOSTUNREACH: 'unavailable',
--- a/packages/standins/src/linkProxy/index.ts
+++ b/packages/standins/src/linkProxy/index.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events'
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 
 export type LinkDirection = 'to-target' | 'to-client' | 'both'
@@ -140,8 +141,10 @@
   /** Breaks all connections and refuses new ones until `listen`. */
   async sever (): Promise<void> {
     const closed = new Promise<void>((resolve) => this.#server.close(() => resolve()))
+    const sockets = [...this.#links].flatMap((link) => link.sockets).filter((socket) => !socket.closed)
+    const ended = sockets.map((socket) => once(socket, 'close'))
     this.reset()
-    await closed
+    await Promise.all([closed, ...ended])
   }
 
   /** Ends the proxy. Harmless when it is severed. */
--- /dev/null
+++ b/packages/standins/src/linkProxy/test.ts
@@ -0,0 +1,78 @@
+import { expect } from 'chai'
+import { connectPlatform } from '@gypsumspring/adapters'
+import { servePlatform, type PlatformServer } from '../servePlatform/index.ts'
+import { LinkProxy, type LinkDirection } from './index.ts'
+
+const put = (key: string) => ({ checks: [], writes: [{ kind: 'put' as const, key, value: 1 }] })
+
+describe('LinkProxy', () => {
+  let server: PlatformServer
+  let link: LinkProxy
+  let platform: ReturnType<typeof connectPlatform>
+
+  beforeEach(async () => {
+    server = await servePlatform()
+    link = new LinkProxy(new URL(server.url).host)
+    platform = connectPlatform({ platformUrl: `http://${await link.listen()}`, storeTimeoutMs: 300 })
+    expect((await platform.table.transact(put('first'))).isRight()).to.equal(true)
+  })
+
+  afterEach(async () => {
+    await platform.close()
+    await link.close()
+    await server.close()
+  })
+
+  const cuts: Array<{ direction: LinkDirection, takesEffect: boolean }> = [
+    { direction: 'to-target', takesEffect: false },
+    { direction: 'to-client', takesEffect: true },
+    { direction: 'both', takesEffect: false }
+  ]
+  for (const { direction, takesEffect } of cuts) {
+    it(`a cut ${direction}: unknown to the caller, ${takesEffect ? 'done' : 'not done'} at the target`, async () => {
+      link.cut(direction)
+      const outcome = await platform.table.transact(put('a'))
+      expect(outcome.extract()).to.include({ certainty: 'unknown', reason: 'timeout' })
+      expect((await server.table.read('a')).extract() !== undefined).to.equal(takesEffect)
+      // What was held back arrives after the cut, as a request delayed by the network does.
+      link.heal(direction)
+      while ((await server.table.read('a')).extract() === undefined) await new Promise((resolve) => setTimeout(resolve, 5))
+      expect((await platform.table.read('a')).isRight()).to.equal(true)
+    })
+  }
+
+  it('a reset during a cut loses what was held back', async () => {
+    link.cut('to-target')
+    const pending = platform.table.transact(put('a'))
+    await new Promise((resolve) => setTimeout(resolve, 50))
+    link.reset()
+    expect((await pending).extract()).to.include({ certainty: 'unknown', reason: 'closed' })
+    link.heal()
+    expect((await platform.table.read('a')).unsafeCoerce()).to.equal(undefined)
+  })
+
+  it('severed it refuses, and listens on the same port again', async () => {
+    await link.sever()
+    expect(link.connections).to.equal(0)
+    expect((await platform.table.read('a')).extract()).to.include({ certainty: 'not-done', reason: 'unavailable' })
+    await link.listen()
+    expect((await platform.table.read('a')).isRight()).to.equal(true)
+    await link.sever()
+    await link.listen()
+    expect((await platform.table.read('a')).isRight(), 'a broken idle connection must be replaced').to.equal(true)
+  })
+
+  it('carries a large body whole and in order through a delay', async () => {
+    link.delay(10)
+    const bytes = Uint8Array.from({ length: 5_000_000 }, (_, index) => index % 251)
+    const slow = connectPlatform({ platformUrl: `http://${link.address}`, storeTimeoutMs: 20_000 })
+    await slow.objects.put('large', bytes)
+    expect(Buffer.compare((await slow.objects.get('large')).unsafeCoerce()!, bytes)).to.equal(0)
+    await slow.close()
+  })
+
+  it('resets the caller when the target is gone', async () => {
+    await server.close()
+    expect((await platform.table.read('a')).extract()).to.include({ certainty: 'unknown', reason: 'closed' })
+  })
+})
