--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -142,6 +142,11 @@
   submit (request: CallerRequest, now: number): RouteAction[]
   /** The exchange has ended and no longer uses its slot. */
   finish (request: string, runner: string, result: ExchangeResult, now: number): RouteAction[]
+  /**
+   * The answer of this exchange is being passed on to the caller as it comes: the request gets no other answer, no
+   * retry and no hedge, and its other exchanges are aborted. `finish` still follows.
+   */
+  commit? (request: string, runner: string, now: number): RouteAction[]
   /** The caller has gone away. */
   abandon (request: string, now: number): RouteAction[]
   /** Deadlines and hedges that are due. */
