Add the interfaces of the slot ledger and holder

Cause: the entry process is built against them. The answer to slots.report carries validMs, counted from the allocator's last lease renewal. Without it an allocator cut off from the store, which goes on answering, would extend tokens past the H that its successor waits for. Tokens expire per failure domain in the router itself, so that an entry that resumes from a pause can't send with expired ones.

--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -1,5 +1,7 @@
 /** Types shared by the decisions. Times are ms on a monotonic clock that the caller reads and passes in. */
-import type { PriorityClass, Resources, Spread, WorkloadKind } from '@gypsumspring/protocol'
+import type {
+  PriorityClass, Resources, RpcParams, RpcResult, SlotDemand, SlotHolding, SlotMove, Spread, WorkloadKind
+} from '@gypsumspring/protocol'
 
 /** A worker as placement sees it. */
 export interface WorkerNode {
@@ -126,6 +128,7 @@
 
 export interface SlotUse {
   runner: string
+  failureDomain: string
   held: number
   inUse: number
 }
@@ -137,6 +140,11 @@
   setTeamShares (shares: Map<string, number>): void
   /** Slot tokens received for a runner. */
   grantSlots (runner: string, slots: number, now: number): RouteAction[]
+  /**
+   * Tokens of the domain's runners may be used before `at`. From then on free tokens are dropped, and those in use when
+   * their exchange finishes; an earlier time than the last one given is ignored. Before the first call none is usable.
+   */
+  setSlotExpiry (failureDomain: string, at: number): void
   /** Gives up to `slots` free tokens of a runner back; returns how many. */
   releaseSlots (runner: string, slots: number): number
   submit (request: CallerRequest, now: number): RouteAction[]
@@ -151,3 +159,71 @@
   use (): SlotUse[]
   waiting (): number
 }
+
+export type SlotReport = Omit<RpcParams<'slots.report'>, 'from' | 'configVersion'>
+export type SlotAnswer = RpcResult<'slots.report'>
+
+/** A process that may hold tokens, as listed in the allocator's row. `retired` means that its entry has restarted. */
+export interface SlotRegistration {
+  entry: string
+  incarnation: string
+  retired: boolean
+}
+
+/** Slots of a runner as configured. */
+export interface SlotRunner {
+  endpoint: string
+  runner: string
+  slots: number
+}
+
+/**
+ * The allocator of one failure domain: who holds how many tokens of each runner. Created with the epoch and the
+ * registrations of the row at the time of the takeover.
+ */
+export interface SlotLedger {
+  readonly epoch: number
+  /** Runners of the domain with their slots; tokens of absent ones are recalled. */
+  setRunners (runners: SlotRunner[]): void
+  /** A lease renewal sent at `sentAt` has succeeded. The lease is part of how long the answers' tokens are valid. */
+  renewed (sentAt: number): void
+  /** The answer to a report. Same report, same answer. */
+  handle (report: SlotReport, now: number): SlotAnswer
+  /** What the row has to hold; undefined while it holds that already. Entries not in the row get no token. */
+  pendingRegistrations (): SlotRegistration[] | undefined
+  /** The row was written with these registrations, under this ledger's epoch. */
+  confirmRegistrations (registrations: SlotRegistration[]): void
+  /** The VM of an entry that was in the inventory is no longer listed. */
+  leave (entry: string, now: number): void
+  /** Ends withholding that is due. */
+  tick (now: number): void
+  /** When `tick` has to be called next; undefined when nothing is due. */
+  nextTickAt (): number | undefined
+  /** Per runner: tokens counted as with entries, kept back for entries that have not answered, and free. */
+  usage (): { endpoint: string, runner: string, slots: number, held: number, withheld: number, free: number }[]
+}
+
+/**
+ * What the entry passes on to its routers, in this order: `setSlotExpiry(domain, validUntil)`, `grantSlots` for each
+ * grant, `releaseSlots` for each release. A release takes what is free then; the next report tells how much that was.
+ */
+export interface SlotChange {
+  /** Absent when the answer was refused. */
+  validUntil?: number
+  grants: SlotMove[]
+  releases: SlotMove[]
+}
+
+/** The entry's side of the allocation, one for each failure domain. The routers own the counts of tokens. */
+export interface SlotHolder {
+  /** Highest epoch known. */
+  readonly epoch: number
+  /** The row names an allocator with this epoch; lower ones are ignored. */
+  follow (epoch: number): void
+  /** The report to send to the allocator; undefined while the answer to the last one may still arrive. */
+  report (now: number, holdings: SlotHolding[], demands: SlotDemand[], leaving?: boolean): SlotReport | undefined
+  /** Applies an answer once; late, repeated and outdated ones change nothing. */
+  apply (answer: SlotAnswer, now: number): SlotChange
+  /** When to report next. Call it again when requests begin to wait, which makes the report due earlier. */
+  nextReportAt (waiting: number, spare: number): number
+}
--- a/packages/protocol/src/rpcMessages/index.ts
+++ b/packages/protocol/src/rpcMessages/index.ts
@@ -97,6 +97,11 @@
       epoch: Count,
       sequence: Count,
       registered: Type.Boolean(),
+      /**
+       * Milliseconds, from the sending of the report on, for which the entry may use its tokens. It counts from the
+       * allocator's last lease renewal, so that a newer allocator knows when an older one's tokens have expired.
+       */
+      validMs: Count,
       grants: Type.Array(SlotMove),
       releases: Type.Array(SlotMove)
     })),
