--- /dev/null
+++ b/packages/core/src/recordTypes.ts
@@ -0,0 +1,54 @@
+/** What a shard's journal and snapshot hold. */
+import type { Resources, WorkloadKind } from '@gypsumspring/protocol'
+
+/** How an attempt ended. `refused` never ran; `lost` ended with its worker; `stopped` was stopped or let its lease lapse. */
+export type AttemptEnd = 'succeeded' | 'failed' | 'stopped' | 'checkpointed' | 'lost' | 'refused'
+
+export type GroupOutcome = 'succeeded' | 'failed' | 'cancelled'
+
+export type JournalRecord =
+  /** The shard takes a group; written together with the row `assignment/<group>`, which must be absent. */
+  | { kind: 'claim', group: string, generation: string, team: string, workload: WorkloadKind }
+  /** The group starts again from nothing under a new generation. */
+  | { kind: 'restart', group: string, generation: string }
+  /** Precedes each start. Attempt numbers rise over the whole shard, so that no worker takes a new run for an old one. */
+  | { kind: 'intent', task: string, group: string, attempt: number, worker: string, resources: Resources }
+  /** The attempt certainly does not run any more. `failure` raises the task's count of failures. */
+  | { kind: 'end', task: string, attempt: number, result: AttemptEnd, failure: boolean }
+  /** A batch run or gang is over and never runs again under this generation. */
+  | { kind: 'finish', group: string, outcome: GroupOutcome }
+  /** The group has left the configuration; its row `assignment/<group>` is deleted in the same transaction. */
+  | { kind: 'release', group: string }
+
+export interface JournalRow {
+  sequence: number
+  /** Incarnation of the process that wrote the row. */
+  writer: string
+  epoch: number
+  records: JournalRecord[]
+}
+
+export interface GroupRecord {
+  generation: string
+  team: string
+  kind: WorkloadKind
+  outcome?: GroupOutcome
+}
+
+export interface TaskRecord {
+  group: string
+  attempt: number
+  worker: string
+  resources: Resources
+  failures: number
+  /** Absent while the attempt may run. */
+  result?: AttemptEnd
+}
+
+/** A snapshot as it is stored. */
+export interface ShardSnapshot {
+  sequence: number
+  lastAttempt: number
+  groups: Array<[string, GroupRecord]>
+  tasks: Array<[string, TaskRecord]>
+}
--- /dev/null
+++ b/packages/core/src/recordedState/index.ts
@@ -0,0 +1,115 @@
+import { Left, Right, type Either } from 'purify-ts/Either'
+import type { GroupRecord, JournalRecord, JournalRow, ShardSnapshot, TaskRecord } from '../recordTypes.ts'
+
+/** The state of a shard as far as it is recorded. Changed only by journal rows, in order. */
+export class RecordedState {
+  #sequence: number
+  #lastAttempt: number
+  readonly #groups: Map<string, GroupRecord>
+  readonly #tasks: Map<string, TaskRecord>
+  readonly #tasksOfGroup = new Map<string, Set<string>>()
+
+  constructor (snapshot: ShardSnapshot = { sequence: 0, lastAttempt: 0, groups: [], tasks: [] }) {
+    const { sequence, lastAttempt, groups, tasks } = structuredClone(snapshot)
+    this.#sequence = sequence
+    this.#lastAttempt = lastAttempt
+    this.#groups = new Map(groups)
+    this.#tasks = new Map(tasks)
+    for (const [task, { group }] of tasks) this.#index(task, group)
+  }
+
+  /** Sequence of the last row applied; 0 for none. */
+  get sequence (): number {
+    return this.#sequence
+  }
+
+  /** Highest attempt number used in the shard. */
+  get lastAttempt (): number {
+    return this.#lastAttempt
+  }
+
+  get groups (): ReadonlyMap<string, Readonly<GroupRecord>> {
+    return this.#groups
+  }
+
+  get tasks (): ReadonlyMap<string, Readonly<TaskRecord>> {
+    return this.#tasks
+  }
+
+  /**
+   * Applies a row.
+   *
+   * @param row - The next row; one already applied is ignored.
+   * @returns Nothing, or why the row can't follow: a gap, or a record that breaks an invariant. After the latter the
+   * state is not to be used.
+   */
+  apply (row: Pick<JournalRow, 'sequence' | 'records'>): Either<string, void> {
+    if (row.sequence <= this.#sequence) return Right(undefined)
+    if (row.sequence !== this.#sequence + 1) return Left(`row ${row.sequence} follows row ${this.#sequence}`)
+    for (const record of row.records) {
+      const violation = this.#applyRecord(record)
+      if (violation !== undefined) return Left(`row ${row.sequence}: ${violation}`)
+    }
+    this.#sequence = row.sequence
+    return Right(undefined)
+  }
+
+  toSnapshot (): ShardSnapshot {
+    return structuredClone({
+      sequence: this.#sequence, lastAttempt: this.#lastAttempt, groups: [...this.#groups], tasks: [...this.#tasks]
+    })
+  }
+
+  #applyRecord (record: JournalRecord): string | undefined {
+    switch (record.kind) {
+      case 'claim':
+        this.#groups.set(record.group, { generation: record.generation, team: record.team, kind: record.workload })
+        return undefined
+      case 'intent': return this.#applyIntent(record)
+      case 'end': return this.#applyEnd(record)
+      default: return this.#applyToGroup(record)
+    }
+  }
+
+  #applyIntent ({ task, group, attempt, worker, resources }: JournalRecord & { kind: 'intent' }): string | undefined {
+    const known = this.#tasks.get(task)
+    if (known !== undefined && known.result === undefined) return `task ${task} has a live attempt ${known.attempt}`
+    if (!this.#groups.has(group)) return `intent for ${task} of a group that is not claimed`
+    if (attempt <= this.#lastAttempt) return `attempt ${attempt} of ${task} is not above ${this.#lastAttempt}`
+    this.#lastAttempt = attempt
+    this.#tasks.set(task, { group, attempt, worker, resources, failures: known?.failures ?? 0 })
+    this.#index(task, group)
+    return undefined
+  }
+
+  #applyEnd ({ task, attempt, result, failure }: JournalRecord & { kind: 'end' }): string | undefined {
+    const known = this.#tasks.get(task)
+    if (known === undefined || known.attempt !== attempt || known.result !== undefined) {
+      return `end of attempt ${attempt} of ${task}, which is not live`
+    }
+    this.#tasks.set(task, { ...known, result, failures: known.failures + (failure ? 1 : 0) })
+    return undefined
+  }
+
+  #applyToGroup (record: JournalRecord & { kind: 'restart' | 'finish' | 'release' }): string | undefined {
+    const group = this.#groups.get(record.group)
+    if (group === undefined) return `${record.kind} of group ${record.group}, which is not claimed`
+    const tasks = this.#tasksOfGroup.get(record.group) ?? []
+    for (const task of tasks) {
+      if (this.#tasks.get(task)?.result === undefined) return `${record.kind} of ${record.group} while ${task} is live`
+      this.#tasks.delete(task)
+    }
+    this.#tasksOfGroup.delete(record.group)
+    const { team, kind, generation } = group
+    if (record.kind === 'release') this.#groups.delete(record.group)
+    else if (record.kind === 'finish') this.#groups.set(record.group, { team, kind, generation, outcome: record.outcome })
+    else this.#groups.set(record.group, { team, kind, generation: record.generation })
+    return undefined
+  }
+
+  #index (task: string, group: string): void {
+    const tasks = this.#tasksOfGroup.get(group)
+    if (tasks === undefined) this.#tasksOfGroup.set(group, new Set([task]))
+    else tasks.add(task)
+  }
+}
