--- a/packages/daemon/src/entry/routeTask/index.ts
+++ b/packages/daemon/src/entry/routeTask/index.ts
@@ -55,6 +55,8 @@
   readonly #runners: RunnerClient
   readonly #metrics: Metrics
   readonly #addresses = new Map<string, string>()
+  /** Connections allowed now, by runner. */
+  readonly #limits = new Map<string, number>()
   readonly #pending = new Map<string, Pending>()
   #requestCount = 0
   #timer: ReturnType<typeof setTimeout> | undefined
@@ -77,17 +79,23 @@
     this.#router.setTeamShares(teamShares)
   }
 
+  setSlotExpiry (failureDomain: string, at: number): void {
+    this.#router.setSlotExpiry(failureDomain, at)
+  }
+
   grantSlots (runner: string, slots: number): void {
-    const held = this.#held(runner) + slots
-    this.#limitConnections(runner, held)
+    const held = this.use().find((use) => use.runner === runner)?.held ?? 0
+    this.#limitConnections(runner, held + slots)
     this.#apply(this.#router.grantSlots(runner, slots, performance.now()))
   }
 
-  /** Gives up to `slots` free tokens back; returns how many. */
-  releaseSlots (runner: string, slots: number): number {
-    const released = this.#router.releaseSlots(runner, slots)
-    if (released > 0) this.#limitConnections(runner, this.#held(runner))
-    return released
+  releaseSlots (runner: string, slots: number): void {
+    this.#router.releaseSlots(runner, slots)
+  }
+
+  /** Closes connections in excess of the tokens held; to be called before the tokens are reported as released. */
+  trimConnections (): void {
+    for (const { runner, held } of this.use()) this.#limitConnections(runner, held)
   }
 
   use (): SlotUse[] {
@@ -262,13 +270,11 @@
     if (pending.settled && pending.exchanges.size === 0) this.#pending.delete(id)
   }
 
-  #held (runner: string): number {
-    return this.#router.use().find((use) => use.runner === runner)?.held ?? 0
-  }
-
   #limitConnections (runner: string, connections: number): void {
     const address = this.#addresses.get(runner)
-    if (address !== undefined) this.#runners.limitConnections(address, connections)
+    if (address === undefined || this.#limits.get(runner) === connections) return
+    this.#limits.set(runner, connections)
+    this.#runners.limitConnections(address, connections)
   }
 
   #arm (): void {
