Add the slot ledger and the slot holder

An answer is applied only to the last report sent, so a report states the whole truth and no acknowledgement of grants is needed. Not yet tested.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,1 +1,3 @@
 export type * from './types.ts'
+export { createSlotHolder } from './slotHolder/index.ts'
+export { createSlotLedger } from './slotLedger/index.ts'
--- /dev/null
+++ b/packages/core/src/slotHolder/index.ts
@@ -0,0 +1,111 @@
+import type { SlotDemand, SlotHolding, SlotMove } from '@gypsumspring/protocol'
+import type { SlotAnswer, SlotChange, SlotHolder, SlotReport } from '../types.ts'
+
+interface HolderOptions {
+  reportIntervalMs?: number
+  idleIntervalMs?: number
+  urgentIntervalMs?: number
+  answerTimeoutMs?: number
+}
+
+/**
+ * The entry's side of the slot allocation in one failure domain. An answer is applied only when it belongs to the last
+ * report sent, has that report's epoch, and was not applied before. The allocator can therefore take the holdings of a
+ * report as the whole truth: no earlier grant can still arrive.
+ *
+ * @param entry - Process id of the entry.
+ * @param incarnation - Changes at each start of the process.
+ * @param options.reportIntervalMs - Interval while requests wait or tokens are spare. Default: 50.
+ * @param options.idleIntervalMs - Interval otherwise. Default: 1,000.
+ * @param options.urgentIntervalMs - Shortest interval, used while requests wait and no token is spare. Default: 50.
+ * @param options.answerTimeoutMs - How long an answer is waited for before the next report. Default: 1,000.
+ *
+ * @example
+ * const holder = createSlotHolder('entry-1', 'a1')
+ * holder.report(0, [], [{ endpoint: 'origem', waiting: 1 }])
+ */
+export function createSlotHolder (entry: string, incarnation: string, options: HolderOptions = {}): SlotHolder {
+  return new Holder(entry, incarnation, {
+    reportIntervalMs: 50, idleIntervalMs: 1000, urgentIntervalMs: 50, answerTimeoutMs: 1000, ...options
+  })
+}
+
+class Holder implements SlotHolder {
+  #epoch = 0
+  #sequence = 0
+  #sentAt = -Infinity
+  /** Sequence of the report whose answer may still be applied. */
+  #awaited: number | undefined
+  #recalled = new Map<string, SlotMove>()
+  readonly #entry: string
+  readonly #incarnation: string
+  readonly #options: Required<HolderOptions>
+
+  constructor (entry: string, incarnation: string, options: Required<HolderOptions>) {
+    this.#entry = entry
+    this.#incarnation = incarnation
+    this.#options = options
+  }
+
+  get epoch (): number {
+    return this.#epoch
+  }
+
+  follow (epoch: number): void {
+    if (epoch <= this.#epoch) return
+    this.#epoch = epoch
+    this.#awaited = undefined
+  }
+
+  report (now: number, holdings: SlotHolding[], demands: SlotDemand[], leaving = false): SlotReport | undefined {
+    if (this.#awaited !== undefined && now - this.#sentAt < this.#options.answerTimeoutMs) return undefined
+    this.#sequence++
+    this.#awaited = this.#sequence
+    this.#sentAt = now
+    return {
+      entry: this.#entry,
+      incarnation: this.#incarnation,
+      epoch: this.#epoch,
+      sequence: this.#sequence,
+      holdings: holdings.filter((holding) => holding.held > 0),
+      demands,
+      leaving
+    }
+  }
+
+  apply (answer: SlotAnswer, now: number): SlotChange {
+    const refused = { grants: [], releases: [] }
+    if (answer.epoch > this.#epoch) {
+      this.follow(answer.epoch)
+      return refused
+    }
+    if (answer.epoch < this.#epoch || answer.sequence !== this.#awaited) return refused
+    this.#awaited = undefined
+    const validUntil = this.#sentAt + answer.validMs
+    // The process may have been paused between the report and the answer.
+    if (!answer.registered || now >= validUntil) return refused
+    return { validUntil, grants: answer.grants, releases: this.#replaceRecalls(answer.releases) }
+  }
+
+  nextReportAt (waiting: number, spare: number): number {
+    const { reportIntervalMs, idleIntervalMs, urgentIntervalMs, answerTimeoutMs } = this.#options
+    const interval = this.#awaited !== undefined
+      ? answerTimeoutMs
+      : waiting > 0 && spare === 0
+        ? urgentIntervalMs
+        : waiting > 0 || spare > 0
+          ? reportIntervalMs
+          : idleIntervalMs
+    return this.#sentAt + interval
+  }
+
+  /** The allocator states all its release requests in each answer; those no longer stated are cancelled. */
+  #replaceRecalls (releases: SlotMove[]): SlotMove[] {
+    const recalled = new Map(releases.map((move) => [`${move.endpoint}/${move.runner}`, move]))
+    const cancelled = [...this.#recalled]
+      .filter(([key]) => !recalled.has(key))
+      .map(([, move]) => ({ ...move, slots: 0 }))
+    this.#recalled = recalled
+    return [...releases, ...cancelled]
+  }
+}
--- /dev/null
+++ b/packages/core/src/slotLedger/_lib/planMoves.ts
@@ -0,0 +1,102 @@
+import type { SlotMove } from '@gypsumspring/protocol'
+import { IDLE_SURPLUS_SHARE, STARVATION_MS } from '../constants/index.ts'
+import { runnerKey, type Claim, type Claims, type RunnerSlots } from './Claims.ts'
+import { planTargets } from './planTargets.ts'
+
+interface Moves {
+  grants: SlotMove[]
+  releases: SlotMove[]
+}
+
+/** Decides which tokens the reporting entry gets and which it is asked to give back; changes no count. */
+export function planMoves (claims: Claims, claim: Claim, now: number): Moves {
+  const byEndpoint = new Map<string, RunnerSlots[]>()
+  for (const runner of claims.runners.values()) {
+    const group = byEndpoint.get(runner.endpoint)
+    if (group === undefined) byEndpoint.set(runner.endpoint, [runner])
+    else group.push(runner)
+  }
+  const moves = [...byEndpoint].map(([endpoint, runners]) => planEndpoint(claims, claim, endpoint, runners, now))
+  return { grants: moves.flatMap(({ grants }) => grants), releases: moves.flatMap(({ releases }) => releases) }
+}
+
+function planEndpoint (claims: Claims, claim: Claim, endpoint: string, runners: RunnerSlots[], now: number): Moves {
+  const overdrawn = runners.filter((runner) => claims.free(runner) < 0).flatMap((runner) => {
+    const held = claim.bounds.get(runnerKey(runner))?.held ?? 0
+    return toMoves(runner, Math.min(held, -claims.free(runner)))
+  })
+  if (claim.leaving) {
+    return { grants: [], releases: runners.flatMap((runner) => toMoves(runner, holding(claim, runner))) }
+  }
+  const takers = claims.all().filter((each) => each.registered && isActive(each) && !each.leaving)
+  const lent = takers.reduce((sum, each) => sum + claims.load(each, endpoint).held, 0)
+  const free = runners.reduce((sum, runner) => sum + Math.max(0, claims.free(runner)), 0)
+  const targets = planTargets(lent + free, takers.map((each) => {
+    const { smoothed, hungrySince } = claims.load(each, endpoint)
+    const starvation = hungrySince === undefined ? 0 : (now - hungrySince) / STARVATION_MS
+    return { entry: each.entry, load: smoothed, starvation }
+  }))
+  const { held, inUse, waiting } = claims.load(claim, endpoint)
+  const target = targets.get(claim.entry) ?? 0
+  const wanted = Math.max(target - held, waiting - (held - inUse))
+  if (wanted > 0 && free > 0) {
+    return { grants: grant(claims, claim, runners, Math.min(wanted, free)), releases: overdrawn }
+  }
+  const others = takers.filter((each) => each !== claim).map((each) => {
+    const load = claims.load(each, endpoint)
+    return { missing: Math.max(0, (targets.get(each.entry) ?? 0) - load.held), waiting: load.waiting > 0 }
+  })
+  const missing = others.reduce((sum, other) => sum + other.missing, 0) - free
+  const urgent = others.some((other) => other.waiting && other.missing > 0)
+  const kept = urgent ? 0 : Math.max(1, Math.ceil(held * IDLE_SURPLUS_SHARE))
+  const surplus = Math.min(held - target, missing)
+  if (surplus <= kept || surplus <= 0 || overdrawn.length > 0) return { grants: [], releases: overdrawn }
+  return { grants: [], releases: recall(claim, runners, surplus) }
+}
+
+function isActive (claim: Claim): boolean {
+  return claim.retiredAt === undefined && claim.leftAt === undefined && claim.answered
+}
+
+function holding (claim: Claim, runner: RunnerSlots): number {
+  return claim.bounds.get(runnerKey(runner))?.held ?? 0
+}
+
+function toMoves ({ endpoint, runner }: RunnerSlots, slots: number): SlotMove[] {
+  return slots > 0 ? [{ endpoint, runner, slots }] : []
+}
+
+/** Takes from the runners with the most free tokens, and evens out how many the entry holds of each. */
+function grant (claims: Claims, claim: Claim, runners: RunnerSlots[], count: number): SlotMove[] {
+  return deal(runners, count, (runner) => Math.max(0, claims.free(runner)),
+    (runner, dealt) => claims.free(runner) - holding(claim, runner) - 2 * dealt)
+}
+
+/** Recalls free tokens before those in use, and evenly over runners. */
+function recall (claim: Claim, runners: RunnerSlots[], count: number): SlotMove[] {
+  return deal(runners, count, (runner) => holding(claim, runner), (runner, dealt) => {
+    const bound = claim.bounds.get(runnerKey(runner))
+    return bound === undefined ? -Infinity : bound.held - bound.inUse - dealt + bound.held / 1000
+  })
+}
+
+/** Deals tokens one by one to the runner with the highest rank, up to each runner's limit. */
+function deal (
+  runners: RunnerSlots[], count: number,
+  limit: (runner: RunnerSlots) => number, rank: (runner: RunnerSlots, dealt: number) => number
+): SlotMove[] {
+  const dealt = new Map<RunnerSlots, number>()
+  for (let left = count; left > 0; left--) {
+    let best: RunnerSlots | undefined
+    let bestRank = -Infinity
+    for (const runner of runners) {
+      const taken = dealt.get(runner) ?? 0
+      if (taken >= limit(runner)) continue
+      const value = rank(runner, taken)
+      if (value > bestRank) [best, bestRank] = [runner, value]
+    }
+    if (best === undefined) break
+    dealt.set(best, (dealt.get(best) ?? 0) + 1)
+  }
+  return [...dealt].flatMap(([runner, slots]) => toMoves(runner, slots))
+}
--- /dev/null
+++ b/packages/core/src/slotLedger/constants/index.ts
@@ -0,0 +1,15 @@
+/** H: how long tokens stay valid without contact, so that store outages of that length revoke none. */
+export const RUN_HORIZON_MS = 1_800_000
+/** Monotonic clocks drift at most 1% each; 1.01 / 0.99 is below this. */
+export const DRIFT_MARGIN = 1.03
+/**
+ * A runner may work on a request of a lost entry for this long. Also bounds the life of a message in the network: a
+ * report of a dead process that arrives later than this could be taken for a restart.
+ */
+export const LONGEST_DEADLINE_MS = 30_000
+/** Share of its tokens that an entry keeps above its target while nobody waits; avoids moving back and forth. */
+export const IDLE_SURPLUS_SHARE = 0.1
+/** Weight of a lower load figure; higher ones count in full at once. */
+export const LOAD_DECAY = 0.2
+/** After this long without a token an entry with waiting requests outweighs any remainder of a share. */
+export const STARVATION_MS = 200
--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -145,7 +145,10 @@
    * their exchange finishes; an earlier time than the last one given is ignored. Before the first call none is usable.
    */
   setSlotExpiry (failureDomain: string, at: number): void
-  /** Gives up to `slots` free tokens of a runner back; returns how many. */
+  /**
+   * Gives up to `slots` tokens of a runner back: free ones at once, the rest as their exchanges finish. Replaces the
+   * last request for that runner, so that 0 cancels it. Returns how many were given back at once.
+   */
   releaseSlots (runner: string, slots: number): number
   submit (request: CallerRequest, now: number): RouteAction[]
   /** The exchange has ended and no longer uses its slot. */
@@ -156,7 +159,8 @@
   tick (now: number): RouteAction[]
   /** When `tick` has to be called next; undefined when nothing is due. */
   nextTickAt (): number | undefined
-  use (): SlotUse[]
+  /** Tokens by runner, without those that have expired by `now`. */
+  use (now: number): SlotUse[]
   waiting (): number
 }
 
@@ -191,9 +195,9 @@
   handle (report: SlotReport, now: number): SlotAnswer
   /** What the row has to hold; undefined while it holds that already. Entries not in the row get no token. */
   pendingRegistrations (): SlotRegistration[] | undefined
-  /** The row was written with these registrations, under this ledger's epoch. */
+  /** The row was written with these registrations, under this ledger's epoch. One write at a time. */
   confirmRegistrations (registrations: SlotRegistration[]): void
-  /** The VM of an entry that was in the inventory is no longer listed. */
+  /** The VM of an entry that was in the inventory is no longer listed. A later report of the entry undoes it. */
   leave (entry: string, now: number): void
   /** Ends withholding that is due. */
   tick (now: number): void
@@ -204,8 +208,9 @@
 }
 
 /**
- * What the entry passes on to its routers, in this order: `setSlotExpiry(domain, validUntil)`, `grantSlots` for each
- * grant, `releaseSlots` for each release. A release takes what is free then; the next report tells how much that was.
+ * What the entry passes on to its routers, in this order: `setSlotExpiry(domain, validUntil)`, `releaseSlots` for each
+ * release, `grantSlots` for each grant. A release of 0 slots cancels an earlier one. The next report tells what was
+ * released.
  */
 export interface SlotChange {
   /** Absent when the answer was refused. */
