--- a/packages/daemon/src/entry/routeTask/index.ts
+++ b/packages/daemon/src/entry/routeTask/index.ts
@@ -12,6 +12,8 @@
   router: EndpointRouter
   runners: RunnerClient
   metrics: Metrics
+  /** Called when requests wait after a submission. Default: nothing. */
+  onWaiting?: () => void
 }
 
 /** A runner with the address that requests are sent to. */
@@ -54,6 +56,7 @@
   readonly #router: EndpointRouter
   readonly #runners: RunnerClient
   readonly #metrics: Metrics
+  readonly #onWaiting: () => void
   readonly #addresses = new Map<string, string>()
   /** Connections allowed now, by runner. */
   readonly #limits = new Map<string, number>()
@@ -61,11 +64,12 @@
   #requestCount = 0
   #timer: ReturnType<typeof setTimeout> | undefined
 
-  constructor ({ endpoint, router, runners, metrics }: RouteTaskParts) {
+  constructor ({ endpoint, router, runners, metrics, onWaiting = () => {} }: RouteTaskParts) {
     this.#endpoint = endpoint
     this.#router = router
     this.#runners = runners
     this.#metrics = metrics
+    this.#onWaiting = onWaiting
   }
 
   /** Replaces the set of runners. Addresses of removed runners are kept for exchanges that are still in flight. */
@@ -99,7 +103,7 @@
   }
 
   use (): SlotUse[] {
-    return this.#router.use()
+    return this.#router.use(performance.now())
   }
 
   waiting (): number {
@@ -133,6 +137,7 @@
       repeatable: call.repeatable
     }
     this.#apply(this.#router.submit(request, performance.now()))
+    if (this.#router.waiting() > 0) this.#onWaiting()
     return { result, abandon: () => this.#abandon(id) }
   }
 
--- a/packages/daemon/src/entry/sweepOnceRecords/index.ts
+++ b/packages/daemon/src/entry/sweepOnceRecords/index.ts
@@ -62,11 +62,15 @@
   const rows = listed.unsafeCoerce()
   for (let start = 0; start < rows.length; start += BATCH) {
     const batch = rows.slice(start, start + BATCH)
-    const answers = batch.map(({ key, value }) => answerKey(key.slice(prefix.length), (value as { nonce: string }).nonce))
-    const removed = await Promise.all(answers.map(async (answer) => await objects.remove(answer)))
+    const removed = await Promise.all(batch.map(async ({ key, value }) =>
+      await objects.remove(answerKey(key.slice(prefix.length), (value as { nonce: string }).nonce))))
     if (removed.some((outcome) => outcome.isLeft())) return undefined
     const keys = batch.flatMap(({ key }) => [key, key.slice(prefix.length)])
-    const deleted = await table.transact({ checks: [], writes: keys.map((key) => ({ kind: 'delete', key })) })
+    const deleted = await table.transact({
+      // A record that was taken over since the listing has a listing of another minute, and this one is gone.
+      checks: batch.map(({ key, version }) => ({ key, version })),
+      writes: keys.map((key) => ({ kind: 'delete', key }))
+    })
     if (deleted.isLeft()) return undefined
   }
   return rows.length
