--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
 export type * from './types.ts'
-export { createSlotHolder } from './slotHolder/index.ts'
-export { createSlotLedger } from './slotLedger/index.ts'
+export { createEndpointRouter } from './createEndpointRouter/index.ts'
+export { createSlotHolder } from './createSlotHolder/index.ts'
+export { createSlotLedger } from './createSlotLedger/index.ts'
