--- /dev/null
+++ b/packages/daemon/src/entry/changeScope/index.ts
@@ -0,0 +1,66 @@
+import type { ConfigurationIndex, Manifest, SchemaViolation } from '@gypsumspring/protocol'
+import { Left, Right, type Either } from 'purify-ts/Either'
+
+export type ScopeRefusal =
+  | { kind: 'conflict', expected: number, current: number }
+  | { kind: 'invalid', violations: SchemaViolation[] }
+
+export interface ScopeChange {
+  manifest: Manifest
+  /** SHA-256 of the manifest's object. */
+  hash: string
+  /** Version of the scope that the change is based on; 0 for a new scope. */
+  expected: number
+}
+
+/**
+ * Replaces the manifest of a scope in an index.
+ *
+ * @param index - Index in the table.
+ * @param manifests - Manifests that the index names.
+ * @param change - The new manifest.
+ * @returns The new index; the same index when this content is in force at the expected version or the next one, since
+ * that is the change itself, repeated after a lost answer; or why the change is refused.
+ *
+ * @example
+ * changeScope(index, manifests, { manifest, hash: 'ab12', expected: 3 })
+ */
+export function changeScope (
+  index: ConfigurationIndex, manifests: Record<string, Manifest>, change: ScopeChange
+): Either<ScopeRefusal, ConfigurationIndex> {
+  const { manifest, hash, expected } = change
+  const { version: current, hash: currentHash } = index.scopes[manifest.scope] ?? { version: 0, hash: '' }
+  if (currentHash === hash && (current === expected || current === expected + 1)) return Right(index)
+  if (current !== expected) return Left({ kind: 'conflict', expected, current })
+  const violations = findClashes(manifests, manifest)
+  if (violations.length > 0) return Left({ kind: 'invalid', violations })
+  return Right({
+    ...index,
+    scopes: { ...index.scopes, [manifest.scope]: { version: expected + 1, hash } },
+    operations: pruneOperations(index, { ...manifests, [manifest.scope]: manifest })
+  })
+}
+
+/** Callers name an endpoint without its scope, so two scopes must not declare the same one. */
+function findClashes (manifests: Record<string, Manifest>, manifest: Manifest): SchemaViolation[] {
+  const others = Object.values(manifests).filter(({ scope }) => scope !== manifest.scope)
+  return (manifest.endpoints ?? []).flatMap(({ id }, position) => {
+    const owner = others.find(({ endpoints }) => endpoints?.some((endpoint) => endpoint.id === id))
+    if (owner === undefined) return []
+    const allowed = `an id that scope ${owner.scope} does not declare`
+    return [{ path: `/endpoints/${position}/id`, value: JSON.stringify(id), allowed }]
+  })
+}
+
+/** Drains and cancellations end when no manifest declares their runner or workload; else the row would only grow. */
+function pruneOperations (
+  index: ConfigurationIndex, manifests: Record<string, Manifest>
+): ConfigurationIndex['operations'] {
+  const endpoints = Object.values(manifests).flatMap((manifest) => manifest.endpoints ?? [])
+  return {
+    drainedRunners: index.operations.drainedRunners.filter(({ endpoint, runner }) =>
+      endpoints.some(({ id, runners }) => id === endpoint && runners.some((declared) => declared.id === runner))),
+    cancelledWorkloads: index.operations.cancelledWorkloads.filter(({ scope, workload }) =>
+      manifests[scope]?.workloads?.some(({ id }) => id === workload) === true)
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/collectStatus/index.ts
@@ -0,0 +1,72 @@
+import type { Member, RpcMethod, RpcResult, ShardStatus } from '@gypsumspring/protocol'
+import type { Peers } from '../../types.ts'
+
+export interface Unreachable {
+  process: string
+  reason: string
+}
+
+export interface CollectedStatus {
+  shards: ShardStatus[]
+  unreachable: Unreachable[]
+}
+
+export interface CollectedExplanation {
+  lines: string[] | undefined
+  unreachable: Unreachable[]
+}
+
+/** Longest wait for one scheduler, in ms. */
+const SCHEDULER_TIMEOUT_MS = 2000
+
+/**
+ * Collects the state of all shards from the schedulers that own them.
+ *
+ * @param members - Known processes.
+ * @param peers - Calls to them.
+ * @returns The shards in id order; of two reports of one shard the one with the higher epoch. Schedulers that could not
+ * be reached are named.
+ *
+ * @example
+ * await collectStatus(members.members(), peers)
+ */
+export async function collectStatus (members: Member[], peers: Peers): Promise<CollectedStatus> {
+  const { answers, unreachable } = await askSchedulers(members, peers, 'shard.status', {})
+  const newest = new Map<string, ShardStatus>()
+  for (const shard of answers.flatMap(({ shards }) => shards)) {
+    if ((newest.get(shard.shard)?.epoch ?? -1) < shard.epoch) newest.set(shard.shard, shard)
+  }
+  return { shards: [...newest.values()].sort((a, b) => a.shard < b.shard ? -1 : 1), unreachable }
+}
+
+/**
+ * Asks the schedulers why a task is where it is, or why it waits.
+ *
+ * @param members - Known processes.
+ * @param peers - Calls to them.
+ * @param task - Task id.
+ * @returns The explanation of the scheduler that knows the task; undefined when none of those reached does.
+ *
+ * @example
+ * await collectExplanation(members.members(), peers, 'demo/index/0')
+ */
+export async function collectExplanation (
+  members: Member[], peers: Peers, task: string
+): Promise<CollectedExplanation> {
+  const { answers, unreachable } = await askSchedulers(members, peers, 'shard.explain', { task })
+  return { lines: answers.find(({ found }) => found)?.lines, unreachable }
+}
+
+async function askSchedulers<Method extends RpcMethod> (
+  members: Member[], peers: Peers, method: Method, params: Parameters<typeof peers.call<Method>>[2]
+): Promise<{ answers: Array<RpcResult<Method>>, unreachable: Unreachable[] }> {
+  const schedulers = members.filter(({ role }) => role === 'scheduler')
+  const asked = await Promise.all(schedulers.map(async ({ id, address }) => ({
+    id, outcome: await peers.call(address, method, params, { timeoutMs: SCHEDULER_TIMEOUT_MS })
+  })))
+  return {
+    answers: asked.flatMap(({ outcome }) => outcome.isRight() ? [outcome.unsafeCoerce()] : []),
+    unreachable: asked.flatMap(({ id, outcome }) =>
+      outcome.caseOf({ Left: ({ message }) => [{ process: id, reason: message }], Right: () => [] }))
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/loadManifests/index.ts
@@ -0,0 +1,34 @@
+import type { ObjectStore } from '@gypsumspring/adapters'
+import {
+  done, manifestObjectKey, notDone, type Configuration, type ConfigurationIndex, type Manifest, type Outcome
+} from '@gypsumspring/protocol'
+
+/**
+ * Loads the manifests that an index names, from the configuration in force as far as it has them.
+ *
+ * @param objects - Object store.
+ * @param index - Index read from the table.
+ * @param known - Configuration in force in this process.
+ * @returns The manifests by scope, or the failure of the store.
+ *
+ * @example
+ * await loadManifests(platform.objects, index, configuration.current)
+ */
+export async function loadManifests (
+  objects: ObjectStore, index: ConfigurationIndex, known: Configuration | undefined
+): Promise<Outcome<Record<string, Manifest>>> {
+  const manifests: Record<string, Manifest> = {}
+  for (const [scope, { hash }] of Object.entries(index.scopes)) {
+    const inForce = known?.index.scopes[scope]?.hash === hash ? known.manifests[scope] : undefined
+    if (inForce !== undefined) {
+      manifests[scope] = inForce
+      continue
+    }
+    const outcome = await objects.get(manifestObjectKey(hash))
+    if (outcome.isLeft()) return outcome.map(() => manifests)
+    const bytes = outcome.unsafeCoerce()
+    if (bytes === undefined) return notDone('not-found', `manifest of scope ${scope} is not in the object store`)
+    manifests[scope] = JSON.parse(Buffer.from(bytes).toString()) as Manifest
+  }
+  return done(manifests)
+}
--- a/packages/daemon/src/entry/slotsReporter/index.ts
+++ b/packages/daemon/src/entry/slotsReporter/index.ts
@@ -11,7 +11,7 @@
 /** How long an entry keeps tokens of another domain after its own domain has enough again, in ms. */
 const REMOTE_IDLE_MS = 10_000
 
-/** Holds the entry's slot tokens of all failure domains: those of its own always, others only when that one is short. */
+/** Holds the entry's slot tokens: those of its own failure domain always, others only while that one is short. */
 export class SlotsReporter {
   readonly #parts: SlotsReporterParts
   readonly #domains = new Map<string, { slots: DomainSlots, neededAt: number }>()
--- /dev/null
+++ b/packages/daemon/src/entry/testSupport/index.ts
@@ -0,0 +1,111 @@
+/** Fakes shared by the tests of the entry role. */
+import type { RunnerClient, RunnerRequest, RunnerResponse, Table, Transaction } from '@gypsumspring/adapters'
+import { createEndpointRouter, type EndpointRouter } from '@gypsumspring/core'
+import { done, notDone, unknownEffect, type Outcome } from '@gypsumspring/protocol'
+import { MemoryTable } from '@gypsumspring/standins'
+import { pino } from 'pino'
+import { Metrics } from '../../metrics/index.ts'
+import { RouteTask } from '../routeTask/index.ts'
+import type { CallerCall, HeaderFields } from '../types.ts'
+
+export const silent = pino({ level: 'silent' })
+
+type Script = (address: string, request: RunnerRequest, position: number) =>
+  Promise<Outcome<RunnerResponse>> | Outcome<RunnerResponse>
+
+/** Runners that answer as a test says; `sent` lists the exchanges in order. */
+export class ScriptedRunners implements RunnerClient {
+  readonly sent: Array<{ address: string, request: RunnerRequest }> = []
+  readonly limits = new Map<string, number>()
+  script: Script
+
+  constructor (script: Script) {
+    this.script = script
+  }
+
+  async send (address: string, request: RunnerRequest): Promise<Outcome<RunnerResponse>> {
+    this.sent.push({ address, request })
+    return await this.script(address, request, this.sent.length)
+  }
+
+  limitConnections (address: string, connections: number): void {
+    this.limits.set(address, connections)
+  }
+
+  async close (): Promise<void> {}
+}
+
+export function answer (body: string | AsyncIterable<Uint8Array>, status = 200, headers: HeaderFields = {}) {
+  return done<RunnerResponse>({ status, headers, body: typeof body === 'string' ? bodyOf(body) : body })
+}
+
+type BodyPart = string | Uint8Array | Promise<unknown>
+
+/** A body in parts, with waits; with `cut` it ends early, as when the runner's connection breaks. */
+export async function * bodyOf (...parts: BodyPart[]): AsyncIterable<Uint8Array> {
+  for (const part of parts) {
+    if (part === 'cut') throw new Error('connection ended early')
+    if (part instanceof Promise) await part
+    else yield Buffer.from(part)
+  }
+}
+
+/** Answers only when the exchange is aborted, as a runner that hangs. */
+export function hang (request: RunnerRequest): Promise<Outcome<RunnerResponse>> {
+  return new Promise((resolve) => {
+    request.signal?.addEventListener('abort', () => resolve(unknownEffect('closed', 'aborted')))
+  })
+}
+
+export const refused = notDone('unavailable', 'connection refused')
+export const reset = unknownEffect('closed', 'connection reset')
+
+export function callOf (changes: Partial<CallerCall> & { method?: string, body?: string } = {}): CallerCall {
+  const { method = 'POST', body = '', ...rest } = changes
+  const now = performance.now()
+  return {
+    endpoint: 'origem',
+    team: 'demo',
+    class: 'normal',
+    requestId: 'r-1',
+    repeatable: true,
+    arrivedAt: now,
+    deadline: now + 10_000,
+    forwarded: { method, path: '/x', headers: {}, body: Buffer.from(body) },
+    ...rest
+  }
+}
+
+/** A route task with two runners, a and b, and a number of slot tokens for each. */
+export function openRoute (runners: RunnerClient, slots = 2, router: EndpointRouter = createEndpointRouter()): RouteTask {
+  const task = new RouteTask({ endpoint: 'origem', router, runners, metrics: new Metrics() })
+  task.setRunners(['a', 'b'].map((id) => ({ id, address: id, failureDomain: 'home', slots: 8, leaving: false })))
+  task.setSlotExpiry('home', performance.now() + 1_800_000)
+  if (slots > 0) for (const id of ['a', 'b']) task.grantSlots(id, slots)
+  return task
+}
+
+type Fault = 'lose-answer' | 'down' | 'ok'
+
+/** A table whose next transactions go wrong in the order given; later ones follow `then`. */
+export class FaultyTable implements Table {
+  readonly memory = new MemoryTable()
+  faults: Fault[] = []
+  then: Fault = 'ok'
+  reads: Fault = 'ok'
+
+  async transact (transaction: Transaction) {
+    const fault = this.faults.shift() ?? this.then
+    if (fault === 'down') return notDone('unavailable', 'down')
+    const outcome = await this.memory.transact(transaction)
+    return fault === 'lose-answer' ? unknownEffect('timeout', 'answer lost') : outcome
+  }
+
+  async read (key: string) {
+    return this.reads === 'down' ? notDone('unavailable', 'down') : await this.memory.read(key)
+  }
+
+  async scan (prefix: string) {
+    return this.reads === 'down' ? notDone('unavailable', 'down') : await this.memory.scan(prefix)
+  }
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,3 +1,4 @@
+export * from './configurationKeys/index.ts'
 export * from './describeSchemaErrors/index.ts'
 export * from './manifest/index.ts'
 export * from './outcome/index.ts'
