--- a/packages/daemon/src/entry/testSupport/index.ts
+++ b/packages/daemon/src/entry/testSupport/index.ts
@@ -77,7 +77,9 @@
 }
 
 /** A route task with two runners, a and b, and a number of slot tokens for each. */
-export function openRoute (runners: RunnerClient, slots = 2, router: EndpointRouter = createEndpointRouter()): RouteTask {
+export function openRoute (
+  runners: RunnerClient, slots = 2, router: EndpointRouter = createEndpointRouter()
+): RouteTask {
   const task = new RouteTask({ endpoint: 'origem', router, runners, metrics: new Metrics() })
   task.setRunners(['a', 'b'].map((id) => ({ id, address: id, failureDomain: 'home', slots: 8, leaving: false })))
   task.setSlotExpiry('home', performance.now() + 1_800_000)
