--- a/packages/core/src/computeLossTime/index.ts
+++ b/packages/core/src/computeLossTime/index.ts
@@ -16,7 +16,8 @@
  * have fenced there, renews task leases up to H.
  *
  * @example
- * computeLossTime({ ownedSince: 0, lastContactAt: 1_000 }, { runHorizonMs: 1_800_000, taskLeaseMs: 30_000 }) // => 31_900
+ * computeLossTime({ ownedSince: 0, lastContactAt: 1_000 }, { runHorizonMs: 1_800_000, taskLeaseMs: 30_000 })
+ * // => 31_900
  */
 export function computeLossTime (
   contact: WorkerContact, terms: { runHorizonMs: number, taskLeaseMs: number }
--- a/packages/core/src/decideAfterEnd/index.ts
+++ b/packages/core/src/decideAfterEnd/index.ts
@@ -24,10 +24,11 @@
  * @param failures - Failures of the task so far, this one included.
  * @param policy - The workload's policy.
  * @returns A new attempt after a delay in ms, or the end of the task. Attempts that were refused, stopped or
- * checkpointed are repeated at once; services are retried without a limit.
+ * checkpointed don't count as failures; services are retried without a limit.
  *
  * @example
- * decideAfterEnd('failed', 1, { kind: 'batch', restart: 'on-failure', retryLimit: 3 }) // => { kind: 'retry', delayMs: 500 }
+ * decideAfterEnd('failed', 1, { kind: 'batch', restart: 'on-failure', retryLimit: 3 })
+ * // => { kind: 'retry', delayMs: 500 }
  */
 export function decideAfterEnd (result: AttemptEnd, failures: number, policy: RetryPolicy): AfterEnd {
   if (result === 'succeeded') {
@@ -35,6 +36,8 @@
       ? { kind: 'retry', delayMs: FIRST_BACKOFF_MS }
       : { kind: 'over', succeeded: true }
   }
+  // Without a delay a worker that refuses a start would be asked again with each journal flush.
+  if (result === 'refused') return { kind: 'retry', delayMs: FIRST_BACKOFF_MS }
   if (!isFailure(result)) return { kind: 'retry', delayMs: 0 }
   const exhausted = policy.restart === 'never' || (policy.kind !== 'service' && failures > policy.retryLimit)
   if (exhausted) return { kind: 'over', succeeded: false }
--- a/packages/core/src/divideConfiguration/index.ts
+++ b/packages/core/src/divideConfiguration/index.ts
@@ -8,8 +8,13 @@
 export interface GroupDefinition extends Omit<TaskGroup, 'submittedAt'> {
   scope: string
   workload: string
-  /** Changes with what runs (kind, payload); a finished group runs again only under a new generation. */
+  /**
+   * Changes with the kind or payload of a batch run or gang; a finished one runs again only under a new generation.
+   * Constant for services, which are rolled instead.
+   */
   generation: string
+  /** Changes with resources or payload; running tasks of another revision are rolled. */
+  revision: string
   policy: RetryPolicy
   payload: Record<string, unknown>
   cancelled: boolean
@@ -42,6 +47,10 @@
   return groups
 }
 
+function digest (value: unknown): string {
+  return createHash('sha1').update(JSON.stringify(value)).digest('hex').slice(0, 12)
+}
+
 type Base = Omit<GroupDefinition, 'id' | 'tasks'>
 
 function describeWorkload (scope: string, workload: Workload, cancelled: boolean): Base {
@@ -58,7 +67,8 @@
     priority: workload.priority ?? 'normal',
     spread: workload.spread ?? 'none',
     preemptible: workload.preemptible ?? false,
-    generation: createHash('sha1').update(JSON.stringify([kind, payload])).digest('hex').slice(0, 12),
+    generation: kind === 'service' ? 'service' : digest([kind, payload]),
+    revision: digest([resources, payload]),
     policy: {
       kind,
       restart: workload.restart ?? (kind === 'service' ? 'always' : 'on-failure'),
--- a/packages/core/src/foldJournal/test.ts
+++ b/packages/core/src/foldJournal/test.ts
@@ -5,11 +5,11 @@
 const resources = { cpuMillis: 1, memoryMb: 1, accelerators: 0 }
 const claim: JournalRecord = { kind: 'claim', group: 'g', generation: 'x', team: 'a', workload: 'batch' }
 const intent = (attempt: number): JournalRecord =>
-  ({ kind: 'intent', task: 'g/0', group: 'g', attempt, worker: 'w', resources })
+  ({ kind: 'intent', task: 'g/0', group: 'g', attempt, worker: 'w', resources, revision: 'r' })
 const end = (attempt: number): JournalRecord =>
   ({ kind: 'end', task: 'g/0', attempt, result: 'failed', failure: true })
 const rows = (...batches: JournalRecord[][]): JournalRow[] =>
-  batches.map((records, index) => ({ sequence: index + 1, writer: 'p', epoch: 1, records }))
+  batches.map((records, index) => ({ sequence: index + 1, writer: 'p', epoch: 1, configVersion: 7, records }))
 
 describe('foldJournal', () => {
   const history = rows([claim, intent(1)], [end(1)], [intent(2)])
--- a/packages/core/src/recordTypes.ts
+++ b/packages/core/src/recordTypes.ts
@@ -1,7 +1,7 @@
 /** What a shard's journal and snapshot hold. */
 import type { Resources, WorkloadKind } from '@gypsumspring/protocol'
 
-/** How an attempt ended. `refused` never ran; `lost` ended with its worker; `stopped` was stopped or let its lease lapse. */
+/** How an attempt ended. `refused` never ran; `lost` ended with its worker; `stopped` includes a lapsed lease. */
 export type AttemptEnd = 'succeeded' | 'failed' | 'stopped' | 'checkpointed' | 'lost' | 'refused'
 
 export type GroupOutcome = 'succeeded' | 'failed' | 'cancelled'
@@ -11,8 +11,10 @@
   | { kind: 'claim', group: string, generation: string, team: string, workload: WorkloadKind }
   /** The group starts again from nothing under a new generation. */
   | { kind: 'restart', group: string, generation: string }
-  /** Precedes each start. Attempt numbers rise over the whole shard, so that no worker takes a new run for an old one. */
-  | { kind: 'intent', task: string, group: string, attempt: number, worker: string, resources: Resources }
+  /** Precedes each start. Attempt numbers rise over the whole shard, lest a worker take a new run for a repeat. */
+  | {
+    kind: 'intent', task: string, group: string, attempt: number, worker: string, resources: Resources, revision: string
+  }
   /** The attempt certainly does not run any more. `failure` raises the task's count of failures. */
   | { kind: 'end', task: string, attempt: number, result: AttemptEnd, failure: boolean }
   /** A batch run or gang is over and never runs again under this generation. */
@@ -25,6 +27,8 @@
   /** Incarnation of the process that wrote the row. */
   writer: string
   epoch: number
+  /** Configuration that the records follow from; an owner with an older one must not act on it. */
+  configVersion: number
   records: JournalRecord[]
 }
 
@@ -40,6 +44,8 @@
   attempt: number
   worker: string
   resources: Resources
+  /** Digest of what the attempt runs; see `GroupDefinition`. */
+  revision: string
   failures: number
   /** Absent while the attempt may run. */
   result?: AttemptEnd
@@ -49,6 +55,7 @@
 export interface ShardSnapshot {
   sequence: number
   lastAttempt: number
+  configVersion: number
   groups: Array<[string, GroupRecord]>
   tasks: Array<[string, TaskRecord]>
 }
--- a/packages/core/src/recordedState/index.ts
+++ b/packages/core/src/recordedState/index.ts
@@ -1,18 +1,22 @@
 import { Left, Right, type Either } from 'purify-ts/Either'
 import type { GroupRecord, JournalRecord, JournalRow, ShardSnapshot, TaskRecord } from '../recordTypes.ts'
 
+const EMPTY: ShardSnapshot = { sequence: 0, lastAttempt: 0, configVersion: 0, groups: [], tasks: [] }
+
 /** The state of a shard as far as it is recorded. Changed only by journal rows, in order. */
 export class RecordedState {
   #sequence: number
   #lastAttempt: number
+  #configVersion: number
   readonly #groups: Map<string, GroupRecord>
   readonly #tasks: Map<string, TaskRecord>
   readonly #tasksOfGroup = new Map<string, Set<string>>()
 
-  constructor (snapshot: ShardSnapshot = { sequence: 0, lastAttempt: 0, groups: [], tasks: [] }) {
-    const { sequence, lastAttempt, groups, tasks } = structuredClone(snapshot)
+  constructor (snapshot: ShardSnapshot = EMPTY) {
+    const { sequence, lastAttempt, configVersion, groups, tasks } = structuredClone(snapshot)
     this.#sequence = sequence
     this.#lastAttempt = lastAttempt
+    this.#configVersion = configVersion
     this.#groups = new Map(groups)
     this.#tasks = new Map(tasks)
     for (const [task, { group }] of tasks) this.#index(task, group)
@@ -28,6 +32,11 @@
     return this.#lastAttempt
   }
 
+  /** Highest configuration version that a row was written under. */
+  get configVersion (): number {
+    return this.#configVersion
+  }
+
   get groups (): ReadonlyMap<string, Readonly<GroupRecord>> {
     return this.#groups
   }
@@ -43,7 +52,7 @@
    * @returns Nothing, or why the row can't follow: a gap, or a record that breaks an invariant. After the latter the
    * state is not to be used.
    */
-  apply (row: Pick<JournalRow, 'sequence' | 'records'>): Either<string, void> {
+  apply (row: Pick<JournalRow, 'sequence' | 'configVersion' | 'records'>): Either<string, void> {
     if (row.sequence <= this.#sequence) return Right(undefined)
     if (row.sequence !== this.#sequence + 1) return Left(`row ${row.sequence} follows row ${this.#sequence}`)
     for (const record of row.records) {
@@ -51,12 +60,17 @@
       if (violation !== undefined) return Left(`row ${row.sequence}: ${violation}`)
     }
     this.#sequence = row.sequence
+    this.#configVersion = Math.max(this.#configVersion, row.configVersion)
     return Right(undefined)
   }
 
   toSnapshot (): ShardSnapshot {
     return structuredClone({
-      sequence: this.#sequence, lastAttempt: this.#lastAttempt, groups: [...this.#groups], tasks: [...this.#tasks]
+      sequence: this.#sequence,
+      lastAttempt: this.#lastAttempt,
+      configVersion: this.#configVersion,
+      groups: [...this.#groups],
+      tasks: [...this.#tasks]
     })
   }
 
@@ -71,13 +85,14 @@
     }
   }
 
-  #applyIntent ({ task, group, attempt, worker, resources }: JournalRecord & { kind: 'intent' }): string | undefined {
+  #applyIntent (record: JournalRecord & { kind: 'intent' }): string | undefined {
+    const { task, group, attempt, worker, resources, revision } = record
     const known = this.#tasks.get(task)
     if (known !== undefined && known.result === undefined) return `task ${task} has a live attempt ${known.attempt}`
     if (!this.#groups.has(group)) return `intent for ${task} of a group that is not claimed`
     if (attempt <= this.#lastAttempt) return `attempt ${attempt} of ${task} is not above ${this.#lastAttempt}`
     this.#lastAttempt = attempt
-    this.#tasks.set(task, { group, attempt, worker, resources, failures: known?.failures ?? 0 })
+    this.#tasks.set(task, { group, attempt, worker, resources, revision, failures: known?.failures ?? 0 })
     this.#index(task, group)
     return undefined
   }
--- a/packages/daemon/src/scheduler/addSchedulerParts.ts
+++ b/packages/daemon/src/scheduler/addSchedulerParts.ts
@@ -1,6 +1,23 @@
-import type { ProcessContext } from '../runDaemon.ts'
+import type { ProcessContext } from '../types.ts'
+import { FirstFitPlacer } from './_lib/FirstFitPlacer.ts'
+import { ShardSupervisor, type SupervisorOptions } from './ShardSupervisor.ts'
 
-/** Adds the parts of the scheduler role to the life cycle. */
-export function addSchedulerParts (context: ProcessContext): void {
-  context.lifecycle.add({ name: 'scheduler' })
+/**
+ * Adds the parts of the scheduler role to the life cycle, and its RPC methods to the handlers.
+ *
+ * @param context - What every part of the process is given.
+ * @param options.createPlacer - Makes the placer of a shard. Default: first fit.
+ * @param options.workersPerShard - Most workers of a shard. Default: one shard per failure domain.
+ *
+ * @example
+ * addSchedulerParts(context)
+ */
+export function addSchedulerParts (context: ProcessContext, options: Partial<SupervisorOptions> = {}): void {
+  const supervisor = new ShardSupervisor(context, { createPlacer: () => new FirstFitPlacer(), ...options })
+  context.handlers['shard.status'] = () => ({ shards: supervisor.describe() })
+  context.handlers['shard.explain'] = ({ task }) => {
+    const lines = supervisor.explain(task)
+    return { found: lines !== undefined, lines: lines ?? [] }
+  }
+  context.lifecycle.add({ name: 'scheduler', start: () => supervisor.start(), stop: async () => await supervisor.stop() })
 }
--- /dev/null
+++ b/packages/daemon/src/scheduler/constants/index.ts
@@ -0,0 +1,54 @@
+/** Time between renewals of a shard lease by its owner, and between reads by a candidate. Three fit into D. */
+export const RENEWAL_MS = 3_000
+
+/** Time after which the owner repeats a renewal that got no answer. */
+export const RENEWAL_RETRY_MS = 500
+
+/** Journal rows between two snapshots. */
+export const FLUSHES_PER_SNAPSHOT = 200
+
+/** Records of one journal row; keeps a row well below 1 MiB. */
+export const RECORDS_PER_FLUSH = 500
+
+/** Rows deleted in one transaction after a snapshot. */
+export const ROWS_PER_DELETION = 100
+
+export const FIRST_STORE_RETRY_MS = 100
+
+export const LONGEST_STORE_RETRY_MS = 2_000
+
+/** Calls to workers that one process has open at once; starts and heartbeats count separately. */
+export const WORKER_CALLS_AT_ONCE = 128
+
+/** Time before an unreachable worker is tried again. */
+export const WORKER_RETRY_MS = 1_000
+
+/** Starts sent to a worker in one call. */
+export const STARTS_PER_CALL = 256
+
+/** Time that a stopped task gets to end by itself. */
+export const STOP_GRACE_MS = 10_000
+
+/** Checkpoint calls without success before a task is stopped without a checkpoint. */
+export const CHECKPOINT_TRIES = 3
+
+/** Decisions taken without a pause for other work of the process. */
+export const DECISIONS_PER_TURN = 200
+
+/** Time in which changes are collected before the next round of decisions. */
+export const SETTLE_MS = 10
+
+/** Longest wait after a takeover for the workers to tell their capacity before the first decision. */
+export const ADOPTION_MS = 2_000
+
+/** Time between checks for lost workers and due retries. */
+export const SWEEP_MS = 1_000
+
+/** Time before a group that another shard holds, or that can't be placed, is tried again. */
+export const GROUP_RETRY_MS = 30_000
+
+/** A run of this length ends a series of failures of a service task. */
+export const HEALTHY_RUN_MS = 60_000
+
+/** Tasks listed by `shard.status`; more would exceed the largest RPC frame (1 MiB). */
+export const STATUS_TASKS = 2_000
--- /dev/null
+++ b/packages/daemon/src/scheduler/shardLease/index.ts
@@ -0,0 +1,177 @@
+import type { Row } from '@gypsumspring/adapters'
+import { isLeaseLapsed, judgeLease, type LeaseRight } from '@gypsumspring/core'
+import { RENEWAL_MS, RENEWAL_RETRY_MS } from '../constants/index.ts'
+import type { Ownership, RenewalRow, ShardLeaseOptions, ShardRow } from './types.ts'
+
+export type * from './types.ts'
+
+/**
+ * Competes for the ownership of one shard and renews it. As a candidate it watches the shard's two rows and takes over
+ * when the renewal row has not changed for D x 1.03. Owns its timer; calls `onGained` and `onLost` in turn.
+ */
+export class ShardLease {
+  readonly #options: ShardLeaseOptions
+  #owned: Ownership | undefined
+  #renewedAt = -Infinity
+  #renewals = 0
+  #seen: { content: string, since: number } | undefined
+  #currentOwner: string | undefined
+  #timer: NodeJS.Timeout | undefined
+  #closed = false
+  #running: Promise<void> | undefined
+
+  constructor (options: ShardLeaseOptions) {
+    this.#options = options
+  }
+
+  /** Process id in the shard's row when it was last read. */
+  get currentOwner (): string | undefined {
+    return this.#owned === undefined ? this.#currentOwner : this.#options.owner
+  }
+
+  /** What this process may do with the shard at this moment. */
+  right (): LeaseRight {
+    if (this.#owned === undefined || this.#closed) return 'none'
+    return judgeLease(this.#renewedAt, performance.now(), this.#options.terms)
+  }
+
+  start (): void {
+    this.#schedule(0)
+  }
+
+  /** Another owner was seen by one of the owner's own writes or at a worker: gives the shard up. */
+  lose (reason: string): void {
+    if (this.#owned === undefined) return
+    this.#options.log.warn({ shard: this.#options.shard, epoch: this.#owned.epoch, reason }, 'shard lost')
+    this.#options.metrics.count('shard_lost', { reason })
+    this.#owned = undefined
+    this.#seen = undefined
+    this.#options.onLost()
+  }
+
+  /** Stops competing. An owned shard is released, so that the next owner need not wait for the lease to lapse. */
+  async close (): Promise<void> {
+    this.#closed = true
+    clearTimeout(this.#timer)
+    await this.#running
+    const owned = this.#owned
+    if (owned === undefined) return
+    this.lose('closed')
+    const value: RenewalRow = { epoch: owned.epoch, count: this.#renewals + 1, released: true }
+    await this.#options.table.transact({
+      checks: [{ key: this.#shardKey, version: owned.rowVersion }],
+      writes: [{ kind: 'put', key: this.#renewalKey, value }]
+    })
+  }
+
+  get #shardKey (): string {
+    return `shard/${this.#options.shard}`
+  }
+
+  get #renewalKey (): string {
+    return `shard-renewal/${this.#options.shard}`
+  }
+
+  #schedule (delayMs: number): void {
+    if (this.#closed) return
+    this.#timer = setTimeout(() => { this.#running = this.#turn() }, delayMs)
+  }
+
+  async #turn (): Promise<void> {
+    this.#schedule(this.#owned === undefined ? await this.#watch() : await this.#renew(this.#owned))
+  }
+
+  /** Returns the time to the next turn in ms. */
+  async #renew (owned: Ownership): Promise<number> {
+    const sentAt = performance.now()
+    const value: RenewalRow = { epoch: owned.epoch, count: ++this.#renewals }
+    const outcome = await this.#options.table.transact({
+      checks: [{ key: this.#shardKey, version: owned.rowVersion }],
+      writes: [{ kind: 'put', key: this.#renewalKey, value }]
+    })
+    if (this.#owned !== owned) return RENEWAL_MS
+    return outcome.caseOf({
+      Right: () => {
+        if (this.right() !== 'decide') this.#options.log.info({ shard: owned.shard }, 'lease renewed, deciding')
+        this.#renewedAt = sentAt
+        return RENEWAL_MS
+      },
+      Left: ({ reason, message }) => {
+        this.#options.metrics.count('shard_renewal_failed', { reason })
+        if (reason === 'conflict') {
+          this.lose('renewal-conflict')
+          return RENEWAL_MS
+        }
+        this.#options.log.warn({ shard: owned.shard, right: this.right(), message }, 'renewal failed')
+        return RENEWAL_RETRY_MS
+      }
+    })
+  }
+
+  async #watch (): Promise<number> {
+    const askedAt = performance.now()
+    const { table, writer, shard, terms, rank, log } = this.#options
+    const shardRow = await table.read(this.#shardKey)
+    const renewalRow = await table.read(this.#renewalKey)
+    if (shardRow.isLeft() || renewalRow.isLeft()) return RENEWAL_MS
+    const [row, renewal] = [shardRow.unsafeCoerce(), renewalRow.unsafeCoerce()]
+    const value = row?.value as ShardRow | undefined
+    this.#currentOwner = value?.owner
+    if (value !== undefined && value.writer === writer) {
+      // A takeover by this process took effect although its answer was lost.
+      log.info({ shard, epoch: value.epoch }, 'takeover with a lost answer has taken effect')
+      this.#gain(value.epoch, row?.version ?? 0, -Infinity)
+      return 0
+    }
+    const released = (renewal?.value as RenewalRow | undefined)?.released === true
+    const content = JSON.stringify([row?.version ?? 0, renewal?.version ?? 0])
+    if (this.#seen?.content !== content) this.#seen = { content, since: performance.now() }
+    const waitMs = rank() * RENEWAL_MS
+    const vacant = row === undefined || released
+    const lapsed = vacant
+      ? askedAt - this.#seen.since >= waitMs || waitMs === 0
+      : isLeaseLapsed(this.#seen.since, askedAt - waitMs, terms.shardLeaseMs)
+    return lapsed ? await this.#take(row, renewal) : RENEWAL_MS
+  }
+
+  async #take (row: Row | undefined, renewal: Row | undefined): Promise<number> {
+    const { owner, writer, address, shard, metrics, log } = this.#options
+    const epoch = ((row?.value as ShardRow | undefined)?.epoch ?? 0) + 1
+    const sentAt = performance.now()
+    const value: ShardRow = { owner, writer, address: address(), epoch }
+    const renewed: RenewalRow = { epoch, count: 0 }
+    const outcome = await this.#options.table.transact({
+      // The renewal row is checked too: a late renewal of the old owner must win against the takeover.
+      checks: [
+        { key: this.#shardKey, version: row?.version ?? 0 }, { key: this.#renewalKey, version: renewal?.version ?? 0 }
+      ],
+      writes: [
+        { kind: 'put', key: this.#shardKey, value }, { kind: 'put', key: this.#renewalKey, value: renewed }
+      ]
+    })
+    return outcome.caseOf({
+      Right: ({ versions }) => {
+        this.#gain(epoch, versions[0] ?? 0, sentAt)
+        return RENEWAL_MS
+      },
+      Left: ({ reason, certainty }) => {
+        metrics.count('shard_takeover_failed', { reason })
+        log.info({ shard, epoch, reason, certainty }, 'takeover failed')
+        // The next read tells whether a write with a lost answer took effect.
+        return certainty === 'unknown' ? RENEWAL_RETRY_MS : RENEWAL_MS
+      }
+    })
+  }
+
+  #gain (epoch: number, rowVersion: number, renewedAt: number): void {
+    if (this.#closed) return
+    const { shard, log, metrics, onGained } = this.#options
+    this.#renewedAt = renewedAt
+    this.#renewals = 0
+    this.#seen = undefined
+    this.#owned = { shard, epoch, rowVersion, ownedSince: performance.now() }
+    log.info({ shard, epoch }, 'shard taken over')
+    metrics.count('shard_taken')
+    onGained(this.#owned)
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/shardOwner/TaskTable.ts
@@ -0,0 +1,134 @@
+import { nextTaskState, type RecordedState, type TaskEvent } from '@gypsumspring/core'
+import type { Resources } from '@gypsumspring/protocol'
+import type { Group, Task } from './types.ts'
+
+const NO_RESOURCES: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
+
+/** The groups and tasks of a shard with their live attempts by worker. */
+export class TaskTable {
+  readonly groups = new Map<string, Group>()
+  readonly #tasks = new Map<string, Task>()
+  readonly #liveByWorker = new Map<string, Map<string, Task>>()
+
+  /** Rebuilds groups and tasks from what is recorded. */
+  restore (state: RecordedState, now: number): void {
+    for (const [id, { team, kind, generation, outcome }] of state.groups) {
+      this.addGroup({ id, team, kind, generation, outcome, hold: 'held', submittedAt: now })
+    }
+    for (const [id, record] of state.tasks) {
+      const group = this.groups.get(record.group)
+      if (group === undefined) continue
+      const task = this.addTask(id, group, now)
+      const { attempt, worker, resources, revision, failures, result } = record
+      Object.assign(task, { attempt, worker, resources, revision, failures, result, failuresInRow: failures })
+      task.state = result === undefined ? 'starting' : 'ended'
+      // The previous owner may have sent the start at any time before the takeover.
+      task.mayHaveReached = true
+      task.lastSentAt = now
+      if (result === undefined) this.#addLive(task)
+    }
+  }
+
+  addGroup (fields: Pick<Group, 'id' | 'team' | 'kind' | 'generation' | 'outcome' | 'hold' | 'submittedAt'>): Group {
+    const group: Group = {
+      ...fields,
+      definition: undefined,
+      tasks: new Map(),
+      wanted: new Set(),
+      closing: false,
+      impossible: undefined,
+      retryAt: 0
+    }
+    this.groups.set(group.id, group)
+    return group
+  }
+
+  addTask (id: string, group: Group, now: number): Task {
+    const task: Task = {
+      id,
+      group,
+      state: 'waiting',
+      attempt: 0,
+      worker: null,
+      resources: NO_RESOURCES,
+      revision: '',
+      failures: 0,
+      failuresInRow: 0,
+      confirmed: false,
+      mayHaveReached: false,
+      lastSentAt: 0,
+      stopReason: undefined,
+      result: undefined,
+      endedAt: now,
+      queuedAt: now,
+      startedAt: 0,
+      detail: '',
+      submission: undefined
+    }
+    this.#tasks.set(id, task)
+    group.tasks.set(id, task)
+    return task
+  }
+
+  removeTask (task: Task): void {
+    this.#tasks.delete(task.id)
+    task.group.tasks.delete(task.id)
+  }
+
+  removeGroup (group: Group): void {
+    for (const task of group.tasks.values()) this.#tasks.delete(task.id)
+    group.tasks.clear()
+    this.groups.delete(group.id)
+  }
+
+  find (id: string): Task | undefined {
+    return this.#tasks.get(id)
+  }
+
+  /** The task if `attempt` is its current one. */
+  findAttempt ({ task, attempt }: { task: string, attempt: number }): Task | undefined {
+    const found = this.#tasks.get(task)
+    return found?.attempt === attempt ? found : undefined
+  }
+
+  get tasks (): Iterable<Task> {
+    return this.#tasks.values()
+  }
+
+  /** Attempts on a worker that are recorded as live. */
+  liveOn (worker: string): Task[] {
+    return [...this.#liveByWorker.get(worker)?.values() ?? []]
+  }
+
+  get workersWithTasks (): string[] {
+    return [...this.#liveByWorker.keys()]
+  }
+
+  /** Moves a task along its life cycle; false when the event is not possible in its state. */
+  move (task: Task, event: TaskEvent): boolean {
+    const next = nextTaskState(task.state, event)
+    if (next === undefined) return false
+    task.state = next
+    if (event === 'recorded') this.#addLive(task)
+    else if (event === 'endRecorded') this.#removeLive(task)
+    return true
+  }
+
+  #addLive (task: Task): void {
+    const worker = task.worker ?? ''
+    const live = this.#liveByWorker.get(worker)
+    if (live === undefined) this.#liveByWorker.set(worker, new Map([[task.id, task]]))
+    else live.set(task.id, task)
+  }
+
+  #removeLive (task: Task): void {
+    const live = this.#liveByWorker.get(task.worker ?? '')
+    live?.delete(task.id)
+    if (live?.size === 0) this.#liveByWorker.delete(task.worker ?? '')
+  }
+}
+
+/** The attempt may run, or its intent or end is being recorded. */
+export function isLive (task: Task): boolean {
+  return task.state !== 'waiting' && task.state !== 'ended' && task.state !== 'over'
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/testSupport/index.ts
@@ -0,0 +1,235 @@
+/** Test support: several scheduler processes over one in-memory platform under fake timers, with watched workers. */
+import FakeTimers, { type Clock } from '@sinonjs/fake-timers'
+import type { AttemptReport, Machine, Table, WorkerClient } from '@gypsumspring/adapters'
+import {
+  notDone, unknownEffect, type Configuration, type Outcome, type Resources, type RpcHandlers, type Workload
+} from '@gypsumspring/protocol'
+import { type AttemptObserver, MemoryInventory, MemoryObjectStore, MemoryTable, MemoryWorker } from '@gypsumspring/standins'
+import { pino } from 'pino'
+import type { Part } from '../../lifecycle/index.ts'
+import { Metrics } from '../../metrics/index.ts'
+import type { ProcessContext } from '../../types.ts'
+import { addSchedulerParts } from '../addSchedulerParts.ts'
+
+export const settings = {
+  failureDomain: 'hall',
+  shardLeaseMs: 10_000,
+  taskLeaseMs: 30_000,
+  runHorizonMs: 120_000,
+  sessionTtlMs: 10_000,
+  heartbeatMs: 5_000,
+  flushMs: 100,
+  inventoryMs: 2_000
+}
+
+export const SLOT: Resources = { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0 }
+
+/** How the calls of one process to one target fail. */
+interface Link {
+  cut: boolean
+  losesAnswers: boolean
+}
+
+/** A scheduler process that can be paused (its calls and answers wait) or killed. */
+export class TestProcess {
+  readonly id: string
+  readonly handlers: RpcHandlers = {}
+  readonly metrics = new Metrics()
+  readonly links = new Map<string, Link>()
+  #gate: Promise<void> | undefined
+  #open: () => void = () => {}
+  readonly #parts: Part[] = []
+  version = 0
+
+  constructor (id: string, cell: TestCell) {
+    this.id = id
+    const context = {
+      settings: { ...settings, id },
+      logger: pino({ level: process.env['TEST_LOG'] ?? 'silent', base: { process: id } }),
+      metrics: this.metrics,
+      lifecycle: { add: (part: Part) => this.#parts.push(part) },
+      incarnation: `${id}-${cell.nextNumber()}`,
+      platform: {
+        table: this.#wrap<Table>('table', cell.table),
+        objects: this.#wrap('objects', cell.objects),
+        inventory: this.#wrap('inventory', cell.inventory),
+        workers: {
+          connect: (machine: Machine) => this.#wrap<WorkerClient>(machine.id, cell.worker(machine.id)),
+          close: async () => {}
+        }
+      },
+      configuration: cell.configurationView,
+      members: { members: () => cell.others(id), find: () => undefined },
+      handlers: this.handlers,
+      rpcAddress: `${id}:1`,
+      leaving: false
+    }
+    addSchedulerParts(context as unknown as ProcessContext)
+    for (const part of this.#parts) part.start?.()
+  }
+
+  link (target: string): Link {
+    let link = this.links.get(target)
+    if (link === undefined) this.links.set(target, link = { cut: false, losesAnswers: false })
+    return link
+  }
+
+  pause (): void {
+    this.#gate ??= new Promise((resolve) => { this.#open = resolve })
+  }
+
+  resume (): void {
+    this.#open()
+    this.#gate = undefined
+  }
+
+  /** Stops for good without telling anybody. */
+  kill (): void {
+    this.pause()
+    this.#open = () => {}
+  }
+
+  async stop (): Promise<void> {
+    for (const part of this.#parts) await part.stop?.()
+  }
+
+  async status () {
+    const result = await this.handlers['shard.status']?.({ from: 't', configVersion: 0 })
+    return result?.shards[0]
+  }
+
+  async explain (task: string): Promise<string> {
+    const result = await this.handlers['shard.explain']?.({ from: 't', configVersion: 0, task })
+    return result?.lines.join('\n') ?? ''
+  }
+
+  #wrap<Target extends object> (name: string, target: Target): Target {
+    return new Proxy(target, {
+      get: (_, method) => async (...parameters: unknown[]): Promise<Outcome<unknown>> => {
+        while (this.#gate !== undefined) await this.#gate
+        if (this.link(name).cut) return notDone('unavailable', 'cut off')
+        const calls = target as Record<string | symbol, (...parameters: unknown[]) => Promise<Outcome<unknown>>>
+        const outcome = await calls[method]!.apply(target, parameters)
+        while (this.#gate !== undefined) await this.#gate
+        return this.link(name).losesAnswers ? unknownEffect('timeout', 'answer lost') : outcome
+      }
+    })
+  }
+}
+
+export class TestCell {
+  readonly clock: Clock
+  readonly table = new MemoryTable()
+  readonly objects = new MemoryObjectStore()
+  readonly inventory: MemoryInventory
+  readonly processes = new Map<string, TestProcess>()
+  readonly workers = new Map<string, MemoryWorker>()
+  /** Running attempts by task, as the workers see them. */
+  readonly running = new Map<string, Array<{ worker: string, report: AttemptReport }>>()
+  readonly starts: Array<{ worker: string, task: string, attempt: number }> = []
+  /** Finished attempts by task. */
+  readonly succeeded = new Map<string, number>()
+  readonly violations: string[] = []
+  readonly #listeners = new Set<(configuration: Configuration) => void>()
+  #configuration: Configuration | undefined
+  #number = 0
+
+  constructor (workerCount: number, capacity: Resources = { ...SLOT, cpuMillis: 2_000, memoryMb: 2_000 }) {
+    this.clock = FakeTimers.install({
+      toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance']
+    })
+    this.inventory = new MemoryInventory()
+    for (let index = 0; index < workerCount; index++) this.addWorker(`w${index}`, capacity)
+  }
+
+  addWorker (id: string, capacity: Resources): void {
+    const observe: AttemptObserver = (event, worker, report) => this.#observe(event, worker, report, capacity)
+    this.workers.set(id, new MemoryWorker(id, capacity, observe))
+    this.list(id, 'live', capacity)
+  }
+
+  list (id: string, state: 'live' | 'leaving', capacity: Resources): void {
+    this.inventory.put({ id, kind: 'worker', failureDomain: 'hall', rack: 'r', address: id, state, capacity })
+  }
+
+  worker (id: string): MemoryWorker {
+    return this.workers.get(id) as MemoryWorker
+  }
+
+  nextNumber (): number {
+    return ++this.#number
+  }
+
+  startProcess (id: string): TestProcess {
+    const started = new TestProcess(id, this)
+    this.processes.set(id, started)
+    return started
+  }
+
+  others (id: string) {
+    return [...this.processes.keys()].filter((other) => other !== id).map((other) => (
+      { id: other, role: 'scheduler' as const, failureDomain: 'hall', leaving: false }))
+  }
+
+  get configurationView () {
+    const subscribe = (listener: (configuration: Configuration) => void) => {
+      this.#listeners.add(listener)
+      if (this.#configuration !== undefined) listener(this.#configuration)
+      return () => { this.#listeners.delete(listener) }
+    }
+    const view = { subscribe }
+    return Object.defineProperty(view, 'current', { get: () => this.#configuration })
+  }
+
+  configure (workloads: Array<Partial<Workload> & { id: string }>, cancelled: string[] = []): void {
+    const version = (this.#configuration?.index.version ?? 0) + 1
+    const cancelledWorkloads = cancelled.map((workload) => ({ scope: 's', workload }))
+    const whole = workloads.map((workload): Workload => (
+      { team: 't', kind: 'batch', tasks: 1, resources: SLOT, retryLimit: 100, ...workload }))
+    this.#configuration = {
+      index: { version, scopes: {}, operations: { drainedRunners: [], cancelledWorkloads } },
+      manifests: { s: { scope: 's', teams: [], workloads: whole } }
+    }
+    for (const listener of this.#listeners) listener(this.#configuration)
+  }
+
+  async run (ms: number): Promise<void> {
+    await this.clock.tickAsync(ms)
+  }
+
+  /** Runs until the condition holds; false when it does not within `limitMs`. */
+  async runUntil (condition: () => boolean, limitMs: number): Promise<boolean> {
+    for (let ms = 0; ms < limitMs && !condition(); ms += 100) await this.run(100)
+    return condition()
+  }
+
+  runningOn (task: string): string[] {
+    return this.running.get(task)?.map(({ worker }) => worker) ?? []
+  }
+
+  get runningTasks (): string[] {
+    return [...this.running.keys()].sort()
+  }
+
+  close (): void {
+    for (const each of this.processes.values()) each.kill()
+    this.clock.uninstall()
+  }
+
+  #observe (event: 'start' | 'end', worker: string, report: AttemptReport, capacity: Resources): void {
+    const { task, attempt } = report
+    const known = this.running.get(task) ?? []
+    const others = known.filter((each) => each.worker !== worker || each.report.attempt !== attempt)
+    if (event === 'start') {
+      this.starts.push({ worker, task, attempt })
+      others.push({ worker, report })
+      if (others.length > 1) this.violations.push(`${task} runs on ${others.map((each) => each.worker).join(' and ')}`)
+      if ((this.succeeded.get(task) ?? 0) > 0) this.violations.push(`${task} started after it had succeeded`)
+    } else if (report.state === 'succeeded') this.succeeded.set(task, (this.succeeded.get(task) ?? 0) + 1)
+    if (others.length === 0) this.running.delete(task)
+    else this.running.set(task, others)
+    const here = [...this.running.values()].flat().filter((each) => each.worker === worker)
+    const used = here.reduce((sum, each) => sum + each.report.resources.cpuMillis, 0)
+    if (used > capacity.cpuMillis) this.violations.push(`${worker} is overcommitted: ${used} of ${capacity.cpuMillis}`)
+  }
+}
