--- a/packages/daemon/src/entry/callerFront/index.ts
+++ b/packages/daemon/src/entry/callerFront/index.ts
@@ -3,7 +3,6 @@
 import type { SchemaViolation } from '@gypsumspring/protocol'
 import { Left, Right } from 'purify-ts/Either'
 import { fastify, type FastifyInstance, type FastifyReply, type FastifyRequest, type HTTPMethods } from 'fastify'
-import type { Logger } from '../../logging/index.ts'
 import type { Metrics } from '../../metrics/index.ts'
 import { LEAVING_RETRY_MS, MAX_DEADLINE_MS, MAX_REQUEST_BYTES } from '../constants/index.ts'
 import { forwardHeaders } from '../forwardHeaders/index.ts'
@@ -23,17 +22,22 @@
 export interface CallerFrontParts {
   directory: FrontDirectory
   serve: (call: CallerCall) => Call<CallResult>
-  logger: Logger
   metrics: Metrics
 }
 
 /** Reasons whose cause is the caller's own rate, so that the caller should slow down instead of changing the entry. */
 const TOO_MANY_REASONS = new Set(['queue-full', 'team-limit'])
 
+/** How long a connection without a request is kept during the shutdown, in ms. */
+const UNUSED_CONNECTION_MS = 200
+
 /** The HTTP server for callers. Owns the listening socket and the callers' connections. */
 export class CallerFront {
   readonly #parts: CallerFrontParts
   readonly #server: FastifyInstance
+  readonly #connections = new Set<Socket>()
+  /** Connections with a request in progress. */
+  readonly #busy = new Set<Socket>()
   #accepting = false
 
   constructor (parts: CallerFrontParts) {
@@ -43,8 +47,11 @@
       // A request on a kept connection during shutdown is answered by `#handle`, with an outcome header.
       return503OnClosing: false,
       requestTimeout: MAX_DEADLINE_MS,
+      // URLs that can't be decoded; the router rejects them before any handler.
+      frameworkErrors: (error, _request, reply) => { this.#refuse(reply, 400, 'malformed', { detail: error.message }) },
       clientErrorHandler: (error, socket) => this.#refuseMalformed(error.code, socket)
     })
+    this.#watchConnections()
     // Bodies are read by `readBody`, whatever their content type, also those of GET requests.
     for (const method of METHODS) this.#server.addHttpMethod(method, { hasBody: false, overrideExisting: true })
     this.#server.route({
@@ -77,7 +84,24 @@
   /** Refuses new requests, and resolves when those in flight are answered and all connections are closed. */
   async close (): Promise<void> {
     this.#accepting = false
+    // Node closes idle connections, but takes one that has never carried a request for a busy one: a caller's spare
+    // connection would hold the shutdown up for longer than it may last.
+    const timer = setInterval(() => {
+      for (const socket of this.#connections) if (!this.#busy.has(socket)) socket.end()
+    }, UNUSED_CONNECTION_MS)
     await this.#server.close()
+    clearInterval(timer)
+  }
+
+  #watchConnections (): void {
+    this.#server.server.on('connection', (socket: Socket) => {
+      this.#connections.add(socket)
+      socket.once('close', () => this.#connections.delete(socket))
+    })
+    this.#server.server.on('request', ({ socket }, response) => {
+      this.#busy.add(socket)
+      response.once('close', () => this.#busy.delete(socket))
+    })
   }
 
   async #handle (request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
--- a/packages/daemon/src/entry/constants/index.ts
+++ b/packages/daemon/src/entry/constants/index.ts
@@ -33,3 +33,9 @@
 
 /** Time for which requests are still accepted after `/readyz` fails, in ms; covers one poll of the balancer. */
 export const READY_GRACE_MS = 500
+
+/** Longest time for which a leaving entry tries to give its slot tokens back, in ms; then they are withheld. */
+export const GIVE_BACK_MS = 2000
+
+/** Time between removals of old at-most-once records, in ms. */
+export const SWEEP_INTERVAL_MS = 60_000
--- a/packages/daemon/src/entry/domainSlots/index.ts
+++ b/packages/daemon/src/entry/domainSlots/index.ts
@@ -170,6 +170,10 @@
     outcome.ifRight((row) => {
       const found = row?.value as Allocator | undefined
       if (found === undefined || found.epoch < this.#holder.epoch) return
+      if (found.epoch > this.#holder.epoch) {
+        const { logger, failureDomain } = this.#parts
+        logger.info({ failureDomain, allocator: found.owner, epoch: found.epoch }, 'allocator found')
+      }
       this.#allocator = found
       this.#holder.follow(found.epoch)
     })
--- a/packages/daemon/src/entry/inventoryWatch/index.ts
+++ b/packages/daemon/src/entry/inventoryWatch/index.ts
@@ -4,8 +4,8 @@
 export interface InventoryWatchParts {
   inventory: Inventory
   intervalMs: number
-  /** Called after each answered listing. */
-  onListed: () => void
+  /** Called after each answered listing; `changed` when other VMs are leaving than before. */
+  onListed: (changed: boolean) => void
   metrics: Metrics
 }
 
@@ -52,11 +52,13 @@
     if (this.#closed) return
     outcome.ifLeft(({ reason }) => this.#parts.metrics.count('inventory_failed', { reason }))
     outcome.ifRight((machines) => {
-      this.#leaving = new Set(machines.filter(({ state }) => state === 'leaving').map(({ id }) => id))
+      const leaving = new Set(machines.filter(({ state }) => state === 'leaving').map(({ id }) => id))
+      const changed = leaving.size !== this.#leaving.size || [...leaving].some((id) => !this.#leaving.has(id))
+      this.#leaving = leaving
       this.#entries = new Set(machines.filter(({ kind }) => kind === 'entry')
         .flatMap(({ id, address }) => [id, address, hostOf(address)]))
       for (const name of this.#entries) this.#everListed.add(name)
-      this.#parts.onListed()
+      this.#parts.onListed(changed)
     })
     this.#timer = setTimeout(() => this.start(), this.#parts.intervalMs)
   }
--- a/packages/daemon/src/entry/slotAllocator/index.ts
+++ b/packages/daemon/src/entry/slotAllocator/index.ts
@@ -32,7 +32,8 @@
   ledger: SlotLedger
   /** Version of the row of registrations; 0 when absent. */
   version: number
-  writing: boolean
+  registrations: SlotRegistration[]
+  writing: Promise<void> | undefined
 }
 
 /** Time between checks for due ends of withholding and for unwritten registrations, in ms. */
@@ -76,7 +77,7 @@
         const ledger = createSlotLedger(
           { epoch: term.epoch, registrations, renewedAt: lease.renewedAt }, performance.now())
         ledger.setRunners(this.#runners)
-        this.#office = { term, ledger, version: row?.version ?? 0, writing: false }
+        this.#office = { term, ledger, version: row?.version ?? 0, registrations, writing: undefined }
         this.#timer = setInterval(() => this.#check(), CHECK_MS)
         logger.info({ failureDomain, epoch: term.epoch, registrations: registrations.length }, 'allocating')
         return
@@ -105,6 +106,20 @@
     return answer
   }
 
+  /** Entries listed in the row. */
+  registered (): string[] {
+    return [...new Set(this.#office?.registrations.map(({ entry }) => entry))]
+  }
+
+  /** Writes outstanding registrations, so that the next allocator does not wait for entries that are gone. */
+  async settle (): Promise<void> {
+    const office = this.#office
+    if (office === undefined) return
+    await office.writing
+    this.#writeRegistrations(office)
+    await office.writing
+  }
+
   /** The VM of an entry that was listed before is no longer in the inventory. */
   leave (entry: string): void {
     this.#office?.ledger.leave(entry, performance.now())
@@ -137,11 +152,10 @@
 
   #writeRegistrations (office: Office): void {
     const wanted = office.ledger.pendingRegistrations()
-    if (wanted === undefined || office.writing) return
-    office.writing = true
-    this.#write(office, wanted)
+    if (wanted === undefined || office.writing !== undefined) return
+    office.writing = this.#write(office, wanted)
       .catch((error: unknown) => process.nextTick(() => { throw error }))
-      .finally(() => { office.writing = false })
+      .finally(() => { office.writing = undefined })
   }
 
   async #write (office: Office, registrations: SlotRegistration[]): Promise<void> {
@@ -155,7 +169,7 @@
     })
     if (outcome.isRight()) {
       office.version = outcome.unsafeCoerce().versions[0] ?? 0
-      office.ledger.confirmRegistrations(registrations)
+      this.#confirm(office, registrations)
       return
     }
     metrics.count('slot_registration_failed', { reason: outcome.swap().unsafeCoerce().reason })
@@ -165,8 +179,11 @@
     const found = row.value as typeof value
     if (found.epoch !== value.epoch) return
     office.version = row.version
-    if (JSON.stringify(found.registrations) === JSON.stringify(registrations)) {
-      office.ledger.confirmRegistrations(registrations)
-    }
+    if (JSON.stringify(found.registrations) === JSON.stringify(registrations)) this.#confirm(office, registrations)
+  }
+
+  #confirm (office: Office, registrations: SlotRegistration[]): void {
+    office.registrations = registrations
+    office.ledger.confirmRegistrations(registrations)
   }
 }
--- a/packages/daemon/src/scheduler/shardLease/index.ts
+++ b/packages/daemon/src/scheduler/shardLease/index.ts
@@ -29,6 +29,11 @@
     return this.#owned === undefined ? this.#currentOwner : this.#options.owner
   }
 
+  /** When the write was sent that gave or renewed the lease last, in ms. */
+  get renewedAt (): number {
+    return this.#renewedAt
+  }
+
   /** What this process may do with the shard at this moment. */
   right (): LeaseRight {
     if (this.#owned === undefined || this.#closed) return 'none'
@@ -43,7 +48,7 @@
   lose (reason: string): void {
     if (this.#owned === undefined) return
     this.#options.log.warn({ shard: this.#options.shard, epoch: this.#owned.epoch, reason }, 'shard lost')
-    this.#options.metrics.count('shard_lost', { reason })
+    this.#options.metrics.count(`${this.#prefix}_lost`, { reason })
     this.#owned = undefined
     this.#seen = undefined
     this.#options.onLost()
@@ -64,12 +69,16 @@
     })
   }
 
+  get #prefix (): string {
+    return this.#options.prefix ?? 'shard'
+  }
+
   get #shardKey (): string {
-    return `shard/${this.#options.shard}`
+    return `${this.#prefix}/${this.#options.shard}`
   }
 
   get #renewalKey (): string {
-    return `shard-renewal/${this.#options.shard}`
+    return `${this.#prefix}-renewal/${this.#options.shard}`
   }
 
   #schedule (delayMs: number): void {
@@ -97,7 +106,7 @@
         return RENEWAL_MS
       },
       Left: ({ reason, message }) => {
-        this.#options.metrics.count('shard_renewal_failed', { reason })
+        this.#options.metrics.count(`${this.#prefix}_renewal_failed`, { reason })
         if (reason === 'conflict') {
           this.lose('renewal-conflict')
           return RENEWAL_MS
@@ -155,7 +164,7 @@
         return RENEWAL_MS
       },
       Left: ({ reason, certainty }) => {
-        metrics.count('shard_takeover_failed', { reason })
+        metrics.count(`${this.#prefix}_takeover_failed`, { reason })
         log.info({ shard, epoch, reason, certainty }, 'takeover failed')
         // The next read tells whether a write with a lost answer took effect.
         return certainty === 'unknown' ? RENEWAL_RETRY_MS : RENEWAL_MS
@@ -171,7 +180,7 @@
     this.#seen = undefined
     this.#owned = { shard, epoch, rowVersion, ownedSince: performance.now() }
     log.info({ shard, epoch }, 'shard taken over')
-    metrics.count('shard_taken')
+    metrics.count(`${this.#prefix}_taken`)
     onGained(this.#owned)
   }
 }
--- a/packages/daemon/src/scheduler/shardLease/types.ts
+++ b/packages/daemon/src/scheduler/shardLease/types.ts
@@ -31,6 +31,8 @@
 
 export interface ShardLeaseOptions {
   shard: string
+  /** Rows are `<prefix>/<shard>` and `<prefix>-renewal/<shard>`. Default: `shard`. */
+  prefix?: string
   owner: string
   writer: string
   address: () => string
