--- a/packages/daemon/src/configuration/ConfigurationTask.ts
+++ b/packages/daemon/src/configuration/ConfigurationTask.ts
@@ -1,6 +1,6 @@
 import type { Platform } from '@gypsumspring/adapters'
 import {
-  ConfigurationIndex, type Configuration, type Manifest, type RpcParams, type RpcResult
+  CONFIGURATION_KEY, ConfigurationIndex, type Configuration, type Manifest, type RpcParams, type RpcResult
 } from '@gypsumspring/protocol'
 import { Value } from '@sinclair/typebox/value'
 import type { Logger } from '../logging/index.ts'
@@ -11,9 +11,6 @@
 import { getManifest } from './_lib/manifestObjects.ts'
 import { isPoller } from './_lib/isPoller.ts'
 
-/** Key of the row that holds the newest configuration index. */
-export const CONFIGURATION_ROW = 'config/current'
-
 /** Workers asked for their label; an owner leaves the label with all of its workers. */
 const MAX_INSPECTED_WORKERS = 64
 
@@ -114,7 +111,7 @@
 
   async #readTable (): Promise<void> {
     const { platform, log, metrics, store } = this.#options
-    const outcome = await platform.table.read(CONFIGURATION_ROW)
+    const outcome = await platform.table.read(CONFIGURATION_KEY)
     await outcome.caseOf({
       Left: async ({ reason }) => {
         metrics.count('config_read_failures', { reason })
--- a/packages/daemon/src/configuration/test.ts
+++ b/packages/daemon/src/configuration/test.ts
@@ -1,11 +1,11 @@
 import { expect } from 'chai'
 import { MemoryInventory, MemoryObjectStore, MemoryTable, MemoryWorker } from '@gypsumspring/standins'
 import type { Platform } from '@gypsumspring/adapters'
-import { done, notDone, type ConfigurationIndex, type Manifest, type Member } from '@gypsumspring/protocol'
+import { CONFIGURATION_KEY, done, notDone, type ConfigurationIndex, type Manifest, type Member } from '@gypsumspring/protocol'
 import { pino } from 'pino'
 import { Metrics } from '../metrics/index.ts'
 import type { Peers } from '../types.ts'
-import { CONFIGURATION_ROW, ConfigurationStore, ConfigurationTask, putManifest } from './index.ts'
+import { ConfigurationStore, ConfigurationTask, putManifest } from './index.ts'
 
 const log = pino({ level: 'silent' })
 const workerCapacity = { cpuMillis: 1000, memoryMb: 1000, accelerators: 0 }
@@ -90,7 +90,7 @@
     const index: ConfigurationIndex = {
       version, scopes: { demo: { version, hash } }, operations: { drainedRunners: [], cancelledWorkloads: [] }
     }
-    await table.transact({ checks: [], writes: [{ kind: 'put', key: CONFIGURATION_ROW, value: index }] })
+    await table.transact({ checks: [], writes: [{ kind: 'put', key: CONFIGURATION_KEY, value: index }] })
   }
 
   function setStoreDown (down: boolean): void {
@@ -168,7 +168,7 @@
       checks: [],
       writes: [{
         kind: 'put',
-        key: CONFIGURATION_ROW,
+        key: CONFIGURATION_KEY,
         value: {
           version: 2,
           scopes: { demo: { version: 2, hash: 'absent' } },
