--- /dev/null
+++ b/packages/standins/src/processTests/storeOutage.test.ts
@@ -0,0 +1,84 @@
+import { expect } from 'chai'
+import type { Workload } from '@gypsumspring/protocol'
+import { callControl } from '../callControl/index.ts'
+import type { Cell } from '../startCell/index.ts'
+import { checkInvariants, readShards, startTestCell, waitFor, waitUntilSettled } from './_support/cell.ts'
+import { call, countOutcomes, Load, type CallResult } from './_support/Load.ts'
+
+const headers = { 'gs-team': 'balcao' }
+
+/** Longer than the shard lease and the task lease of the test cell. */
+const OUTAGE_MS = 5000
+
+describe('failures of the platform\'s store', () => {
+  let cell: Cell
+
+  before(async () => { cell = await startTestCell() })
+  after(async () => { await cell?.stop() })
+
+  async function sendOnce (id: string, index: number): Promise<CallResult> {
+    const vm = cell.vms[index % cell.vms.length]
+    return await call(`${vm?.callerUrl}/e/origem/lineage-reports`, id, { method: 'POST', headers, deadlineMs: 5000 })
+  }
+
+  async function countRuns (id: string): Promise<number> {
+    const { runs } = await callControl(cell.endpointsUrl, `requests/${id}`)
+    return runs.length
+  }
+
+  function renameJobs (suffix: string): Workload[] {
+    return (cell.manifest.workloads ?? []).filter(({ kind }) => kind === 'batch')
+      .map((workload) => ({ ...workload, id: `${workload.id}-${suffix}` }))
+  }
+
+  it('keep look-ups and running tasks going, refuse what needs a record, and lose nothing', async () => {
+    const services = (cell.manifest.workloads ?? []).filter(({ kind }) => kind === 'service')
+    await waitUntilSettled(cell, services)
+    const before = (await readShards(cell)).flatMap(({ tasks }) => tasks).filter(({ kind }) => kind === 'service')
+    await callControl(cell.platformUrl, 'faults/all', { down: true })
+    const load = new Load(cell, '/e/origem/surnames/rossi', 20, { headers })
+    const refused = await sendOnce('during-outage', 0)
+    const applied = await cell.applyManifest()
+    await new Promise((resolve) => setTimeout(resolve, OUTAGE_MS))
+    const lookUps = await load.stop()
+    await callControl(cell.platformUrl, 'clear', {})
+
+    expect(countOutcomes(lookUps), 'look-ups').to.have.all.keys('answered')
+    expect(refused.outcome, refused.body).to.equal('not-run')
+    expect(await countRuns('during-outage'), 'P4: said not run, but ran').to.equal(0)
+    expect(applied.code, 'apply is refused as unavailable').to.equal(6)
+    await waitUntilSettled(cell, services)
+    const after = (await readShards(cell)).flatMap(({ tasks }) => tasks).filter(({ kind }) => kind === 'service')
+    const attempts = (rows: typeof before) => rows.map(({ task, attempt, worker }) => `${task} ${attempt} ${worker}`).sort()
+    expect(attempts(after), 'service tasks went on in place').to.deep.equal(attempts(before))
+    await waitFor('a not-repeatable request is answered again', async () =>
+      (await sendOnce('after-outage', 0)).outcome === 'answered')
+    await checkInvariants(cell)
+  })
+
+  it('with answers lost after effect run no request and no task twice', async () => {
+    await callControl(cell.platformUrl, 'faults/table', { loseAnswers: 0.3 })
+    const jobs = renameJobs('lossy')
+    const manifest = { ...cell.manifest, workloads: [...cell.manifest.workloads ?? [], ...jobs] }
+    await waitFor('manifest applied', async () => {
+      const { code } = await cell.applyManifest(() => manifest)
+      return code === 0
+    })
+    const ids = Array.from({ length: 40 }, (_value, index) => `lossy-${index}`)
+    const first = await Promise.all(ids.map((id, index) => sendOnce(id, index)))
+    const second = await Promise.all(ids.map((id, index) => sendOnce(id, index + 1)))
+    await waitUntilSettled(cell, jobs)
+    await callControl(cell.platformUrl, 'clear', {})
+    for (const [index, id] of ids.entries()) {
+      const runs = await countRuns(id)
+      expect(runs, `P5: runs of ${id}`).to.be.at.most(1)
+      const answers = [first[index], second[index]]
+      const wasAnswered = answers.some((answer) => answer?.outcome === 'answered')
+      if (wasAnswered) expect(runs, `${id} was answered`).to.equal(1)
+      if (answers.every((answer) => answer?.outcome === 'not-run')) expect(runs, `P4: ${id} was said not to have run`).to.equal(0)
+    }
+    const answered = [...first, ...second].filter(({ outcome }) => outcome === 'answered').length
+    expect(answered, JSON.stringify(countOutcomes([...first, ...second]))).to.be.above(ids.length)
+    await checkInvariants(cell)
+  })
+})
