--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,1 +1,2 @@
+export * from './placement/index.ts'
 export type * from './types.ts'
--- /dev/null
+++ b/packages/core/src/placement/_lib/TaskBook.ts
@@ -0,0 +1,94 @@
+import type { TaskGroup } from '../../types.ts'
+import { PRIORITY_CLASSES } from '../constants/index.ts'
+import type { GroupRecord, TaskRecord } from '../types.ts'
+
+/** Records which task is where. Knows nothing of capacity, quotas or order, which each placer derives itself. */
+export class TaskBook {
+  readonly groups = new Map<string, GroupRecord>()
+  readonly tasks = new Map<string, TaskRecord>()
+  #sequence = 0
+
+  /** Adds a group whose tasks all wait. A group that is already known throws: its tasks could run twice. */
+  submit (spec: TaskGroup): GroupRecord {
+    if (this.groups.has(spec.id)) throw new Error(`group ${spec.id} is already submitted`)
+    const group: GroupRecord = {
+      spec,
+      rank: PRIORITY_CLASSES.indexOf(spec.priority),
+      sequence: this.#sequence++,
+      waiting: new Set(),
+      tasks: [],
+      cancelled: false
+    }
+    for (const id of spec.tasks) {
+      if (this.tasks.has(id)) throw new Error(`task ${id} is already submitted`)
+      const task: TaskRecord = {
+        id,
+        group,
+        queuedAt: spec.submittedAt,
+        worker: undefined,
+        startedAt: 0,
+        expectedRunMs: undefined,
+        stoppingSince: undefined,
+        requeuedAt: undefined,
+        usage: undefined
+      }
+      this.tasks.set(id, task)
+      group.tasks.push(task)
+      group.waiting.add(task)
+    }
+    this.groups.set(spec.id, group)
+    return group
+  }
+
+  place (task: TaskRecord, worker: string, now: number, expectedRunMs: number | undefined): void {
+    task.group.waiting.delete(task)
+    task.worker = worker
+    task.startedAt = now
+    task.expectedRunMs = expectedRunMs
+  }
+
+  /** Takes a task off its worker. Returns true when it waits again because of an earlier requeue. */
+  release (task: TaskRecord): boolean {
+    task.worker = undefined
+    task.stoppingSince = undefined
+    task.usage = undefined
+    if (task.group.cancelled) {
+      this.tasks.delete(task.id)
+      return false
+    }
+    if (task.requeuedAt === undefined) return false
+    task.queuedAt = task.requeuedAt
+    task.requeuedAt = undefined
+    task.group.waiting.add(task)
+    return true
+  }
+
+  /** Queues an ended task again; a task that still holds its worker waits only after its release. */
+  requeue (task: TaskRecord, now: number): boolean {
+    if (task.group.cancelled || task.group.waiting.has(task)) return false
+    if (task.worker !== undefined) {
+      task.requeuedAt = now
+      return false
+    }
+    task.queuedAt = now
+    task.group.waiting.add(task)
+    return true
+  }
+
+  /** Forgets a group and its tasks but for the placed ones, which it returns; they are forgotten when released. */
+  cancel (group: GroupRecord): TaskRecord[] {
+    group.cancelled = true
+    group.waiting.clear()
+    this.groups.delete(group.spec.id)
+    const placed = group.tasks.filter((task) => task.worker !== undefined)
+    for (const task of group.tasks) if (task.worker === undefined) this.tasks.delete(task.id)
+    return placed
+  }
+
+  /** Takes a group out of the queue as impossible; it is forgotten unless some of its tasks run. */
+  drop (group: GroupRecord): void {
+    group.waiting.clear()
+    if (group.tasks.some((task) => task.worker !== undefined)) return
+    this.cancel(group)
+  }
+}
--- /dev/null
+++ b/packages/core/src/placement/_lib/resources.ts
@@ -0,0 +1,42 @@
+import type { Resources } from '@gypsumspring/protocol'
+
+export const NOTHING: Resources = Object.freeze({ cpuMillis: 0, memoryMb: 0, accelerators: 0 })
+
+/** Tells whether a need fits in what is free, in every dimension. */
+export function fits (need: Resources, free: Resources): boolean {
+  return need.cpuMillis <= free.cpuMillis && need.memoryMb <= free.memoryMb && need.accelerators <= free.accelerators
+}
+
+/** Adds `factor` times the second amount to the first. */
+export function addScaled (amount: Resources, other: Resources, factor: number): Resources {
+  return {
+    cpuMillis: amount.cpuMillis + factor * other.cpuMillis,
+    memoryMb: amount.memoryMb + factor * other.memoryMb,
+    accelerators: amount.accelerators + factor * other.accelerators
+  }
+}
+
+/** Largest share of a limit over the dimensions; a dimension whose limit is 0 counts only when it is used. */
+export function computeDominantShare (used: Resources, limit: Resources): number {
+  return Math.max(
+    shareOf(used.cpuMillis, limit.cpuMillis),
+    shareOf(used.memoryMb, limit.memoryMb),
+    shareOf(used.accelerators, limit.accelerators)
+  )
+}
+
+function shareOf (used: number, limit: number): number {
+  return used === 0 ? 0 : used / Math.max(limit, 1)
+}
+
+/** How many tasks of this need a capacity holds. */
+export function countFitting (need: Resources, capacity: Resources): number {
+  const counts = (['cpuMillis', 'memoryMb', 'accelerators'] as const)
+    .filter((dimension) => need[dimension] > 0)
+    .map((dimension) => Math.floor(capacity[dimension] / need[dimension]))
+  return Math.max(0, Math.min(Number.MAX_SAFE_INTEGER, ...counts))
+}
+
+export function describeResources (amount: Resources): string {
+  return `${amount.cpuMillis / 1000} processors, ${amount.memoryMb} MiB, ${amount.accelerators} accelerators`
+}
--- /dev/null
+++ b/packages/core/src/placement/_lib/rules.ts
@@ -0,0 +1,94 @@
+/** Rules that every placer keeps; each is pure. */
+import type { Resources } from '@gypsumspring/protocol'
+import {
+  DEFAULT_RUN_MS, HOLD_LIMIT_MS, HOLD_SHARE_OF_RUN, OVERRUN_SHARE, PREEMPTION_TIMEOUT_MS, PRIORITY_CLASSES,
+  RESERVATION_OVERDUE_MS
+} from '../constants/index.ts'
+import type { GroupRecord, Reservation, TaskRecord } from '../types.ts'
+import { addScaled, fits } from './resources.ts'
+
+/** Tasks of a group that start in one decision: all waiting ones of a gang, else one. */
+export function countStartingTasks (group: GroupRecord): number {
+  return group.spec.kind === 'gang' ? group.waiting.size : 1
+}
+
+/** Tells whether a group's next tasks stay within the quota; a team without quota is not limited. */
+export function staysWithinQuota (group: GroupRecord, used: Resources, quota: Resources | undefined): boolean {
+  return quota === undefined || fits(addScaled(used, group.spec.resources, countStartingTasks(group)), quota)
+}
+
+/**
+ * Tells whether a group that waits for quota holds back later groups of its team, which would otherwise use up each
+ * amount that becomes free. A group that cannot start beside the team's services holds back nothing.
+ */
+export function holdsBackTeam (group: GroupRecord, usedByServices: Resources, quota: Resources | undefined): boolean {
+  return staysWithinQuota(group, usedByServices, quota)
+}
+
+/** Time in ms that a group waits for room on a worker in use before it may open an idle one. */
+export function computeHoldMs (group: GroupRecord, packingWeight: number, estimatedRunMs: number | undefined): number {
+  const isExempt = group.rank <= PRIORITY_CLASSES.indexOf('high') || estimatedRunMs === undefined
+  return isExempt ? 0 : packingWeight * Math.min(estimatedRunMs * HOLD_SHARE_OF_RUN, HOLD_LIMIT_MS)
+}
+
+/**
+ * Tells whether a reservation keeps a group away from the reserved capacity. Without an estimate it does whenever the
+ * class allows, which is also how reservations are planned beside each other.
+ */
+export function bindsGroup (
+  reservation: Reservation, group: GroupRecord, now: number, estimatedRunMs: number | undefined
+): boolean {
+  if (reservation.group === group || reservation.group.rank > group.rank) return false
+  return estimatedRunMs === undefined || now + estimatedRunMs > reservation.startsAt
+}
+
+/** Tells whether a reservation has waited so long that it has to be planned again. */
+export function isOverdue (reservation: Reservation, now: number): boolean {
+  return reservation.kind === 'preemption'
+    ? now > reservation.madeAt + PREEMPTION_TIMEOUT_MS
+    : now > reservation.startsAt + RESERVATION_OVERDUE_MS
+}
+
+/** Expected end of a running task in ms; infinity for a service. */
+export function expectEnd (task: TaskRecord, now: number): number {
+  if (task.group.spec.kind === 'service') return Infinity
+  const end = task.startedAt + (task.expectedRunMs ?? DEFAULT_RUN_MS)
+  return end > now ? end : now + OVERRUN_SHARE * (now - task.startedAt)
+}
+
+/** Tells whether a running task may be stopped for a group. */
+export function isPreemptibleFor (task: TaskRecord, group: GroupRecord): boolean {
+  return task.group.spec.preemptible && task.group.rank > group.rank && task.stoppingSince === undefined
+}
+
+/** Tells whether a victim can be expected to end; one that has not ended in time is not counted on any more. */
+export function isLeaving (task: TaskRecord, now: number): boolean {
+  return task.stoppingSince !== undefined && now <= task.stoppingSince + PREEMPTION_TIMEOUT_MS
+}
+
+/** Cost of stopping a task: higher classes cost more; inside a class the run time lost, by all tasks of a gang. */
+export function computeVictimCost (task: TaskRecord, now: number): number {
+  const gangSize = task.group.spec.kind === 'gang' ? task.group.tasks.length : 1
+  const lostMs = Math.max(0, now - task.startedAt) * gangSize
+  return (PRIORITY_CLASSES.length - task.group.rank) + lostMs / (lostMs + DEFAULT_RUN_MS)
+}
+
+/** Orders groups of one class: smaller share of the team first, then earlier submission. */
+export function compareQueued (a: GroupRecord, shareA: number, b: GroupRecord, shareB: number): number {
+  return shareA - shareB || compareSubmitted(a, b)
+}
+
+export function compareSubmitted (a: GroupRecord, b: GroupRecord): number {
+  return a.spec.submittedAt - b.spec.submittedAt || a.sequence - b.sequence
+}
+
+/** Domain over which a group spreads, as a key; empty when it does not. */
+export function findSpreadKey (group: GroupRecord, worker: { failureDomain: string, rack: string }): string {
+  if (group.spec.spread === 'none') return ''
+  return group.spec.spread === 'rack' ? `${worker.failureDomain}/${worker.rack}` : worker.failureDomain
+}
+
+/** Tells whether a group may run in a failure domain. */
+export function allowsDomain (group: GroupRecord, failureDomain: string): boolean {
+  return group.spec.failureDomains === undefined || group.spec.failureDomains.includes(failureDomain)
+}
--- /dev/null
+++ b/packages/core/src/placement/_test/runHistory.ts
@@ -0,0 +1,220 @@
+import fc from 'fast-check'
+import type { PriorityClass, Resources, Spread, WorkloadKind } from '@gypsumspring/protocol'
+import type { Placer, PlacementDecision, WorkerNode } from '../../types.ts'
+import { CellModel } from './CellModel.ts'
+
+export const STEP_KINDS = [
+  'submit', 'submit', 'submit', 'decide', 'decide', 'decide', 'end', 'end', 'fail', 'stop', 'cancel', 'lose', 'add',
+  'toggle', 'usage', 'requeueHeld', 'lateOutcome', 'restore', 'quotas', 'weight'
+] as const
+
+export type Step = { kind: typeof STEP_KINDS[number], a: number, b: number, c: number }
+
+export const steps = (length: number): fc.Arbitrary<Step[]> => fc.array(
+  fc.record({ kind: fc.constantFrom(...STEP_KINDS), a: fc.nat(999), b: fc.nat(999), c: fc.nat(999) }),
+  { minLength: length / 2, maxLength: length, size: 'max' }
+)
+
+const DOMAINS = ['one', 'two', 'three']
+const PRIORITIES: PriorityClass[] = ['urgent', 'high', 'normal', 'low']
+const KINDS: WorkloadKind[] = ['batch', 'gang', 'batch', 'service', 'gang']
+const SPREADS: Spread[] = ['none', 'none', 'rack', 'failure-domain']
+
+/** Runs a random history on placers that get the same calls; `decide` makes the decisions and returns them. */
+export class History {
+  readonly model = new CellModel()
+  readonly #placers: Placer[]
+  readonly #decide: (now: number) => PlacementDecision[]
+  readonly #requeuedHeld = new Set<string>()
+  #now = 1000
+  #count = 0
+
+  constructor (placers: Placer[], decide: (now: number) => PlacementDecision[]) {
+    this.#placers = placers
+    this.#decide = decide
+    for (let index = 0; index < 6; index++) this.#addWorker(index, index * 7)
+  }
+
+  run (history: Step[]): void {
+    for (const step of history) this[step.kind](step)
+  }
+
+  submit ({ a, b, c }: Step): void {
+    const id = `g${this.#count++}`
+    const kind = KINDS[a % 5]!
+    const tasks = Array.from({ length: 1 + c % 4 }, (_, index) => `${id}-${index}`)
+    const group = {
+      id,
+      team: `team-${a % 3}`,
+      kind,
+      priority: PRIORITIES[b % 4]!,
+      spread: SPREADS[(a >> 2) % 4]!,
+      preemptible: b % 3 > 0,
+      resources: {
+        cpuMillis: 500 * (1 + b % 7) + b % 2,
+        memoryMb: 256 * (1 + c % 9),
+        accelerators: a % 6 === 0 ? 1 + c % 2 : 0
+      },
+      tasks,
+      ...(c % 5 === 0 ? { failureDomains: [DOMAINS[b % 3]!, 'unknown'] } : {}),
+      ...(c % 3 > 0 ? { estimatedRunMs: 1000 * (1 + b % 50) } : {}),
+      submittedAt: this.#now - a % 3
+    }
+    this.model.groups.set(id, group)
+    for (const task of tasks) {
+      this.model.groupOf.set(task, group)
+      this.model.waiting.add(task)
+    }
+    this.#each((placer) => placer.submit(group))
+  }
+
+  decide ({ a }: Step): void {
+    this.#now += a * 20
+    for (const decision of this.#decide(this.#now)) this.model.apply(decision)
+  }
+
+  end ({ a }: Step): void {
+    this.#withTask(a, (task, worker) => {
+      this.#each((placer) => placer.recordOutcome(task, worker, { succeeded: true, runMs: a * 10 }))
+      this.#release(task)
+    })
+  }
+
+  fail ({ a, b }: Step): void {
+    this.#withTask(a, (task, worker) => {
+      const isRequeuedFirst = b % 2 === 0
+      if (isRequeuedFirst) this.#requeue(task)
+      this.#release(task)
+      this.#each((placer) => placer.recordOutcome(task, worker, { succeeded: false, runMs: 5 }))
+      if (!isRequeuedFirst) this.#requeue(task)
+    })
+  }
+
+  /** The caller gives an attempt up before its worker is known to have ended it. */
+  requeueHeld ({ a }: Step): void {
+    this.#withTask(a, (task) => {
+      this.#requeuedHeld.add(task)
+      this.#each((placer) => placer.requeue(task, this.#now))
+    })
+  }
+
+  stop ({ a }: Step): void {
+    const victim = pick([...this.model.victims], a)
+    if (victim === undefined) return
+    this.#release(victim)
+    this.#requeue(victim)
+  }
+
+  cancel ({ a }: Step): void {
+    const group = pick([...this.model.groups.values()], a)
+    if (group === undefined) return
+    const held = group.tasks.filter((task) => this.model.placed.has(task))
+    this.#each((placer) => {
+      const returned = placer.cancel(group.id)
+      if (returned.join() !== held.join()) throw new Error(`cancel returned ${returned.join()}, expected ${held.join()}`)
+    })
+    for (const task of group.tasks) this.model.waiting.delete(task)
+    this.model.groups.delete(group.id)
+  }
+
+  lose ({ a, b }: Step): void {
+    const worker = pick([...this.model.workers.keys()], a)
+    if (worker === undefined || this.model.workers.size < 3) return
+    for (const [task, on] of [...this.model.placed]) {
+      if (on !== worker) continue
+      this.#release(task)
+      if (b % 3 > 0) this.#requeue(task)
+    }
+    this.model.workers.delete(worker)
+    this.model.unavailable.delete(worker)
+    this.#each((placer) => placer.removeWorker(worker))
+  }
+
+  add ({ a, b }: Step): void {
+    if (this.model.workers.size < 12) this.#addWorker(a, b)
+  }
+
+  toggle ({ a }: Step): void {
+    const worker = pick([...this.model.workers.keys()], a)
+    if (worker === undefined) return
+    const available = this.model.unavailable.delete(worker)
+    if (!available) this.model.unavailable.add(worker)
+    this.#each((placer) => placer.setWorkerAvailable(worker, available))
+  }
+
+  /** A report far below or above what the task declared, possibly late. */
+  usage ({ a, b, c }: Step): void {
+    const task = pick([...this.model.groupOf.keys()], a)
+    if (task === undefined) return
+    this.#each((placer) => placer.recordUsage(task, { cpuMillis: b * 10, memoryMb: c * 4, accelerators: 0 }))
+  }
+
+  lateOutcome ({ a, b }: Step): void {
+    const task = pick([...this.model.groupOf.keys()], a)
+    const worker = pick([...this.model.workers.keys()], b)
+    if (task === undefined || worker === undefined) return
+    this.#each((placer) => placer.recordOutcome(task, worker, { succeeded: b % 4 === 0, runMs: a }))
+  }
+
+  /** A takeover finds a task running; only where there is room, as the previous owner kept the rules too. */
+  restore ({ a, b }: Step): void {
+    const task = pick([...this.model.waiting], a)
+    const node = pick([...this.model.workers.values()], b)
+    if (task === undefined || node === undefined) return
+    const group = this.model.groupOf.get(task)!
+    this.model.placed.set(task, node.id)
+    if (this.model.findOver(node, group.team) !== undefined || group.failureDomains?.includes(node.failureDomain) === false) {
+      this.model.placed.delete(task)
+      return
+    }
+    this.model.waiting.delete(task)
+    this.#each((placer) => placer.restore(task, node.id))
+  }
+
+  quotas ({ a, b }: Step): void {
+    const quota: Resources = { cpuMillis: 2000 + 20 * a, memoryMb: 2000 + 20 * b, accelerators: a % 5 }
+    this.model.quotas = new Map([[`team-${a % 3}`, quota], ['team-0', { ...quota, accelerators: 9 }]])
+    this.#each((placer) => placer.setQuotas(this.model.quotas))
+  }
+
+  weight ({ a }: Step): void {
+    this.#each((placer) => placer.setPackingWeight(a / 999))
+  }
+
+  #addWorker (a: number, b: number): void {
+    const node: WorkerNode = {
+      id: `w${this.#count++}`,
+      failureDomain: DOMAINS[a % 3]!,
+      rack: `rack-${a % 2}`,
+      capacity: { cpuMillis: 2000 * (1 + a % 3), memoryMb: 2048 * (1 + b % 2), accelerators: b % 3 === 0 ? 2 : 0 }
+    }
+    this.model.workers.set(node.id, node)
+    this.#each((placer) => placer.addWorker(node))
+  }
+
+  #withTask (index: number, run: (task: string, worker: string) => void): void {
+    const found = pick([...this.model.placed], index)
+    if (found !== undefined) run(...found)
+  }
+
+  #release (task: string): void {
+    this.model.placed.delete(task)
+    this.model.victims.delete(task)
+    const isKnown = this.model.groups.has(this.model.groupOf.get(task)!.id)
+    if (this.#requeuedHeld.delete(task) && isKnown) this.model.waiting.add(task)
+    this.#each((placer) => placer.release(task))
+  }
+
+  #requeue (task: string): void {
+    if (this.model.groups.has(this.model.groupOf.get(task)!.id)) this.model.waiting.add(task)
+    this.#each((placer) => placer.requeue(task, this.#now))
+  }
+
+  #each (call: (placer: Placer) => void): void {
+    for (const placer of this.#placers) call(placer)
+  }
+}
+
+function pick<T> (values: T[], index: number): T | undefined {
+  return values[index % Math.max(1, values.length)]
+}
--- /dev/null
+++ b/packages/core/src/placement/findSlotTimes/index.ts
@@ -0,0 +1,38 @@
+import type { Resources } from '@gypsumspring/protocol'
+import { addScaled, countFitting } from '../_lib/resources.ts'
+
+export interface ExpectedEnd {
+  endsAt: number
+  resources: Resources
+}
+
+/**
+ * Finds when a worker is expected to have room for the first, second, ... task of a group.
+ *
+ * @param free what is free now, less what is reserved for others
+ * @param need of each task
+ * @param ends expected ends in ms of the tasks that run there
+ * @param limit most tasks asked for
+ * @param now ms
+ * @returns times in ms in ascending order, one for each task that there will be room for
+ * @example
+ * const core = { cpuMillis: 1000, memoryMb: 0, accelerators: 0 }
+ * findSlotTimes(core, core, [{ endsAt: 50, resources: core }], 9, 10) // [10, 50]
+ */
+export function findSlotTimes (
+  free: Resources, need: Resources, ends: ExpectedEnd[], limit: number, now: number
+): number[] {
+  const times: number[] = []
+  let available = free
+  const addTimes = (time: number): void => {
+    const room = Math.min(limit, countFitting(need, available))
+    while (times.length < room) times.push(time)
+  }
+  addTimes(now)
+  for (const { endsAt, resources } of ends.filter((end) => end.endsAt < Infinity).sort((a, b) => a.endsAt - b.endsAt)) {
+    if (times.length >= limit) break
+    available = addScaled(available, resources, 1)
+    addTimes(endsAt)
+  }
+  return times
+}
--- /dev/null
+++ b/packages/core/src/placement/index.ts
@@ -0,0 +1,2 @@
+export * from './indexed/IndexedPlacer.ts'
+export * from './naive/NaivePlacer.ts'
--- /dev/null
+++ b/packages/core/src/placement/indexed/IndexedPlacer.ts
@@ -0,0 +1,285 @@
+import type { Resources } from '@gypsumspring/protocol'
+import type { PlacementDecision, Placer, TaskGroup, WorkerNode } from '../../types.ts'
+import { explainTask } from '../_lib/explainTask.ts'
+import { addScaled } from '../_lib/resources.ts'
+import { countStartingTasks, holdsBackTeam, staysWithinQuota } from '../_lib/rules.ts'
+import { RunTimes } from '../_lib/RunTimes.ts'
+import { TaskBook } from '../_lib/TaskBook.ts'
+import { WorkerHealth } from '../_lib/WorkerHealth.ts'
+import { PRIORITY_CLASSES } from '../constants/index.ts'
+import { findImpossibility } from '../findImpossibility/index.ts'
+import type { CapacityShape, GroupRecord, TaskRecord } from '../types.ts'
+import { GroupIndex } from './GroupIndex.ts'
+import { QueueOrder } from './QueueOrder.ts'
+import { ReservationIndex } from './ReservationIndex.ts'
+import { startGroup, type StartContext } from './startGroup.ts'
+import { TeamTotals } from './TeamTotals.ts'
+import { WorkerTable, type WorkerEntry } from './WorkerTable.ts'
+
+/** Placer for large cells: keeps capacity in typed arrays with an index, and all totals up to date at each change. */
+export class IndexedPlacer implements Placer {
+  readonly #book = new TaskBook()
+  readonly #health = new WorkerHealth()
+  readonly #runTimes = new RunTimes()
+  readonly #queue = new QueueOrder()
+  readonly #teams = new TeamTotals()
+  readonly #unchecked = new Set<GroupRecord>()
+  readonly #capacityShapes = new Map<string, CapacityShape>()
+  readonly #context: StartContext
+  #now = 0
+
+  constructor () {
+    const table = new WorkerTable()
+    this.#context = {
+      table,
+      groups: new GroupIndex(),
+      reservations: new ReservationIndex(table),
+      packingWeight: 0.5,
+      roomVersion: 0,
+      planVersion: 0
+    }
+  }
+
+  addWorker (worker: WorkerNode): void {
+    const { table } = this.#context
+    if (table.entries.has(worker.id)) throw new Error(`worker ${worker.id} is already known`)
+    this.#syncWorker(table.add(worker))
+    this.#countCapacity(worker, 1)
+  }
+
+  removeWorker (worker: string): void {
+    const { table } = this.#context
+    const entry = table.entries.get(worker)
+    if (entry === undefined) return
+    if (entry.tasks.size > 0) throw new Error(`worker ${worker} still holds tasks`)
+    for (const reservation of entry.reservations) this.#context.reservations.remove(reservation.group)
+    table.remove(entry)
+    this.#health.forgetWorker(worker)
+    this.#countCapacity(entry.node, -1)
+  }
+
+  setWorkerAvailable (worker: string, available: boolean): void {
+    const entry = this.#context.table.entries.get(worker)
+    if (entry === undefined) return
+    entry.available = available
+    this.#syncWorker(entry)
+  }
+
+  setQuotas (quotas: Map<string, Resources>): void {
+    this.#teams.setQuotas(quotas)
+    this.#recheckAll()
+  }
+
+  setPackingWeight (weight: number): void {
+    this.#context.packingWeight = Math.min(1, Math.max(0, weight))
+  }
+
+  submit (group: TaskGroup): void {
+    const record = this.#book.submit(group)
+    this.#context.groups.add(record)
+    this.#enqueue(record)
+  }
+
+  requeue (task: string, now: number): void {
+    const record = this.#book.tasks.get(task)
+    if (record !== undefined && this.#book.requeue(record, now)) this.#enqueue(record.group)
+  }
+
+  restore (task: string, worker: string): void {
+    const record = this.#book.tasks.get(task)
+    const entry = this.#context.table.entries.get(worker)
+    if (record === undefined) throw new Error(`task ${task} is not known`)
+    if (entry === undefined) throw new Error(`worker ${worker} is not known`)
+    if (record.worker === worker) return
+    if (record.worker !== undefined) throw new Error(`task ${task} is already on worker ${record.worker}`)
+    const startedAt = Math.max(this.#now, record.group.spec.submittedAt)
+    this.#place(record, entry, startedAt, this.#runTimes.estimate(record.group.spec))
+  }
+
+  release (task: string): void {
+    const record = this.#book.tasks.get(task)
+    if (record?.worker === undefined) return
+    const entry = this.#context.table.entries.get(record.worker)!
+    this.#health.end(record.worker, task)
+    this.#count(record, entry, -1)
+    entry.measured = addScaled(entry.measured, record.usage ?? record.group.spec.resources, -1)
+    if (this.#book.release(record)) this.#enqueue(record.group)
+    this.#syncWorker(entry)
+  }
+
+  cancel (group: string): string[] {
+    const record = this.#book.groups.get(group)
+    if (record === undefined) return []
+    this.#forget(record)
+    return this.#book.cancel(record).map((task) => task.id)
+  }
+
+  recordUsage (task: string, usage: Resources): void {
+    const record = this.#book.tasks.get(task)
+    if (record?.worker === undefined) return
+    const entry = this.#context.table.entries.get(record.worker)!
+    entry.measured = addScaled(addScaled(entry.measured, usage, 1), record.usage ?? record.group.spec.resources, -1)
+    record.usage = usage
+  }
+
+  recordOutcome (task: string, worker: string, outcome: { succeeded: boolean, runMs: number }): void {
+    const record = this.#book.tasks.get(task)
+    const entry = this.#context.table.entries.get(worker)
+    if (record === undefined || entry === undefined) return
+    this.#health.record(worker, record.group.spec.id, outcome.succeeded, this.#now, this.#context.table.entries.size)
+    if (outcome.succeeded) this.#runTimes.record(record.group.spec, outcome.runMs)
+    this.#syncWorker(entry)
+  }
+
+  decide (now: number, limit: number): PlacementDecision[] {
+    this.#now = now
+    const { table, reservations } = this.#context
+    for (const worker of this.#health.refresh(now)) {
+      const entry = table.entries.get(worker)
+      if (entry !== undefined) this.#syncWorker(entry)
+    }
+    if (reservations.dropStale(now, (worker) => this.#canStart(worker))) this.#context.planVersion++
+    const decisions = this.#dropImpossible(limit)
+    const heldTeams = new Map<string, number>()
+    for (let rank = 0; rank < PRIORITY_CLASSES.length && decisions.length < limit; rank++) {
+      this.#queue.walk(rank, (team) => this.#teams.share(team), (group) => {
+        const decision = this.#attempt(group, now, heldTeams)
+        if (decision !== undefined) decisions.push(decision)
+        return decisions.length >= limit ? undefined : decision?.kind === 'place'
+      })
+    }
+    return decisions
+  }
+
+  explain (task: string, now: number): string[] {
+    const record = this.#book.tasks.get(task)
+    const { table, reservations, packingWeight } = this.#context
+    const team = record?.group.spec.team ?? ''
+    return explainTask(task, record, {
+      workers: table.entries.size,
+      availableWorkers: [...table.entries.keys()].filter((worker) => this.#canStart(worker)).length,
+      excludedWorkers: this.#health.excludedCount(),
+      usedByTeam: this.#teams.used(team),
+      quota: this.#teams.quota(team),
+      reservation: record && reservations.get(record.group),
+      packingWeight
+    }, now)
+  }
+
+  #attempt (group: GroupRecord, now: number, heldTeams: Map<string, number>): PlacementDecision | undefined {
+    const { team, id } = group.spec
+    const quota = this.#teams.quota(team)
+    const heldRank = heldTeams.get(team)
+    const isHeldBack = heldRank !== undefined && group.rank >= heldRank
+    if (isHeldBack || !staysWithinQuota(group, this.#teams.used(team), quota)) {
+      if (!isHeldBack && holdsBackTeam(group, this.#teams.usedByServices(team), quota)) heldTeams.set(team, group.rank)
+      group.waitReason = 'quota'
+      this.#unreserve(group)
+      return undefined
+    }
+    const estimate = this.#runTimes.estimate(group.spec)
+    const start = startGroup(this.#context, group, countStartingTasks(group), now, estimate)
+    if (start.kind === 'wait') {
+      group.waitReason = start.reason
+      return undefined
+    }
+    if (start.kind === 'preempt') {
+      group.waitReason = 'capacity'
+      return { kind: 'preempt', group: id, victims: start.victims.map((task) => task.id) }
+    }
+    const waiting = [...take(group.waiting, start.workers.length)]
+    const placements = waiting.map((task, index) => ({ task: task.id, worker: start.workers[index]!.node.id }))
+    for (const [index, task] of waiting.entries()) this.#place(task, start.workers[index]!, now, estimate)
+    this.#unreserve(group)
+    delete group.waitReason
+    return { kind: 'place', group: id, placements }
+  }
+
+  #place (task: TaskRecord, entry: WorkerEntry, now: number, estimate: number | undefined): void {
+    this.#book.place(task, entry.node.id, now, estimate)
+    this.#health.start(entry.node.id, task.id)
+    this.#count(task, entry, 1)
+    entry.measured = addScaled(entry.measured, task.group.spec.resources, 1)
+    if (this.#health.isProbing(entry.node.id)) this.#syncWorker(entry)
+  }
+
+  /** Counts a task in (1) or out (-1) of all totals. */
+  #count (task: TaskRecord, entry: WorkerEntry, change: 1 | -1): void {
+    const { table, groups } = this.#context
+    const { spec, rank } = task.group
+    if (change === 1) entry.tasks.add(task)
+    else entry.tasks.delete(task)
+    table.take(entry.slot, spec.resources, change)
+    if (spec.preemptible && rank > 0) table.addPreemptible(entry.slot, spec.resources, change)
+    groups.countTask(task, entry, change)
+    this.#teams.addTask(task.group, change)
+  }
+
+  #enqueue (group: GroupRecord): void {
+    this.#queue.add(group)
+    this.#unchecked.add(group)
+  }
+
+  #dropImpossible (limit: number): PlacementDecision[] {
+    const decisions: PlacementDecision[] = []
+    if (this.#unchecked.size === 0 || this.#capacityShapes.size === 0) return decisions
+    for (const group of [...this.#unchecked].sort((a, b) => a.sequence - b.sequence)) {
+      if (decisions.length >= limit) break
+      this.#unchecked.delete(group)
+      if (group.waiting.size === 0) continue
+      const reason = findImpossibility(group.spec, this.#capacityShapes.values(), this.#teams.quota(group.spec.team))
+      if (reason === undefined) continue
+      this.#unreserve(group)
+      this.#book.drop(group)
+      if (group.cancelled) this.#forget(group)
+      decisions.push({ kind: 'impossible', group: group.spec.id, reason })
+    }
+    return decisions
+  }
+
+  #countCapacity ({ failureDomain, capacity }: WorkerNode, change: 1 | -1): void {
+    const key = [failureDomain, capacity.cpuMillis, capacity.memoryMb, capacity.accelerators].join('|')
+    const shape = this.#capacityShapes.get(key) ?? { failureDomain, capacity, count: 0 }
+    shape.count += change
+    if (shape.count > 0) this.#capacityShapes.set(key, shape)
+    else this.#capacityShapes.delete(key)
+    this.#teams.addCapacity(capacity, change)
+    this.#recheckAll()
+  }
+
+  #recheckAll (): void {
+    for (const group of this.#book.groups.values()) if (group.waiting.size > 0) this.#unchecked.add(group)
+  }
+
+  #forget (group: GroupRecord): void {
+    this.#runTimes.forget(group.spec.id)
+    this.#health.forgetGroup(group.spec.id)
+    this.#unreserve(group)
+    this.#unchecked.delete(group)
+    this.#context.groups.remove(group)
+  }
+
+  #unreserve (group: GroupRecord): void {
+    if (this.#context.reservations.remove(group)) this.#context.planVersion++
+  }
+
+  /** Brings the index in line with whether the worker may start tasks; called when it may have gained room. */
+  #syncWorker (entry: WorkerEntry): void {
+    const { table } = this.#context
+    table.probing[entry.slot] = this.#health.isProbing(entry.node.id) ? 1 : 0
+    table.setIndexed(entry.slot, this.#canStart(entry.node.id))
+    this.#context.roomVersion++
+    this.#context.planVersion++
+  }
+
+  #canStart (worker: string): boolean {
+    return this.#context.table.entries.get(worker)?.available === true && this.#health.canStart(worker)
+  }
+}
+
+function * take<T> (values: Iterable<T>, count: number): Generator<T> {
+  for (const value of values) {
+    if (count-- <= 0) return
+    yield value
+  }
+}
--- /dev/null
+++ b/packages/core/src/placement/indexed/QueueOrder.ts
@@ -0,0 +1,101 @@
+import { PRIORITY_CLASSES } from '../constants/index.ts'
+import { compareQueued, compareSubmitted } from '../_lib/rules.ts'
+import type { GroupRecord } from '../types.ts'
+
+/** Groups without waiting tasks stay in a list until they are this many at its start, or half of it. */
+const COMPACT_ABOVE_STALE = 32
+
+/** Groups in order of submission; may contain groups without waiting tasks. */
+interface TeamQueue { groups: GroupRecord[] }
+
+interface Cursor {
+  queue: TeamQueue
+  position: number
+  stale: number
+}
+
+/** Groups with waiting tasks, by class and team in order of submission. Cancelling only marks a group as stale. */
+export class QueueOrder {
+  readonly #classes = PRIORITY_CLASSES.map(() => new Map<string, TeamQueue>())
+  readonly #queued = new Set<GroupRecord>()
+
+  /** Enters a group unless it is still listed. */
+  add (group: GroupRecord): void {
+    if (this.#queued.has(group)) return
+    this.#queued.add(group)
+    const teams = this.#classes[group.rank]!
+    let queue = teams.get(group.spec.team)
+    if (queue === undefined) {
+      queue = { groups: [] }
+      teams.set(group.spec.team, queue)
+    }
+    let low = 0
+    let high = queue.groups.length
+    // New groups mostly belong at the end.
+    if (high > 0 && compareSubmitted(queue.groups[high - 1]!, group) < 0) low = high
+    while (low < high) {
+      const middle = (low + high) >> 1
+      if (compareSubmitted(queue.groups[middle]!, group) < 0) low = middle + 1
+      else high = middle
+    }
+    if (low === queue.groups.length) queue.groups.push(group)
+    else queue.groups.splice(low, 0, group)
+  }
+
+  /**
+   * Walks the groups of one class in queue order. The visitor returns true to see the group again, when it has started
+   * a task and others wait; shares are read anew at each step. It returns undefined to end the walk.
+   */
+  walk (rank: number, shareOf: (team: string) => number, visit: (group: GroupRecord) => boolean | undefined): void {
+    const cursors: Cursor[] = []
+    for (const [team, queue] of this.#classes[rank]!) {
+      const cursor = { queue, position: 0, stale: 0 }
+      const isWaiting = this.#skipStale(cursor)
+      if (!isWaiting || cursor.stale >= COMPACT_ABOVE_STALE) this.#dropStart(cursor)
+      if (isWaiting) cursors.push(cursor)
+      else this.#classes[rank]!.delete(team)
+    }
+    while (cursors.length > 0) {
+      let first = 0
+      for (let index = 1; index < cursors.length; index++) {
+        const group = groupAt(cursors[index]!)
+        const best = groupAt(cursors[first]!)
+        if (compareQueued(group, shareOf(group.spec.team), best, shareOf(best.spec.team)) < 0) first = index
+      }
+      const cursor = cursors[first]!
+      const again = visit(groupAt(cursor))
+      if (again === undefined) return
+      if (!again) cursor.position++
+      if (this.#skipStale(cursor)) continue
+      this.#compact(cursor)
+      cursors.splice(first, 1)
+    }
+  }
+
+  #skipStale (cursor: Cursor): boolean {
+    const { groups } = cursor.queue
+    while (cursor.position < groups.length && groups[cursor.position]!.waiting.size === 0) {
+      cursor.position++
+      cursor.stale++
+    }
+    return cursor.position < groups.length
+  }
+
+  /** Drops what the cursor has passed, all of it stale. */
+  #dropStart (cursor: Cursor): void {
+    for (const group of cursor.queue.groups.splice(0, cursor.position)) this.#queued.delete(group)
+    cursor.position = cursor.stale = 0
+  }
+
+  /** Drops the stale groups of a list that the cursor has passed, when they are many. */
+  #compact (cursor: Cursor): void {
+    const { queue } = cursor
+    if (cursor.stale < COMPACT_ABOVE_STALE || cursor.stale * 2 < queue.groups.length) return
+    for (const group of queue.groups) if (group.waiting.size === 0) this.#queued.delete(group)
+    queue.groups = queue.groups.filter((group) => group.waiting.size > 0)
+  }
+}
+
+function groupAt (cursor: Cursor): GroupRecord {
+  return cursor.queue.groups[cursor.position]!
+}
--- /dev/null
+++ b/packages/core/src/placement/indexed/ReservationIndex.ts
@@ -0,0 +1,63 @@
+import { isOverdue } from '../_lib/rules.ts'
+import type { GroupRecord, Reservation } from '../types.ts'
+import type { WorkerTable } from './WorkerTable.ts'
+
+/** Keeps the reservations by group and enters them at the workers. */
+export class ReservationIndex {
+  readonly #reservations = new Map<GroupRecord, Reservation>()
+  readonly #table: WorkerTable
+
+  constructor (table: WorkerTable) {
+    this.#table = table
+  }
+
+  get size (): number {
+    return this.#reservations.size
+  }
+
+  get (group: GroupRecord): Reservation | undefined {
+    return this.#reservations.get(group)
+  }
+
+  hasBackfill (rank: number): boolean {
+    for (const { kind, group } of this.#reservations.values()) {
+      if (kind === 'backfill' && group.rank === rank) return true
+    }
+    return false
+  }
+
+  add (reservation: Reservation): void {
+    this.remove(reservation.group)
+    this.#reservations.set(reservation.group, reservation)
+    for (const worker of reservation.tasks.keys()) {
+      const entry = this.#table.entries.get(worker)!
+      entry.reservations.push(reservation)
+      this.#table.reserved[entry.slot] = 1
+    }
+  }
+
+  /** Returns true when the group had a reservation. */
+  remove (group: GroupRecord): boolean {
+    const reservation = this.#reservations.get(group)
+    if (reservation === undefined) return false
+    this.#reservations.delete(group)
+    for (const worker of reservation.tasks.keys()) {
+      const entry = this.#table.entries.get(worker)
+      if (entry === undefined) continue
+      entry.reservations = entry.reservations.filter((other) => other !== reservation)
+      if (entry.reservations.length === 0) this.#table.reserved[entry.slot] = 0
+    }
+    return true
+  }
+
+  /** Drops reservations that are overdue or on workers that may not start tasks; returns true when any was dropped. */
+  dropStale (now: number, canStart: (worker: string) => boolean): boolean {
+    let dropped = false
+    for (const [group, reservation] of this.#reservations) {
+      if (!isOverdue(reservation, now) && [...reservation.tasks.keys()].every(canStart)) continue
+      this.remove(group)
+      dropped = true
+    }
+    return dropped
+  }
+}
--- /dev/null
+++ b/packages/core/src/placement/indexed/planIndexedReservation.ts
@@ -0,0 +1,99 @@
+import { PREEMPTION_CANDIDATES, RESERVATION_SLOTS, RESERVATION_SLOTS_PER_TASK } from '../constants/index.ts'
+import { addScaled, fits, NOTHING } from '../_lib/resources.ts'
+import { allowsDomain, bindsGroup, computeVictimCost, expectEnd, isLeaving, isPreemptibleFor } from '../_lib/rules.ts'
+import { chooseVictims } from '../chooseVictims/index.ts'
+import { findSlotTimes } from '../findSlotTimes/index.ts'
+import type { Resources } from '@gypsumspring/protocol'
+import type { GroupRecord, Reservation, TaskRecord, Victim } from '../types.ts'
+import type { WorkerEntry, WorkerTable } from './WorkerTable.ts'
+
+interface Solution { entry: WorkerEntry, victims: Victim[], cost: number }
+
+/** Plans which tasks to stop for a group; undefined unless there is room for all its starting tasks. */
+export function planIndexedPreemption (
+  table: WorkerTable, group: GroupRecord, count: number, now: number
+): { reservation: Reservation, victims: TaskRecord[] } | undefined {
+  const tasks = new Map<string, number>()
+  const victims = new Set<TaskRecord>()
+  for (let index = 0; index < count; index++) {
+    const best = findCheapest(table, group, tasks, victims, now)
+    if (best === undefined) return undefined
+    tasks.set(best.entry.node.id, (tasks.get(best.entry.node.id) ?? 0) + 1)
+    for (const { task } of best.victims) victims.add(task)
+  }
+  return { reservation: { group, tasks, madeAt: now, startsAt: -Infinity, kind: 'preemption' }, victims: [...victims] }
+}
+
+function findCheapest (
+  table: WorkerTable, group: GroupRecord, planned: Map<string, number>, chosen: Set<TaskRecord>, now: number
+): Solution | undefined {
+  const need = group.spec.resources
+  let best: Solution | undefined
+  let found = 0
+  for (let slot = 0; slot < table.bySlot.length; slot++) {
+    if (table.freeCpu[slot]! + table.preemptibleCpu[slot]! < need.cpuMillis) continue
+    if (table.freeMemory[slot]! + table.preemptibleMemory[slot]! < need.memoryMb) continue
+    if (table.freeAccelerators[slot]! + table.preemptibleAccelerators[slot]! < need.accelerators) continue
+    const entry = table.bySlot[slot]
+    if (entry === undefined || !table.isIndexed(slot) || table.probing[slot] === 1) continue
+    if (!allowsDomain(group, entry.node.failureDomain)) continue
+    const kept = addScaled(findReserved(entry, group, now), need, (planned.get(entry.node.id) ?? 0) + 1)
+    const missing = addScaled(kept, table.readFree(slot), -1)
+    const solution = solve(entry, missing, group, chosen, now)
+    if (solution === undefined) continue
+    if (solution.victims.length === 0) return solution
+    const isBetter = best === undefined || solution.victims.length < best.victims.length ||
+      (solution.victims.length === best.victims.length && solution.cost < best.cost)
+    if (isBetter) best = solution
+    if (++found >= PREEMPTION_CANDIDATES) break
+  }
+  return best
+}
+
+function solve (
+  entry: WorkerEntry, missingNow: Resources, group: GroupRecord, chosen: Set<TaskRecord>, now: number
+): Solution | undefined {
+  let missing = missingNow
+  const candidates: Victim[] = []
+  for (const task of entry.tasks) {
+    const resources = task.group.spec.resources
+    if (chosen.has(task) || isLeaving(task, now)) missing = addScaled(missing, resources, -1)
+    else if (isPreemptibleFor(task, group)) candidates.push({ task, resources, cost: computeVictimCost(task, now) })
+  }
+  if (fits(missing, NOTHING)) return { entry, victims: [], cost: 0 }
+  const victims = chooseVictims(missing, candidates)
+  return victims && { entry, victims, cost: victims.reduce((sum, { cost }) => sum + cost, 0) }
+}
+
+/** Plans the earliest expected start of a group; undefined when too few slots are expected to become free. */
+export function planIndexedBackfill (
+  table: WorkerTable, group: GroupRecord, count: number, now: number
+): Reservation | undefined {
+  const slots: Array<{ time: number, worker: string }> = []
+  const enough = Math.max(RESERVATION_SLOTS, RESERVATION_SLOTS_PER_TASK * count)
+  for (const entry of table.bySlot) {
+    if (slots.length >= enough) break
+    if (entry === undefined || !table.isIndexed(entry.slot) || table.probing[entry.slot] === 1) continue
+    if (!allowsDomain(group, entry.node.failureDomain)) continue
+    const free = addScaled(table.readFree(entry.slot), findReserved(entry, group, now), -1)
+    const ends = Array.from(entry.tasks, (task) => (
+      { endsAt: expectEnd(task, now), resources: task.group.spec.resources }
+    ))
+    const times = findSlotTimes(free, group.spec.resources, ends, count, now)
+    for (const time of times) slots.push({ time, worker: entry.node.id })
+  }
+  if (slots.length < count) return undefined
+  slots.sort((a, b) => a.time - b.time)
+  const tasks = new Map<string, number>()
+  for (const { worker } of slots.slice(0, count)) tasks.set(worker, (tasks.get(worker) ?? 0) + 1)
+  return { group, tasks, madeAt: now, startsAt: slots[count - 1]!.time, kind: 'backfill' }
+}
+
+function findReserved (entry: WorkerEntry, group: GroupRecord, now: number): Resources {
+  let reserved = NOTHING
+  for (const reservation of entry.reservations) {
+    if (!bindsGroup(reservation, group, now, undefined)) continue
+    reserved = addScaled(reserved, reservation.group.spec.resources, reservation.tasks.get(entry.node.id) ?? 0)
+  }
+  return reserved
+}
--- /dev/null
+++ b/packages/core/src/placement/naive/NaivePlacer.ts
@@ -0,0 +1,280 @@
+import type { Resources } from '@gypsumspring/protocol'
+import type { PlacementDecision, Placer, TaskGroup, WorkerNode } from '../../types.ts'
+import { explainTask } from '../_lib/explainTask.ts'
+import { addScaled, computeDominantShare, NOTHING } from '../_lib/resources.ts'
+import {
+  bindsGroup, compareQueued, computeHoldMs, countStartingTasks, holdsBackTeam, isOverdue, staysWithinQuota
+} from '../_lib/rules.ts'
+import { RunTimes } from '../_lib/RunTimes.ts'
+import { TaskBook } from '../_lib/TaskBook.ts'
+import { WorkerHealth } from '../_lib/WorkerHealth.ts'
+import { findImpossibility } from '../findImpossibility/index.ts'
+import type { GroupRecord, Reservation, TaskRecord } from '../types.ts'
+import { planBackfill } from './planBackfill.ts'
+import { planPreemption } from './planPreemption.ts'
+import { searchWorkers } from './searchWorkers.ts'
+import type { Assignment, CellView, WorkerView } from './types.ts'
+
+/**
+ * Reference placer: derives capacity, quotas, order and reservations from the tasks at each step, without any index.
+ * Differential tests and benchmarks compare the indexed placer with it.
+ */
+export class NaivePlacer implements Placer {
+  readonly #workers = new Map<string, WorkerNode & { available: boolean }>()
+  readonly #book = new TaskBook()
+  readonly #health = new WorkerHealth()
+  readonly #runTimes = new RunTimes()
+  readonly #checked = new Set<GroupRecord>()
+  #reservations: Reservation[] = []
+  #quotas = new Map<string, Resources>()
+  #packingWeight = 0.5
+  #now = 0
+
+  addWorker (worker: WorkerNode): void {
+    if (this.#workers.has(worker.id)) throw new Error(`worker ${worker.id} is already known`)
+    this.#workers.set(worker.id, { ...worker, available: true })
+    this.#checked.clear()
+  }
+
+  removeWorker (worker: string): void {
+    if (this.#placed().some((task) => task.worker === worker)) throw new Error(`worker ${worker} still holds tasks`)
+    this.#reservations = this.#reservations.filter((reservation) => !reservation.tasks.has(worker))
+    this.#workers.delete(worker)
+    this.#health.forgetWorker(worker)
+    this.#checked.clear()
+  }
+
+  setWorkerAvailable (worker: string, available: boolean): void {
+    const known = this.#workers.get(worker)
+    if (known !== undefined) known.available = available
+  }
+
+  setQuotas (quotas: Map<string, Resources>): void {
+    this.#quotas = new Map(quotas)
+    this.#checked.clear()
+  }
+
+  setPackingWeight (weight: number): void {
+    this.#packingWeight = Math.min(1, Math.max(0, weight))
+  }
+
+  submit (group: TaskGroup): void {
+    this.#book.submit(group)
+  }
+
+  requeue (task: string, now: number): void {
+    const record = this.#book.tasks.get(task)
+    if (record !== undefined && this.#book.requeue(record, now)) this.#checked.delete(record.group)
+  }
+
+  restore (task: string, worker: string): void {
+    const record = this.#book.tasks.get(task)
+    if (record === undefined) throw new Error(`task ${task} is not known`)
+    if (!this.#workers.has(worker)) throw new Error(`worker ${worker} is not known`)
+    if (record.worker === worker) return
+    if (record.worker !== undefined) throw new Error(`task ${task} is already on worker ${record.worker}`)
+    const startedAt = Math.max(this.#now, record.group.spec.submittedAt)
+    this.#book.place(record, worker, startedAt, this.#runTimes.estimate(record.group.spec))
+    this.#health.start(worker, task)
+  }
+
+  release (task: string): void {
+    const record = this.#book.tasks.get(task)
+    if (record?.worker === undefined) return
+    this.#health.end(record.worker, task)
+    if (this.#book.release(record)) this.#checked.delete(record.group)
+  }
+
+  cancel (group: string): string[] {
+    const record = this.#book.groups.get(group)
+    if (record === undefined) return []
+    this.#forget(record)
+    return this.#book.cancel(record).map((task) => task.id)
+  }
+
+  recordUsage (task: string, usage: Resources): void {
+    const record = this.#book.tasks.get(task)
+    if (record?.worker !== undefined) record.usage = usage
+  }
+
+  recordOutcome (task: string, worker: string, outcome: { succeeded: boolean, runMs: number }): void {
+    const record = this.#book.tasks.get(task)
+    if (record === undefined || !this.#workers.has(worker)) return
+    this.#health.record(worker, record.group.spec.id, outcome.succeeded, this.#now, this.#workers.size)
+    if (outcome.succeeded) this.#runTimes.record(record.group.spec, outcome.runMs)
+  }
+
+  decide (now: number, limit: number): PlacementDecision[] {
+    this.#now = now
+    this.#health.refresh(now)
+    this.#reservations = this.#reservations.filter((reservation) =>
+      !isOverdue(reservation, now) && [...reservation.tasks.keys()].every((worker) => this.#canStart(worker)))
+    const decisions = this.#dropImpossible(limit)
+    const tried = new Set<GroupRecord>()
+    const heldTeams = new Map<string, number>()
+    while (decisions.length < limit) {
+      const group = this.#nextGroup(tried)
+      if (group === undefined) break
+      const heldRank = heldTeams.get(group.spec.team)
+      const isHeldBack = heldRank !== undefined && group.rank >= heldRank
+      const decision = isHeldBack ? this.#waitForQuota(group) : this.#attempt(group, now, heldTeams)
+      if (decision?.kind === 'place') decisions.push(decision)
+      else tried.add(group)
+      if (decision?.kind === 'preempt') decisions.push(decision)
+    }
+    return decisions
+  }
+
+  explain (task: string, now: number): string[] {
+    const record = this.#book.tasks.get(task)
+    const team = record?.group.spec.team ?? ''
+    return explainTask(task, record, {
+      workers: this.#workers.size,
+      availableWorkers: [...this.#workers.keys()].filter((worker) => this.#canStart(worker)).length,
+      excludedWorkers: this.#health.excludedCount(),
+      usedByTeam: this.#usedBy(team, () => true),
+      quota: this.#quotas.get(team),
+      reservation: this.#reservations.find((reservation) => reservation.group === record?.group),
+      packingWeight: this.#packingWeight
+    }, now)
+  }
+
+  #attempt (group: GroupRecord, now: number, heldTeams: Map<string, number>): PlacementDecision | undefined {
+    const { team, id } = group.spec
+    const quota = this.#quotas.get(team)
+    if (!staysWithinQuota(group, this.#usedBy(team, () => true), quota)) {
+      const usedByServices = this.#usedBy(team, (task) => task.group.spec.kind === 'service')
+      if (holdsBackTeam(group, usedByServices, quota)) heldTeams.set(team, group.rank)
+      return this.#waitForQuota(group)
+    }
+    if (this.#workers.size === 0) {
+      group.waitReason = 'no-workers'
+      return undefined
+    }
+    const estimate = this.#runTimes.estimate(group.spec)
+    const [first] = group.waiting
+    const inUse = this.#placed().length > 0
+    const mayOpenIdle = !inUse || now - first!.queuedAt >= computeHoldMs(group, this.#packingWeight, estimate)
+    const assignments = searchWorkers(this.#view(group, now, estimate), group, countStartingTasks(group), true)
+    if (assignments !== undefined) {
+      const chosen = mayOpenIdle
+        ? assignments
+        : searchWorkers(this.#view(group, now, estimate), group, countStartingTasks(group), false)
+      if (chosen === undefined) {
+        group.waitReason = 'held'
+        return undefined
+      }
+      return this.#place(group, chosen, now, estimate)
+    }
+    group.waitReason = 'capacity'
+    const own = this.#reservations.find((reservation) => reservation.group === group)
+    if (own !== undefined && (group.rank > 0 || own.kind === 'preemption')) return undefined
+    const view = this.#view(group, now, undefined)
+    const plan = group.rank === 0 ? planPreemption(view, group, countStartingTasks(group), now) : undefined
+    if (plan !== undefined) {
+      this.#unreserve(group)
+      this.#reservations.push(plan.reservation)
+      for (const victim of plan.victims) victim.stoppingSince = now
+      return plan.victims.length > 0 ? { kind: 'preempt', group: id, victims: plan.victims.map((task) => task.id) } : undefined
+    }
+    const isBackfill = ({ kind, group: { rank } }: Reservation): boolean => kind === 'backfill' && rank === group.rank
+    if (this.#reservations.some(isBackfill)) return undefined
+    const backfill = planBackfill(view, group, countStartingTasks(group), now)
+    if (backfill !== undefined) this.#reservations.push(backfill)
+    return undefined
+  }
+
+  #place (group: GroupRecord, assignments: Assignment[], now: number, estimate: number | undefined): PlacementDecision {
+    const waiting = [...group.waiting]
+    const placements = assignments.map(({ worker }, index) => ({ task: waiting[index]!.id, worker }))
+    for (const [index, { worker }] of assignments.entries()) {
+      this.#book.place(waiting[index]!, worker, now, estimate)
+      this.#health.start(worker, waiting[index]!.id)
+    }
+    this.#unreserve(group)
+    delete group.waitReason
+    return { kind: 'place', group: group.spec.id, placements }
+  }
+
+  #waitForQuota (group: GroupRecord): undefined {
+    group.waitReason = 'quota'
+    this.#unreserve(group)
+  }
+
+  #dropImpossible (limit: number): PlacementDecision[] {
+    const decisions: PlacementDecision[] = []
+    const shapes = [...this.#workers.values()].map(({ failureDomain, capacity }) => ({ failureDomain, capacity, count: 1 }))
+    if (shapes.length === 0) return decisions
+    for (const group of this.#book.groups.values()) {
+      if (decisions.length >= limit) break
+      if (group.waiting.size === 0 || this.#checked.has(group)) continue
+      const reason = findImpossibility(group.spec, shapes, this.#quotas.get(group.spec.team))
+      if (reason === undefined) {
+        this.#checked.add(group)
+        continue
+      }
+      this.#unreserve(group)
+      this.#book.drop(group)
+      if (group.cancelled) this.#forget(group)
+      decisions.push({ kind: 'impossible', group: group.spec.id, reason })
+    }
+    return decisions
+  }
+
+  #nextGroup (tried: Set<GroupRecord>): GroupRecord | undefined {
+    const total = [...this.#workers.values()].reduce((sum, worker) => addScaled(sum, worker.capacity, 1), NOTHING)
+    const shares = new Map<string, number>()
+    const shareOf = (team: string): number => {
+      const limit = this.#quotas.get(team) ?? total
+      const share = shares.get(team) ?? computeDominantShare(this.#usedBy(team, () => true), limit)
+      shares.set(team, share)
+      return share
+    }
+    return [...this.#book.groups.values()]
+      .filter((group) => group.waiting.size > 0 && !tried.has(group))
+      .sort((a, b) => a.rank - b.rank || compareQueued(a, shareOf(a.spec.team), b, shareOf(b.spec.team)))[0]
+  }
+
+  #view (group: GroupRecord, now: number, estimate: number | undefined): CellView {
+    const binding = this.#reservations.filter((reservation) => bindsGroup(reservation, group, now, estimate))
+    const workers = [...this.#workers.values()]
+      .filter((worker) => this.#canStart(worker.id))
+      .map((worker): WorkerView => {
+        const tasks = this.#placed().filter((task) => task.worker === worker.id)
+        return {
+          node: worker,
+          tasks,
+          isProbing: this.#health.isProbing(worker.id),
+          free: tasks.reduce((sum, task) => addScaled(sum, task.group.spec.resources, -1), worker.capacity),
+          reserved: binding.reduce((sum, { group: { spec }, tasks }) =>
+            addScaled(sum, spec.resources, tasks.get(worker.id) ?? 0), NOTHING),
+          measured: tasks.reduce((sum, task) => addScaled(sum, task.usage ?? task.group.spec.resources, 1), NOTHING)
+        }
+      })
+    return { workers, nodes: this.#workers, packingWeight: this.#packingWeight }
+  }
+
+  #placed (): TaskRecord[] {
+    return [...this.#book.tasks.values()].filter((task) => task.worker !== undefined)
+  }
+
+  #usedBy (team: string, counts: (task: TaskRecord) => boolean): Resources {
+    return this.#placed()
+      .filter((task) => task.group.spec.team === team && counts(task))
+      .reduce((sum, task) => addScaled(sum, task.group.spec.resources, 1), NOTHING)
+  }
+
+  #canStart (worker: string): boolean {
+    return this.#workers.get(worker)?.available === true && this.#health.canStart(worker)
+  }
+
+  #forget (group: GroupRecord): void {
+    this.#runTimes.forget(group.spec.id)
+    this.#health.forgetGroup(group.spec.id)
+    this.#unreserve(group)
+  }
+
+  #unreserve (group: GroupRecord): void {
+    this.#reservations = this.#reservations.filter((reservation) => reservation.group !== group)
+  }
+}
--- /dev/null
+++ b/packages/core/src/placement/naive/searchWorkers.ts
@@ -0,0 +1,52 @@
+import { addScaled, fits } from '../_lib/resources.ts'
+import { allowsDomain, findSpreadKey } from '../_lib/rules.ts'
+import { scoreWorker } from '../scoreWorker/index.ts'
+import type { GroupRecord } from '../types.ts'
+import type { Assignment, CellView, WorkerView } from './types.ts'
+
+/** Places a number of tasks of a group one by one on the best worker of all; undefined unless all fit. */
+export function searchWorkers (
+  view: CellView, group: GroupRecord, count: number, mayOpenIdle: boolean
+): Assignment[] | undefined {
+  const need = group.spec.resources
+  const assignments: Assignment[] = []
+  const assignedTo = ({ node }: WorkerView): number => assignments.filter(({ worker }) => worker === node.id).length
+  const freeOn = (worker: WorkerView): WorkerView['free'] => addScaled(worker.free, need, -assignedTo(worker))
+  const isIdle = (worker: WorkerView): boolean => worker.tasks.length + assignedTo(worker) === 0
+  const spreadCounts = countSpread(view, group)
+  const spreadOf = (worker: WorkerView): number => spreadCounts.get(findSpreadKey(group, worker.node)) ?? 0
+
+  for (let index = 0; index < count; index++) {
+    let best: WorkerView | undefined
+    for (const worker of view.workers) {
+      if (!allowsDomain(group, worker.node.failureDomain)) continue
+      if (worker.isProbing && group.spec.kind === 'gang') continue
+      if (!mayOpenIdle && isIdle(worker)) continue
+      if (!fits(need, addScaled(freeOn(worker), worker.reserved, -1))) continue
+      if (best === undefined || compare(worker, best) < 0) best = worker
+    }
+    if (best === undefined) return undefined
+    assignments.push({ worker: best.node.id })
+    const key = findSpreadKey(group, best.node)
+    if (key !== '') spreadCounts.set(key, (spreadCounts.get(key) ?? 0) + 1)
+  }
+  return assignments
+
+  function compare (a: WorkerView, b: WorkerView): number {
+    return spreadOf(a) - spreadOf(b) || Number(isIdle(a)) - Number(isIdle(b)) || score(a) - score(b)
+  }
+
+  function score (worker: WorkerView): number {
+    return scoreWorker(freeOn(worker), need, worker.node.capacity, worker.measured, view.packingWeight)
+  }
+}
+
+/** Tasks of the group in each spread domain. */
+function countSpread (view: CellView, group: GroupRecord): Map<string, number> {
+  const counts = new Map<string, number>()
+  for (const { worker } of group.tasks) {
+    const key = worker === undefined ? '' : findSpreadKey(group, view.nodes.get(worker)!)
+    if (key !== '') counts.set(key, (counts.get(key) ?? 0) + 1)
+  }
+  return counts
+}
