Keep a worker's amounts in one cache line and sort team queues during a walk

A cycle of release, cancel, submit and decide at 24,000 workers and 95% full took 52 us, mostly cache misses: the amounts of a worker were spread over six arrays and three objects. They are now 8 values side by side, and 8 instead of 16 workers are compared. A walk took the least of up to 160 teams at each step and now keeps the teams sorted. Impossibility was checked against each pair of capacity and domain, 64 shapes; a group without domains needs the 4 over all.

--- a/packages/core/src/placement/_lib/TaskBook.ts
+++ b/packages/core/src/placement/_lib/TaskBook.ts
@@ -2,6 +2,9 @@
 import { PRIORITY_CLASSES } from '../constants/index.ts'
 import type { GroupRecord, TaskRecord } from '../types.ts'
 
+/** Shared by all groups of which no task waits; most do not, and an own empty set takes 200 bytes. */
+const NO_TASKS: ReadonlySet<TaskRecord> = new Set()
+
 /** Records which task is where. Knows nothing of capacity, quotas or order, which each placer derives itself. */
 export class TaskBook {
   readonly groups = new Map<string, GroupRecord>()
@@ -15,9 +18,11 @@
       spec,
       rank: PRIORITY_CLASSES.indexOf(spec.priority),
       sequence: this.#sequence++,
-      waiting: new Set(),
+      waiting: NO_TASKS,
       tasks: [],
-      cancelled: false
+      cancelled: false,
+      waitReason: undefined,
+      index: undefined
     }
     for (const id of spec.tasks) {
       if (this.tasks.has(id)) throw new Error(`task ${id} is already submitted`)
@@ -34,14 +39,14 @@
       }
       this.tasks.set(id, task)
       group.tasks.push(task)
-      group.waiting.add(task)
+      addWaiting(task)
     }
     this.groups.set(spec.id, group)
     return group
   }
 
   place (task: TaskRecord, worker: string, now: number, expectedRunMs: number | undefined): void {
-    task.group.waiting.delete(task)
+    removeWaiting(task)
     task.worker = worker
     task.startedAt = now
     task.expectedRunMs = expectedRunMs
@@ -59,7 +64,7 @@
     if (task.requeuedAt === undefined) return false
     task.queuedAt = task.requeuedAt
     task.requeuedAt = undefined
-    task.group.waiting.add(task)
+    addWaiting(task)
     return true
   }
 
@@ -71,14 +76,14 @@
       return false
     }
     task.queuedAt = now
-    task.group.waiting.add(task)
+    addWaiting(task)
     return true
   }
 
   /** Forgets a group and its tasks but for the placed ones, which it returns; they are forgotten when released. */
   cancel (group: GroupRecord): TaskRecord[] {
     group.cancelled = true
-    group.waiting.clear()
+    group.waiting = NO_TASKS
     this.groups.delete(group.spec.id)
     const placed = group.tasks.filter((task) => task.worker !== undefined)
     for (const task of group.tasks) if (task.worker === undefined) this.tasks.delete(task.id)
@@ -87,8 +92,21 @@
 
   /** Takes a group out of the queue as impossible; it is forgotten unless some of its tasks run. */
   drop (group: GroupRecord): void {
-    group.waiting.clear()
+    group.waiting = NO_TASKS
     if (group.tasks.some((task) => task.worker !== undefined)) return
     this.cancel(group)
   }
 }
+
+function addWaiting (task: TaskRecord): void {
+  const { group } = task
+  if (group.waiting === NO_TASKS) group.waiting = new Set([task])
+  else (group.waiting as Set<TaskRecord>).add(task)
+}
+
+function removeWaiting (task: TaskRecord): void {
+  const { group } = task
+  if (group.waiting === NO_TASKS) return
+  if (group.waiting.size === 1 && group.waiting.has(task)) group.waiting = NO_TASKS
+  else (group.waiting as Set<TaskRecord>).delete(task)
+}
--- a/packages/core/src/placement/_lib/resources.ts
+++ b/packages/core/src/placement/_lib/resources.ts
@@ -31,10 +31,16 @@
 
 /** How many tasks of this need a capacity holds. */
 export function countFitting (need: Resources, capacity: Resources): number {
-  const counts = (['cpuMillis', 'memoryMb', 'accelerators'] as const)
-    .filter((dimension) => need[dimension] > 0)
-    .map((dimension) => Math.floor(capacity[dimension] / need[dimension]))
-  return Math.max(0, Math.min(Number.MAX_SAFE_INTEGER, ...counts))
+  const count = Math.min(
+    divide(capacity.cpuMillis, need.cpuMillis),
+    divide(capacity.memoryMb, need.memoryMb),
+    divide(capacity.accelerators, need.accelerators)
+  )
+  return Math.max(0, count)
+}
+
+function divide (capacity: number, need: number): number {
+  return need === 0 ? Number.MAX_SAFE_INTEGER : Math.floor(capacity / need)
 }
 
 export function describeResources (amount: Resources): string {
--- a/packages/core/src/placement/_test/runHistory.ts
+++ b/packages/core/src/placement/_test/runHistory.ts
@@ -163,7 +163,8 @@
     if (task === undefined || node === undefined) return
     const group = this.model.groupOf.get(task)!
     this.model.placed.set(task, node.id)
-    if (this.model.findOver(node, group.team) !== undefined || group.failureDomains?.includes(node.failureDomain) === false) {
+    const isAllowed = group.failureDomains?.includes(node.failureDomain) ?? true
+    if (!isAllowed || this.model.findOver(node, group.team) !== undefined) {
       this.model.placed.delete(task)
       return
     }
--- a/packages/core/src/placement/indexed/GroupIndex.ts
+++ b/packages/core/src/placement/indexed/GroupIndex.ts
@@ -10,7 +10,9 @@
   planFailedAt: Map<string, number>
 }
 
-interface GroupState {
+/** What the indexed placer keeps of a group. */
+export interface GroupState {
+  key: string
   shape: GroupShape
   spreadCounts: Map<string, number> | undefined
 }
@@ -18,7 +20,6 @@
 /** Finds the shape of a group, and counts its tasks in each spread domain. */
 export class GroupIndex {
   readonly #shapes = new Map<string, { shape: GroupShape, groups: number }>()
-  readonly #groups = new Map<GroupRecord, GroupState & { key: string }>()
 
   add (group: GroupRecord): void {
     const { resources: { cpuMillis, memoryMb, accelerators }, failureDomains, kind, spread } = group.spec
@@ -26,24 +27,24 @@
     const known = this.#shapes.get(key) ?? { shape: { noRoomAt: -1, planFailedAt: new Map() }, groups: 0 }
     known.groups++
     this.#shapes.set(key, known)
-    this.#groups.set(group, { key, shape: known.shape, spreadCounts: spread === 'none' ? undefined : new Map() })
+    group.index = { key, shape: known.shape, spreadCounts: spread === 'none' ? undefined : new Map() }
   }
 
   remove (group: GroupRecord): void {
-    const state = this.#groups.get(group)
+    const state = group.index
     if (state === undefined) return
-    this.#groups.delete(group)
+    group.index = undefined
     const known = this.#shapes.get(state.key)!
     if (--known.groups === 0) this.#shapes.delete(state.key)
   }
 
   get (group: GroupRecord): GroupState {
-    return this.#groups.get(group)!
+    return group.index!
   }
 
   /** Counts a task that was placed (1) or released (-1); a cancelled group is not counted any more. */
   countTask (task: TaskRecord, entry: WorkerEntry, change: 1 | -1): void {
-    const counts = this.#groups.get(task.group)?.spreadCounts
+    const counts = task.group.index?.spreadCounts
     if (counts === undefined) return
     const key = findSpreadKey(task.group, entry.node)
     const count = (counts.get(key) ?? 0) + change
--- a/packages/core/src/placement/indexed/IndexedPlacer.ts
+++ b/packages/core/src/placement/indexed/IndexedPlacer.ts
@@ -8,13 +8,14 @@
 import { WorkerHealth } from '../_lib/WorkerHealth.ts'
 import { PRIORITY_CLASSES } from '../constants/index.ts'
 import { findImpossibility } from '../findImpossibility/index.ts'
-import type { CapacityShape, GroupRecord, TaskRecord } from '../types.ts'
+import type { GroupRecord, TaskRecord } from '../types.ts'
+import { CapacityShapes } from './CapacityShapes.ts'
 import { GroupIndex } from './GroupIndex.ts'
 import { QueueOrder } from './QueueOrder.ts'
 import { ReservationIndex } from './ReservationIndex.ts'
 import { startGroup, type StartContext } from './startGroup.ts'
 import { TeamTotals } from './TeamTotals.ts'
-import { WorkerTable, type WorkerEntry } from './WorkerTable.ts'
+import { PROBING, WorkerTable, type WorkerEntry } from './WorkerTable.ts'
 
 /** Placer for large cells: keeps capacity in typed arrays with an index, and all totals up to date at each change. */
 export class IndexedPlacer implements Placer {
@@ -24,7 +25,7 @@
   readonly #queue = new QueueOrder()
   readonly #teams = new TeamTotals()
   readonly #unchecked = new Set<GroupRecord>()
-  readonly #capacityShapes = new Map<string, CapacityShape>()
+  readonly #capacityShapes = new CapacityShapes()
   readonly #context: StartContext
   #now = 0
 
@@ -102,7 +103,7 @@
     const entry = this.#context.table.entries.get(record.worker)!
     this.#health.end(record.worker, task)
     this.#count(record, entry, -1)
-    entry.measured = addScaled(entry.measured, record.usage ?? record.group.spec.resources, -1)
+    this.#context.table.addMeasured(entry, record.usage ?? record.group.spec.resources, -1)
     if (this.#book.release(record)) this.#enqueue(record.group)
     this.#syncWorker(entry)
   }
@@ -118,7 +119,8 @@
     const record = this.#book.tasks.get(task)
     if (record?.worker === undefined) return
     const entry = this.#context.table.entries.get(record.worker)!
-    entry.measured = addScaled(addScaled(entry.measured, usage, 1), record.usage ?? record.group.spec.resources, -1)
+    const previous = record.usage ?? record.group.spec.resources
+    this.#context.table.addMeasured(entry, addScaled(usage, previous, -1), 1)
     record.usage = usage
   }
 
@@ -191,7 +193,7 @@
     const placements = waiting.map((task, index) => ({ task: task.id, worker: start.workers[index]!.node.id }))
     for (const [index, task] of waiting.entries()) this.#place(task, start.workers[index]!, now, estimate)
     this.#unreserve(group)
-    delete group.waitReason
+    group.waitReason = undefined
     return { kind: 'place', group: id, placements }
   }
 
@@ -199,7 +201,7 @@
     this.#book.place(task, entry.node.id, now, estimate)
     this.#health.start(entry.node.id, task.id)
     this.#count(task, entry, 1)
-    entry.measured = addScaled(entry.measured, task.group.spec.resources, 1)
+    this.#context.table.addMeasured(entry, task.group.spec.resources, 1)
     if (this.#health.isProbing(entry.node.id)) this.#syncWorker(entry)
   }
 
@@ -222,12 +224,13 @@
 
   #dropImpossible (limit: number): PlacementDecision[] {
     const decisions: PlacementDecision[] = []
-    if (this.#unchecked.size === 0 || this.#capacityShapes.size === 0) return decisions
+    if (this.#unchecked.size === 0 || this.#capacityShapes.isEmpty) return decisions
     for (const group of [...this.#unchecked].sort((a, b) => a.sequence - b.sequence)) {
       if (decisions.length >= limit) break
       this.#unchecked.delete(group)
       if (group.waiting.size === 0) continue
-      const reason = findImpossibility(group.spec, this.#capacityShapes.values(), this.#teams.quota(group.spec.team))
+      const shapes = this.#capacityShapes.list(group.spec.failureDomains)
+      const reason = findImpossibility(group.spec, shapes, this.#teams.quota(group.spec.team))
       if (reason === undefined) continue
       this.#unreserve(group)
       this.#book.drop(group)
@@ -237,13 +240,9 @@
     return decisions
   }
 
-  #countCapacity ({ failureDomain, capacity }: WorkerNode, change: 1 | -1): void {
-    const key = [failureDomain, capacity.cpuMillis, capacity.memoryMb, capacity.accelerators].join('|')
-    const shape = this.#capacityShapes.get(key) ?? { failureDomain, capacity, count: 0 }
-    shape.count += change
-    if (shape.count > 0) this.#capacityShapes.set(key, shape)
-    else this.#capacityShapes.delete(key)
-    this.#teams.addCapacity(capacity, change)
+  #countCapacity (worker: WorkerNode, change: 1 | -1): void {
+    this.#capacityShapes.count(worker, change)
+    this.#teams.addCapacity(worker.capacity, change)
     this.#recheckAll()
   }
 
@@ -266,7 +265,7 @@
   /** Brings the index in line with whether the worker may start tasks; called when it may have gained room. */
   #syncWorker (entry: WorkerEntry): void {
     const { table } = this.#context
-    table.probing[entry.slot] = this.#health.isProbing(entry.node.id) ? 1 : 0
+    table.setFlag(entry.slot, PROBING, this.#health.isProbing(entry.node.id))
     table.setIndexed(entry.slot, this.#canStart(entry.node.id))
     this.#context.roomVersion++
     this.#context.planVersion++
--- a/packages/core/src/placement/indexed/QueueOrder.ts
+++ b/packages/core/src/placement/indexed/QueueOrder.ts
@@ -9,6 +9,8 @@
 interface TeamQueue { groups: GroupRecord[] }
 
 interface Cursor {
+  team: string
+  share: number
   queue: TeamQueue
   position: number
   stale: number
@@ -29,46 +31,30 @@
       queue = { groups: [] }
       teams.set(group.spec.team, queue)
     }
-    let low = 0
-    let high = queue.groups.length
-    // New groups mostly belong at the end.
-    if (high > 0 && compareSubmitted(queue.groups[high - 1]!, group) < 0) low = high
-    while (low < high) {
-      const middle = (low + high) >> 1
-      if (compareSubmitted(queue.groups[middle]!, group) < 0) low = middle + 1
-      else high = middle
-    }
-    if (low === queue.groups.length) queue.groups.push(group)
-    else queue.groups.splice(low, 0, group)
+    insertSorted(queue.groups, group, compareSubmitted)
   }
 
   /**
    * Walks the groups of one class in queue order. The visitor returns true to see the group again, when it has started
-   * a task and others wait; shares are read anew at each step. It returns undefined to end the walk.
+   * a task and others wait; its team's share is then read anew. It returns undefined to end the walk.
    */
   walk (rank: number, shareOf: (team: string) => number, visit: (group: GroupRecord) => boolean | undefined): void {
     const cursors: Cursor[] = []
     for (const [team, queue] of this.#classes[rank]!) {
-      const cursor = { queue, position: 0, stale: 0 }
+      const cursor = { team, share: shareOf(team), queue, position: 0, stale: 0 }
       const isWaiting = this.#skipStale(cursor)
       if (!isWaiting || cursor.stale >= COMPACT_ABOVE_STALE) this.#dropStart(cursor)
-      if (isWaiting) cursors.push(cursor)
+      if (isWaiting) insertSorted(cursors, cursor, compareCursors)
       else this.#classes[rank]!.delete(team)
     }
     while (cursors.length > 0) {
-      let first = 0
-      for (let index = 1; index < cursors.length; index++) {
-        const group = groupAt(cursors[index]!)
-        const best = groupAt(cursors[first]!)
-        if (compareQueued(group, shareOf(group.spec.team), best, shareOf(best.spec.team)) < 0) first = index
-      }
-      const cursor = cursors[first]!
+      const cursor = cursors.pop()!
       const again = visit(groupAt(cursor))
       if (again === undefined) return
       if (!again) cursor.position++
-      if (this.#skipStale(cursor)) continue
-      this.#compact(cursor)
-      cursors.splice(first, 1)
+      cursor.share = shareOf(cursor.team)
+      if (this.#skipStale(cursor)) insertSorted(cursors, cursor, compareCursors)
+      else this.#compact(cursor)
     }
   }
 
@@ -99,3 +85,22 @@
 function groupAt (cursor: Cursor): GroupRecord {
   return cursor.queue.groups[cursor.position]!
 }
+
+/** Last in queue order comes first, so that the next cursor is taken from the end. */
+function compareCursors (a: Cursor, b: Cursor): number {
+  return compareQueued(groupAt(b), b.share, groupAt(a), a.share)
+}
+
+function insertSorted<T> (values: T[], value: T, compare: (a: T, b: T) => number): void {
+  let low = 0
+  let high = values.length
+  // A new value mostly belongs at the end.
+  if (high > 0 && compare(values[high - 1]!, value) < 0) low = high
+  while (low < high) {
+    const middle = (low + high) >> 1
+    if (compare(values[middle]!, value) < 0) low = middle + 1
+    else high = middle
+  }
+  if (low === values.length) values.push(value)
+  else values.splice(low, 0, value)
+}
--- a/packages/core/src/placement/indexed/ReservationIndex.ts
+++ b/packages/core/src/placement/indexed/ReservationIndex.ts
@@ -1,6 +1,6 @@
 import { isOverdue } from '../_lib/rules.ts'
 import type { GroupRecord, Reservation } from '../types.ts'
-import type { WorkerTable } from './WorkerTable.ts'
+import { RESERVED, type WorkerTable } from './WorkerTable.ts'
 
 /** Keeps the reservations by group and enters them at the workers. */
 export class ReservationIndex {
@@ -32,7 +32,7 @@
     for (const worker of reservation.tasks.keys()) {
       const entry = this.#table.entries.get(worker)!
       entry.reservations.push(reservation)
-      this.#table.reserved[entry.slot] = 1
+      this.#table.setFlag(entry.slot, RESERVED, true)
     }
   }
 
@@ -45,7 +45,7 @@
       const entry = this.#table.entries.get(worker)
       if (entry === undefined) continue
       entry.reservations = entry.reservations.filter((other) => other !== reservation)
-      if (entry.reservations.length === 0) this.#table.reserved[entry.slot] = 0
+      this.#table.setFlag(entry.slot, RESERVED, entry.reservations.length > 0)
     }
     return true
   }
--- a/packages/core/src/placement/indexed/WorkerTable.ts
+++ b/packages/core/src/placement/indexed/WorkerTable.ts
@@ -1,6 +1,7 @@
 import type { Resources } from '@gypsumspring/protocol'
 import type { WorkerNode } from '../../types.ts'
-import { NOTHING } from '../_lib/resources.ts'
+import { addScaled, NOTHING } from '../_lib/resources.ts'
+import { computeExcess } from '../scoreWorker/index.ts'
 import type { Reservation, TaskRecord } from '../types.ts'
 
 /** A worker with what cannot be kept in typed arrays. */
@@ -14,6 +15,21 @@
   reservations: Reservation[]
 }
 
+/** Offsets of the values of a slot. */
+export const FREE_CPU = 0
+export const FREE_MEMORY = 1
+export const FREE_ACCELERATORS = 2
+export const CAPACITY_CPU = 3
+export const CAPACITY_MEMORY = 4
+export const CAPACITY_ACCELERATORS = 5
+/** Measured use above the declared amounts; see `computeExcess`. */
+export const EXCESS = 6
+/** Sum of `PROBING` and `RESERVED`. */
+export const FLAGS = 7
+export const STRIDE = 8
+export const PROBING = 1
+export const RESERVED = 2
+
 const NOT_INDEXED = -1
 const NONE = -1
 
@@ -35,16 +51,13 @@
 export class WorkerTable {
   readonly entries = new Map<string, WorkerEntry>()
   bySlot: Array<WorkerEntry | undefined> = []
-  freeCpu = new Float64Array(0)
-  freeMemory = new Float64Array(0)
-  freeAccelerators = new Float64Array(0)
+  /** `STRIDE` values for each slot, at the offsets below; together they fill one cache line. */
+  values = new Float64Array(0)
   /** Held by preemptible tasks below the class urgent; an upper bound of what preemption may free. */
   preemptibleCpu = new Float64Array(0)
   preemptibleMemory = new Float64Array(0)
   preemptibleAccelerators = new Float64Array(0)
   taskCounts = new Int32Array(0)
-  probing = new Uint8Array(0)
-  reserved = new Uint8Array(0)
   /** First worker of each cell, and the next and previous one of each worker. */
   readonly heads = new Int32Array(2 * ACCELERATOR_LEVELS * CPU_BUCKETS * MEMORY_BUCKETS).fill(NONE)
   /** Workers in each row of `MEMORY_BUCKETS` cells. */
@@ -64,11 +77,10 @@
     }
     this.entries.set(node.id, entry)
     this.bySlot.push(entry)
-    this.freeCpu[slot] = node.capacity.cpuMillis
-    this.freeMemory[slot] = node.capacity.memoryMb
-    this.freeAccelerators[slot] = node.capacity.accelerators
+    const { cpuMillis, memoryMb, accelerators } = node.capacity
+    this.values.set([cpuMillis, memoryMb, accelerators, cpuMillis, memoryMb, accelerators, 0, 0], slot * STRIDE)
     this.preemptibleCpu[slot] = this.preemptibleMemory[slot] = this.preemptibleAccelerators[slot] = 0
-    this.taskCounts[slot] = this.probing[slot] = this.reserved[slot] = 0
+    this.taskCounts[slot] = 0
     this.#cells[slot] = NOT_INDEXED
     return entry
   }
@@ -83,9 +95,10 @@
 
   /** Takes `count` times an amount from a worker; a negative count gives it back. */
   take (slot: number, amount: Resources, count: number): void {
-    this.freeCpu[slot]! -= count * amount.cpuMillis
-    this.freeMemory[slot]! -= count * amount.memoryMb
-    this.freeAccelerators[slot]! -= count * amount.accelerators
+    const base = slot * STRIDE
+    this.values[base + FREE_CPU]! -= count * amount.cpuMillis
+    this.values[base + FREE_MEMORY]! -= count * amount.memoryMb
+    this.values[base + FREE_ACCELERATORS]! -= count * amount.accelerators
     this.taskCounts[slot]! += count
     this.placed += count
     if (this.#cells[slot] !== NOT_INDEXED) this.#move(slot, this.#findCell(slot))
@@ -106,16 +119,36 @@
     return this.#cells[slot] !== NOT_INDEXED
   }
 
+  /** Adds to the measured use of a worker's tasks. */
+  addMeasured (entry: WorkerEntry, usage: Resources, factor: number): void {
+    entry.measured = addScaled(entry.measured, usage, factor)
+    const { capacity } = entry.node
+    this.values[entry.slot * STRIDE + EXCESS] = computeExcess(entry.measured, this.readFree(entry.slot), capacity)
+  }
+
+  setFlag (slot: number, flag: typeof PROBING | typeof RESERVED, isSet: boolean): void {
+    const flags = this.values[slot * STRIDE + FLAGS]!
+    this.values[slot * STRIDE + FLAGS] = isSet ? flags | flag : flags & ~flag
+  }
+
+  isProbing (slot: number): boolean {
+    return (this.values[slot * STRIDE + FLAGS]! & PROBING) !== 0
+  }
+
   readFree (slot: number): Resources {
+    const base = slot * STRIDE
     return {
-      cpuMillis: this.freeCpu[slot]!, memoryMb: this.freeMemory[slot]!, accelerators: this.freeAccelerators[slot]!
+      cpuMillis: this.values[base + FREE_CPU]!,
+      memoryMb: this.values[base + FREE_MEMORY]!,
+      accelerators: this.values[base + FREE_ACCELERATORS]!
     }
   }
 
   #findCell (slot: number): number {
-    const level = findAcceleratorLevel(this.freeAccelerators[slot]!)
-    const row = findRow(this.taskCounts[slot] === 0, level, findCpuBucket(this.freeCpu[slot]!))
-    return row * MEMORY_BUCKETS + findMemoryBucket(this.freeMemory[slot]!)
+    const base = slot * STRIDE
+    const level = findAcceleratorLevel(this.values[base + FREE_ACCELERATORS]!)
+    const row = findRow(this.taskCounts[slot] === 0, level, findCpuBucket(this.values[base + FREE_CPU]!))
+    return row * MEMORY_BUCKETS + findMemoryBucket(this.values[base + FREE_MEMORY]!)
   }
 
   #move (slot: number, cell: number): void {
@@ -144,10 +177,10 @@
     const indexed = kept.map((entry) => this.isIndexed(entry.slot))
     for (const entry of kept) this.setIndexed(entry.slot, false)
     const amounts = [
-      this.freeCpu, this.freeMemory, this.freeAccelerators, this.preemptibleCpu, this.preemptibleMemory,
-      this.preemptibleAccelerators, this.taskCounts, this.probing, this.reserved
+      this.preemptibleCpu, this.preemptibleMemory, this.preemptibleAccelerators, this.taskCounts
     ]
     for (const [slot, entry] of kept.entries()) {
+      this.values.copyWithin(slot * STRIDE, entry.slot * STRIDE, (entry.slot + 1) * STRIDE)
       for (const values of amounts) values[slot] = values[entry.slot]!
       entry.slot = slot
       this.#cells[slot] = NOT_INDEXED
@@ -158,15 +191,11 @@
   }
 
   #grow (size: number): void {
-    this.freeCpu = copyTo(new Float64Array(size), this.freeCpu)
-    this.freeMemory = copyTo(new Float64Array(size), this.freeMemory)
-    this.freeAccelerators = copyTo(new Float64Array(size), this.freeAccelerators)
+    this.values = copyTo(new Float64Array(size * STRIDE), this.values)
     this.preemptibleCpu = copyTo(new Float64Array(size), this.preemptibleCpu)
     this.preemptibleMemory = copyTo(new Float64Array(size), this.preemptibleMemory)
     this.preemptibleAccelerators = copyTo(new Float64Array(size), this.preemptibleAccelerators)
     this.taskCounts = copyTo(new Int32Array(size), this.taskCounts)
-    this.probing = copyTo(new Uint8Array(size), this.probing)
-    this.reserved = copyTo(new Uint8Array(size), this.reserved)
     this.next = copyTo(new Int32Array(size), this.next)
     this.#previous = copyTo(new Int32Array(size), this.#previous)
     this.#cells = copyTo(new Int32Array(size), this.#cells)
@@ -202,7 +231,7 @@
   return Math.min(buckets - 1, ((exponent - 2) << fractionBits) + fraction + 1)
 }
 
-function copyTo<T extends Float64Array | Int32Array | Uint8Array> (target: T, source: T): T {
+function copyTo<T extends Float64Array | Int32Array> (target: T, source: T): T {
   target.set(source)
   return target
 }
--- a/packages/core/src/placement/indexed/findWorker.ts
+++ b/packages/core/src/placement/indexed/findWorker.ts
@@ -1,14 +1,15 @@
-import { addScaled } from '../_lib/resources.ts'
+import { addScaled, fits } from '../_lib/resources.ts'
 import { allowsDomain, bindsGroup, findSpreadKey } from '../_lib/rules.ts'
 import { scoreWorker } from '../scoreWorker/index.ts'
 import type { GroupRecord } from '../types.ts'
 import {
-  ACCELERATOR_LEVELS, CPU_BUCKETS, findAcceleratorLevel, findCpuBucket, findMemoryBucket, findRow, MEMORY_BUCKETS,
-  type WorkerTable
+  ACCELERATOR_LEVELS, CAPACITY_ACCELERATORS, CAPACITY_CPU, CAPACITY_MEMORY, CPU_BUCKETS, EXCESS, findAcceleratorLevel,
+  findCpuBucket, findMemoryBucket, findRow, FLAGS, FREE_ACCELERATORS, FREE_CPU, FREE_MEMORY, MEMORY_BUCKETS, PROBING,
+  RESERVED, STRIDE, type WorkerTable
 } from './WorkerTable.ts'
 
 /** Fitting workers compared with each other; the index gives the tightest first, and more cost time. */
-const COMPARED_WORKERS = 16
+const COMPARED_WORKERS = 8
 
 export interface WorkerQuery {
   group: GroupRecord
@@ -51,7 +52,7 @@
 ): WorkerSearch {
   const { group } = query
   const need = group.spec.resources
-  const { freeCpu, freeMemory, freeAccelerators, next, heads, rowCounts, probing, reserved } = table
+  const { values, next, heads, rowCounts } = table
   const isGang = group.spec.kind === 'gang'
   const domains = group.spec.failureDomains
   const firstCpu = findCpuBucket(need.cpuMillis)
@@ -66,14 +67,21 @@
       if (rowCounts[row] === 0) continue
       for (let cell = row * MEMORY_BUCKETS + firstMemory; cell < (row + 1) * MEMORY_BUCKETS; cell++) {
         for (let slot = heads[cell]!; slot >= 0; slot = next[slot]!) {
-          if (need.cpuMillis > freeCpu[slot]! || need.memoryMb > freeMemory[slot]!) continue
-          if (need.accelerators > freeAccelerators[slot]!) continue
-          if (isGang && probing[slot] === 1) continue
+          const base = slot * STRIDE
+          if (need.cpuMillis > values[base + FREE_CPU]! || need.memoryMb > values[base + FREE_MEMORY]!) continue
+          if (need.accelerators > values[base + FREE_ACCELERATORS]!) continue
+          const flags = values[base + FLAGS]!
+          if (isGang && (flags & PROBING) !== 0) continue
           if (domains !== undefined && !allowsDomain(group, table.bySlot[slot]!.node.failureDomain)) continue
           hasRoom = true
           if (spreadLevel !== undefined && countInDomain(table, query, slot) !== spreadLevel) continue
-          if (reserved[slot] === 1 && !fitsBesideReservations(table, query, slot)) continue
-          const score = scoreSlot(table, query, slot)
+          if ((flags & RESERVED) !== 0 && !fitsBesideReservations(table, query, slot)) continue
+          const left = scoreWorker(
+            values[base + FREE_CPU]! - need.cpuMillis, values[base + CAPACITY_CPU]!,
+            values[base + FREE_MEMORY]! - need.memoryMb, values[base + CAPACITY_MEMORY]!,
+            values[base + FREE_ACCELERATORS]! - need.accelerators, values[base + CAPACITY_ACCELERATORS]!
+          )
+          const score = left + (1 - query.packingWeight) * values[base + EXCESS]!
           if (score < bestScore) {
             best = slot
             bestScore = score
@@ -98,12 +106,5 @@
     if (!bindsGroup(reservation, group, now, estimatedRunMs)) continue
     needed = addScaled(needed, reservation.group.spec.resources, reservation.tasks.get(entry.node.id) ?? 0)
   }
-  return needed.cpuMillis <= table.freeCpu[slot]! && needed.memoryMb <= table.freeMemory[slot]! &&
-    needed.accelerators <= table.freeAccelerators[slot]!
-}
-
-function scoreSlot (table: WorkerTable, query: WorkerQuery, slot: number): number {
-  const entry = table.bySlot[slot]!
-  const need = query.group.spec.resources
-  return scoreWorker(table.readFree(slot), need, entry.node.capacity, entry.measured, query.packingWeight)
+  return fits(needed, table.readFree(slot))
 }
--- a/packages/core/src/placement/indexed/planIndexedReservation.ts
+++ b/packages/core/src/placement/indexed/planIndexedReservation.ts
@@ -5,7 +5,7 @@
 import { findSlotTimes } from '../findSlotTimes/index.ts'
 import type { Resources } from '@gypsumspring/protocol'
 import type { GroupRecord, Reservation, TaskRecord, Victim } from '../types.ts'
-import type { WorkerEntry, WorkerTable } from './WorkerTable.ts'
+import { FREE_ACCELERATORS, FREE_CPU, FREE_MEMORY, STRIDE, type WorkerEntry, type WorkerTable } from './WorkerTable.ts'
 
 interface Solution { entry: WorkerEntry, victims: Victim[], cost: number }
 
@@ -31,11 +31,13 @@
   let best: Solution | undefined
   let found = 0
   for (let slot = 0; slot < table.bySlot.length; slot++) {
-    if (table.freeCpu[slot]! + table.preemptibleCpu[slot]! < need.cpuMillis) continue
-    if (table.freeMemory[slot]! + table.preemptibleMemory[slot]! < need.memoryMb) continue
-    if (table.freeAccelerators[slot]! + table.preemptibleAccelerators[slot]! < need.accelerators) continue
+    const base = slot * STRIDE
+    if (table.values[base + FREE_CPU]! + table.preemptibleCpu[slot]! < need.cpuMillis) continue
+    if (table.values[base + FREE_MEMORY]! + table.preemptibleMemory[slot]! < need.memoryMb) continue
+    const accelerators = table.values[base + FREE_ACCELERATORS]! + table.preemptibleAccelerators[slot]!
+    if (accelerators < need.accelerators) continue
     const entry = table.bySlot[slot]
-    if (entry === undefined || !table.isIndexed(slot) || table.probing[slot] === 1) continue
+    if (entry === undefined || !table.isIndexed(slot) || table.isProbing(slot)) continue
     if (!allowsDomain(group, entry.node.failureDomain)) continue
     const kept = addScaled(findReserved(entry, group, now), need, (planned.get(entry.node.id) ?? 0) + 1)
     const missing = addScaled(kept, table.readFree(slot), -1)
@@ -73,7 +75,7 @@
   const enough = Math.max(RESERVATION_SLOTS, RESERVATION_SLOTS_PER_TASK * count)
   for (const entry of table.bySlot) {
     if (slots.length >= enough) break
-    if (entry === undefined || !table.isIndexed(entry.slot) || table.probing[entry.slot] === 1) continue
+    if (entry === undefined || !table.isIndexed(entry.slot) || table.isProbing(entry.slot)) continue
     if (!allowsDomain(group, entry.node.failureDomain)) continue
     const free = addScaled(table.readFree(entry.slot), findReserved(entry, group, now), -1)
     const ends = Array.from(entry.tasks, (task) => (
--- a/packages/core/src/placement/naive/NaivePlacer.ts
+++ b/packages/core/src/placement/naive/NaivePlacer.ts
@@ -192,7 +192,7 @@
       this.#health.start(worker, waiting[index]!.id)
     }
     this.#unreserve(group)
-    delete group.waitReason
+    group.waitReason = undefined
     return { kind: 'place', group: group.spec.id, placements }
   }
 
@@ -203,7 +203,7 @@
 
   #dropImpossible (limit: number): PlacementDecision[] {
     const decisions: PlacementDecision[] = []
-    const shapes = [...this.#workers.values()].map(({ failureDomain, capacity }) => ({ failureDomain, capacity, count: 1 }))
+    const shapes = Array.from(this.#workers.values(), (worker) => ({ ...worker, count: 1 }))
     if (shapes.length === 0) return decisions
     for (const group of this.#book.groups.values()) {
       if (decisions.length >= limit) break
@@ -237,10 +237,12 @@
 
   #view (group: GroupRecord, now: number, estimate: number | undefined): CellView {
     const binding = this.#reservations.filter((reservation) => bindsGroup(reservation, group, now, estimate))
+    const placed = new Map<string, TaskRecord[]>()
+    for (const task of this.#placed()) placed.set(task.worker!, [...placed.get(task.worker!) ?? [], task])
     const workers = [...this.#workers.values()]
       .filter((worker) => this.#canStart(worker.id))
       .map((worker): WorkerView => {
-        const tasks = this.#placed().filter((task) => task.worker === worker.id)
+        const tasks = placed.get(worker.id) ?? []
         return {
           node: worker,
           tasks,
--- a/packages/core/src/placement/naive/searchWorkers.ts
+++ b/packages/core/src/placement/naive/searchWorkers.ts
@@ -1,6 +1,6 @@
 import { addScaled, fits } from '../_lib/resources.ts'
 import { allowsDomain, findSpreadKey } from '../_lib/rules.ts'
-import { scoreWorker } from '../scoreWorker/index.ts'
+import { computeExcess, scoreWorker } from '../scoreWorker/index.ts'
 import type { GroupRecord } from '../types.ts'
 import type { Assignment, CellView, WorkerView } from './types.ts'
 
@@ -37,7 +37,11 @@
   }
 
   function score (worker: WorkerView): number {
-    return scoreWorker(freeOn(worker), need, worker.node.capacity, worker.measured, view.packingWeight)
+    const { capacity } = worker.node
+    const left = addScaled(freeOn(worker), need, -1)
+    return scoreWorker(
+      left.cpuMillis, capacity.cpuMillis, left.memoryMb, capacity.memoryMb, left.accelerators, capacity.accelerators
+    ) + (1 - view.packingWeight) * computeExcess(worker.measured, worker.free, capacity)
   }
 }
 
--- a/packages/core/src/placement/scoreWorker/index.ts
+++ b/packages/core/src/placement/scoreWorker/index.ts
@@ -1,30 +1,41 @@
 import type { Resources } from '@gypsumspring/protocol'
 
 /**
- * Scores a worker for a task; lower is better. The score is what stays free, as a sum of shares of the capacity (best
- * fit), plus a penalty for measured use above the declared amounts, which matters less the more packing weighs.
+ * Scores a worker by what stays free once a task is placed, as a sum of shares of its capacity: the least is the best
+ * fit. Takes numbers, since it runs for each worker that a placement compares.
  *
- * @param free amounts free on the worker
- * @param need of the task
- * @param capacity of the worker
- * @param measured use of its tasks; the declared amounts for tasks without a report
- * @param packingWeight 0 to 1
- * @returns the score, no unit
+ * @param leftCpu thousandths of a processor that stay free
+ * @param cpu capacity of the worker in thousandths of a processor
+ * @param leftMemory MiB that stay free
+ * @param memory capacity in MiB
+ * @param leftAccelerators accelerators that stay free
+ * @param accelerators capacity
+ * @returns the score from 0 to 3, no unit
  * @example
- * const worker = { cpuMillis: 2000, memoryMb: 1024, accelerators: 0 }
- * scoreWorker(worker, worker, worker, { cpuMillis: 0, memoryMb: 0, accelerators: 0 }, 1) // 0
+ * scoreWorker(0, 2000, 512, 1024, 0, 0) // 0.5
  */
 export function scoreWorker (
-  free: Resources, need: Resources, capacity: Resources, measured: Resources, packingWeight: number
+  leftCpu: number, cpu: number, leftMemory: number, memory: number, leftAccelerators: number, accelerators: number
 ): number {
-  const cpu = Math.max(1, capacity.cpuMillis)
-  const memory = Math.max(1, capacity.memoryMb)
-  const left = (free.cpuMillis - need.cpuMillis) / cpu + (free.memoryMb - need.memoryMb) / memory +
-    (free.accelerators - need.accelerators) / Math.max(1, capacity.accelerators)
-  const excess = Math.max(
+  return leftCpu / Math.max(1, cpu) + leftMemory / Math.max(1, memory) + leftAccelerators / Math.max(1, accelerators)
+}
+
+/**
+ * Computes by how much the measured use of a worker's tasks is above what they declared, as a share of the capacity.
+ * It worsens the score of the worker the more, the less packing weighs; it never changes what fits.
+ *
+ * @param measured use of the tasks; the declared amounts for tasks without a report
+ * @param free capacity less the declared amounts
+ * @param capacity of the worker
+ * @returns the larger share of processors and memory, at least 0
+ * @example
+ * const worker = { cpuMillis: 2000, memoryMb: 1024, accelerators: 0 }
+ * computeExcess({ ...worker, cpuMillis: 500 }, worker, worker) // 0.25
+ */
+export function computeExcess (measured: Resources, free: Resources, capacity: Resources): number {
+  return Math.max(
     0,
-    (measured.cpuMillis - (capacity.cpuMillis - free.cpuMillis)) / cpu,
-    (measured.memoryMb - (capacity.memoryMb - free.memoryMb)) / memory
+    (measured.cpuMillis - (capacity.cpuMillis - free.cpuMillis)) / Math.max(1, capacity.cpuMillis),
+    (measured.memoryMb - (capacity.memoryMb - free.memoryMb)) / Math.max(1, capacity.memoryMb)
   )
-  return left + (1 - packingWeight) * excess
 }
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -1,4 +1,5 @@
 import type { Resources } from '@gypsumspring/protocol'
+import type { GroupState } from './indexed/GroupIndex.ts'
 import type { TaskGroup } from '../types.ts'
 
 /** Why a group did not start at its last turn. */
@@ -11,11 +12,13 @@
   rank: number
   /** Order of submission; breaks ties. */
   sequence: number
-  /** In order of queueing. */
-  waiting: Set<TaskRecord>
+  /** In order of queueing. Only the task book changes it. */
+  waiting: ReadonlySet<TaskRecord>
   tasks: TaskRecord[]
   cancelled: boolean
-  waitReason?: WaitReason
+  waitReason: WaitReason | undefined
+  /** Kept by the indexed placer. */
+  index: GroupState | undefined
 }
 
 /** A task; `worker` is set from placement to release. */
