--- a/packages/core/src/placement/_lib/TaskBook.ts
+++ b/packages/core/src/placement/_lib/TaskBook.ts
@@ -22,7 +22,8 @@
       tasks: [],
       cancelled: false,
       waitReason: undefined,
-      index: undefined
+      shape: undefined,
+      spreadCounts: undefined
     }
     for (const id of spec.tasks) {
       if (this.tasks.has(id)) throw new Error(`task ${id} is already submitted`)
--- a/packages/core/src/placement/indexed/IndexedPlacer.ts
+++ b/packages/core/src/placement/indexed/IndexedPlacer.ts
@@ -26,6 +26,7 @@
   readonly #teams = new TeamTotals()
   readonly #unchecked = new Set<GroupRecord>()
   readonly #capacityShapes = new CapacityShapes()
+  readonly #groups = new GroupIndex()
   readonly #context: StartContext
   #now = 0
 
@@ -33,7 +34,6 @@
     const table = new WorkerTable()
     this.#context = {
       table,
-      groups: new GroupIndex(),
       reservations: new ReservationIndex(table),
       packingWeight: 0.5,
       roomVersion: 0,
@@ -77,7 +77,7 @@
 
   submit (group: TaskGroup): void {
     const record = this.#book.submit(group)
-    this.#context.groups.add(record)
+    this.#groups.add(record)
     this.#enqueue(record)
   }
 
@@ -207,13 +207,13 @@
 
   /** Counts a task in (1) or out (-1) of all totals. */
   #count (task: TaskRecord, entry: WorkerEntry, change: 1 | -1): void {
-    const { table, groups } = this.#context
+    const { table } = this.#context
     const { spec, rank } = task.group
     if (change === 1) entry.tasks.add(task)
     else entry.tasks.delete(task)
     table.take(entry.slot, spec.resources, change)
     if (spec.preemptible && rank > 0) table.addPreemptible(entry.slot, spec.resources, change)
-    groups.countTask(task, entry, change)
+    this.#groups.countTask(task, entry, change)
     this.#teams.addTask(task.group, change)
   }
 
@@ -255,7 +255,7 @@
     this.#health.forgetGroup(group.spec.id)
     this.#unreserve(group)
     this.#unchecked.delete(group)
-    this.#context.groups.remove(group)
+    this.#groups.remove(group)
   }
 
   #unreserve (group: GroupRecord): void {
--- a/packages/core/src/placement/indexed/startGroup.ts
+++ b/packages/core/src/placement/indexed/startGroup.ts
@@ -1,14 +1,12 @@
 import { computeHoldMs, findSpreadKey } from '../_lib/rules.ts'
 import type { GroupRecord, TaskRecord, WaitReason } from '../types.ts'
 import { findWorker, type WorkerQuery } from './findWorker.ts'
-import type { GroupIndex } from './GroupIndex.ts'
 import { planIndexedBackfill, planIndexedPreemption } from './planIndexedReservation.ts'
 import type { ReservationIndex } from './ReservationIndex.ts'
 import type { WorkerEntry, WorkerTable } from './WorkerTable.ts'
 
 export interface StartContext {
   readonly table: WorkerTable
-  readonly groups: GroupIndex
   readonly reservations: ReservationIndex
   packingWeight: number
   /** Raised whenever a worker may have gained room. */
@@ -29,9 +27,10 @@
 export function startGroup (
   context: StartContext, group: GroupRecord, count: number, now: number, estimatedRunMs: number | undefined
 ): Start {
-  const { table, groups, packingWeight } = context
+  const { table, packingWeight } = context
   if (table.entries.size === 0) return { kind: 'wait', reason: 'no-workers' }
-  const { shape, spreadCounts } = groups.get(group)
+  const { spreadCounts } = group
+  const shape = group.shape!
   if (shape.noRoomAt === context.roomVersion) return waitForCapacity(context, group, count, now)
 
   const [first] = group.waiting
@@ -103,10 +102,12 @@
 /** Tells whether a plan failed for a group alike since the last change; a group's own reservation is room to it. */
 function hasFailed (context: StartContext, group: GroupRecord, count: number, plan: string): boolean {
   if (context.reservations.get(group) !== undefined) return false
-  return context.groups.get(group).shape.planFailedAt.get(`${plan}|${group.rank}|${count}`) === context.planVersion
+  return group.shape!.planFailedAt?.get(`${plan}|${group.rank}|${count}`) === context.planVersion
 }
 
 function rememberFailure (context: StartContext, group: GroupRecord, count: number, plan: string): void {
   if (context.reservations.get(group) !== undefined) return
-  context.groups.get(group).shape.planFailedAt.set(`${plan}|${group.rank}|${count}`, context.planVersion)
+  const shape = group.shape!
+  shape.planFailedAt ??= new Map()
+  shape.planFailedAt.set(`${plan}|${group.rank}|${count}`, context.planVersion)
 }
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -1,5 +1,5 @@
 import type { Resources } from '@gypsumspring/protocol'
-import type { GroupState } from './indexed/GroupIndex.ts'
+import type { GroupShape } from './indexed/GroupIndex.ts'
 import type { TaskGroup } from '../types.ts'
 
 /** Why a group did not start at its last turn. */
@@ -17,8 +17,9 @@
   tasks: TaskRecord[]
   cancelled: boolean
   waitReason: WaitReason | undefined
-  /** Kept by the indexed placer. */
-  index: GroupState | undefined
+  /** What it shares with groups alike, and its tasks in each spread domain; kept by the indexed placer. */
+  shape: GroupShape | undefined
+  spreadCounts: Map<string, number> | undefined
 }
 
 /** A task; `worker` is set from placement to release. */
