--- a/packages/bench/src/benchmarks.ts
+++ b/packages/bench/src/benchmarks.ts
@@ -1,10 +1,12 @@
+import { runPacking } from './packing/index.ts'
 import { runPlacement } from './placement/index.ts'
 
 /** A benchmark reports each case as a row of named figures; units are part of the names. */
 export type Benchmark = (report: (row: Record<string, string | number>) => void) => Promise<void> | void
 
 export const benchmarks: Record<string, Benchmark> = {
-  placement: runPlacement
+  placement: runPlacement,
+  packing: runPacking
 }
 
 export type BenchmarkName = string
