--- /dev/null
+++ b/packages/core/src/placement/indexed/WorkerTable.ts
@@ -0,0 +1,237 @@
+import type { Resources } from '@gypsumspring/protocol'
+import type { WorkerNode } from '../../types.ts'
+import { addScaled, NOTHING } from '../_lib/resources.ts'
+import { computeExcess } from '../scoreWorker/index.ts'
+import type { Reservation, TaskRecord } from '../types.ts'
+
+/** A worker with what cannot be kept in typed arrays. */
+export interface WorkerEntry {
+  node: WorkerNode
+  slot: number
+  available: boolean
+  tasks: Set<TaskRecord>
+  /** Measured use of its tasks; the declared amounts for tasks without a report. */
+  measured: Resources
+  reservations: Reservation[]
+}
+
+/** Offsets of the values of a slot. */
+export const FREE_CPU = 0
+export const FREE_MEMORY = 1
+export const FREE_ACCELERATORS = 2
+export const CAPACITY_CPU = 3
+export const CAPACITY_MEMORY = 4
+export const CAPACITY_ACCELERATORS = 5
+/** Measured use above the declared amounts; see `computeExcess`. */
+export const EXCESS = 6
+/** Sum of `PROBING` and `RESERVED`. */
+export const FLAGS = 7
+export const STRIDE = 8
+export const PROBING = 1
+export const RESERVED = 2
+
+const NOT_INDEXED = -1
+const NONE = -1
+
+export const ACCELERATOR_LEVELS = 6
+/** Quarter octaves above a quarter of a processor. */
+export const CPU_BUCKETS = 64
+/** Half octaves above 128 MiB. */
+export const MEMORY_BUCKETS = 32
+const CPU_UNIT = 250
+const MEMORY_UNIT = 128
+
+/** Removed workers leave gaps, so that slots stay in order of arrival; the table is compacted when gaps prevail. */
+const COMPACT_ABOVE_GAPS = 64
+
+/**
+ * Capacity of the workers in typed arrays, and an index of those that may start tasks: lists of workers whose free
+ * amounts lie in the same bucket in each dimension, with idle workers apart from those in use.
+ */
+export class WorkerTable {
+  readonly entries = new Map<string, WorkerEntry>()
+  bySlot: Array<WorkerEntry | undefined> = []
+  /** `STRIDE` values for each slot, at the offsets below; together they fill one cache line. */
+  values = new Float64Array(0)
+  /** Held by preemptible tasks below the class urgent; an upper bound of what preemption may free. */
+  preemptibleCpu = new Float64Array(0)
+  preemptibleMemory = new Float64Array(0)
+  preemptibleAccelerators = new Float64Array(0)
+  taskCounts = new Int32Array(0)
+  /** First worker of each cell, and the next and previous one of each worker. */
+  readonly heads = new Int32Array(2 * ACCELERATOR_LEVELS * CPU_BUCKETS * MEMORY_BUCKETS).fill(NONE)
+  /** Workers in each row of `MEMORY_BUCKETS` cells. */
+  readonly rowCounts = new Int32Array(2 * ACCELERATOR_LEVELS * CPU_BUCKETS)
+  next = new Int32Array(0)
+  #previous = new Int32Array(0)
+  #cells = new Int32Array(0)
+  /** Tasks on all workers. */
+  placed = 0
+  #gaps = 0
+
+  add (node: WorkerNode): WorkerEntry {
+    const slot = this.bySlot.length
+    if (slot >= this.#cells.length) this.#grow(Math.max(32, slot + (slot >> 1)))
+    const entry: WorkerEntry = {
+      node, slot, available: true, tasks: new Set(), measured: NOTHING, reservations: []
+    }
+    this.entries.set(node.id, entry)
+    this.bySlot.push(entry)
+    const { cpuMillis, memoryMb, accelerators } = node.capacity
+    this.values.set([cpuMillis, memoryMb, accelerators, cpuMillis, memoryMb, accelerators, 0, 0], slot * STRIDE)
+    this.preemptibleCpu[slot] = this.preemptibleMemory[slot] = this.preemptibleAccelerators[slot] = 0
+    this.taskCounts[slot] = 0
+    this.#cells[slot] = NOT_INDEXED
+    return entry
+  }
+
+  remove (entry: WorkerEntry): void {
+    this.setIndexed(entry.slot, false)
+    this.entries.delete(entry.node.id)
+    this.bySlot[entry.slot] = undefined
+    this.#gaps++
+    if (this.#gaps > COMPACT_ABOVE_GAPS && this.#gaps > this.bySlot.length >> 1) this.#compact()
+  }
+
+  /** Takes `count` times an amount from a worker; a negative count gives it back. */
+  take (slot: number, amount: Resources, count: number): void {
+    const base = slot * STRIDE
+    this.values[base + FREE_CPU]! -= count * amount.cpuMillis
+    this.values[base + FREE_MEMORY]! -= count * amount.memoryMb
+    this.values[base + FREE_ACCELERATORS]! -= count * amount.accelerators
+    this.taskCounts[slot]! += count
+    this.placed += count
+    if (this.#cells[slot] !== NOT_INDEXED) this.#move(slot, this.#findCell(slot))
+  }
+
+  addPreemptible (slot: number, amount: Resources, count: number): void {
+    this.preemptibleCpu[slot]! += count * amount.cpuMillis
+    this.preemptibleMemory[slot]! += count * amount.memoryMb
+    this.preemptibleAccelerators[slot]! += count * amount.accelerators
+  }
+
+  /** Enters a worker in the index or takes it out; a worker that may not start tasks stays out. */
+  setIndexed (slot: number, indexed: boolean): void {
+    this.#move(slot, indexed ? this.#findCell(slot) : NOT_INDEXED)
+  }
+
+  isIndexed (slot: number): boolean {
+    return this.#cells[slot] !== NOT_INDEXED
+  }
+
+  /** Adds to the measured use of a worker's tasks. */
+  addMeasured (entry: WorkerEntry, usage: Resources, factor: number): void {
+    entry.measured = addScaled(entry.measured, usage, factor)
+    const { capacity } = entry.node
+    this.values[entry.slot * STRIDE + EXCESS] = computeExcess(entry.measured, this.readFree(entry.slot), capacity)
+  }
+
+  setFlag (slot: number, flag: typeof PROBING | typeof RESERVED, isSet: boolean): void {
+    const flags = this.values[slot * STRIDE + FLAGS]!
+    this.values[slot * STRIDE + FLAGS] = isSet ? flags | flag : flags & ~flag
+  }
+
+  isProbing (slot: number): boolean {
+    return (this.values[slot * STRIDE + FLAGS]! & PROBING) !== 0
+  }
+
+  readFree (slot: number): Resources {
+    const base = slot * STRIDE
+    return {
+      cpuMillis: this.values[base + FREE_CPU]!,
+      memoryMb: this.values[base + FREE_MEMORY]!,
+      accelerators: this.values[base + FREE_ACCELERATORS]!
+    }
+  }
+
+  #findCell (slot: number): number {
+    const base = slot * STRIDE
+    const level = findAcceleratorLevel(this.values[base + FREE_ACCELERATORS]!)
+    const row = findRow(this.taskCounts[slot] === 0, level, findCpuBucket(this.values[base + FREE_CPU]!))
+    return row * MEMORY_BUCKETS + findMemoryBucket(this.values[base + FREE_MEMORY]!)
+  }
+
+  #move (slot: number, cell: number): void {
+    const old = this.#cells[slot]!
+    if (old === cell) return
+    if (old !== NOT_INDEXED) {
+      const next = this.next[slot]!
+      const previous = this.#previous[slot]!
+      if (previous === NONE) this.heads[old] = next
+      else this.next[previous] = next
+      if (next !== NONE) this.#previous[next] = previous
+      this.rowCounts[Math.floor(old / MEMORY_BUCKETS)]!--
+    }
+    this.#cells[slot] = cell
+    if (cell === NOT_INDEXED) return
+    const head = this.heads[cell]!
+    this.next[slot] = head
+    this.#previous[slot] = NONE
+    if (head !== NONE) this.#previous[head] = slot
+    this.heads[cell] = slot
+    this.rowCounts[Math.floor(cell / MEMORY_BUCKETS)]!++
+  }
+
+  #compact (): void {
+    const kept = this.bySlot.filter((entry) => entry !== undefined)
+    const indexed = kept.map((entry) => this.isIndexed(entry.slot))
+    for (const entry of kept) this.setIndexed(entry.slot, false)
+    const amounts = [
+      this.preemptibleCpu, this.preemptibleMemory, this.preemptibleAccelerators, this.taskCounts
+    ]
+    for (const [slot, entry] of kept.entries()) {
+      this.values.copyWithin(slot * STRIDE, entry.slot * STRIDE, (entry.slot + 1) * STRIDE)
+      for (const values of amounts) values[slot] = values[entry.slot]!
+      entry.slot = slot
+      this.#cells[slot] = NOT_INDEXED
+    }
+    this.bySlot = kept
+    this.#gaps = 0
+    for (const [slot, wasIndexed] of indexed.entries()) if (wasIndexed) this.setIndexed(slot, true)
+  }
+
+  #grow (size: number): void {
+    this.values = copyTo(new Float64Array(size * STRIDE), this.values)
+    this.preemptibleCpu = copyTo(new Float64Array(size), this.preemptibleCpu)
+    this.preemptibleMemory = copyTo(new Float64Array(size), this.preemptibleMemory)
+    this.preemptibleAccelerators = copyTo(new Float64Array(size), this.preemptibleAccelerators)
+    this.taskCounts = copyTo(new Int32Array(size), this.taskCounts)
+    this.next = copyTo(new Int32Array(size), this.next)
+    this.#previous = copyTo(new Int32Array(size), this.#previous)
+    this.#cells = copyTo(new Int32Array(size), this.#cells)
+  }
+}
+
+/** Number of the row of cells for an accelerator level and a processor bucket. */
+export function findRow (isIdle: boolean, acceleratorLevel: number, cpuBucket: number): number {
+  return ((isIdle ? ACCELERATOR_LEVELS : 0) + acceleratorLevel) * CPU_BUCKETS + cpuBucket
+}
+
+export function findAcceleratorLevel (accelerators: number): number {
+  if (accelerators <= 2) return Math.max(0, accelerators)
+  if (accelerators <= 4) return 3
+  return accelerators <= 8 ? 4 : 5
+}
+
+export function findCpuBucket (cpuMillis: number): number {
+  return findBucket(cpuMillis / CPU_UNIT, 2, CPU_BUCKETS)
+}
+
+export function findMemoryBucket (memoryMb: number): number {
+  return findBucket(memoryMb / MEMORY_UNIT, 1, MEMORY_BUCKETS)
+}
+
+/** Bucket of an amount, with 2 ** `fractionBits` buckets an octave; monotonic, so that a smaller bucket cannot fit. */
+function findBucket (units: number, fractionBits: number, buckets: number): number {
+  // Scaled so that the fraction bits exist from the first octave on.
+  const scaled = Math.min(Math.floor(units * 4), 0x3fffffff)
+  if (scaled < 4) return 0
+  const exponent = 31 - Math.clz32(scaled)
+  const fraction = (scaled >> (exponent - fractionBits)) & ((1 << fractionBits) - 1)
+  return Math.min(buckets - 1, ((exponent - 2) << fractionBits) + fraction + 1)
+}
+
+function copyTo<T extends Float64Array | Int32Array> (target: T, source: T): T {
+  target.set(source)
+  return target
+}
