--- a/packages/daemon/src/scheduler/history.test.ts
+++ b/packages/daemon/src/scheduler/history.test.ts
@@ -13,6 +13,10 @@
   { id: 'web', kind: 'service' as const, tasks: 2, payload: {} }
 ]
 
+function name (workload: string, tasks: number): string[] {
+  return Array.from({ length: tasks }, (_, index) => `s/${workload}/${index}`)
+}
+
 /** One random history: which fault happens at each step follows from the seed alone. */
 class History {
   readonly cell = new TestCell(5)
@@ -42,7 +46,7 @@
     for (const worker of cell.workers.values()) worker.faults.clear()
     for (const process of cell.processes.values()) {
       process.resume()
-      for (const link of process.links.values()) Object.assign(link, { cut: false, losesAnswers: false })
+      process.links.clear()
     }
     for (const id of cell.workers.keys()) cell.list(id, 'live')
   }
@@ -50,9 +54,8 @@
   /** Tasks that have to succeed after the faults. */
   get unfinished (): string[] {
     const batches = ['batch', ...this.#extra].filter((id) => !this.#cancelled.has(id))
-    const tasks = [...batches.flatMap((id) => [0, 1, 2, 3, 4, 5, 6, 7].slice(0, id === 'batch' ? 8 : 2).map((index) => `s/${id}/${index}`))]
-    const gang = [0, 1, 2].map((index) => `s/gang/${index}`)
-    return [...tasks, ...gang].filter((task) => !this.cell.recordedSuccesses.has(task))
+    const tasks = batches.flatMap((id) => name(id, id === 'batch' ? 8 : 2))
+    return [...tasks, ...name('gang', 3)].filter((task) => !this.cell.recordedSuccesses.has(task))
   }
 
   get runningServices (): number {
@@ -70,6 +73,7 @@
       () => process.resume(),
       () => { process.link(workerId).cut = !process.link(workerId).cut },
       () => { process.link(workerId).losesAnswers = !process.link(workerId).losesAnswers },
+      () => { process.link(workerId).refusesStarts = !process.link(workerId).refusesStarts },
       () => { process.link('table').cut = !process.link('table').cut },
       () => { process.link('table').losesAnswers = !process.link('table').losesAnswers },
       () => cell.table.faults.set({ down: !cell.table.faults.settings.down }),
@@ -131,7 +135,8 @@
         await history.runFaults()
         expect(cell.violations, `seed ${seed}`).to.deep.equal([])
         history.heal()
-        const finished = await cell.runUntil(() => history.unfinished.length === 0 && history.runningServices === 2, 600_000)
+        const isFinished = () => history.unfinished.length === 0 && history.runningServices === 2
+        const finished = await cell.runUntil(isFinished, 600_000)
         expect(cell.violations, `seed ${seed}`).to.deep.equal([])
         expect({ finished, unfinished: history.unfinished, services: history.runningServices }, `seed ${seed}`)
           .to.deep.equal({ finished: true, unfinished: [], services: 2 })
--- a/packages/daemon/src/scheduler/test.ts
+++ b/packages/daemon/src/scheduler/test.ts
@@ -1,20 +1,372 @@
 import { expect } from 'chai'
-import { TestCell } from './testSupport/index.ts'
+import type { TaskGroup } from '@gypsumspring/core'
+import { FirstFitPlacer } from './_lib/FirstFitPlacer.ts'
+import { settings, SLOT, TestCell, type TestProcess } from './testSupport/index.ts'
+
+const LONG = { payload: {} }
+/** (H + L) x 1.03 with the settings of these tests. */
+const FULL_WAIT_MS = (settings.runHorizonMs + settings.taskLeaseMs) * 1.03
+const LOSS_MS = settings.taskLeaseMs * 1.03
 
 describe('scheduler', () => {
   let cell: TestCell
 
   afterEach(() => {
-    expect(cell.violations).to.deep.equal([])
     cell.close()
+    expect(cell.violations).to.deep.equal([])
+  })
+
+  /** A cell with one task running, whose owner is `a`; `b` is a candidate. */
+  const runOne = async (workers = 2): Promise<{ a: TestProcess, b: TestProcess, home: string }> => {
+    cell = new TestCell(workers)
+    const a = cell.startProcess('a')
+    await cell.run(1_000)
+    const b = cell.startProcess('b')
+    cell.configure([{ id: 'x', ...LONG }])
+    await cell.run(6_000)
+    const [home = ''] = cell.runningOn('s/x/0')
+    expect(home).to.not.equal('')
+    return { a, b, home }
+  }
+
+  describe('owner that pauses', () => {
+    for (const target of ['its intent and the start', 'the lease check and the send'] as const) {
+      it(`does not start anything when it wakes after its lease, paused between ${target}`, async () => {
+        cell = new TestCell(2)
+        const a = cell.startProcess('a')
+        await cell.run(1_000)
+        const b = cell.startProcess('b')
+        let home = ''
+        if (target === 'its intent and the start') {
+          cell.table.onWrite = (write) => { if (JSON.stringify(write).includes('"intent"')) a.pause() }
+        } else a.beforeCall = (_, method) => { if (method === 'start') a.pause() }
+        cell.configure([{ id: 'x', ...LONG }])
+        await cell.run(1_000)
+        home = JSON.stringify((await cell.table.scan('journal/')).unsafeCoerce()).match(/"worker":"(w\d)"/)?.[1] ?? ''
+        a.beforeCall = () => {}
+        cell.table.onWrite = () => {}
+        // The new owner can't reach the worker that the paused start is for.
+        b.link(home).cut = true
+        await cell.run(FULL_WAIT_MS + 40_000)
+        expect(cell.runningOn('s/x/0')).to.have.length(1).and.not.include(home)
+        const starts = cell.starts.length
+        a.resume()
+        await cell.run(60_000)
+        expect(cell.starts.length).to.equal(starts)
+        expect(await a.status()).to.equal(undefined)
+      })
+    }
+
+    it('discards its state when it wakes, and the tasks go on under the new owner', async () => {
+      const { a, b, home } = await runOne()
+      a.pause()
+      await cell.run(20_000)
+      expect((await b.status())?.epoch).to.equal(2)
+      a.resume()
+      await cell.run(60_000)
+      expect(cell.runningOn('s/x/0')).to.deep.equal([home])
+      expect(cell.starts).to.have.length(1)
+      expect(await a.status()).to.equal(undefined)
+    })
+  })
+
+  describe('takeover', () => {
+    const moments = [
+      { name: 'before the start was sent', losesAnswer: false }, { name: 'when the start took effect but its answer was lost', losesAnswer: true }
+    ]
+    for (const { name, losesAnswer } of moments) {
+      it(`completes an unresolved intent on the same worker as the same attempt, ${name}`, async () => {
+        cell = new TestCell(3)
+        const a = cell.startProcess('a')
+        await cell.run(1_000)
+        cell.startProcess('b')
+        a.beforeCall = (target, method) => {
+          if (method !== 'start') return
+          if (losesAnswer) a.link(target).losesAnswers = true
+          else a.link(target).cut = true
+          setTimeout(() => a.kill(), 0)
+        }
+        cell.configure([{ id: 'x', ...LONG }])
+        await cell.run(30_000)
+        expect(cell.starts).to.have.length(1)
+        expect(cell.starts[0]).to.include({ attempt: 1 })
+        expect(cell.runningOn('s/x/0')).to.have.length(1)
+      })
+    }
+
+    it('waits for H + L before it replaces a task whose worker it can not reach: the old owner may sustain it', async () => {
+      const { a, b, home } = await runOne()
+      // The old owner reaches only the worker that the new one does not, so neither hears of the other.
+      for (const target of ['table', 'w0', 'w1']) a.link(target).cut = target !== home
+      b.link(home).cut = true
+      await cell.run(settings.runHorizonMs - 10_000)
+      expect((await b.status())?.epoch).to.equal(2)
+      expect(cell.runningOn('s/x/0'), 'sustained by the old owner').to.deep.equal([home])
+      await cell.run(FULL_WAIT_MS)
+      expect(cell.runningOn('s/x/0')).to.have.length(1).and.not.include(home)
+    })
+
+    it('does not happen during a store outage; afterwards the tasks are placed again', async () => {
+      const { a, b } = await runOne()
+      cell.table.faults.set({ down: true })
+      a.kill()
+      await cell.run(60_000)
+      expect(await b.status()).to.equal(undefined)
+      expect(cell.runningOn('s/x/0'), 'lease lapsed').to.deep.equal([])
+      cell.table.faults.clear()
+      await cell.run(20_000)
+      expect(cell.runningOn('s/x/0')).to.have.length(1)
+    })
+
+    it('stops attempts that the journal does not know, and gives their room away only then', async () => {
+      cell = new TestCell(1)
+      const worker = cell.worker('w0')
+      const session = (await worker.openSession({ shard: 'hall', epoch: 0, ttlMs: 10_000, label: '' })).unsafeCoerce()
+      const start = { task: 'stray', resources: { ...SLOT, cpuMillis: 2_000 }, leaseMs: 60_000, payload: {} }
+      await worker.start(session, [{ ...start, attempt: 1 }])
+      const a = cell.startProcess('a')
+      a.beforeCall = (_, method) => { if (method === 'stop') a.link('w0').cut = true }
+      cell.configure([{ id: 'x', ...LONG }])
+      await cell.run(20_000)
+      expect(cell.runningTasks).to.deep.equal(['stray'])
+      a.beforeCall = () => {}
+      a.link('w0').cut = false
+      await cell.run(20_000)
+      expect(cell.runningTasks).to.deep.equal(['s/x/0'])
+    })
+  })
+
+  it('does not start a task elsewhere when the answer to its start is lost', async () => {
+    cell = new TestCell(3)
+    const a = cell.startProcess('a')
+    a.beforeCall = (target, method) => { if (method === 'start') a.link(target).losesAnswers = true }
+    cell.configure([{ id: 'x', ...LONG }])
+    await cell.run(20_000)
+    expect(cell.starts).to.have.length(1)
+    a.beforeCall = () => {}
+    for (const link of a.links.values()) link.losesAnswers = false
+    await cell.run(20_000)
+    expect(cell.starts).to.have.length(1)
+    expect((await a.status())?.tasks[0]).to.include({ state: 'running', attempt: 1 })
+  })
+
+  describe('store outage', () => {
+    const outages = [
+      { name: 'down', faults: { down: true } },
+      { name: 'losing every answer after the effect', faults: { loseAnswers: 1 } },
+      { name: 'slower than the lease', faults: { delayMs: 11_000 } }
+    ]
+    for (const { name, faults } of outages) {
+      it(`keeps running tasks and starts none while the store is ${name}`, async () => {
+        const { a, home } = await runOne()
+        await cell.run(100)
+        cell.table.faults.set(faults)
+        cell.configure([{ id: 'x', ...LONG }, { id: 'y', ...LONG }])
+        await cell.run(90_000)
+        expect(cell.runningTasks).to.deep.equal(['s/x/0'])
+        expect(cell.runningOn('s/x/0')).to.deep.equal([home])
+        if (faults.delayMs === undefined) {
+          expect(await a.explain('s/y/0')).to.include('store-unavailable')
+        }
+        cell.table.faults.clear()
+        await cell.run(40_000)
+        expect(cell.runningTasks).to.deep.equal(['s/x/0', 's/y/0'])
+      })
+    }
+
+    it('stops sustaining after H, or a later owner could not tell when tasks have ended', async () => {
+      await runOne()
+      cell.table.faults.set({ down: true })
+      await cell.run(settings.runHorizonMs + settings.taskLeaseMs + 5_000)
+      expect(cell.runningTasks).to.deep.equal([])
+    })
+  })
+
+  describe('worker', () => {
+    it('that is unreachable keeps its task until L x 1.03 has passed, then the task runs elsewhere', async () => {
+      const { a, home } = await runOne()
+      a.link(home).cut = true
+      await cell.run(LOSS_MS - 6_000)
+      expect(cell.starts).to.have.length(1)
+      await cell.run(12_000)
+      expect(cell.runningOn('s/x/0')).to.have.length(1).and.not.include(home)
+    })
+
+    it('whose answers are lost gets no more renewals, so that its task can be replaced', async () => {
+      const { a, home } = await runOne()
+      a.link(home).losesAnswers = true
+      await cell.run(2 * LOSS_MS + 12_000)
+      expect(cell.runningOn('s/x/0')).to.have.length(1).and.not.include(home)
+    })
+
+    it('that dies loses its tasks to other workers, and is used again when it is back', async () => {
+      const { home } = await runOne()
+      cell.worker(home).fail()
+      await cell.run(LOSS_MS + 6_000)
+      expect(cell.runningOn('s/x/0')).to.have.length(1).and.not.include(home)
+      cell.worker(home).faults.clear()
+      cell.configure([{ id: 'x', ...LONG }, { id: 'y', tasks: 3, ...LONG }])
+      await cell.run(10_000)
+      expect(cell.runningTasks).to.have.length(4)
+    })
+
+    it('that leaves gives up services and preemptible tasks and finishes the others', async () => {
+      cell = new TestCell(2, { ...SLOT, cpuMillis: 3_000, memoryMb: 3_000 })
+      cell.startProcess('a')
+      cell.configure([
+        { id: 'fixed', ...LONG }, { id: 'soft', preemptible: true, ...LONG }, { id: 'web', kind: 'service' }
+      ])
+      await cell.run(8_000)
+      expect(new Set(cell.runningTasks.flatMap((task) => cell.runningOn(task)))).to.deep.equal(new Set(['w0']))
+      cell.list('w0', 'leaving')
+      await cell.run(15_000)
+      const places = cell.runningTasks.map((task) => `${task} ${cell.runningOn(task).join()}`)
+      expect(places).to.deep.equal(['s/fixed/0 w0', 's/soft/0 w1', 's/web@hall/0 w1'])
+    })
   })
 
-  it('runs a batch to its end', async () => {
+  describe('cancellation', () => {
+    it('during a start whose answer is lost ends the attempt and leaves no task behind', async () => {
+      cell = new TestCell(2)
+      const a = cell.startProcess('a')
+      a.beforeCall = (target, method) => { if (method === 'start') a.link(target).losesAnswers = true }
+      cell.configure([{ id: 'x', ...LONG }])
+      await cell.run(3_000)
+      cell.configure([{ id: 'x', ...LONG }], ['x'])
+      a.beforeCall = () => {}
+      await cell.run(1_000)
+      for (const link of a.links.values()) link.losesAnswers = false
+      await cell.run(20_000)
+      expect(cell.runningTasks).to.deep.equal([])
+      expect((await a.status())?.tasks[0]).to.include({ task: 's/x', state: 'cancelled' })
+    })
+
+    it('while the intent is being recorded sends no start', async () => {
+      cell = new TestCell(2)
+      const a = cell.startProcess('a')
+      await cell.run(7_000)
+      cell.table.faults.set({ delayMs: 400 })
+      cell.configure([{ id: 'x', ...LONG }])
+      await cell.run(700)
+      expect((await a.status())?.tasks[0]?.state).to.equal('recording')
+      cell.configure([{ id: 'x', ...LONG }], ['x'])
+      await cell.run(10_000)
+      expect(cell.starts).to.deep.equal([])
+      expect((await a.status())?.tasks[0]).to.include({ state: 'cancelled' })
+    })
+
+    it('of many workloads at once takes a handful of journal writes', async () => {
+      cell = new TestCell(10, { ...SLOT, cpuMillis: 50_000, memoryMb: 50_000 })
+      cell.startProcess('a')
+      const ids = Array.from({ length: 400 }, (_, index) => `x${index}`)
+      cell.configure(ids.map((id) => ({ id, ...LONG })))
+      await cell.run(10_000)
+      expect(cell.runningTasks).to.have.length(400)
+      const before = cell.table.writeCount
+      cell.configure([])
+      await cell.run(10_000)
+      expect(cell.runningTasks).to.deep.equal([])
+      expect((await cell.table.scan('assignment/')).unsafeCoerce()).to.deep.equal([])
+      expect(cell.table.writeCount - before).to.be.below(40)
+    })
+  })
+
+  it('stops a gang whole when one worker refuses its member, and runs it later', async () => {
     cell = new TestCell(2)
     const a = cell.startProcess('a')
-    cell.configure([{ id: 'x', tasks: 6, payload: { runMs: 3_000 } }])
+    a.link('w1').refusesStarts = true
+    cell.configure([{ id: 'gang', kind: 'gang', tasks: 3, payload: { runMs: 15_000 } }])
+    await cell.runUntil(() => cell.runningTasks.length === 2, 10_000)
+    await cell.run(300)
+    expect(cell.runningTasks, 'members without the third').to.deep.equal([])
+    a.link('w1').refusesStarts = false
+    await cell.run(5_000)
+    expect(cell.runningTasks).to.have.length(3)
     await cell.run(20_000)
-    console.log(JSON.stringify(await a.status(), null, 1), cell.starts)
-    expect(cell.succeeded.size).to.equal(6)
+    expect((await a.status())?.tasks[0]?.state).to.equal('succeeded')
+  })
+
+  it('checkpoints and ends a preempted task before its room is used', async () => {
+    cell = new TestCell(1)
+    const low = {
+      id: 'low', preemptible: true, priority: 'low' as const, resources: { ...SLOT, cpuMillis: 2_000 }, payload: { runMs: 30_000 }
+    }
+    /** Preempts `low` once `high` waits. */
+    class PreemptingPlacer extends FirstFitPlacer {
+      #highWaits = false
+
+      override submit (group: TaskGroup): void {
+        this.#highWaits ||= group.tasks.includes('s/high/0')
+        super.submit(group)
+      }
+
+      override decide (now: number, limit: number) {
+        const decisions = super.decide(now, limit)
+        if (decisions.some(({ group }) => group.startsWith('s/high'))) this.#highWaits = false
+        return this.#highWaits && cell.running.has('s/low/0') ? [{ kind: 'preempt' as const, group: 's/high', victims: ['s/low/0'] }] : decisions
+      }
+    }
+    cell.startProcess('a', { createPlacer: () => new PreemptingPlacer() })
+    cell.configure([low])
+    await cell.run(7_000)
+    expect(cell.runningTasks).to.deep.equal(['s/low/0'])
+    cell.configure([low, { id: 'high', priority: 'urgent', payload: { runMs: 5_000 } }])
+    await cell.run(2_000)
+    expect(cell.runningTasks).to.deep.equal(['s/high/0'])
+    await cell.run(50_000)
+    expect([...cell.succeeded].sort()).to.deep.equal(['s/high/0', 's/low/0'])
+  })
+
+  describe('configuration change', () => {
+    it('raises and lowers a service without touching the tasks that stay, and rolls changed resources', async () => {
+      cell = new TestCell(3)
+      cell.startProcess('a')
+      const web = (tasks: number, resources = SLOT) => cell.configure([{ id: 'web', kind: 'service', tasks, resources }])
+      web(2)
+      await cell.run(8_000)
+      web(4)
+      await cell.run(3_000)
+      expect(cell.runningTasks).to.have.length(4)
+      web(3)
+      await cell.run(3_000)
+      expect(cell.runningTasks).to.deep.equal([0, 1, 2].map((index) => `s/web@hall/${index}`))
+      expect(cell.starts).to.have.length(4)
+      web(3, { ...SLOT, cpuMillis: 500 })
+      let fewest = 3
+      for (let ms = 0; ms < 20_000; ms += 50) {
+        await cell.run(50)
+        fewest = Math.min(fewest, cell.runningTasks.length)
+      }
+      expect(fewest, 'running while rolling').to.equal(2)
+      const sizes = [...cell.running.values()].flat().map(({ report }) => report.resources.cpuMillis)
+      expect(sizes).to.deep.equal([500, 500, 500])
+    })
+
+    it('never runs a finished batch again under the same payload, also after a takeover, but does under a new one', async () => {
+      cell = new TestCell(2)
+      const a = cell.startProcess('a')
+      cell.configure([{ id: 'x', payload: { runMs: 1_000 } }])
+      await cell.run(10_000)
+      expect(cell.succeeded.size).to.equal(1)
+      a.kill()
+      const b = cell.startProcess('b')
+      cell.configure([{ id: 'x', retryLimit: 7, tasks: 3, payload: { runMs: 1_000 } }])
+      await cell.run(30_000)
+      expect(cell.starts).to.have.length(1)
+      expect(await b.explain('s/x/0')).to.include('over: succeeded')
+      cell.recordedSuccesses.clear()
+      cell.configure([{ id: 'x', payload: { runMs: 2_000 } }])
+      await cell.run(10_000)
+      expect(cell.starts.map(({ attempt }) => attempt)).to.deep.equal([1, 2])
+    })
+
+    it('older than the journal is not acted on by a new owner, or it would stop newer workloads', async () => {
+      const { a, b, home } = await runOne()
+      cell.rewindConfiguration([])
+      a.kill()
+      await cell.run(30_000)
+      expect(await b.status()).to.include({ epoch: 2, state: 'configuration-behind' })
+      expect(cell.runningOn('s/x/0')).to.deep.equal([home])
+    })
   })
 })
--- a/packages/daemon/src/scheduler/testSupport/index.ts
+++ b/packages/daemon/src/scheduler/testSupport/index.ts
@@ -1,15 +1,16 @@
 /** Test support: several scheduler processes over one in-memory platform under fake timers, with watched workers. */
 import FakeTimers, { type Clock } from '@sinonjs/fake-timers'
-import type { AttemptReport, Machine, Table, WorkerClient } from '@gypsumspring/adapters'
+import type { AttemptReport, AttemptStart, Machine, StartResult, Table, WorkerClient } from '@gypsumspring/adapters'
 import type { JournalRow } from '@gypsumspring/core'
 import {
-  notDone, unknownEffect, type Configuration, type Outcome, type Resources, type RpcHandlers, type Workload
+  done, notDone, unknownEffect, type Configuration, type Outcome, type Resources, type RpcHandlers, type Workload
 } from '@gypsumspring/protocol'
 import { type AttemptObserver, MemoryInventory, MemoryObjectStore, MemoryTable, MemoryWorker } from '@gypsumspring/standins'
 import { pino } from 'pino'
 import type { Part } from '../../lifecycle/index.ts'
 import { Metrics } from '../../metrics/index.ts'
 import type { ProcessContext } from '../../types.ts'
+import type { SupervisorOptions } from '../ShardSupervisor.ts'
 import { addSchedulerParts } from '../addSchedulerParts.ts'
 
 export const settings = {
@@ -29,6 +30,8 @@
 interface Link {
   cut: boolean
   losesAnswers: boolean
+  /** The worker refuses every start. */
+  refusesStarts: boolean
 }
 
 /** A scheduler process that can be paused (its calls and answers wait) or killed. */
@@ -40,9 +43,10 @@
   #gate: Promise<void> | undefined
   #open: () => void = () => {}
   readonly #parts: Part[] = []
-  version = 0
+  /** Called before a call leaves the process, ahead of a pause. */
+  beforeCall: (target: string, method: string) => void = () => {}
 
-  constructor (id: string, cell: TestCell) {
+  constructor (id: string, cell: TestCell, options: Partial<SupervisorOptions> = {}) {
     this.id = id
     const context = {
       settings: { ...settings, id },
@@ -65,13 +69,13 @@
       rpcAddress: `${id}:1`,
       leaving: false
     }
-    addSchedulerParts(context as unknown as ProcessContext)
+    addSchedulerParts(context as unknown as ProcessContext, options)
     for (const part of this.#parts) part.start?.()
   }
 
   link (target: string): Link {
     let link = this.links.get(target)
-    if (link === undefined) this.links.set(target, link = { cut: false, losesAnswers: false })
+    if (link === undefined) this.links.set(target, link = { cut: false, losesAnswers: false, refusesStarts: false })
     return link
   }
 
@@ -107,7 +111,9 @@
   #wrap<Target extends object> (name: string, target: Target): Target {
     return new Proxy(target, {
       get: (_, method) => async (...parameters: unknown[]): Promise<Outcome<unknown>> => {
+        this.beforeCall(name, String(method))
         while (this.#gate !== undefined) await this.#gate
+        if (method === 'start' && this.link(name).refusesStarts) return done({ results: refuse(parameters[1]) })
         if (this.link(name).cut) return notDone('unavailable', 'cut off')
         const calls = target as Record<string | symbol, (...parameters: unknown[]) => Promise<Outcome<unknown>>>
         const outcome = await calls[method]!.apply(target, parameters)
@@ -118,6 +124,10 @@
   }
 }
 
+function refuse (starts: unknown): StartResult[] {
+  return (starts as AttemptStart[]).map(({ task, attempt }) => ({ task, attempt, accepted: false, detail: 'full' }))
+}
+
 export class TestCell {
   readonly clock: Clock
   readonly table = new MemoryTable()
@@ -169,8 +179,8 @@
     return ++this.#number
   }
 
-  startProcess (id: string): TestProcess {
-    const started = new TestProcess(id, this)
+  startProcess (id: string, options: Partial<SupervisorOptions> = {}): TestProcess {
+    const started = new TestProcess(id, this, options)
     this.processes.set(id, started)
     return started
   }
@@ -202,6 +212,15 @@
     for (const listener of this.#listeners) listener(this.#configuration)
   }
 
+  /** Makes processes that start or take over see a configuration older than the present one. */
+  rewindConfiguration (workloads: Array<Partial<Workload> & { id: string }>): void {
+    this.#listeners.clear()
+    this.#configuration = undefined
+    this.configure(workloads)
+    const operations = { drainedRunners: [], cancelledWorkloads: [] }
+    Object.assign(this.#configuration ?? {}, { index: { version: 0, scopes: {}, operations } })
+  }
+
   async run (ms: number): Promise<void> {
     await this.clock.tickAsync(ms)
   }
