Keep heartbeats ahead of failing stops, and divide only the scopes that changed

A worker that failed every stop got no heartbeat, since the stop was always due first; the leases of its other tasks lapsed. A due heartbeat now goes first.

A changed configuration was divided whole in each scheduler; only changed scopes are divided now.

--- a/packages/core/src/divideConfiguration/index.ts
+++ b/packages/core/src/divideManifest/index.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto'
-import type { Configuration, Workload } from '@gypsumspring/protocol'
+import type { Manifest, Workload } from '@gypsumspring/protocol'
 import { chooseShard } from '../chooseShard/index.ts'
 import type { RetryPolicy } from '../decideAfterEnd/index.ts'
 import type { TaskGroup } from '../types.ts'
@@ -22,29 +22,33 @@
 
 const DEFAULT_RETRY_LIMIT = 3
 
+interface DivideOptions {
+  /** Ids of cancelled workloads of the scope. Default: none. */
+  cancelled?: ReadonlySet<string>
+  /** Tells whether a group is wanted at all; the others are left out before their tasks are named. Default: all. */
+  isRelevant?: (group: Pick<GroupDefinition, 'id' | 'failureDomains'>) => boolean
+}
+
 /**
- * Divides a configuration into task groups: a batch run or a gang is one group, a service has one per failure domain.
+ * Divides the workloads of one scope into task groups: a batch run or a gang is one group, a service has one per
+ * failure domain.
  *
- * @param configuration - The configuration in force.
+ * @param manifest - The manifest in force for the scope.
  * @param failureDomains - All failure domains of the cell; a service that names none runs in each of them.
- * @returns The groups by id. Raising or lowering the tasks of a service changes the last tasks of its groups only.
+ * @param options - Cancelled workloads and the groups wanted.
+ * @returns The groups. Raising or lowering the tasks of a service changes the last tasks of its groups only.
  *
  * @example
- * divideConfiguration(configuration, ['hall-a', 'hall-b']).get('scope/index')
+ * divideManifest(manifest, ['hall-a', 'hall-b'])
  */
-export function divideConfiguration (
-  configuration: Configuration, failureDomains: string[]
-): Map<string, GroupDefinition> {
-  const groups = new Map<string, GroupDefinition>()
-  const cancelled = new Set(
-    configuration.index.operations.cancelledWorkloads.map(({ scope, workload }) => `${scope}/${workload}`))
-  for (const [scope, manifest] of Object.entries(configuration.manifests)) {
-    for (const workload of manifest.workloads ?? []) {
-      const base = describeWorkload(scope, workload, cancelled.has(`${scope}/${workload.id}`))
-      for (const group of divideWorkload(base, workload, failureDomains)) groups.set(group.id, group)
-    }
-  }
-  return groups
+export function divideManifest (
+  manifest: Manifest, failureDomains: string[], options: DivideOptions = {}
+): GroupDefinition[] {
+  const { cancelled = new Set(), isRelevant = () => true } = options
+  return (manifest.workloads ?? []).flatMap((workload) => {
+    const base = describeWorkload(manifest.scope, workload, cancelled.has(workload.id))
+    return divideWorkload(base, workload, failureDomains, isRelevant)
+  })
 }
 
 function digest (value: unknown): string {
@@ -79,9 +83,13 @@
   }
 }
 
-function divideWorkload (base: Base, workload: Workload, failureDomains: string[]): GroupDefinition[] {
+function divideWorkload (
+  base: Base, workload: Workload, failureDomains: string[], isRelevant: Required<DivideOptions>['isRelevant']
+): GroupDefinition[] {
   const id = `${base.scope}/${base.workload}`
-  if (base.kind !== 'service') return [{ ...base, id, tasks: nameTasks(id, workload.tasks) }]
+  if (base.kind !== 'service') {
+    return isRelevant({ ...base, id }) ? [{ ...base, id, tasks: nameTasks(id, workload.tasks) }] : []
+  }
   const domains = (workload.failureDomains ?? failureDomains).toSorted()
   const count = new Map(domains.map((domain) => [domain, Math.floor(workload.tasks / domains.length)]))
   // The remainder goes to domains chosen per workload, so that the first domain does not get it of every workload.
@@ -91,9 +99,9 @@
     count.set(chosen, (count.get(chosen) ?? 0) + 1)
     open = open.filter((domain) => domain !== chosen)
   }
-  return [...count].filter(([, tasks]) => tasks > 0).map(([domain, tasks]) => {
-    const group = `${id}@${domain}`
-    return { ...base, id: group, failureDomains: [domain], tasks: nameTasks(group, tasks) }
+  return [...count].flatMap(([domain, tasks]) => {
+    const group = { ...base, id: `${id}@${domain}`, failureDomains: [domain] }
+    return tasks > 0 && isRelevant(group) ? [{ ...group, tasks: nameTasks(group.id, tasks) }] : []
   })
 }
 
--- a/packages/core/src/nextTaskState/index.ts
+++ b/packages/core/src/nextTaskState/index.ts
@@ -6,6 +6,9 @@
 export type TaskEvent =
   | 'place' | 'recorded' | 'accepted' | 'reportedRunning' | 'ended' | 'endRecorded' | 'requeue' | 'stop' | 'withdraw'
 
+/** Every state of the chart. */
+export const TASK_STATES = Object.keys(chart.states) as TaskState[]
+
 const machine = createMachine(chart)
 
 /** Results by state and event: the chart is small, and a shard makes hundreds of transitions a second. */
--- a/packages/daemon/src/scheduler/ShardSupervisor.ts
+++ b/packages/daemon/src/scheduler/ShardSupervisor.ts
@@ -1,7 +1,5 @@
 import type { Machine } from '@gypsumspring/adapters'
-import {
-  chooseShard, divideConfiguration, listShards, type GroupDefinition, type Placer, type Shard
-} from '@gypsumspring/core'
+import { chooseShard, listShards, type Placer, type Shard } from '@gypsumspring/core'
 import type { Configuration, Resources, ShardStatus } from '@gypsumspring/protocol'
 import { createPartLogger, type Logger } from '../logging/index.ts'
 import type { ProcessContext } from '../types.ts'
@@ -34,6 +32,7 @@
   readonly #callLimiter = new CallLimiter(WORKER_CALLS_AT_ONCE)
   /** Domains stay known when a lagging or empty list does not show them: their share of services must not move. */
   readonly #domains: Set<string>
+  #sortedDomains: string[]
   #machines: Machine[] = []
   #shards: Shard[] = []
   #inventoryTimer: NodeJS.Timeout | undefined
@@ -44,7 +43,8 @@
     this.#context = context
     this.#options = options
     this.#log = createPartLogger(context.logger, 'shard')
-    this.#domains = new Set([context.settings.failureDomain])
+    this.#sortedDomains = [context.settings.failureDomain]
+    this.#domains = new Set(this.#sortedDomains)
   }
 
   start (): void {
@@ -91,14 +91,16 @@
   #follow (machines: Machine[]): void {
     const { settings, configuration } = this.#context
     this.#machines = machines
+    const knownShards = shardIds(this.#shards)
     this.#shards = listShards(machines, this.#options)
-    const domainCount = this.#domains.size
     for (const { failureDomain } of this.#shards) this.#domains.add(failureDomain)
+    const isChanged = shardIds(this.#shards) !== knownShards
+    if (isChanged) this.#sortedDomains = [...this.#domains].sort()
     for (const shard of this.#shards) {
       if (shard.failureDomain === settings.failureDomain && !this.#slots.has(shard.id)) this.#compete(shard.id)
     }
     for (const [id, { owner }] of this.#slots) owner?.setWorkers(this.#workersOf(id))
-    if (this.#domains.size > domainCount && configuration.current !== undefined) this.#configure(configuration.current)
+    if (isChanged && configuration.current !== undefined) this.#configure(configuration.current)
   }
 
   #workersOf (shardId: string): Machine[] {
@@ -193,19 +195,35 @@
     const quotas = new Map<string, Resources>(teams.map(({ id, quota }) => [id, quota]))
     return {
       version: configuration.index.version,
-      groups: divideConfiguration(configuration, [...this.#domains]),
-      isHome: (group: GroupDefinition) => chooseShard(group.id, this.#allowedShards(group)) === shard,
+      manifests,
+      cancelled: groupByScope(configuration.index.operations.cancelledWorkloads),
+      failureDomains: this.#sortedDomains,
+      isHome: (group) => chooseShard(group.id, this.#allowedShards(group)) === shard,
       quotas,
       packingWeight: manifests.find(({ packingWeight }) => packingWeight !== undefined)?.packingWeight ?? 0.5
     }
   }
 
-  #allowedShards ({ failureDomains }: GroupDefinition): string[] {
+  #allowedShards ({ failureDomains }: Parameters<ShardConfiguration['isHome']>[0]): string[] {
     const allowed = this.#shards.filter(({ failureDomain }) => failureDomains?.includes(failureDomain) ?? true)
     return allowed.map(({ id }) => id)
   }
 }
 
+function shardIds (shards: Shard[]): string {
+  return shards.map(({ id }) => id).join()
+}
+
+function groupByScope (cancelled: Array<{ scope: string, workload: string }>): Map<string, Set<string>> {
+  const byScope = new Map<string, Set<string>>()
+  for (const { scope, workload } of cancelled) {
+    const known = byScope.get(scope)
+    if (known === undefined) byScope.set(scope, new Set([workload]))
+    else known.add(workload)
+  }
+  return byScope
+}
+
 function fail (error: unknown): void {
   process.nextTick(() => { throw error })
 }
--- a/packages/daemon/src/scheduler/history.test.ts
+++ b/packages/daemon/src/scheduler/history.test.ts
@@ -73,6 +73,7 @@
       () => process.resume(),
       () => { process.link(workerId).cut = !process.link(workerId).cut },
       () => { process.link(workerId).losesAnswers = !process.link(workerId).losesAnswers },
+      () => { process.link(workerId).delaysStartsMs = this.#below(2) * this.#below(9_000) },
       () => { process.link(workerId).refusesStarts = !process.link(workerId).refusesStarts },
       () => { process.link('table').cut = !process.link('table').cut },
       () => { process.link('table').losesAnswers = !process.link('table').losesAnswers },
--- a/packages/daemon/src/scheduler/shardLease/test.ts
+++ b/packages/daemon/src/scheduler/shardLease/test.ts
@@ -1,5 +1,6 @@
 import FakeTimers, { type Clock } from '@sinonjs/fake-timers'
 import { expect } from 'chai'
+import type { Table, Transaction } from '@gypsumspring/adapters'
 import { MemoryTable } from '@gypsumspring/standins'
 import { pino } from 'pino'
 import { Metrics } from '../../metrics/index.ts'
@@ -13,13 +14,13 @@
   let events: string[]
   let leases: ShardLease[]
 
-  const compete = (owner: string, rank = 0): ShardLease => {
+  const compete = (owner: string, rank = 0, through: Table = table): ShardLease => {
     const lease = new ShardLease({
       shard: 's',
       owner,
       writer: `${owner}-1`,
       address: () => '',
-      table,
+      table: through,
       terms,
       rank: () => rank,
       onGained: ({ epoch }) => events.push(`${owner} gains ${epoch}`),
@@ -75,6 +76,34 @@
     expect(events.at(-1)).to.equal('a loses')
   })
 
+  it('loses against a renewal that arrives while the takeover is on its way', async () => {
+    const a = compete('a')
+    await clock.tickAsync(1_000)
+    /** Takes a second for each write. */
+    const slow = Object.assign(Object.create(table) as MemoryTable, {
+      read: table.read.bind(table),
+      transact: async (transaction: Transaction) => {
+        table.faults.clear()
+        await new Promise((resolve) => setTimeout(resolve, 1_000))
+        return await table.transact(transaction)
+      }
+    })
+    compete('b', 0, slow)
+    await clock.tickAsync(3_000)
+    // The owner does not reach the table until the candidate begins to take over.
+    const read = table.read.bind(table)
+    slow.read = async (key) => {
+      table.faults.clear()
+      const row = await read(key)
+      table.faults.set({ down: true })
+      return row
+    }
+    table.faults.set({ down: true })
+    await clock.tickAsync(14_000)
+    expect(events).to.deep.equal(['a gains 1'])
+    expect(a.right()).to.equal('decide')
+  })
+
   it('keeps the shard over an outage and decides again afterwards, since nobody can have taken it', async () => {
     const a = compete('a')
     await clock.tickAsync(1_000)
--- a/packages/daemon/src/scheduler/shardOwner/AttemptDriver.ts
+++ b/packages/daemon/src/scheduler/shardOwner/AttemptDriver.ts
@@ -55,12 +55,17 @@
     const live = tasks.liveOn(worker).map((task) => (
       { ...toId(task), confirmed: task.confirmed, stopWanted: task.stopReason !== undefined }))
     const { running, ended, resend, absent, surplus, forget } = reconcileWorker(live, reports)
+    const session = workers().session(worker)
     const reported = new Map(reports.map((report) => [`${report.task}#${report.attempt}`, report]))
     for (const id of running) this.#confirm(id)
+    for (const { task, attempt, state } of reports) {
+      // A stop may have been dropped because an earlier report did not show the attempt.
+      const wanted = tasks.findAttempt({ task, attempt })?.stopReason === undefined
+      if (state === 'running' && !wanted) session?.stop({ task, attempt, checkpoint: false })
+    }
     for (const { result, ...id } of ended) this.end(id, result, reported.get(`${id.task}#${id.attempt}`)?.detail ?? '')
     for (const id of resend) this.#send(id)
     for (const id of absent) this.#endAbsent(id)
-    const session = workers().session(worker)
     for (const id of surplus) {
       metrics.count('surplus_attempts')
       log.warn({ worker, ...id }, 'stopping an attempt that is not recorded as live')
@@ -115,10 +120,10 @@
     const records: JournalRecord[] = []
     for (const { task: id, worker } of placements) {
       const task = tasks.find(id)
-      if (task === undefined || !tasks.move(task, 'place')) throw new Error(`placer: placed ${id}, which does not wait`)
+      if (task === undefined || !tasks.place(task, worker)) throw new Error(`placer: placed ${id}, which does not wait`)
       const { resources, revision, group } = submission
       const attempt = ++this.#lastAttempt
-      Object.assign(task, { worker, resources, revision, attempt })
+      Object.assign(task, { resources, revision, attempt })
       Object.assign(task, { confirmed: false, mayHaveReached: false, startedAt: 0 })
       placed.push(task)
       records.push({ kind: 'intent', task: id, group: group.id, attempt, worker, resources, revision })
@@ -187,10 +192,11 @@
   }
 
   #onIntentRecorded (task: Task): void {
-    const { tasks, append } = this.#options
+    const { tasks, append, workers } = this.#options
     tasks.move(task, 'recorded')
     if (task.state !== 'ending') {
-      this.#send(toId(task))
+      if (workers().session(task.worker ?? '') === undefined) this.end(toId(task), 'refused', 'worker is gone')
+      else this.#send(toId(task))
       return
     }
     const record: JournalRecord = { kind: 'end', ...toId(task), result: 'refused', failure: false }
--- /dev/null
+++ b/packages/daemon/src/scheduler/shardOwner/GroupCatalog.ts
@@ -0,0 +1,47 @@
+import { isDeepStrictEqual } from 'node:util'
+import { divideManifest, type GroupDefinition } from '@gypsumspring/core'
+import type { Manifest } from '@gypsumspring/protocol'
+import type { ShardConfiguration } from './options.ts'
+
+interface ScopeGroups {
+  manifest: Manifest
+  cancelled: ReadonlySet<string>
+  groups: GroupDefinition[]
+}
+
+const NONE: ReadonlySet<string> = new Set()
+
+/**
+ * The definitions of the groups that concern one shard. A scope is divided again only after it has changed: the
+ * configuration changes every other second while each change touches one scope.
+ */
+export class GroupCatalog {
+  #scopes = new Map<string, ScopeGroups>()
+  #failureDomains: string[] = []
+
+  /**
+   * Returns the definitions by id; unchanged ones are the same objects as in the last call.
+   *
+   * @param configuration - The configuration in force.
+   * @param isHeld - Tells whether the shard holds a group, whatever its home.
+   */
+  read (configuration: ShardConfiguration, isHeld: (id: string) => boolean): Map<string, GroupDefinition> {
+    const { manifests, cancelled, failureDomains, isHome } = configuration
+    const previous = failureDomains === this.#failureDomains ? this.#scopes : new Map<string, ScopeGroups>()
+    this.#failureDomains = failureDomains
+    this.#scopes = new Map()
+    const groups = new Map<string, GroupDefinition>()
+    for (const manifest of manifests) {
+      const cancelledHere = cancelled.get(manifest.scope) ?? NONE
+      const known = previous.get(manifest.scope)
+      const unchanged = known?.manifest === manifest && isDeepStrictEqual(known.cancelled, cancelledHere)
+      const isRelevant = (group: Parameters<typeof isHome>[0]) => isHeld(group.id) || isHome(group)
+      const divided = unchanged
+        ? known.groups
+        : divideManifest(manifest, failureDomains, { cancelled: cancelledHere, isRelevant })
+      this.#scopes.set(manifest.scope, { manifest, cancelled: cancelledHere, groups: divided })
+      for (const group of divided) groups.set(group.id, group)
+    }
+    return groups
+  }
+}
--- a/packages/daemon/src/scheduler/shardOwner/GroupSettler.ts
+++ b/packages/daemon/src/scheduler/shardOwner/GroupSettler.ts
@@ -26,7 +26,7 @@
 
   /** Returns when the group is to be settled again without a new event, in ms; Infinity for never. */
   settle (group: Group, now: number): number {
-    if (group.closing || group.hold === 'claiming') return Infinity
+    if (group.closing || group.hold === 'claiming' || this.#options.table.groups.get(group.id) !== group) return Infinity
     const { definition } = group
     if (group.hold !== 'held') return this.#considerClaim(group, definition, now)
     if (definition === undefined) return this.#close(group, 'removed', now)
--- a/packages/daemon/src/scheduler/shardOwner/TaskTable.ts
+++ b/packages/daemon/src/scheduler/shardOwner/TaskTable.ts
@@ -1,4 +1,4 @@
-import { nextTaskState, type RecordedState, type TaskEvent } from '@gypsumspring/core'
+import { nextTaskState, TASK_STATES, type RecordedState, type TaskEvent, type TaskState } from '@gypsumspring/core'
 import type { Resources } from '@gypsumspring/protocol'
 import type { Group, Task } from './types.ts'
 
@@ -8,7 +8,7 @@
 export class TaskTable {
   readonly groups = new Map<string, Group>()
   readonly #tasks = new Map<string, Task>()
-  readonly #liveByWorker = new Map<string, Map<string, Task>>()
+  readonly #placedByWorker = new Map<string, Map<string, Task>>()
 
   /** Rebuilds groups and tasks from what is recorded. */
   restore (state: RecordedState, now: number): void {
@@ -25,7 +25,7 @@
       // The previous owner may have sent the start at any time before the takeover.
       task.mayHaveReached = true
       task.lastSentAt = now
-      if (result === undefined) this.#addLive(task)
+      if (result === undefined) this.#addPlaced(task)
     }
   }
 
@@ -91,17 +91,34 @@
     return found?.attempt === attempt ? found : undefined
   }
 
-  get tasks (): Iterable<Task> {
-    return this.#tasks.values()
+  /** Number of tasks by state; every state is present, so that a gauge falls back to 0. */
+  countByState (): Map<TaskState, number> {
+    const counts = new Map<TaskState, number>(TASK_STATES.map((state) => [state, 0]))
+    for (const { state } of this.#tasks.values()) counts.set(state, (counts.get(state) ?? 0) + 1)
+    return counts
   }
 
   /** Attempts on a worker that are recorded as live. */
   liveOn (worker: string): Task[] {
-    return [...this.#liveByWorker.get(worker)?.values() ?? []]
+    const placed = [...this.#placedByWorker.get(worker)?.values() ?? []]
+    return placed.filter(({ state }) => state !== 'recording' && state !== 'withdrawing')
+  }
+
+  /** No task is placed on the worker, whether recorded or about to be. */
+  isIdle (worker: string): boolean {
+    return !this.#placedByWorker.has(worker)
+  }
+
+  /** Gives a waiting task a worker; false when the task does not wait. */
+  place (task: Task, worker: string): boolean {
+    if (!this.move(task, 'place')) return false
+    task.worker = worker
+    this.#addPlaced(task)
+    return true
   }
 
   get workersWithTasks (): string[] {
-    return [...this.#liveByWorker.keys()]
+    return [...this.#placedByWorker.keys()]
   }
 
   /** Moves a task along its life cycle; false when the event is not possible in its state. */
@@ -109,22 +126,21 @@
     const next = nextTaskState(task.state, event)
     if (next === undefined) return false
     task.state = next
-    if (event === 'recorded') this.#addLive(task)
-    else if (event === 'endRecorded') this.#removeLive(task)
+    if (event === 'endRecorded') this.#removePlaced(task)
     return true
   }
 
-  #addLive (task: Task): void {
+  #addPlaced (task: Task): void {
     const worker = task.worker ?? ''
-    const live = this.#liveByWorker.get(worker)
-    if (live === undefined) this.#liveByWorker.set(worker, new Map([[task.id, task]]))
+    const live = this.#placedByWorker.get(worker)
+    if (live === undefined) this.#placedByWorker.set(worker, new Map([[task.id, task]]))
     else live.set(task.id, task)
   }
 
-  #removeLive (task: Task): void {
-    const live = this.#liveByWorker.get(task.worker ?? '')
+  #removePlaced (task: Task): void {
+    const live = this.#placedByWorker.get(task.worker ?? '')
     live?.delete(task.id)
-    if (live?.size === 0) this.#liveByWorker.delete(task.worker ?? '')
+    if (live?.size === 0) this.#placedByWorker.delete(task.worker ?? '')
   }
 }
 
--- a/packages/daemon/src/scheduler/shardOwner/index.ts
+++ b/packages/daemon/src/scheduler/shardOwner/index.ts
@@ -5,6 +5,7 @@
 import { Journal, type AppendResult } from '../journal/index.ts'
 import type { Ownership } from '../shardLease/index.ts'
 import { AttemptDriver } from './AttemptDriver.ts'
+import { GroupCatalog } from './GroupCatalog.ts'
 import { GroupSettler } from './GroupSettler.ts'
 import type { ShardConfiguration, ShardOwnerOptions, WorkerMachine } from './options.ts'
 import { Submissions } from './Submissions.ts'
@@ -26,6 +27,7 @@
   readonly #settler: GroupSettler
   readonly #driver: AttemptDriver
   readonly #workers: WorkerSet
+  readonly #catalog = new GroupCatalog()
   readonly #dirty = new Set<Group>()
   /** Times at which groups are to be settled again, in ms. */
   readonly #wakeAt = new Map<Group, number>()
@@ -34,6 +36,7 @@
   #configured = false
   /** The placer counts the attempts of previous owners. */
   #adopted = false
+  #turnMs = 0
   #turnTimer: NodeJS.Timeout | undefined
   readonly #sweepTimer: NodeJS.Timeout
   #closed = false
@@ -67,7 +70,7 @@
       claim: (group, definition) => this.#claim(group, definition),
       stop: (task, reason, checkpoint) => this.#driver.stop(task, reason, checkpoint)
     })
-    const isIdle = (worker: string) => this.#table.liveOn(worker).length === 0
+    const isIdle = (worker: string) => this.#table.isIdle(worker)
     this.#workers = new WorkerSet(this.#options, this.#driver, () => this.configVersion, isIdle)
     this.#table.restore(record.state, performance.now())
     this.#sweepTimer = setInterval(() => this.#sweep(), SWEEP_MS)
@@ -112,13 +115,17 @@
     this.#configured = true
     placer.setQuotas(configuration.quotas)
     placer.setPackingWeight(configuration.packingWeight)
+    const definitions = this.#catalog.read(configuration, (id) => this.#table.groups.has(id))
     for (const group of this.#table.groups.values()) {
-      group.definition = configuration.groups.get(group.id)
-      group.wanted = new Set(group.definition?.tasks)
-      if (group.impossible !== undefined || group.hold === 'foreign') group.retryAt = 0
+      const definition = definitions.get(group.id)
+      const isRetried = group.impossible !== undefined || group.hold === 'foreign'
+      if (isRetried) group.retryAt = 0
+      if (definition === group.definition && definition !== undefined && !isRetried) continue
+      group.definition = definition
+      group.wanted = new Set(definition?.tasks)
       this.#dirty.add(group)
     }
-    for (const definition of configuration.groups.values()) this.#considerHome(definition, configuration)
+    for (const definition of definitions.values()) this.#considerHome(definition)
     this.#schedule()
   }
 
@@ -134,9 +141,9 @@
     this.#workers.close()
   }
 
-  #considerHome (definition: GroupDefinition, configuration: ShardConfiguration): void {
+  #considerHome (definition: GroupDefinition): void {
     const { id, team, kind, generation, tasks } = definition
-    if (this.#table.groups.has(id) || definition.cancelled || !configuration.isHome(definition)) return
+    if (this.#table.groups.has(id) || definition.cancelled) return
     const submittedAt = performance.now()
     const group = this.#table.addGroup({ id, team, kind, generation, outcome: undefined, hold: 'unclaimed', submittedAt })
     group.definition = definition
@@ -163,7 +170,7 @@
       then()
       if (this.#table.groups.get(group.id) === group) this.#markDirty(group)
       // The group may have come back into the configuration meanwhile.
-      else if (this.#configuration?.groups.has(group.id) === true) this.configure(this.#configuration)
+      else if (this.#configuration !== undefined) this.configure(this.#configuration)
     })
   }
 
@@ -186,7 +193,7 @@
     }
   }
 
-  #schedule (delayMs: number = SETTLE_MS): void {
+  #schedule (delayMs: number = Math.max(SETTLE_MS, this.#turnMs)): void {
     if (this.#closed || this.#turnTimer !== undefined) return
     this.#turnTimer = setTimeout(() => {
       this.#turnTimer = undefined
@@ -215,10 +222,13 @@
       if (wakeAt === Infinity) this.#wakeAt.delete(group)
       else this.#wakeAt.set(group, wakeAt)
     }
+    const decidedAt = performance.now()
     const decisions = this.#options.placer.decide(now, DECISIONS_PER_TURN)
-    this.#options.metrics.recordDuration('decision', performance.now() - now)
+    this.#options.metrics.recordDuration('decision', performance.now() - decidedAt)
     for (const decision of decisions) this.#apply(decision)
-    if (decisions.length === DECISIONS_PER_TURN) this.#schedule(0)
+    // Rounds take at most half of the time, whatever the size of the groups.
+    this.#turnMs = performance.now() - now
+    if (decisions.length === DECISIONS_PER_TURN) this.#schedule(this.#turnMs)
   }
 
   #apply (decision: PlacementDecision): void {
@@ -258,10 +268,17 @@
       }
       if (this.#workers.isLeaving(worker)) this.#drain(worker)
     }
+    this.#publish()
     for (const [group, wakeAt] of this.#wakeAt) if (wakeAt <= now) this.#dirty.add(group)
     this.#schedule()
   }
 
+  #publish (): void {
+    const { metrics, ownership: { shard } } = this.#options
+    for (const [state, count] of this.#table.countByState()) metrics.set('tasks', count, { shard, state })
+    metrics.set('shard_deciding', this.pauseReason === undefined ? 1 : 0, { shard })
+  }
+
   /** Moves what can be moved off a leaving worker; other batch tasks may finish there. */
   #drain (worker: string): void {
     if (this.pauseReason !== undefined) return
--- a/packages/daemon/src/scheduler/shardOwner/options.ts
+++ b/packages/daemon/src/scheduler/shardOwner/options.ts
@@ -1,6 +1,6 @@
 import type { Machine, ObjectStore, Table, WorkerConnector } from '@gypsumspring/adapters'
 import type { GroupDefinition, LeaseRight, Placer } from '@gypsumspring/core'
-import type { Resources } from '@gypsumspring/protocol'
+import type { Manifest, Resources } from '@gypsumspring/protocol'
 import type { Logger } from '../../logging/index.ts'
 import type { Metrics } from '../../metrics/index.ts'
 import type { Settings } from '../../settings/index.ts'
@@ -11,10 +11,13 @@
 /** The part of the configuration that concerns one shard. */
 export interface ShardConfiguration {
   version: number
-  /** Every group of the configuration by id. */
-  groups: Map<string, GroupDefinition>
+  manifests: Manifest[]
+  /** Cancelled workloads by scope. */
+  cancelled: Map<string, Set<string>>
+  /** All failure domains of the cell; the same array as long as neither they nor the shards change. */
+  failureDomains: string[]
   /** Tells whether this shard is the home of a group. */
-  isHome: (group: GroupDefinition) => boolean
+  isHome: (group: Pick<GroupDefinition, 'id' | 'failureDomains'>) => boolean
   quotas: Map<string, Resources>
   packingWeight: number
 }
--- a/packages/daemon/src/scheduler/test.ts
+++ b/packages/daemon/src/scheduler/test.ts
@@ -118,6 +118,23 @@
       expect(cell.runningOn('s/x/0')).to.have.length(1)
     })
 
+    it('learns of an end that the old owner could not record, or finished work would run again', async () => {
+      cell = new TestCell(2)
+      const a = cell.startProcess('a')
+      await cell.run(1_000)
+      const b = cell.startProcess('b')
+      cell.configure([{ id: 'x', payload: { runMs: 10_000 } }])
+      await cell.run(6_000)
+      cell.table.faults.set({ down: true })
+      await cell.run(15_000)
+      expect(cell.succeeded.size).to.equal(1)
+      a.kill()
+      cell.table.faults.clear()
+      await cell.run(60_000)
+      expect((await b.status())?.tasks[0]?.state).to.equal('succeeded')
+      expect(cell.starts).to.have.length(1)
+    })
+
     it('stops attempts that the journal does not know, and gives their room away only then', async () => {
       cell = new TestCell(1)
       const worker = cell.worker('w0')
@@ -125,12 +142,11 @@
       const start = { task: 'stray', resources: { ...SLOT, cpuMillis: 2_000 }, leaseMs: 60_000, payload: {} }
       await worker.start(session, [{ ...start, attempt: 1 }])
       const a = cell.startProcess('a')
-      a.beforeCall = (_, method) => { if (method === 'stop') a.link('w0').cut = true }
+      a.beforeCall = (target, method) => { a.link(target).cut = method === 'stop' }
       cell.configure([{ id: 'x', ...LONG }])
       await cell.run(20_000)
       expect(cell.runningTasks).to.deep.equal(['stray'])
-      a.beforeCall = () => {}
-      a.link('w0').cut = false
+      a.beforeCall = (target) => { a.link(target).cut = false }
       await cell.run(20_000)
       expect(cell.runningTasks).to.deep.equal(['s/x/0'])
     })
@@ -199,6 +215,18 @@
       expect(cell.runningOn('s/x/0')).to.have.length(1).and.not.include(home)
     })
 
+    it('that fails every stop still gets its heartbeats, or its other tasks would lapse', async () => {
+      cell = new TestCell(1)
+      const a = cell.startProcess('a')
+      cell.configure([{ id: 'x', ...LONG }, { id: 'y', ...LONG }])
+      await cell.run(8_000)
+      a.beforeCall = (target, method) => { a.link(target).cut = method === 'stop' }
+      cell.configure([{ id: 'x', ...LONG }])
+      await cell.run(60_000)
+      expect(cell.runningTasks).to.include('s/x/0')
+      expect(cell.starts).to.have.length(2)
+    })
+
     it('that dies loses its tasks to other workers, and is used again when it is back', async () => {
       const { home } = await runOne()
       cell.worker(home).fail()
@@ -241,6 +269,20 @@
       expect((await a.status())?.tasks[0]).to.include({ task: 's/x', state: 'cancelled' })
     })
 
+    it('of a start that takes effect late keeps its room until the attempt has certainly ended', async () => {
+      cell = new TestCell(1)
+      const a = cell.startProcess('a')
+      const whole = { ...SLOT, cpuMillis: 2_000 }
+      a.link('w0').delaysStartsMs = 8_000
+      cell.configure([{ id: 'x', resources: whole, ...LONG }])
+      await cell.run(3_000)
+      a.link('w0').delaysStartsMs = 0
+      cell.configure([{ id: 'y', resources: whole, ...LONG }])
+      await cell.run(30_000)
+      expect(cell.starts.map(({ task }) => task)).to.deep.equal(['s/x/0', 's/y/0'])
+      expect(cell.runningTasks).to.deep.equal(['s/y/0'])
+    })
+
     it('while the intent is being recorded sends no start', async () => {
       cell = new TestCell(2)
       const a = cell.startProcess('a')
@@ -255,6 +297,22 @@
       expect((await a.status())?.tasks[0]).to.include({ state: 'cancelled' })
     })
 
+    it('gives the room of a task away only after the task has ended', async () => {
+      cell = new TestCell(1)
+      const a = cell.startProcess('a')
+      const whole = { ...SLOT, cpuMillis: 2_000 }
+      cell.configure([{ id: 'x', resources: whole, ...LONG }])
+      await cell.run(8_000)
+      // Heartbeats reach the worker, stops do not.
+      a.beforeCall = (target, method) => { a.link(target).cut = method === 'stop' }
+      cell.configure([{ id: 'y', resources: whole, ...LONG }])
+      await cell.run(20_000)
+      expect(cell.runningTasks).to.deep.equal(['s/x/0'])
+      a.beforeCall = (target) => { a.link(target).cut = false }
+      await cell.run(20_000)
+      expect(cell.runningTasks).to.deep.equal(['s/y/0'])
+    })
+
     it('of many workloads at once takes a handful of journal writes', async () => {
       cell = new TestCell(10, { ...SLOT, cpuMillis: 50_000, memoryMb: 50_000 })
       cell.startProcess('a')
@@ -314,6 +372,7 @@
     await cell.run(2_000)
     expect(cell.runningTasks).to.deep.equal(['s/high/0'])
     await cell.run(50_000)
+    expect(cell.ends[0]).to.deep.equal({ task: 's/low/0', state: 'checkpointed' })
     expect([...cell.succeeded].sort()).to.deep.equal(['s/high/0', 's/low/0'])
   })
 
--- a/packages/daemon/src/scheduler/testSupport/index.ts
+++ b/packages/daemon/src/scheduler/testSupport/index.ts
@@ -32,6 +32,8 @@
   losesAnswers: boolean
   /** The worker refuses every start. */
   refusesStarts: boolean
+  /** Starts get no answer and take effect this much later, in ms. */
+  delaysStartsMs: number
 }
 
 /** A scheduler process that can be paused (its calls and answers wait) or killed. */
@@ -75,7 +77,10 @@
 
   link (target: string): Link {
     let link = this.links.get(target)
-    if (link === undefined) this.links.set(target, link = { cut: false, losesAnswers: false, refusesStarts: false })
+    if (link === undefined) {
+      link = { cut: false, losesAnswers: false, refusesStarts: false, delaysStartsMs: 0 }
+      this.links.set(target, link)
+    }
     return link
   }
 
@@ -116,6 +121,10 @@
         if (method === 'start' && this.link(name).refusesStarts) return done({ results: refuse(parameters[1]) })
         if (this.link(name).cut) return notDone('unavailable', 'cut off')
         const calls = target as Record<string | symbol, (...parameters: unknown[]) => Promise<Outcome<unknown>>>
+        if (method === 'start' && this.link(name).delaysStartsMs > 0) {
+          setTimeout(() => { calls[method]!.apply(target, parameters) }, this.link(name).delaysStartsMs)
+          return unknownEffect('timeout', 'start is late')
+        }
         const outcome = await calls[method]!.apply(target, parameters)
         while (this.#gate !== undefined) await this.#gate
         return this.link(name).losesAnswers ? unknownEffect('timeout', 'answer lost') : outcome
@@ -138,6 +147,7 @@
   /** Running attempts by task, as the workers see them. */
   readonly running = new Map<string, Array<{ worker: string, report: AttemptReport }>>()
   readonly starts: Array<{ worker: string, task: string, attempt: number }> = []
+  readonly ends: Array<{ task: string, state: string }> = []
   /** Tasks that have succeeded at a worker. */
   readonly succeeded = new Set<string>()
   /** Tasks whose success is in the journal. */
@@ -262,7 +272,10 @@
       if (this.recordedSuccesses.has(task) && !task.startsWith('s/gang/')) {
         this.violations.push(`${task} started after its success was recorded`)
       }
-    } else if (report.state === 'succeeded') this.succeeded.add(task)
+    } else {
+      this.ends.push({ task, state: report.state })
+      if (report.state === 'succeeded') this.succeeded.add(task)
+    }
     if (others.length === 0) this.running.delete(task)
     else this.running.set(task, others)
     const here = [...this.running.values()].flat().filter((each) => each.worker === worker)
--- a/packages/daemon/src/scheduler/workerSession/index.ts
+++ b/packages/daemon/src/scheduler/workerSession/index.ts
@@ -1,4 +1,4 @@
-import type { AttemptStart, WorkerClient, WorkerSession as Session } from '@gypsumspring/adapters'
+import type { AttemptReport, AttemptStart, WorkerClient, WorkerSession as Session } from '@gypsumspring/adapters'
 import { computeLossTime, type AttemptId } from '@gypsumspring/core'
 import type { Failure, Outcome } from '@gypsumspring/protocol'
 import { CHECKPOINT_TRIES, STARTS_PER_CALL, STOP_GRACE_MS, WORKER_RETRY_MS } from '../constants/index.ts'
@@ -20,7 +20,10 @@
   readonly #starts = new Map<string, AttemptStart>()
   readonly #stops = new Map<string, StopOrder & { tries: number, notBefore: number }>()
   readonly #acknowledgements = new Map<string, AttemptId>()
+  /** When the next heartbeat or attempt to open a session is due, in ms. */
   #nextContactAt: number
+  /** A stop was sent: its result is wanted before the next heartbeat is due. */
+  #reportWanted = false
   #answeredAt = -Infinity
   /** End of the last call that may have renewed a task lease; absent before this owner's first session. */
   #renewedAt: number | undefined
@@ -115,11 +118,13 @@
       return now < this.#nextContactAt || owner.right() === 'none' ? undefined : () => callLimiter.run(() => this.#open())
     }
     const session = this.#session
+    // A due heartbeat goes first: many or failing stops must not let the leases of other tasks lapse.
+    if (now >= this.#nextContactAt) return () => callLimiter.run(() => this.#heartbeat(session))
     for (const order of this.#stops.values()) {
       if (order.notBefore <= now) return () => callLimiter.run(() => this.#stop(session, order))
     }
     if (this.#starts.size > 0 && owner.right() === 'decide') return () => startLimiter.run(() => this.#start(session))
-    return now < this.#nextContactAt ? undefined : () => callLimiter.run(() => this.#heartbeat(session))
+    return this.#reportWanted ? () => callLimiter.run(() => this.#heartbeat(session)) : undefined
   }
 
   async #open (): Promise<void> {
@@ -128,6 +133,7 @@
     const request = { shard, epoch, ttlMs: terms.sessionTtlMs, label: label() }
     const outcome = await this.#client.openSession(request)
     this.#settle('open', outcome)
+    if (!this.#closed) outcome.ifLeft((failure) => this.#returnStarts(failure))
     outcome.ifRight((opened) => {
       this.#session = { worker, session: opened.session, shard, epoch }
       // Leases may have been renewed up to this moment by a previous owner, who is fenced from now on.
@@ -146,11 +152,13 @@
     const renewals = answering && owner.right() !== 'none' ? owner.listRenewals(worker) : []
     const acknowledge = [...this.#acknowledgements.values()]
     this.#nextContactAt = performance.now() + terms.heartbeatMs
+    this.#reportWanted = false
     const request = { renewals, leaseMs: terms.taskLeaseMs, acknowledge }
     const outcome = await this.#client.heartbeat(session, request)
     if (renewals.length > 0) this.#noteRenewal(outcome)
     this.#settle('heartbeat', outcome)
     outcome.ifRight(({ attempts }) => {
+      this.#dropSettledStops(attempts)
       for (const id of acknowledge) this.#acknowledgements.delete(toKey(id))
       if (!this.#closed) owner.onReports(worker, attempts)
     })
@@ -189,7 +197,21 @@
     this.#settle('stop', stopped)
     order.notBefore = performance.now() + (stopped.isRight() ? STOP_GRACE_MS : WORKER_RETRY_MS)
     // The end of the attempt is learned from the next report.
-    if (stopped.isRight()) this.#nextContactAt = Math.min(this.#nextContactAt, performance.now())
+    if (stopped.isRight()) this.#reportWanted = true
+  }
+
+  /** Forgets stops of attempts that no longer run; the owner asks again for those that turn up later. */
+  #dropSettledStops (reports: AttemptReport[]): void {
+    const running = new Set(reports.filter(({ state }) => state === 'running').map(toKey))
+    for (const key of this.#stops.keys()) if (!running.has(key)) this.#stops.delete(key)
+  }
+
+  /** Returns starts that can't be sent to the owner, which may place those elsewhere that never left. */
+  #returnStarts (failure: Failure): void {
+    if (this.#starts.size === 0) return
+    const starts = [...this.#starts.values()]
+    this.#starts.clear()
+    this.#options.owner.onStartFailed(this.#options.worker, starts, { ...failure, certainty: 'not-done' })
   }
 
   #noteRenewal (outcome: Outcome<unknown>): void {
@@ -213,8 +235,11 @@
     metrics.count('worker_call_failed', { call, reason })
     if (this.#closed) return
     if (reason === 'stale-epoch') owner.onFenced(worker)
-    if (reason === 'session-expired' || call === 'open') this.#session = undefined
-    this.#nextContactAt = performance.now() + (reason === 'session-expired' ? 0 : WORKER_RETRY_MS)
+    const retryAt = performance.now() + WORKER_RETRY_MS
+    if (reason === 'session-expired') {
+      this.#session = undefined
+      this.#nextContactAt = performance.now()
+    } else this.#nextContactAt = call === 'open' ? retryAt : Math.min(this.#nextContactAt, retryAt)
     if (reason === 'session-expired' || this.#silent) return
     log.info({ worker, call, reason, message }, 'worker does not answer')
     this.#silent = true
