--- a/packages/daemon/src/entry/addEntryParts.ts
+++ b/packages/daemon/src/entry/addEntryParts.ts
@@ -165,7 +165,7 @@
     this.#unsubscribe()
     this.#inventory.close()
     await this.#reporter.close(GIVE_BACK_MS)
-    await this.allocator.settle()
+    await this.allocator.handOver()
     await this.#lease.close()
     this.#routes.close()
   }
--- a/packages/daemon/src/entry/callerFront/index.ts
+++ b/packages/daemon/src/entry/callerFront/index.ts
@@ -28,6 +28,9 @@
 /** Reasons whose cause is the caller's own rate, so that the caller should slow down instead of changing the entry. */
 const TOO_MANY_REASONS = new Set(['queue-full', 'team-limit'])
 
+/** Time after the deadline for the caller to take the rest of an answer, in ms. */
+const LATE_WRITE_MS = 1000
+
 /** How long a connection without a request is kept during the shutdown, in ms. */
 const UNUSED_CONNECTION_MS = 200
 
@@ -132,7 +135,12 @@
     const call = toCall(request, endpoint, options.unsafeCoerce(), arrivedAt, body)
     reply.header('x-request-id', call.requestId)
     const { result, abandon } = this.#parts.serve(call)
-    reply.raw.once('close', () => { if (!reply.raw.writableFinished) abandon() })
+    // A caller that stops reading would hold the runner's slot, and the shutdown, for as long as it likes.
+    const timer = setTimeout(() => reply.raw.destroy(), call.deadline - performance.now() + LATE_WRITE_MS)
+    reply.raw.once('close', () => {
+      clearTimeout(timer)
+      if (!reply.raw.writableFinished) abandon()
+    })
     if (reply.raw.destroyed) abandon()
     return await this.#answer(reply, call.requestId, await result)
   }
--- a/packages/daemon/src/entry/slotAllocator/index.ts
+++ b/packages/daemon/src/entry/slotAllocator/index.ts
@@ -33,6 +33,8 @@
   /** Version of the row of registrations; 0 when absent. */
   version: number
   registrations: SlotRegistration[]
+  /** Registrations whose process has given all its tokens back. */
+  left: Set<string>
   writing: Promise<void> | undefined
 }
 
@@ -77,7 +79,7 @@
         const ledger = createSlotLedger(
           { epoch: term.epoch, registrations, renewedAt: lease.renewedAt }, performance.now())
         ledger.setRunners(this.#runners)
-        this.#office = { term, ledger, version: row?.version ?? 0, registrations, writing: undefined }
+        this.#office = { term, ledger, version: row?.version ?? 0, registrations, left: new Set(), writing: undefined }
         this.#timer = setInterval(() => this.#check(), CHECK_MS)
         logger.info({ failureDomain, epoch: term.epoch, registrations: registrations.length }, 'allocating')
         return
@@ -101,6 +103,8 @@
     }
     office.ledger.renewed(this.#parts.lease.renewedAt)
     const answer = office.ledger.handle(report, performance.now())
+    if (report.leaving && report.holdings.length === 0) office.left.add(registrationKey(report))
+    else office.left.delete(registrationKey(report))
     this.#parts.metrics.count('slot_reports', { result: answer.registered ? 'answered' : 'unregistered' })
     this.#writeRegistrations(office)
     return answer
@@ -111,13 +115,18 @@
     return [...new Set(this.#office?.registrations.map(({ entry }) => entry))]
   }
 
-  /** Writes outstanding registrations, so that the next allocator does not wait for entries that are gone. */
-  async settle (): Promise<void> {
+  /**
+   * Ends the office before the lease is given up. Entries that have given all their tokens back are taken out of the
+   * row: the ledger keeps them for a while to recognise delayed reports, but the next allocator refuses those by their
+   * epoch, and would withhold every free token until an entry that is gone has answered.
+   */
+  async handOver (): Promise<void> {
     const office = this.#office
     if (office === undefined) return
     await office.writing
-    this.#writeRegistrations(office)
-    await office.writing
+    const registrations = office.ledger.pendingRegistrations() ?? office.registrations
+    this.lose()
+    await this.#write(office, registrations.filter((registration) => !office.left.has(registrationKey(registration))))
   }
 
   /** The VM of an entry that was listed before is no longer in the inventory. */
@@ -187,3 +196,7 @@
     office.ledger.confirmRegistrations(registrations)
   }
 }
+
+function registrationKey ({ entry, incarnation }: { entry: string, incarnation: string }): string {
+  return `${entry}/${incarnation}`
+}
