--- a/packages/core/src/createSlotLedger/test.ts
+++ b/packages/core/src/createSlotLedger/test.ts
@@ -58,7 +58,8 @@
 
   start (runner: string, time: number): void {
     this.trim(time * this.drift)
-    if ((this.held.get(runner) ?? 0) > this.busy(runner)) this.inUse.set(runner, [...this.inUse.get(runner) ?? [], time])
+    if ((this.held.get(runner) ?? 0) <= this.busy(runner)) return
+    this.inUse.set(runner, [...this.inUse.get(runner) ?? [], time])
   }
 
   /** Finishes exchanges started before `time`. */
--- a/packages/core/src/placement/_lib/TaskBook.ts
+++ b/packages/core/src/placement/_lib/TaskBook.ts
@@ -81,6 +81,16 @@
     return true
   }
 
+  /** Takes a task that holds no worker out of its group. Returns true when the group has no task left. */
+  withdraw (task: TaskRecord): boolean {
+    if (task.worker !== undefined) throw new Error(`task ${task.id} still holds worker ${task.worker}`)
+    const { group } = task
+    removeWaiting(task)
+    group.tasks.splice(group.tasks.indexOf(task), 1)
+    this.tasks.delete(task.id)
+    return group.tasks.length === 0
+  }
+
   /** Forgets a group and its tasks but for the placed ones, which it returns; they are forgotten when released. */
   cancel (group: GroupRecord): TaskRecord[] {
     group.cancelled = true
--- a/packages/core/src/placement/indexed/IndexedPlacer.ts
+++ b/packages/core/src/placement/indexed/IndexedPlacer.ts
@@ -108,6 +108,11 @@
     this.#syncWorker(entry)
   }
 
+  withdraw (task: string): void {
+    const record = this.#book.tasks.get(task)
+    if (record !== undefined && this.#book.withdraw(record)) this.cancel(record.group.spec.id)
+  }
+
   cancel (group: string): string[] {
     const record = this.#book.groups.get(group)
     if (record === undefined) return []
--- a/packages/core/src/placement/naive/NaivePlacer.ts
+++ b/packages/core/src/placement/naive/NaivePlacer.ts
@@ -85,6 +85,11 @@
     if (this.#book.release(record)) this.#checked.delete(record.group)
   }
 
+  withdraw (task: string): void {
+    const record = this.#book.tasks.get(task)
+    if (record !== undefined && this.#book.withdraw(record)) this.cancel(record.group.spec.id)
+  }
+
   cancel (group: string): string[] {
     const record = this.#book.groups.get(group)
     if (record === undefined) return []
--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -61,6 +61,11 @@
   restore (task: string, worker: string): void
   /** Frees the capacity of a task that has ended for certain. */
   release (task: string): void
+  /**
+   * Takes a task that holds no worker out of its group, so that its id may be submitted again in another group. Unknown
+   * tasks are ignored.
+   */
+  withdraw (task: string): void
   /** Drops a group; returns its placed tasks, whose capacity stays taken until each is released. */
   cancel (group: string): string[]
   /** Measured use, for the choice of later placements only; never frees declared capacity. */
--- a/packages/daemon/src/entry/testSupport/Cell.ts
+++ b/packages/daemon/src/entry/testSupport/Cell.ts
@@ -110,6 +110,7 @@
       },
       peers: this.peers,
       handlers,
+      leaving: false,
       rpcAddress: id
     }
     this.join({ id, failureDomain }, handlers)
--- a/packages/daemon/src/scheduler/shardOwner/Submissions.ts
+++ b/packages/daemon/src/scheduler/shardOwner/Submissions.ts
@@ -66,7 +66,11 @@
     const { resources, revision, failureDomains, estimatedRunMs } = definition
     const submission: Submission = { id, group, shape: describeShape(definition), resources, revision, open: true }
     this.#byId.set(id, submission)
-    for (const task of tasks) task.submission = submission
+    for (const task of tasks) {
+      // A task that leaves an older submission which stays open for others.
+      this.#placer.withdraw(task.id)
+      task.submission = submission
+    }
     this.#placer.submit({
       id,
       team: definition.team,
