Damp the movement of slot tokens; add the slots benchmark

Cause: with shares from momentary loads, moving tokens cost more slots than it gained. Ruled out: the interval alone (10 ms reports were stable from the start).

--- a/packages/bench/src/benchmarks.ts
+++ b/packages/bench/src/benchmarks.ts
@@ -1,7 +1,10 @@
+import { measureSlots } from './measureSlots/index.ts'
+
 /** A benchmark reports each case as a row of named figures; units are part of the names. */
 export type Benchmark = (report: (row: Record<string, string | number>) => void) => Promise<void> | void
 
 export const benchmarks: Record<string, Benchmark> = {
+  slots: measureSlots
 }
 
 export type BenchmarkName = string
--- a/packages/core/src/createSlotLedger/_lib/planMoves.ts
+++ b/packages/core/src/createSlotLedger/_lib/planMoves.ts
@@ -1,6 +1,6 @@
 import type { SlotMove } from '@gypsumspring/protocol'
-import { IDLE_SURPLUS_SHARE, STARVATION_MS } from '../constants/index.ts'
-import { runnerKey, type Claim, type Claims, type RunnerSlots } from './Claims.ts'
+import { STARVATION_MS, SURPLUS_SHARE } from '../constants/index.ts'
+import { runnerKey, type Claim, type Claims, type EndpointLoad, type RunnerSlots } from './Claims.ts'
 import { planTargets } from './planTargets.ts'
 
 interface Moves {
@@ -38,20 +38,27 @@
   }))
   const { held, inUse, waiting } = claims.load(claim, endpoint)
   const target = targets.get(claim.entry) ?? 0
-  const wanted = Math.max(target - held, waiting - (held - inUse))
+  const missing = takers.filter((each) => each !== claim).reduce((sum, each) => {
+    return sum + Math.max(0, (targets.get(each.entry) ?? 0) - claims.load(each, endpoint).held)
+  }, 0)
+  // Free tokens that were recalled for other entries are left to them.
+  const wanted = Math.max(target - held, Math.min(waiting - (held - inUse), free - missing))
   if (wanted > 0 && free > 0) {
     return { grants: grant(claims, claim, runners, Math.min(wanted, free)), releases: overdrawn }
   }
-  const others = takers.filter((each) => each !== claim).map((each) => {
-    const load = claims.load(each, endpoint)
-    return { missing: Math.max(0, (targets.get(each.entry) ?? 0) - load.held), waiting: load.waiting > 0 }
-  })
-  const missing = others.reduce((sum, other) => sum + other.missing, 0) - free
-  const urgent = others.some((other) => other.waiting && other.missing > 0)
-  const kept = urgent ? 0 : Math.max(1, Math.ceil(held * IDLE_SURPLUS_SHARE))
-  const surplus = Math.min(held - target, missing)
-  if (surplus <= kept || surplus <= 0 || overdrawn.length > 0) return { grants: [], releases: overdrawn }
-  return { grants: [], releases: recall(claim, runners, surplus) }
+  const surplus = overdrawn.length > 0 ? 0 : Math.min(recallable(claims.load(claim, endpoint), target), missing - free)
+  return { grants: [], releases: surplus > 0 ? recall(claim, runners, surplus) : overdrawn }
+}
+
+/**
+ * How many tokens above its target an entry can be asked for. A token on its way is idle for about a report interval,
+ * so moving tokens to follow each fluctuation of the load would cost more slots than it gains.
+ */
+function recallable ({ held, inUse, waiting }: EndpointLoad, target: number): number {
+  const surplus = held - target
+  const idle = held - inUse
+  if (surplus > Math.max(1, held * SURPLUS_SHARE)) return waiting > 0 ? Math.ceil(surplus / 2) : surplus
+  return waiting > 0 ? 0 : Math.min(surplus, idle)
 }
 
 function isActive (claim: Claim): boolean {
--- a/packages/core/src/createSlotLedger/constants/index.ts
+++ b/packages/core/src/createSlotLedger/constants/index.ts
@@ -7,9 +7,9 @@
  * report of a dead process that arrives later than this could be taken for a restart.
  */
 export const LONGEST_DEADLINE_MS = 30_000
-/** Share of its tokens that an entry keeps above its target while nobody waits; avoids moving back and forth. */
-export const IDLE_SURPLUS_SHARE = 0.1
-/** Weight of a lower load figure; higher ones count in full at once. */
-export const LOAD_DECAY = 0.2
+/** A surplus above this share of an entry's tokens is recalled even while requests wait there. */
+export const SURPLUS_SHARE = 0.15
+/** Time constant of the average load. Tokens that followed each fluctuation would be idle on their way too often. */
+export const LOAD_WINDOW_MS = 250
 /** After this long without a token an entry with waiting requests outweighs any remainder of a share. */
 export const STARVATION_MS = 200
--- a/packages/core/src/createSlotLedger/index.ts
+++ b/packages/core/src/createSlotLedger/index.ts
@@ -2,7 +2,7 @@
 import type { SlotAnswer, SlotLedger, SlotRegistration, SlotReport, SlotRunner } from '../types.ts'
 import { Claims, type Claim } from './_lib/Claims.ts'
 import { planMoves } from './_lib/planMoves.ts'
-import { DRIFT_MARGIN, LOAD_DECAY, LONGEST_DEADLINE_MS, RUN_HORIZON_MS } from './constants/index.ts'
+import { DRIFT_MARGIN, LOAD_WINDOW_MS, LONGEST_DEADLINE_MS, RUN_HORIZON_MS } from './constants/index.ts'
 
 interface LedgerOptions {
   epoch: number
@@ -121,6 +121,8 @@
   }
 
   #record (claim: Claim, report: SlotReport, now: number): void {
+    const first = claim.lastSequence < 0
+    const elapsed = now - claim.lastContact
     claim.lastSequence = report.sequence
     claim.lastContact = now
     claim.leaving = report.leaving
@@ -130,7 +132,8 @@
     for (const { endpoint, waiting } of report.demands) this.#claims.load(claim, endpoint).waiting = waiting
     for (const load of claim.loads.values()) {
       const current = load.inUse + load.waiting
-      load.smoothed = Math.max(current, load.smoothed + LOAD_DECAY * (current - load.smoothed))
+      const weight = first ? 1 : 1 - Math.exp(-elapsed / LOAD_WINDOW_MS)
+      load.smoothed += weight * (current - load.smoothed)
       load.hungrySince = load.waiting > 0 && load.held === 0 ? load.hungrySince ?? now : undefined
     }
   }
