--- a/packages/bench/src/benchmarks.ts
+++ b/packages/bench/src/benchmarks.ts
@@ -1,6 +1,7 @@
 import { runPacking } from './packing/index.ts'
 import { runPlacement } from './placement/index.ts'
 import { runPlacementMemory } from './placementMemory/index.ts'
+import { measureSlots } from './measureSlots/index.ts'
 
 /** A benchmark reports each case as a row of named figures; units are part of the names. */
 export type Benchmark = (report: (row: Record<string, string | number>) => void) => Promise<void> | void
@@ -9,6 +10,7 @@
   placement: runPlacement,
   packing: runPacking,
   'placement-memory': runPlacementMemory
+  slots: measureSlots
 }
 
 export type BenchmarkName = string
