--- a/packages/core/src/listShards/index.ts
+++ b/packages/core/src/listShards/index.ts
@@ -8,7 +8,7 @@
 }
 
 interface ShardOptions {
-  /** Most workers of a shard. Default: no limit, one shard per failure domain. */
+  /** Target size of a shard; 0 or absent makes one shard per failure domain. */
   workersPerShard?: number
 }
 
@@ -31,7 +31,7 @@
     if (kind === 'worker') domains.set(failureDomain, [...domains.get(failureDomain) ?? [], id])
   }
   return [...domains].sort(byId).flatMap(([failureDomain, workers]) => {
-    const count = Math.max(1, Math.ceil(workers.length / (options.workersPerShard ?? Infinity)))
+    const count = Math.max(1, Math.ceil(workers.length / (options.workersPerShard || Infinity)))
     const ids = count === 1 ? [failureDomain] : Array.from({ length: count }, (_, index) => `${failureDomain}.${index}`)
     const shards = new Map<string, Shard>(ids.map((id) => [id, { id, failureDomain, workers: [] }]))
     for (const worker of workers.sort()) shards.get(chooseShard(worker, ids) ?? '')?.workers.push(worker)
--- a/packages/daemon/src/scheduler/ShardSupervisor.ts
+++ b/packages/daemon/src/scheduler/ShardSupervisor.ts
@@ -12,8 +12,6 @@
 
 export interface SupervisorOptions {
   createPlacer: () => Placer
-  /** Most workers of a shard. Default: one shard per failure domain. */
-  workersPerShard?: number
 }
 
 interface Slot {
@@ -92,7 +90,7 @@
     const { settings, configuration } = this.#context
     this.#machines = machines
     const knownShards = shardIds(this.#shards)
-    this.#shards = listShards(machines, this.#options)
+    this.#shards = listShards(machines, { workersPerShard: settings.workersPerShard })
     for (const { failureDomain } of this.#shards) this.#domains.add(failureDomain)
     const isChanged = shardIds(this.#shards) !== knownShards
     if (isChanged) this.#sortedDomains = [...this.#domains].sort()
--- a/packages/daemon/src/scheduler/addSchedulerParts.ts
+++ b/packages/daemon/src/scheduler/addSchedulerParts.ts
@@ -7,7 +7,6 @@
  *
  * @param context - What every part of the process is given.
  * @param options.createPlacer - Makes the placer of a shard. Default: first fit.
- * @param options.workersPerShard - Most workers of a shard. Default: one shard per failure domain.
  *
  * @example
  * addSchedulerParts(context)
--- a/packages/daemon/src/scheduler/test.ts
+++ b/packages/daemon/src/scheduler/test.ts
@@ -142,11 +142,11 @@
       const start = { task: 'stray', resources: { ...SLOT, cpuMillis: 2_000 }, leaseMs: 60_000, payload: {} }
       await worker.start(session, [{ ...start, attempt: 1 }])
       const a = cell.startProcess('a')
-      a.beforeCall = (target, method) => { a.link(target).cut = method === 'stop' }
+      a.link('w0').ignoresStops = true
       cell.configure([{ id: 'x', ...LONG }])
       await cell.run(20_000)
       expect(cell.runningTasks).to.deep.equal(['stray'])
-      a.beforeCall = (target) => { a.link(target).cut = false }
+      a.link('w0').ignoresStops = false
       await cell.run(20_000)
       expect(cell.runningTasks).to.deep.equal(['s/x/0'])
     })
@@ -303,12 +303,11 @@
       const whole = { ...SLOT, cpuMillis: 2_000 }
       cell.configure([{ id: 'x', resources: whole, ...LONG }])
       await cell.run(8_000)
-      // Heartbeats reach the worker, stops do not.
-      a.beforeCall = (target, method) => { a.link(target).cut = method === 'stop' }
+      a.link('w0').ignoresStops = true
       cell.configure([{ id: 'y', resources: whole, ...LONG }])
       await cell.run(20_000)
       expect(cell.runningTasks).to.deep.equal(['s/x/0'])
-      a.beforeCall = (target) => { a.link(target).cut = false }
+      a.link('w0').ignoresStops = false
       await cell.run(20_000)
       expect(cell.runningTasks).to.deep.equal(['s/y/0'])
     })
@@ -329,6 +328,18 @@
     })
   })
 
+  it('runs a group in one shard only when the lists of VMs differ, so that its home is computed differently', async () => {
+    cell = new TestCell(4)
+    for (const id of ['n0', 'n1', 'n2', 'n3']) cell.addWorker(id, 'north')
+    cell.startProcess('a', { hiddenDomain: 'north' })
+    cell.startProcess('b', { failureDomain: 'north', hiddenDomain: 'hall' })
+    const ids = ['c', 'd', 'e', 'f', 'g', 'h']
+    cell.configure(ids.map((id) => ({ id, ...LONG })))
+    await cell.run(60_000)
+    expect(cell.runningTasks).to.deep.equal(ids.map((id) => `s/${id}/0`))
+    expect(cell.starts).to.have.length(6)
+  })
+
   it('stops a gang whole when one worker refuses its member, and runs it later', async () => {
     cell = new TestCell(2)
     const a = cell.startProcess('a')
--- a/packages/daemon/src/scheduler/testSupport/index.ts
+++ b/packages/daemon/src/scheduler/testSupport/index.ts
@@ -32,15 +32,25 @@
   losesAnswers: boolean
   /** The worker refuses every start. */
   refusesStarts: boolean
+  /** Stops are accepted and have no effect, as in a long grace period. */
+  ignoresStops: boolean
   /** Starts get no answer and take effect this much later, in ms. */
   delaysStartsMs: number
 }
 
+interface ProcessOptions extends Partial<SupervisorOptions> {
+  failureDomain?: string
+  hiddenDomain?: string
+}
+
 /** A scheduler process that can be paused (its calls and answers wait) or killed. */
 export class TestProcess {
   readonly id: string
   readonly handlers: RpcHandlers = {}
   readonly metrics = new Metrics()
+  /** Failure domain that this process's list of VMs does not show. */
+  hiddenDomain: string | undefined
+  readonly #sees = ({ failureDomain }: Machine): boolean => failureDomain !== this.hiddenDomain
   readonly links = new Map<string, Link>()
   #gate: Promise<void> | undefined
   #open: () => void = () => {}
@@ -48,10 +58,12 @@
   /** Called before a call leaves the process, ahead of a pause. */
   beforeCall: (target: string, method: string) => void = () => {}
 
-  constructor (id: string, cell: TestCell, options: Partial<SupervisorOptions> = {}) {
+  constructor (id: string, cell: TestCell, options: ProcessOptions = {}) {
+    const { failureDomain = settings.failureDomain, hiddenDomain } = options
+    this.hiddenDomain = hiddenDomain
     this.id = id
     const context = {
-      settings: { ...settings, id },
+      settings: { ...settings, failureDomain, id },
       logger: pino({ level: process.env['TEST_LOG'] ?? 'silent', base: { process: id } }),
       metrics: this.metrics,
       lifecycle: { add: (part: Part) => this.#parts.push(part) },
@@ -78,7 +90,7 @@
   link (target: string): Link {
     let link = this.links.get(target)
     if (link === undefined) {
-      link = { cut: false, losesAnswers: false, refusesStarts: false, delaysStartsMs: 0 }
+      link = { cut: false, losesAnswers: false, refusesStarts: false, ignoresStops: false, delaysStartsMs: 0 }
       this.links.set(target, link)
     }
     return link
@@ -119,6 +131,7 @@
         this.beforeCall(name, String(method))
         while (this.#gate !== undefined) await this.#gate
         if (method === 'start' && this.link(name).refusesStarts) return done({ results: refuse(parameters[1]) })
+        if (method === 'stop' && this.link(name).ignoresStops) return done(undefined)
         if (this.link(name).cut) return notDone('unavailable', 'cut off')
         const calls = target as Record<string | symbol, (...parameters: unknown[]) => Promise<Outcome<unknown>>>
         if (method === 'start' && this.link(name).delaysStartsMs > 0) {
@@ -127,6 +140,7 @@
         }
         const outcome = await calls[method]!.apply(target, parameters)
         while (this.#gate !== undefined) await this.#gate
+        if (name === 'inventory') return (outcome as Outcome<Machine[]>).map((list) => list.filter(this.#sees))
         return this.link(name).losesAnswers ? unknownEffect('timeout', 'answer lost') : outcome
       }
     })
@@ -168,17 +182,17 @@
     for (let index = 0; index < workerCount; index++) this.addWorker(`w${index}`)
   }
 
-  addWorker (id: string): void {
+  addWorker (id: string, failureDomain = settings.failureDomain): void {
     const capacity = this.#capacity
     const observe: AttemptObserver = (event, worker, report) => this.#observe(event, worker, report, capacity)
     this.workers.set(id, new MemoryWorker(id, capacity, observe))
-    this.list(id, 'live')
+    this.list(id, 'live', failureDomain)
   }
 
   /** Puts a worker into the list of VMs. */
-  list (id: string, state: 'live' | 'leaving'): void {
+  list (id: string, state: 'live' | 'leaving', failureDomain = settings.failureDomain): void {
     const capacity = this.#capacity
-    this.inventory.put({ id, kind: 'worker', failureDomain: 'hall', rack: 'r', address: id, state, capacity })
+    this.inventory.put({ id, kind: 'worker', failureDomain, rack: 'r', address: id, state, capacity })
   }
 
   worker (id: string): MemoryWorker {
@@ -189,7 +203,7 @@
     return ++this.#number
   }
 
-  startProcess (id: string, options: Partial<SupervisorOptions> = {}): TestProcess {
+  startProcess (id: string, options: ProcessOptions = {}): TestProcess {
     const started = new TestProcess(id, this, options)
     this.processes.set(id, started)
     return started
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -28,7 +28,10 @@
   exchangeMs: Milliseconds(1_000, 'time between exchanges with random peers'),
   inventoryMs: Milliseconds(2_000, 'time between reads of the list of VMs'),
   slotReportMs: Milliseconds(50, 'time between slot reports while requests wait or tokens are spare'),
-  storeTimeoutMs: Milliseconds(1_000, 'longest wait for the table service or the object store')
+  storeTimeoutMs: Milliseconds(1_000, 'longest wait for the table service or the object store'),
+  workersPerShard: Type.Integer({
+    minimum: 0, maximum: 100_000, default: 0, description: 'most workers of a shard; 0 makes one shard per failure domain'
+  })
 }, { additionalProperties: false })
 export type Settings = Static<typeof Settings>
 
