--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -1,5 +1,7 @@
 /** Types shared by the decisions. Times are ms on a monotonic clock that the caller reads and passes in. */
-import type { PriorityClass, Resources, Spread, WorkloadKind } from '@gypsumspring/protocol'
+import type {
+  PriorityClass, Resources, RpcParams, RpcResult, SlotDemand, SlotHolding, SlotMove, Spread, WorkloadKind
+} from '@gypsumspring/protocol'
 
 /** A worker as placement sees it. */
 export interface WorkerNode {
@@ -126,6 +128,7 @@
 
 export interface SlotUse {
   runner: string
+  failureDomain: string
   held: number
   inUse: number
 }
@@ -137,17 +140,100 @@
   setTeamShares (shares: Map<string, number>): void
   /** Slot tokens received for a runner. */
   grantSlots (runner: string, slots: number, now: number): RouteAction[]
-  /** Gives up to `slots` free tokens of a runner back; returns how many. */
+  /**
+   * Tokens of the domain's runners may be used before `at`. From then on free tokens are dropped, and those in use when
+   * their exchange finishes; an earlier time than the last one given is ignored. Before the first call none is usable.
+   */
+  setSlotExpiry (failureDomain: string, at: number): void
+  /**
+   * Gives up to `slots` tokens of a runner back: free ones at once, the rest as their exchanges finish. Replaces the
+   * last request for that runner, so that 0 cancels it. Returns how many were given back at once.
+   */
   releaseSlots (runner: string, slots: number): number
   submit (request: CallerRequest, now: number): RouteAction[]
   /** The exchange has ended and no longer uses its slot. */
   finish (request: string, runner: string, result: ExchangeResult, now: number): RouteAction[]
+  /**
+   * The answer of this exchange is being passed on to the caller as it comes: the request gets no other answer, no
+   * retry and no hedge, and its other exchanges are aborted. `finish` still follows.
+   */
+  commit? (request: string, runner: string, now: number): RouteAction[]
   /** The caller has gone away. */
   abandon (request: string, now: number): RouteAction[]
   /** Deadlines and hedges that are due. */
   tick (now: number): RouteAction[]
   /** When `tick` has to be called next; undefined when nothing is due. */
   nextTickAt (): number | undefined
-  use (): SlotUse[]
+  /** Tokens by runner, without those that have expired by `now`. */
+  use (now: number): SlotUse[]
   waiting (): number
 }
+
+export type SlotReport = Omit<RpcParams<'slots.report'>, 'from' | 'configVersion'>
+export type SlotAnswer = RpcResult<'slots.report'>
+
+/** A process that may hold tokens, as listed in the allocator's row. `retired` means that its entry has restarted. */
+export interface SlotRegistration {
+  entry: string
+  incarnation: string
+  retired: boolean
+}
+
+/** Slots of a runner as configured. */
+export interface SlotRunner {
+  endpoint: string
+  runner: string
+  slots: number
+}
+
+/**
+ * The allocator of one failure domain: who holds how many tokens of each runner. Created with the epoch and the
+ * registrations of the row at the time of the takeover.
+ */
+export interface SlotLedger {
+  readonly epoch: number
+  /** Runners of the domain with their slots; tokens of absent ones are recalled. */
+  setRunners (runners: SlotRunner[]): void
+  /** A lease renewal sent at `sentAt` has succeeded. The lease is part of how long the answers' tokens are valid. */
+  renewed (sentAt: number): void
+  /** The answer to a report. Same report, same answer. */
+  handle (report: SlotReport, now: number): SlotAnswer
+  /** What the row has to hold; undefined while it holds that already. Entries not in the row get no token. */
+  pendingRegistrations (): SlotRegistration[] | undefined
+  /** The row was written with these registrations, under this ledger's epoch. One write at a time. */
+  confirmRegistrations (registrations: SlotRegistration[]): void
+  /** The VM of an entry that was in the inventory is no longer listed. A later report of the entry undoes it. */
+  leave (entry: string, now: number): void
+  /** Ends withholding that is due. */
+  tick (now: number): void
+  /** When `tick` has to be called next; undefined when nothing is due. */
+  nextTickAt (): number | undefined
+  /** Per runner: tokens counted as with entries, kept back for entries that have not answered, and free. */
+  usage (): { endpoint: string, runner: string, slots: number, held: number, withheld: number, free: number }[]
+}
+
+/**
+ * What the entry passes on to its routers, in this order: `setSlotExpiry(domain, validUntil)`, `releaseSlots` for each
+ * release, `grantSlots` for each grant. A release of 0 slots cancels an earlier one. The next report tells what was
+ * released.
+ */
+export interface SlotChange {
+  /** Absent when the answer was refused. */
+  validUntil?: number
+  grants: SlotMove[]
+  releases: SlotMove[]
+}
+
+/** The entry's side of the allocation, one for each failure domain. The routers own the counts of tokens. */
+export interface SlotHolder {
+  /** Highest epoch known. */
+  readonly epoch: number
+  /** The row names an allocator with this epoch; lower ones are ignored. */
+  follow (epoch: number): void
+  /** The report to send to the allocator; undefined while the answer to the last one may still arrive. */
+  report (now: number, holdings: SlotHolding[], demands: SlotDemand[], leaving?: boolean): SlotReport | undefined
+  /** Applies an answer once; late, repeated and outdated ones change nothing. */
+  apply (answer: SlotAnswer, now: number): SlotChange
+  /** When to report next. Call it again when requests begin to wait, which makes the report due earlier. */
+  nextReportAt (waiting: number, spare: number): number
+}
