--- a/packages/bench/src/benchmarks.ts
+++ b/packages/bench/src/benchmarks.ts
@@ -9,7 +9,7 @@
 export const benchmarks: Record<string, Benchmark> = {
   placement: runPlacement,
   packing: runPacking,
-  'placement-memory': runPlacementMemory
+  'placement-memory': runPlacementMemory,
   slots: measureSlots
 }
 
--- a/packages/daemon/src/scheduler/addSchedulerParts.ts
+++ b/packages/daemon/src/scheduler/addSchedulerParts.ts
@@ -1,5 +1,5 @@
-import type { ProcessContext } from '../types.ts'
 import { IndexedPlacer } from '@gypsumspring/core'
+import type { ProcessContext } from '../types.ts'
 import { ShardSupervisor, type SupervisorOptions } from './ShardSupervisor.ts'
 
 /**
@@ -7,7 +7,6 @@
  *
  * @param context - What every part of the process is given.
  * @param options.createPlacer - Makes the placer of a shard. Default: the indexed placer.
- * @param options.workersPerShard - Most workers of a shard. Default: one shard per failure domain.
  *
  * @example
  * addSchedulerParts(context)
