--- /dev/null
+++ b/packages/standins/src/processTests/pausedProcess.test.ts
@@ -0,0 +1,62 @@
+import { expect } from 'chai'
+import type { Workload } from '@gypsumspring/protocol'
+import { callControl } from '../callControl/index.ts'
+import type { Cell, EntryVm } from '../startCell/index.ts'
+import { checkInvariants, readShards, startTestCell, waitFor, waitUntilSettled } from './_support/cell.ts'
+import { call } from './_support/Load.ts'
+
+/** Longer than the shard lease and the session ttl of the test cell, so that another process takes over meanwhile. */
+const PAUSE_MS = 4000
+
+describe('a process paused past its lease (SIGSTOP, SIGCONT)', () => {
+  let cell: Cell
+
+  before(async () => { cell = await startTestCell() })
+  after(async () => { await cell?.stop() })
+
+  function vmOfScheduler (owner: string): EntryVm {
+    const vm = cell.vms.find(({ id }) => owner === `scheduler-${id.slice('vm-'.length)}`)
+    if (vm === undefined) throw new Error(`no VM runs ${owner}`)
+    return vm
+  }
+
+  it('that owns a shard starts no task twice when it wakes, and is fenced (P1, P2)', async () => {
+    await waitFor('every shard has an owner', async () => (await readShards(cell)).length === 3)
+    const jobs: Workload[] = (cell.manifest.workloads ?? []).filter(({ kind }) => kind === 'batch')
+      .map((workload) => ({ ...workload, id: `${workload.id}-paused`, tasks: 60, payload: { runMs: 1500 } }))
+    const applied = await cell.applyManifest((manifest) => ({
+      ...manifest, workloads: [...manifest.workloads ?? [], ...jobs]
+    }))
+    expect(applied.code, applied.stderr).to.equal(0)
+    const busy = (await readShards(cell)).find(({ tasks }) => tasks.some(({ workload }) => workload === jobs[0]?.id))
+    expect(busy, 'a shard runs the job').to.not.equal(undefined)
+    const { scheduler } = vmOfScheduler(busy!.owner)
+    scheduler.pause()
+    await new Promise((resolve) => setTimeout(resolve, PAUSE_MS))
+    scheduler.resume()
+    await waitUntilSettled(cell, jobs)
+    const after = (await readShards(cell)).find(({ shard }) => shard === busy!.shard)
+    expect(after?.epoch, 'another owner took over').to.be.above(busy!.epoch)
+    await checkInvariants(cell)
+  })
+
+  it('that is an entry answers its callers late but never another caller\'s answer, and runs nothing twice (P3, P5)', async () => {
+    const vm = cell.vms[0]!
+    const calls = Array.from({ length: 40 }, async (_value, index) => await call(
+      `${vm.callerUrl}/e/origem/${index % 2 === 0 ? 'surnames' : 'lineage-reports'}/${index}`, `paused-${index}`,
+      { method: index % 2 === 0 ? 'GET' : 'POST', headers: { 'gs-team': 'balcao', 'x-service-ms': '300' }, deadlineMs: 10_000 }))
+    await new Promise((resolve) => setTimeout(resolve, 100))
+    vm.entry.pause()
+    await new Promise((resolve) => setTimeout(resolve, PAUSE_MS))
+    vm.entry.resume()
+    for (const { id, outcome, body } of await Promise.all(calls)) {
+      expect(['answered', 'not-run', 'unknown'], id).to.include(outcome)
+      if (outcome === 'answered') expect(JSON.parse(body).requestId, 'answer of the same request').to.equal(id)
+      const { runs } = await callControl(cell.endpointsUrl, `requests/${id}`)
+      const isRepeatable = Number(id.slice('paused-'.length)) % 2 === 0
+      if (!isRepeatable) expect(runs.length, `runs of ${id}`).to.be.at.most(1)
+      if (!isRepeatable && outcome === 'not-run') expect(runs.length, `P4: ${id}`).to.equal(0)
+    }
+    await checkInvariants(cell)
+  })
+})
