Place a failed task elsewhere first, and test victims and slot times

A failed task was placed again by best fit, and a worker that fails everything is the best fit while it is empty: three failures there ended the task before the worker had enough failures of different groups to be excluded. A task now avoids the worker of its last failed attempt while any other has room. Ruled out: excluding a worker after failures of one group only, since one bad job would then condemn it.

The interface says what submit refuses, that ended groups are dropped by cancel, and what a missing quota means.

--- a/packages/core/src/placement/_lib/TaskBook.ts
+++ b/packages/core/src/placement/_lib/TaskBook.ts
@@ -36,7 +36,8 @@
         expectedRunMs: undefined,
         stoppingSince: undefined,
         requeuedAt: undefined,
-        usage: undefined
+        usage: undefined,
+        failedOn: undefined
       }
       this.tasks.set(id, task)
       group.tasks.push(task)
--- a/packages/core/src/placement/_lib/rules.ts
+++ b/packages/core/src/placement/_lib/rules.ts
@@ -88,6 +88,15 @@
   return group.spec.spread === 'rack' ? `${worker.failureDomain}/${worker.rack}` : worker.failureDomain
 }
 
+/**
+ * Worker that a group's next task avoids while any other has room: the one where its last attempt failed, so that a
+ * worker that fails everything does not use up the task's retries before it is found. Gangs avoid none.
+ */
+export function findAvoidedWorker (group: GroupRecord): string | undefined {
+  const [first] = group.waiting
+  return group.spec.kind === 'gang' ? undefined : first?.failedOn
+}
+
 /** Tells whether a group may run in a failure domain. */
 export function allowsDomain (group: GroupRecord, failureDomain: string): boolean {
   return group.spec.failureDomains === undefined || group.spec.failureDomains.includes(failureDomain)
--- a/packages/core/src/placement/indexed/IndexedPlacer.ts
+++ b/packages/core/src/placement/indexed/IndexedPlacer.ts
@@ -130,6 +130,7 @@
     const record = this.#book.tasks.get(task)
     const entry = this.#context.table.entries.get(worker)
     if (record === undefined || entry === undefined) return
+    record.failedOn = outcome.succeeded ? undefined : worker
     this.#health.record(worker, record.group.spec.id, outcome.succeeded, this.#now, this.#context.table.entries.size)
     if (outcome.succeeded) this.#runTimes.record(record.group.spec, outcome.runMs)
     this.#syncWorker(entry)
--- a/packages/core/src/placement/indexed/findWorker.ts
+++ b/packages/core/src/placement/indexed/findWorker.ts
@@ -19,6 +19,8 @@
   packingWeight: number
   /** Tasks of the group in each spread domain. */
   spreadCounts: Map<string, number> | undefined
+  /** Worker that is chosen only when no other has room; -1 for none. */
+  avoidedSlot: number
 }
 
 export interface WorkerSearch {
@@ -29,6 +31,12 @@
 
 /** Finds a good worker for one task: fewest tasks of the group in its spread domain, in use, then tightest. */
 export function findWorker (table: WorkerTable, query: WorkerQuery): WorkerSearch {
+  const search = searchLevels(table, query)
+  if (search.slot >= 0 || query.avoidedSlot < 0) return search
+  return searchLevels(table, { ...query, avoidedSlot: -1 })
+}
+
+function searchLevels (table: WorkerTable, query: WorkerQuery): WorkerSearch {
   if (query.spreadCounts === undefined) return searchTiers(table, query, undefined)
   const levels = new Set([0, ...query.spreadCounts.values()])
   let hasRoom = false
@@ -50,7 +58,7 @@
 function searchTier (
   table: WorkerTable, query: WorkerQuery, spreadLevel: number | undefined, isIdle: boolean
 ): WorkerSearch {
-  const { group } = query
+  const { group, avoidedSlot } = query
   const need = group.spec.resources
   const { values, next, heads, rowCounts } = table
   const isGang = group.spec.kind === 'gang'
@@ -70,6 +78,7 @@
           const base = slot * STRIDE
           if (need.cpuMillis > values[base + FREE_CPU]! || need.memoryMb > values[base + FREE_MEMORY]!) continue
           if (need.accelerators > values[base + FREE_ACCELERATORS]!) continue
+          if (slot === avoidedSlot) continue
           const flags = values[base + FLAGS]!
           if (isGang && (flags & PROBING) !== 0) continue
           if (domains !== undefined && !allowsDomain(group, table.bySlot[slot]!.node.failureDomain)) continue
--- a/packages/core/src/placement/indexed/startGroup.ts
+++ b/packages/core/src/placement/indexed/startGroup.ts
@@ -1,4 +1,4 @@
-import { computeHoldMs, findSpreadKey } from '../_lib/rules.ts'
+import { computeHoldMs, findAvoidedWorker, findSpreadKey } from '../_lib/rules.ts'
 import type { GroupRecord, TaskRecord, WaitReason } from '../types.ts'
 import { findWorker, type WorkerQuery } from './findWorker.ts'
 import { planIndexedBackfill, planIndexedPreemption } from './planIndexedReservation.ts'
@@ -35,7 +35,11 @@
 
   const [first] = group.waiting
   const holdMs = computeHoldMs(group, packingWeight, estimatedRunMs)
-  const query: WorkerQuery = { group, now, estimatedRunMs, packingWeight, spreadCounts, mayOpenIdle: true }
+  const avoided = findAvoidedWorker(group)
+  const avoidedSlot = avoided === undefined ? -1 : table.entries.get(avoided)?.slot ?? -1
+  const query: WorkerQuery = {
+    group, now, estimatedRunMs, packingWeight, spreadCounts, avoidedSlot, mayOpenIdle: true
+  }
   if (now - first!.queuedAt < holdMs && table.placed > 0) {
     const inUse = findWorkers(table, { ...query, mayOpenIdle: false }, count)
     if (inUse.workers !== undefined) return { kind: 'place', workers: inUse.workers }
--- a/packages/core/src/placement/naive/NaivePlacer.ts
+++ b/packages/core/src/placement/naive/NaivePlacer.ts
@@ -100,6 +100,7 @@
   recordOutcome (task: string, worker: string, outcome: { succeeded: boolean, runMs: number }): void {
     const record = this.#book.tasks.get(task)
     if (record === undefined || !this.#workers.has(worker)) return
+    record.failedOn = outcome.succeeded ? undefined : worker
     this.#health.record(worker, record.group.spec.id, outcome.succeeded, this.#now, this.#workers.size)
     if (outcome.succeeded) this.#runTimes.record(record.group.spec, outcome.runMs)
   }
--- a/packages/core/src/placement/naive/searchWorkers.ts
+++ b/packages/core/src/placement/naive/searchWorkers.ts
@@ -1,5 +1,5 @@
 import { addScaled, fits } from '../_lib/resources.ts'
-import { allowsDomain, findSpreadKey } from '../_lib/rules.ts'
+import { allowsDomain, findAvoidedWorker, findSpreadKey } from '../_lib/rules.ts'
 import { computeExcess, scoreWorker } from '../scoreWorker/index.ts'
 import type { GroupRecord } from '../types.ts'
 import type { Assignment, CellView, WorkerView } from './types.ts'
@@ -13,6 +13,8 @@
   const assignedTo = ({ node }: WorkerView): number => assignments.filter(({ worker }) => worker === node.id).length
   const freeOn = (worker: WorkerView): WorkerView['free'] => addScaled(worker.free, need, -assignedTo(worker))
   const isIdle = (worker: WorkerView): boolean => worker.tasks.length + assignedTo(worker) === 0
+  const avoided = findAvoidedWorker(group)
+  const isAvoided = (worker: WorkerView): boolean => worker.node.id === avoided
   const spreadCounts = countSpread(view, group)
   const spreadOf = (worker: WorkerView): number => spreadCounts.get(findSpreadKey(group, worker.node)) ?? 0
 
@@ -33,7 +35,8 @@
   return assignments
 
   function compare (a: WorkerView, b: WorkerView): number {
-    return spreadOf(a) - spreadOf(b) || Number(isIdle(a)) - Number(isIdle(b)) || score(a) - score(b)
+    return Number(isAvoided(a)) - Number(isAvoided(b)) ||
+      spreadOf(a) - spreadOf(b) || Number(isIdle(a)) - Number(isIdle(b)) || score(a) - score(b)
   }
 
   function score (worker: WorkerView): number {
--- a/packages/core/src/placement/test.ts
+++ b/packages/core/src/placement/test.ts
@@ -164,6 +164,23 @@
       expect(usedWorkers(placer.decide(100_001, 10))).to.deep.equal(['w0'])
     })
 
+    it('tries a failed task on another worker first', () => {
+      // Guards against a bad worker, the best fit because it is empty, using up all retries of a task.
+      addWorkers(2, 1)
+      submit(buildGroup('g', 1))
+      const [first] = usedWorkers(placer.decide(0, 1))
+      placer.recordOutcome('g-0', first!, { succeeded: false, runMs: 1 })
+      placer.release('g-0')
+      placer.requeue('g-0', 1)
+      const [second] = usedWorkers(placer.decide(1, 1))
+      expect(second).to.be.a('string').and.not.equal(first)
+      placer.recordOutcome('g-0', second!, { succeeded: false, runMs: 1 })
+      placer.release('g-0')
+      placer.requeue('g-0', 2)
+      placer.setWorkerAvailable(first!, false)
+      expect(usedWorkers(placer.decide(2, 1))).to.deep.equal([second])
+    })
+
     it('does not condemn workers for one job that fails everywhere', () => {
       // Guards against a bad job emptying the cell worker by worker.
       addWorkers(4, 1)
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -36,6 +36,8 @@
   /** Time of a requeue that waits for the release. */
   requeuedAt: number | undefined
   usage: Resources | undefined
+  /** Worker of its last attempt, if that failed. */
+  failedOn: string | undefined
 }
 
 /** Capacity held for a group that could not start. It binds groups of the same and lower classes. */
--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -48,18 +48,25 @@
   removeWorker (worker: string): void
   /** An unavailable worker keeps its tasks and gets no new ones (unreachable, leaving, or excluded). */
   setWorkerAvailable (worker: string, available: boolean): void
+  /** A team without quota is not limited. */
   setQuotas (quotas: Map<string, Resources>): void
   /** 0 minimises waiting time, 1 maximises packing. */
   setPackingWeight (weight: number): void
-  /** Queues a group; all its tasks wait. */
+  /**
+   * Queues a group; all its tasks wait. Throws when the group is known, or one of its tasks is known under another
+   * group or held by a cancelled one: the task could run twice.
+   */
   submit (group: TaskGroup): void
-  /** Queues a task of a known group again, after a failed or lost attempt. */
+  /** Queues a task of a known group again, after a failed or lost attempt; while it is held, as of its release. */
   requeue (task: string, now: number): void
   /** Marks a task of a submitted group as already running on a worker (takeover); takes capacity without deciding. */
   restore (task: string, worker: string): void
   /** Frees the capacity of a task that has ended for certain. */
   release (task: string): void
-  /** Drops a group; returns its placed tasks, whose capacity stays taken until each is released. */
+  /**
+   * Drops a group, also one that has ended: until then its tasks can be queued again and are remembered. Returns its
+   * placed tasks, whose capacity stays taken until each is released.
+   */
   cancel (group: string): string[]
   /** Measured use, for the choice of later placements only; never frees declared capacity. */
   recordUsage (task: string, usage: Resources): void
