--- a/packages/daemon/src/entry/callerFront/_lib/writeAnswer.ts
+++ b/packages/daemon/src/entry/callerFront/_lib/writeAnswer.ts
@@ -27,7 +27,8 @@
  * @param own - Headers added by this entry.
  */
 export async function writeStream (response: ServerResponse, answer: StreamedAnswer, own: HeaderFields): Promise<void> {
-  const closed = once(response, 'close')
+  // `once` rejects on an error of the response, which its close reports too.
+  const closed = once(response, 'close').catch(() => {})
   const open = writeHead(response, answer.status, { ...forwardHeaders(answer.headers), ...own })
   try {
     for await (const chunk of answer.body) {
--- /dev/null
+++ b/packages/daemon/src/entry/domainSlots/test.ts
@@ -0,0 +1,129 @@
+import type { SlotAnswer, SlotReport } from '@gypsumspring/core'
+import FakeTimers from '@sinonjs/fake-timers'
+import { done, unknownEffect, type Outcome } from '@gypsumspring/protocol'
+import { expect } from 'chai'
+import { Metrics } from '../../metrics/index.ts'
+import type { Peers } from '../../types.ts'
+import { answer, callOf, FaultyTable, hang, openRoute, ScriptedRunners, silent } from '../testSupport/index.ts'
+import { DomainSlots } from './index.ts'
+
+describe('DomainSlots', () => {
+  let clock: FakeTimers.Clock
+  let table: FaultyTable
+  let reports: Array<{ address: string, report: SlotReport }>
+  let reply: (address: string, report: SlotReport) => Outcome<SlotAnswer>
+  let route: ReturnType<typeof openRoute>
+  let slots: DomainSlots
+
+  beforeEach(async () => {
+    clock = FakeTimers.install()
+    table = new FaultyTable()
+    reports = []
+    route = openRoute(new ScriptedRunners(() => answer('ok')), 0)
+    slots = new DomainSlots({
+      failureDomain: 'home',
+      self: { id: 'e1', incarnation: '1' },
+      table,
+      peers: {
+        call: async (address: string, _method: string, report: SlotReport) => {
+          reports.push({ address, report })
+          return reply(address, report)
+        }
+      } as unknown as Peers,
+      routes: () => new Map([['origem', route]]),
+      demands: () => [{ endpoint: 'origem', waiting: 1 }],
+      local: () => { throw new Error('not the allocator') },
+      reportMs: 50,
+      metrics: new Metrics(),
+      logger: silent
+    })
+    await elect('d1', 1)
+  })
+  afterEach(() => {
+    slots.close()
+    clock.uninstall()
+  })
+
+  const elect = async (owner: string, epoch: number) => await table.memory.transact({
+    checks: [], writes: [{ kind: 'put', key: 'slots/home', value: { owner, address: owner, epoch } }]
+  })
+  const grant = (count: number) => (_address: string, { epoch, sequence, holdings }: SlotReport) => done<SlotAnswer>({
+    epoch,
+    sequence,
+    registered: true,
+    validMs: 60_000,
+    releases: [],
+    grants: holdings.length > 0 ? [] : [{ endpoint: 'origem', runner: 'a', slots: count }]
+  })
+  const held = () => route.use().reduce((sum, use) => sum + use.held, 0)
+
+  it('counts no grant twice when an answer is lost and the report repeated', async () => {
+    let lost = 0
+    reply = (address, report) => lost++ === 0 ? unknownEffect('timeout', 'lost') : grant(3)(address, report)
+    slots.poke()
+    await clock.tickAsync(5000)
+    expect(held()).to.equal(3)
+    expect(new Set(reports.map(({ report }) => report.sequence)).size).to.equal(reports.length)
+  })
+
+  it('follows a new allocator when the old one does not answer, and keeps its tokens meanwhile', async () => {
+    reply = grant(3)
+    slots.poke()
+    await clock.tickAsync(1000)
+    reply = (address, report) => address === 'd1' ? unknownEffect('timeout', 'dead') : grant(3)(address, report)
+    await clock.tickAsync(1000)
+    expect([held(), slots.reachable]).to.deep.equal([3, false])
+    await elect('d2', 2)
+    await clock.tickAsync(3000)
+    expect(slots.reachable).to.equal(true)
+    expect(reports.at(-1)).to.deep.include({ address: 'd2' })
+    expect(reports.at(-1)?.report).to.deep.include({ epoch: 2, holdings: [{ endpoint: 'origem', runner: 'a', held: 3, inUse: 0 }] })
+  })
+
+  it('notices that a paused allocator was replaced although it answers', async () => {
+    reply = grant(3)
+    slots.poke()
+    await clock.tickAsync(1000)
+    await elect('d2', 2)
+    await clock.tickAsync(5000)
+    expect(reports.at(-1)?.address).to.equal('d2')
+  })
+
+  it('keeps reporting to the allocator it knows while the store is down', async () => {
+    reply = grant(3)
+    slots.poke()
+    await clock.tickAsync(1000)
+    table.reads = 'down'
+    const before = reports.length
+    await clock.tickAsync(10_000)
+    expect(reports.length).to.be.above(before)
+    expect([held(), slots.reachable]).to.deep.equal([3, true])
+  })
+
+  it('uses no token past its validity', async () => {
+    reply = grant(3)
+    slots.poke()
+    await clock.tickAsync(1000)
+    reply = () => unknownEffect('timeout', 'cut off')
+    await clock.tickAsync(61_000)
+    expect(held()).to.equal(0)
+  })
+
+  it('reports a token as released only when its exchange has ended', async () => {
+    const runners = new ScriptedRunners((_address, request) => hang(request))
+    route = openRoute(runners, 0)
+    reply = grant(1)
+    slots.poke()
+    await clock.tickAsync(1000)
+    const call = route.submit(callOf({ deadline: performance.now() + 5000 }))
+    reply = (_address, { epoch, sequence }) => done({
+      epoch, sequence, registered: true, validMs: 60_000, grants: [], releases: [{ endpoint: 'origem', runner: 'a', slots: 1 }]
+    })
+    await clock.tickAsync(1000)
+    expect(reports.at(-1)?.report.holdings).to.deep.equal([{ endpoint: 'origem', runner: 'a', held: 1, inUse: 1 }])
+    await clock.tickAsync(5000)
+    await call.result
+    expect(reports.at(-1)?.report.holdings).to.deep.equal([])
+    expect(runners.limits.get('a')).to.equal(0)
+  })
+})
--- a/packages/daemon/src/entry/endpointRoutes/index.ts
+++ b/packages/daemon/src/entry/endpointRoutes/index.ts
@@ -17,7 +17,10 @@
 export class EndpointRoutes {
   readonly #parts: EndpointRoutesParts
   readonly #tasks = new Map<string, RouteTask>()
+  /** Connections allowed by address and endpoint. */
+  readonly #limits = new Map<string, Map<string, number>>()
   #endpoints: RoutedEndpoint[] = []
+  #listed = new Set<string>()
   #teams = new Set<string>()
 
   constructor (parts: EndpointRoutesParts) {
@@ -34,9 +37,9 @@
       task.setLimits(queueLimit, shares)
       task.setRunners(runners)
     }
-    const listed = new Set(this.#endpoints.map(({ id }) => id))
+    this.#listed = new Set(this.#endpoints.map(({ id }) => id))
     // The task of a removed endpoint stays: requests in flight hold tokens that still have to be reported.
-    for (const [id, task] of this.#tasks) if (!listed.has(id)) task.setRunners([])
+    for (const [id, task] of this.#tasks) if (!this.#listed.has(id)) task.setRunners([])
   }
 
   hasTeam (team: string): boolean {
@@ -44,7 +47,7 @@
   }
 
   find (endpoint: string): RouteTask | undefined {
-    return this.#endpoints.some(({ id }) => id === endpoint) ? this.#tasks.get(endpoint) : undefined
+    return this.#listed.has(endpoint) ? this.#tasks.get(endpoint) : undefined
   }
 
   all (): Map<string, RouteTask> {
@@ -71,9 +74,24 @@
   }
 
   #add (endpoint: string): RouteTask {
-    const { createRouter, runners, metrics, onWaiting } = this.#parts
+    const { createRouter, metrics, onWaiting } = this.#parts
+    const runners = this.#limitedBy(endpoint)
     const task = new RouteTask({ endpoint, router: createRouter(endpoint), runners, metrics, onWaiting })
     this.#tasks.set(endpoint, task)
     return task
   }
+
+  /** Runners that several endpoints list under one address get the sum of the connections that each allows. */
+  #limitedBy (endpoint: string): RunnerClient {
+    const { runners } = this.#parts
+    return {
+      send: async (address, request) => await runners.send(address, request),
+      limitConnections: (address, connections) => {
+        const limits = this.#limits.get(address) ?? new Map<string, number>()
+        this.#limits.set(address, limits.set(endpoint, connections))
+        runners.limitConnections(address, [...limits.values()].reduce((sum, limit) => sum + limit, 0))
+      },
+      close: async () => await runners.close()
+    }
+  }
 }
--- a/packages/daemon/src/entry/routeTask/index.ts
+++ b/packages/daemon/src/entry/routeTask/index.ts
@@ -74,7 +74,13 @@
 
   /** Replaces the set of runners. Addresses of removed runners are kept for exchanges that are still in flight. */
   setRunners (runners: AddressedRunner[]): void {
-    for (const { id, address } of runners) this.#addresses.set(id, address)
+    for (const { id, address } of runners) {
+      if (this.#addresses.get(id) === address) continue
+      const limit = this.#limits.get(id)
+      this.#limitConnections(id, 0)
+      this.#addresses.set(id, address)
+      if (limit !== undefined) this.#limitConnections(id, limit)
+    }
     this.#apply(this.#router.setRunners(runners.map(({ address: _address, ...runner }) => runner), performance.now()))
   }
 
@@ -99,7 +105,8 @@
 
   /** Closes connections in excess of the tokens held; to be called before the tokens are reported as released. */
   trimConnections (): void {
-    for (const { runner, held } of this.use()) this.#limitConnections(runner, held)
+    const held = new Map(this.use().map((use) => [use.runner, use.held]))
+    for (const runner of this.#limits.keys()) this.#limitConnections(runner, held.get(runner) ?? 0)
   }
 
   use (): SlotUse[] {
--- a/packages/daemon/src/entry/routeTask/test.ts
+++ b/packages/daemon/src/entry/routeTask/test.ts
@@ -5,6 +5,7 @@
 import { MAX_WHOLE_ANSWER_BYTES } from '../constants/index.ts'
 import { answer, bodyOf, callOf, hang, openRoute, refused, reset, ScriptedRunners } from '../testSupport/index.ts'
 import type { RouteResult, StreamedAnswer } from '../types.ts'
+import type { RouteTask } from './index.ts'
 
 function textOf (result: RouteResult): string {
   return result.kind === 'answered' ? Buffer.from(result.answer.body).toString() : result.kind
@@ -16,6 +17,11 @@
   return size
 }
 
+function grantOne (route: RouteTask): void {
+  route.setSlotExpiry('home', performance.now() + 1_800_000)
+  route.grantSlots('a', 1)
+}
+
 /** A router that sends to a and b at once, takes the first answer and would retry whatever breaks. */
 function createHedgingRouter (): EndpointRouter & { finished: string[] } {
   const finished: string[] = []
@@ -121,7 +127,7 @@
       const route = openRoute(runners, 0)
       const call = route.submit(callOf({ repeatable: false }))
       call.abandon()
-      route.grantSlots('a', 1)
+      grantOne(route)
       expect(await call.result).to.include({ kind: 'not-run', reason: 'caller-gone' })
       expect(runners.sent).to.deep.equal([])
     })
@@ -137,7 +143,7 @@
       const route = openRoute(runners, 0)
       const { result } = route.submit(callOf({ deadline: performance.now() + 500 }))
       await clock.tickAsync(500)
-      route.grantSlots('a', 1)
+      grantOne(route)
       expect((await result).kind).to.equal('not-run')
       expect(runners.sent).to.deep.equal([])
     })
@@ -154,6 +160,20 @@
     })
   })
 
+  it('takes the answer of a runner that was removed or has moved while it worked', async () => {
+    let respond: () => void = () => {}
+    const gate = new Promise<void>((resolve) => { respond = resolve })
+    const runners = new ScriptedRunners(() => answer(bodyOf(gate, 'done')))
+    const route = openRoute(runners, 1)
+    const calls = [route.submit(callOf()), route.submit(callOf())]
+    route.setRunners([{ id: 'b', address: 'b2', failureDomain: 'home', slots: 8, leaving: false }])
+    respond()
+    expect((await Promise.all(calls.map(async ({ result }) => textOf(await result))))).to.deep.equal(['done', 'done'])
+    route.trimConnections()
+    // The token of the removed runner is held until the allocator recalls it.
+    expect([runners.limits.get('a'), runners.limits.get('b'), runners.limits.get('b2')]).to.deep.equal([1, 0, 1])
+  })
+
   it('keeps no more connections to a runner than tokens, and fewer before a release is reported', () => {
     const runners = new ScriptedRunners(() => answer(''))
     const route = openRoute(runners, 3)
--- /dev/null
+++ b/packages/daemon/src/entry/slotAllocator/test.ts
@@ -0,0 +1,122 @@
+import type { LeaseRight, SlotReport } from '@gypsumspring/core'
+import { expect } from 'chai'
+import { Metrics } from '../../metrics/index.ts'
+import { FaultyTable, silent } from '../testSupport/index.ts'
+import { SlotAllocator } from './index.ts'
+
+const settle = async () => await new Promise((resolve) => setTimeout(resolve, 5))
+
+describe('SlotAllocator', () => {
+  let table: FaultyTable
+  let right: LeaseRight
+  let open: SlotAllocator[]
+
+  beforeEach(() => {
+    table = new FaultyTable()
+    right = 'decide'
+    open = []
+  })
+  afterEach(() => { for (const allocator of open) allocator.lose() })
+
+  /** Takes the row over as the lease does, and allocates under it. */
+  async function start (epoch: number): Promise<SlotAllocator> {
+    const allocator = new SlotAllocator({
+      failureDomain: 'home',
+      table,
+      lease: { right: () => right, renewedAt: performance.now() },
+      metrics: new Metrics(),
+      logger: silent
+    })
+    open.push(allocator)
+    const outcome = await table.memory.transact({ checks: [], writes: [{ kind: 'put', key: 'slots/home', value: { epoch } }] })
+    allocator.setRunners([{ endpoint: 'origem', runner: 'a', slots: 8 }])
+    await allocator.gain({ epoch, rowVersion: outcome.unsafeCoerce().versions[0]! })
+    return allocator
+  }
+
+  function report (allocator: SlotAllocator, epoch: number, sequence: number, changes: Partial<SlotReport> = {}) {
+    return allocator.report({
+      entry: 'e1',
+      incarnation: '1',
+      epoch,
+      sequence,
+      holdings: [],
+      demands: [{ endpoint: 'origem', waiting: 4 }],
+      leaving: false,
+      ...changes
+    })
+  }
+
+  const registered = async () => {
+    const row = (await table.memory.read('slots-entries/home')).unsafeCoerce()
+    const value = row?.value as { registrations: Array<{ entry: string }> } | undefined
+    return value?.registrations.map(({ entry }) => entry) ?? []
+  }
+
+  const faults = [
+    { name: 'is written', faults: [] },
+    { name: 'takes effect with its answer lost', faults: ['lose-answer' as const] },
+    { name: 'fails at first', faults: ['down' as const] }
+  ]
+  for (const { name, faults: next } of faults) {
+    it(`grants no token before the entry is in the row, when the row ${name}`, async () => {
+      const allocator = await start(1)
+      table.faults = [...next]
+      for (let sequence = 1; ; sequence++) {
+        const answer = report(allocator, 1, sequence)
+        if (answer.registered) {
+          expect(answer.grants.length).to.equal(1)
+          break
+        }
+        expect(answer.grants).to.deep.equal([])
+        expect(sequence).to.be.below(10)
+        await settle()
+      }
+      expect(await registered()).to.deep.equal(['e1'])
+    })
+  }
+
+  it('does not hand out tokens that an entry registered under the last allocator may hold', async () => {
+    const first = await start(1)
+    report(first, 1, 1)
+    await settle()
+    const held = report(first, 1, 2).grants[0]!.slots - 1
+    const second = await start(2)
+    report(second, 2, 1, { entry: 'e2' })
+    await settle()
+    expect(report(second, 2, 2, { entry: 'e2' }).grants).to.deep.equal([])
+    report(second, 2, 3, { holdings: [{ endpoint: 'origem', runner: 'a', held, inUse: 0 }], demands: [] })
+    expect(report(second, 2, 4, { entry: 'e2' }).grants[0]?.slots).to.equal(8 - held)
+  })
+
+  it('writes no registration after another entry has taken the row over', async () => {
+    const first = await start(1)
+    await start(2)
+    report(first, 1, 1)
+    await settle()
+    expect(await registered()).to.deep.equal([])
+    expect(report(first, 1, 2).registered).to.equal(false)
+  })
+
+  it('refuses reports without the lease, and serves on while the store is down', async () => {
+    const allocator = await start(1)
+    report(allocator, 1, 1)
+    await settle()
+    right = 'sustain'
+    table.then = 'down'
+    expect(report(allocator, 1, 2).registered).to.equal(true)
+    right = 'none'
+    expect(report(allocator, 1, 3)).to.include({ epoch: 0, registered: false })
+  })
+
+  it('hands the row over without the entries that have given everything back', async () => {
+    const allocator = await start(1)
+    report(allocator, 1, 1)
+    report(allocator, 1, 1, { entry: 'e2' })
+    await settle()
+    report(allocator, 1, 2, { leaving: true })
+    await allocator.handOver()
+    expect(await registered()).to.deep.equal(['e2'])
+    expect(report(allocator, 1, 3)).to.include({ epoch: 0 })
+  })
+})
--- a/packages/daemon/src/entry/slotsReporter/index.ts
+++ b/packages/daemon/src/entry/slotsReporter/index.ts
@@ -8,6 +8,9 @@
   routes: EndpointRoutes
 }
 
+/** Time in which submissions are collected before reports are brought forward, in ms; a review costs each endpoint. */
+const POKE_DELAY_MS = 2
+
 /** How long an entry keeps tokens of another domain after its own domain has enough again, in ms. */
 const REMOTE_IDLE_MS = 10_000
 
@@ -18,6 +21,7 @@
   readonly #shortSince = new Map<string, number>()
   #demands = new Map<string, SlotDemand[]>()
   #timer: ReturnType<typeof setInterval> | undefined
+  #pokeTimer: ReturnType<typeof setTimeout> | undefined
   #leaving = false
 
   constructor (parts: SlotsReporterParts) {
@@ -31,9 +35,13 @@
 
   /** Requests wait: reports go out as soon as they are due. */
   poke (): void {
-    if (this.#leaving) return
-    this.#review()
-    for (const { slots } of this.#domains.values()) slots.poke()
+    if (this.#leaving || this.#pokeTimer !== undefined) return
+    this.#pokeTimer = setTimeout(() => {
+      this.#pokeTimer = undefined
+      if (this.#leaving) return
+      this.#review()
+      for (const { slots } of this.#domains.values()) slots.poke()
+    }, POKE_DELAY_MS)
   }
 
   /** Failure domains whose allocator does not answer. */
@@ -45,6 +53,7 @@
   async close (withinMs: number): Promise<void> {
     this.#leaving = true
     clearInterval(this.#timer)
+    clearTimeout(this.#pokeTimer)
     await Promise.all([...this.#domains.values()].map(async ({ slots }) => await slots.giveBack(withinMs)))
   }
 
--- a/packages/daemon/src/entry/testSupport/index.ts
+++ b/packages/daemon/src/entry/testSupport/index.ts
@@ -82,7 +82,7 @@
 ): RouteTask {
   const task = new RouteTask({ endpoint: 'origem', router, runners, metrics: new Metrics() })
   task.setRunners(['a', 'b'].map((id) => ({ id, address: id, failureDomain: 'home', slots: 8, leaving: false })))
-  task.setSlotExpiry('home', performance.now() + 1_800_000)
+  if (slots > 0) task.setSlotExpiry('home', performance.now() + 1_800_000)
   if (slots > 0) for (const id of ['a', 'b']) task.grantSlots(id, slots)
   return task
 }
@@ -94,6 +94,8 @@
   readonly memory = new MemoryTable()
   faults: Fault[] = []
   then: Fault = 'ok'
+  /** The same for reads. */
+  readFaults: Fault[] = []
   reads: Fault = 'ok'
 
   async transact (transaction: Transaction) {
@@ -104,7 +106,8 @@
   }
 
   async read (key: string) {
-    return this.reads === 'down' ? notDone('unavailable', 'down') : await this.memory.read(key)
+    const fault = this.readFaults.shift() ?? this.reads
+    return fault === 'down' ? notDone('unavailable', 'down') : await this.memory.read(key)
   }
 
   async scan (prefix: string) {
