--- a/packages/bench/src/_lib/Runner.ts
+++ b/packages/bench/src/_lib/Runner.ts
@@ -29,6 +29,10 @@
     this.#options = options
   }
 
+  get fails (): boolean {
+    return this.#options.failsAfterMs !== undefined
+  }
+
   /** Returns a function that gives the request up; work that has begun is finished all the same. */
   offer (serviceMs: number, done: Job['done']): () => void {
     const job = { serviceMs, done, dropped: false }
