--- a/packages/daemon/src/entry/addEntryParts.ts
+++ b/packages/daemon/src/entry/addEntryParts.ts
@@ -135,6 +135,7 @@
         hasTeam: (team) => this.#routes.hasTeam(team)
       },
       serve: (call) => call.repeatable ? this.#route(call.endpoint).submit(call) : this.once.serve(call),
+      logger: createPartLogger(logger, 'route'),
       metrics
     })
     this.#operators = new OperatorApi({
--- a/packages/daemon/src/entry/callerFront/index.ts
+++ b/packages/daemon/src/entry/callerFront/index.ts
@@ -3,6 +3,7 @@
 import type { SchemaViolation } from '@gypsumspring/protocol'
 import { Left, Right } from 'purify-ts/Either'
 import { fastify, type FastifyInstance, type FastifyReply, type FastifyRequest, type HTTPMethods } from 'fastify'
+import type { Logger } from '../../logging/index.ts'
 import type { Metrics } from '../../metrics/index.ts'
 import { LEAVING_RETRY_MS, MAX_DEADLINE_MS, MAX_REQUEST_BYTES } from '../constants/index.ts'
 import { forwardHeaders } from '../forwardHeaders/index.ts'
@@ -22,6 +23,7 @@
 export interface CallerFrontParts {
   directory: FrontDirectory
   serve: (call: CallerCall) => Call<CallResult>
+  logger: Logger
   metrics: Metrics
 }
 
@@ -142,7 +144,10 @@
       if (!reply.raw.writableFinished) abandon()
     })
     if (reply.raw.destroyed) abandon()
-    return await this.#answer(reply, call.requestId, await result)
+    const outcome = await result
+    const { requestId } = call
+    this.#parts.logger.debug({ requestId, endpoint, outcome: outcome.kind }, 'request ended')
+    return await this.#answer(reply, requestId, outcome)
   }
 
   #checkTeam (options: CallerOptions) {
--- a/packages/daemon/src/entry/callerFront/test.ts
+++ b/packages/daemon/src/entry/callerFront/test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'chai'
 import { Metrics } from '../../metrics/index.ts'
 import { MAX_REQUEST_BYTES } from '../constants/index.ts'
-import { bodyOf } from '../testSupport/index.ts'
+import { bodyOf, silent } from '../testSupport/index.ts'
 import type { CallerCall, CallResult } from '../types.ts'
 import { CallerFront } from './index.ts'
 
@@ -34,6 +34,7 @@
         calls.push(call)
         return { result: Promise.resolve(result), abandon }
       },
+      logger: silent,
       metrics
     })
     url = `http://127.0.0.1:${await front.listen(0, '127.0.0.1')}`
