--- a/packages/bench/src/benchmarks.ts
+++ b/packages/bench/src/benchmarks.ts
@@ -1,6 +1,7 @@
 import { runPacking } from './packing/index.ts'
 import { runPlacement } from './placement/index.ts'
 import { runPlacementMemory } from './placementMemory/index.ts'
+import { measureRouting } from './measureRouting/index.ts'
 import { measureSlots } from './measureSlots/index.ts'
 
 /** A benchmark reports each case as a row of named figures; units are part of the names. */
@@ -10,6 +11,7 @@
   placement: runPlacement,
   packing: runPacking,
   'placement-memory': runPlacementMemory,
+  routing: measureRouting,
   slots: measureSlots
 }
 
