Use the indexed placer in the scheduler; change the configuration in random histories

The indexed placer refuses a task that an open submission still holds; the first-fit stand-in had not. A task that changes its submission now withdraws the old one first.

--- a/packages/daemon/src/scheduler/addSchedulerParts.ts
+++ b/packages/daemon/src/scheduler/addSchedulerParts.ts
@@ -1,18 +1,18 @@
+import { IndexedPlacer } from '@gypsumspring/core'
 import type { ProcessContext } from '../types.ts'
-import { FirstFitPlacer } from './_lib/FirstFitPlacer.ts'
 import { ShardSupervisor, type SupervisorOptions } from './ShardSupervisor.ts'
 
 /**
  * Adds the parts of the scheduler role to the life cycle, and its RPC methods to the handlers.
  *
  * @param context - What every part of the process is given.
- * @param options.createPlacer - Makes the placer of a shard. Default: first fit.
+ * @param options.createPlacer - Makes the placer of a shard. Default: the indexed placer.
  *
  * @example
  * addSchedulerParts(context)
  */
 export function addSchedulerParts (context: ProcessContext, options: Partial<SupervisorOptions> = {}): void {
-  const supervisor = new ShardSupervisor(context, { createPlacer: () => new FirstFitPlacer(), ...options })
+  const supervisor = new ShardSupervisor(context, { createPlacer: () => new IndexedPlacer(), ...options })
   context.handlers['shard.status'] = () => ({ shards: supervisor.describe() })
   context.handlers['shard.explain'] = ({ task }) => {
     const lines = supervisor.explain(task)
--- a/packages/daemon/src/scheduler/history.test.ts
+++ b/packages/daemon/src/scheduler/history.test.ts
@@ -1,16 +1,16 @@
 import { expect } from 'chai'
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
 import { xorshift128plus } from 'pure-rand/generator/xorshift128plus'
-import { TestCell, type TestProcess } from './testSupport/index.ts'
+import { SLOT, TestCell, type TestProcess } from './testSupport/index.ts'
 
 const FIRST_SEED = Number(process.env['HISTORY_SEED'] ?? 1)
 const SEEDS = Number(process.env['HISTORY_SEEDS'] ?? 6)
 const STEPS = 40
+const PRIORITIES = ['urgent', 'normal', 'low'] as const
 
 const WORKLOADS = [
   { id: 'batch', tasks: 8, payload: { runMs: 25_000 } },
-  { id: 'gang', kind: 'gang' as const, tasks: 3, payload: { runMs: 40_000 } },
-  { id: 'web', kind: 'service' as const, tasks: 2, payload: {} }
+  { id: 'gang', kind: 'gang' as const, tasks: 3, payload: { runMs: 40_000 } }
 ]
 
 function name (workload: string, tasks: number): string[] {
@@ -24,6 +24,8 @@
   #processCount = 0
   readonly #extra: string[] = []
   readonly #cancelled = new Set<string>()
+  readonly #removed = new Set<string>()
+  #web = { id: 'web', kind: 'service' as const, tasks: 2, resources: SLOT, payload: {} }
 
   constructor (seed: number) {
     this.#random = xorshift128plus(seed)
@@ -53,13 +55,16 @@
 
   /** Tasks that have to succeed after the faults. */
   get unfinished (): string[] {
-    const batches = ['batch', ...this.#extra].filter((id) => !this.#cancelled.has(id))
+    const batches = ['batch', ...this.#extra].filter((id) => !this.#cancelled.has(id) && !this.#removed.has(id))
     const tasks = batches.flatMap((id) => name(id, id === 'batch' ? 8 : 2))
     return [...tasks, ...name('gang', 3)].filter((task) => !this.cell.recordedSuccesses.has(task))
   }
 
-  get runningServices (): number {
-    return this.cell.runningTasks.filter((task) => task.startsWith('s/web@hall/')).length
+  /** The service has as many tasks of the right size as configured. */
+  get isServed (): boolean {
+    const { tasks, resources } = this.#web
+    const running = [...this.cell.running].filter(([task]) => task.startsWith('s/web@hall/')).flatMap(([, here]) => here)
+    return running.length === tasks && running.every(({ report }) => report.resources.cpuMillis === resources.cpuMillis)
   }
 
   #fault (): void {
@@ -87,6 +92,8 @@
       () => cell.list(workerId, this.#below(2) === 0 ? 'live' : 'leaving'),
       () => this.#addWorkload(),
       () => this.#cancel(),
+      () => this.#toggle(),
+      () => this.#changeService(),
       () => this.heal()
     ]
     this.#pick(faults)()
@@ -113,9 +120,25 @@
     this.#configure()
   }
 
+  /** Removes a workload or brings it back. */
+  #toggle (): void {
+    if (this.#extra.length === 0) return
+    const id = this.#pick(this.#extra)
+    if (!this.#removed.delete(id)) this.#removed.add(id)
+    this.#configure()
+  }
+
+  #changeService (): void {
+    const resources = { ...SLOT, cpuMillis: 500 + 250 * this.#below(3) }
+    this.#web = { ...this.#web, tasks: 1 + this.#below(4), resources }
+    this.#configure()
+  }
+
   #configure (): void {
-    const extra = this.#extra.map((id) => ({ id, tasks: 2, preemptible: true, payload: { runMs: 10_000 } }))
-    this.cell.configure([...WORKLOADS, ...extra], [...this.#cancelled])
+    const present = this.#extra.filter((id) => !this.#removed.has(id))
+    const extra = present.map((id, index) => (
+      { id, tasks: 2, preemptible: true, priority: PRIORITIES[index % 3], payload: { runMs: 10_000 } }))
+    this.cell.configure([...WORKLOADS, this.#web, ...extra], [...this.#cancelled])
   }
 
   #below (limit: number): number {
@@ -136,11 +159,11 @@
         await history.runFaults()
         expect(cell.violations, `seed ${seed}`).to.deep.equal([])
         history.heal()
-        const isFinished = () => history.unfinished.length === 0 && history.runningServices === 2
+        const isFinished = () => history.unfinished.length === 0 && history.isServed
         const finished = await cell.runUntil(isFinished, 600_000)
         expect(cell.violations, `seed ${seed}`).to.deep.equal([])
-        expect({ finished, unfinished: history.unfinished, services: history.runningServices }, `seed ${seed}`)
-          .to.deep.equal({ finished: true, unfinished: [], services: 2 })
+        expect({ finished, unfinished: history.unfinished, isServed: history.isServed }, `seed ${seed}`)
+          .to.deep.equal({ finished: true, unfinished: [], isServed: true })
         // Longer than (H + L) x 1.03: whatever was left unresolved by the faults is settled then.
         await cell.run(170_000)
         const starts = cell.starts.length
--- a/packages/daemon/src/scheduler/shardOwner/GroupSettler.ts
+++ b/packages/daemon/src/scheduler/shardOwner/GroupSettler.ts
@@ -89,6 +89,7 @@
   #settleTasks (group: Group, definition: GroupDefinition, now: number): number {
     const { table, submissions, stop } = this.#options
     this.#withdrawChanged(group, definition)
+    this.#removeUnwanted(group)
     let wakeAt = Infinity
     let over = 0
     const live: Task[] = []
@@ -98,8 +99,7 @@
       if (isLive(task)) {
         live.push(task)
         if (!wanted) stop(task, 'removed', false)
-      } else if (!wanted) table.removeTask(task)
-      else if (task.state === 'waiting') {
+      } else if (task.state === 'waiting') {
         if (task.submission?.open !== true) toQueue.push(task)
       } else if (task.state === 'ended') {
         const dueAt = this.#decideRetry(task, definition)
@@ -118,7 +118,7 @@
   }
 
   #settleGang (group: Group, definition: GroupDefinition, now: number): number {
-    const { table, submissions, stop } = this.#options
+    const { submissions, stop } = this.#options
     const tasks = [...group.tasks.values()]
     const live = tasks.filter(isLive)
     this.#restore(group, live, [])
@@ -129,7 +129,7 @@
       if (broken || changed || resized) for (const task of live) stop(task, 'gang-restart', false)
       return Infinity
     }
-    for (const task of tasks) if (!group.wanted.has(task.id)) table.removeTask(task)
+    this.#removeUnwanted(group)
     const members = [...group.tasks.values()]
     if (members.every(({ state, result }) => state === 'ended' && result === 'succeeded')) {
       this.#finish(group, 'succeeded')
@@ -159,6 +159,13 @@
     this.#options.submissions.withdraw(changed)
   }
 
+  /** Their submissions go too: the placer would refuse the same task in a new one if it came back. */
+  #removeUnwanted (group: Group): void {
+    const unwanted = [...group.tasks.values()].filter((task) => !isLive(task) && !group.wanted.has(task.id))
+    this.#options.submissions.withdraw(unwanted.map(({ submission }) => submission))
+    for (const task of unwanted) this.#options.table.removeTask(task)
+  }
+
   #requeue (task: Task, now: number): Task {
     this.#options.table.move(task, 'requeue')
     task.queuedAt = now
--- a/packages/daemon/src/scheduler/shardOwner/Submissions.ts
+++ b/packages/daemon/src/scheduler/shardOwner/Submissions.ts
@@ -24,12 +24,13 @@
     const fits = (task: Task) => task.submission?.open === true && task.submission.shape === shape
     // A gang is placed whole, so it is never split over two submissions.
     const renew = group.kind === 'gang' && !waiting.every(fits)
-    if (renew) this.withdraw(waiting.map(({ submission }) => submission))
     const fresh: Task[] = []
     for (const task of waiting) {
       if (!renew && fits(task)) this.#placer.requeue(task.id, now)
       else fresh.push(task)
     }
+    // The placer takes a task only once; the earlier submission may still hold running tasks.
+    this.withdraw(fresh.map(({ submission }) => submission))
     if (fresh.length > 0) this.#submit(group, definition, fresh)
   }
 
--- a/packages/daemon/src/scheduler/test.ts
+++ b/packages/daemon/src/scheduler/test.ts
@@ -1,6 +1,4 @@
 import { expect } from 'chai'
-import type { TaskGroup } from '@gypsumspring/core'
-import { FirstFitPlacer } from './_lib/FirstFitPlacer.ts'
 import { settings, SLOT, TestCell, type TestProcess } from './testSupport/index.ts'
 
 const LONG = { payload: {} }
@@ -245,11 +243,14 @@
         { id: 'fixed', ...LONG }, { id: 'soft', preemptible: true, ...LONG }, { id: 'web', kind: 'service' }
       ])
       await cell.run(8_000)
-      expect(new Set(cell.runningTasks.flatMap((task) => cell.runningOn(task)))).to.deep.equal(new Set(['w0']))
-      cell.list('w0', 'leaving')
+      const before = new Map(cell.runningTasks.map((task) => [task, cell.runningOn(task)]))
+      expect(before.size).to.equal(3)
+      for (const id of ['w0', 'w1']) cell.list(id, 'leaving')
+      cell.addWorker('w2')
       await cell.run(15_000)
-      const places = cell.runningTasks.map((task) => `${task} ${cell.runningOn(task).join()}`)
-      expect(places).to.deep.equal(['s/fixed/0 w0', 's/soft/0 w1', 's/web@hall/0 w1'])
+      expect(cell.runningOn('s/fixed/0')).to.deep.equal(before.get('s/fixed/0'))
+      expect(cell.runningOn('s/soft/0')).to.deep.equal(['w2'])
+      expect(cell.runningOn('s/web@hall/0')).to.deep.equal(['w2'])
     })
   })
 
@@ -360,22 +361,7 @@
     const low = {
       id: 'low', preemptible: true, priority: 'low' as const, resources: { ...SLOT, cpuMillis: 2_000 }, payload: { runMs: 30_000 }
     }
-    /** Preempts `low` once `high` waits. */
-    class PreemptingPlacer extends FirstFitPlacer {
-      #highWaits = false
-
-      override submit (group: TaskGroup): void {
-        this.#highWaits ||= group.tasks.includes('s/high/0')
-        super.submit(group)
-      }
-
-      override decide (now: number, limit: number) {
-        const decisions = super.decide(now, limit)
-        if (decisions.some(({ group }) => group.startsWith('s/high'))) this.#highWaits = false
-        return this.#highWaits && cell.running.has('s/low/0') ? [{ kind: 'preempt' as const, group: 's/high', victims: ['s/low/0'] }] : decisions
-      }
-    }
-    cell.startProcess('a', { createPlacer: () => new PreemptingPlacer() })
+    cell.startProcess('a')
     cell.configure([low])
     await cell.run(7_000)
     expect(cell.runningTasks).to.deep.equal(['s/low/0'])
@@ -400,7 +386,11 @@
       web(3)
       await cell.run(3_000)
       expect(cell.runningTasks).to.deep.equal([0, 1, 2].map((index) => `s/web@hall/${index}`))
-      expect(cell.starts).to.have.length(4)
+      web(4)
+      await cell.run(3_000)
+      web(3)
+      await cell.run(3_000)
+      expect(cell.starts).to.have.length(5)
       web(3, { ...SLOT, cpuMillis: 500 })
       let fewest = 3
       for (let ms = 0; ms < 20_000; ms += 50) {
@@ -424,7 +414,6 @@
       await cell.run(30_000)
       expect(cell.starts).to.have.length(1)
       expect(await b.explain('s/x/0')).to.include('over: succeeded')
-      cell.recordedSuccesses.clear()
       cell.configure([{ id: 'x', payload: { runMs: 2_000 } }])
       await cell.run(10_000)
       expect(cell.starts.map(({ attempt }) => attempt)).to.deep.equal([1, 2])
--- a/packages/daemon/src/scheduler/testSupport/index.ts
+++ b/packages/daemon/src/scheduler/testSupport/index.ts
@@ -271,9 +271,15 @@
   #watchJournal ({ records = [] }: Partial<JournalRow>): void {
     for (const record of records) {
       if (record.kind === 'end' && record.result === 'succeeded') this.recordedSuccesses.add(record.task)
+      // A group that was released or has a new generation may run again.
+      if (record.kind === 'release' || record.kind === 'restart') this.#forgetSuccesses(record.group)
     }
   }
 
+  #forgetSuccesses (group: string): void {
+    for (const task of this.recordedSuccesses) if (task.startsWith(`${group}/`)) this.recordedSuccesses.delete(task)
+  }
+
   #observe (event: 'start' | 'end', worker: string, report: AttemptReport, capacity: Resources): void {
     const { task, attempt } = report
     const known = this.running.get(task) ?? []
