Keep a task in place when the repeat of an unresolved start is refused

A refusal now counts only when no earlier start of the attempt can still be on its way (L x 1.03 after it was sent).

--- a/packages/daemon/src/scheduler/shardOwner/AttemptDriver.ts
+++ b/packages/daemon/src/scheduler/shardOwner/AttemptDriver.ts
@@ -65,7 +65,7 @@
     }
     for (const { result, ...id } of ended) this.end(id, result, reported.get(`${id.task}#${id.attempt}`)?.detail ?? '')
     for (const id of resend) this.#send(id)
-    for (const id of absent) this.#endAbsent(id)
+    for (const id of absent) if (this.#isSettled(id)) this.end(id, 'stopped', 'stopped before it started')
     for (const id of surplus) {
       metrics.count('surplus_attempts')
       log.warn({ worker, ...id }, 'stopping an attempt that is not recorded as live')
@@ -87,7 +87,8 @@
       else {
         metrics.count('start_refused')
         placer.recordOutcome(task, worker, { succeeded: false, runMs: 0 })
-        this.end({ task, attempt }, 'refused', detail ?? 'refused by the worker')
+        // A refused repeat says nothing of an earlier start that may still arrive; the next report asks again.
+        if (this.#isSettled({ task, attempt })) this.end({ task, attempt }, 'refused', detail ?? 'refused by the worker')
       }
     }
   }
@@ -170,13 +171,12 @@
     task.mayHaveReached = true
   }
 
-  #endAbsent (id: AttemptId): void {
+  /** No start of the attempt is still on its way: none was sent without an answer, or not for the task lease. */
+  #isSettled (id: AttemptId): boolean {
     const { tasks, settings } = this.#options
     const task = tasks.findAttempt(id)
-    if (task === undefined) return
-    // A start that is still on its way would be reported within the task lease at the latest.
-    const settledAt = task.lastSentAt + settings.taskLeaseMs * DRIFT_MARGIN
-    if (performance.now() >= settledAt) this.end(id, 'stopped', 'stopped before it started')
+    if (task?.mayHaveReached !== true) return true
+    return performance.now() >= task.lastSentAt + settings.taskLeaseMs * DRIFT_MARGIN
   }
 
   #send (id: AttemptId): void {
--- a/packages/daemon/src/scheduler/test.ts
+++ b/packages/daemon/src/scheduler/test.ts
@@ -164,6 +164,21 @@
     expect((await a.status())?.tasks[0]).to.include({ state: 'running', attempt: 1 })
   })
 
+  it('does not move a task whose repeated start is refused while the first one may still arrive', async () => {
+    cell = new TestCell(2)
+    const a = cell.startProcess('a')
+    a.beforeCall = (target, method) => {
+      if (method !== 'start') return
+      const link = a.link(target)
+      link.refusesStarts = link.delaysStartsMs > 0
+      link.delaysStartsMs = 4_000
+    }
+    cell.configure([{ id: 'x', ...LONG }])
+    await cell.run(20_000)
+    expect(cell.starts).to.have.length(1)
+    expect((await a.status())?.tasks[0]).to.include({ state: 'running', attempt: 1 })
+  })
+
   describe('store outage', () => {
     const outages = [
       { name: 'down', faults: { down: true } },
