--- a/packages/daemon/src/scheduler/test.ts
+++ b/packages/daemon/src/scheduler/test.ts
@@ -164,6 +164,21 @@
     expect((await a.status())?.tasks[0]).to.include({ state: 'running', attempt: 1 })
   })
 
+  it('does not move a task whose repeated start is refused while the first one may still arrive', async () => {
+    cell = new TestCell(2)
+    const a = cell.startProcess('a')
+    a.beforeCall = (target, method) => {
+      if (method !== 'start') return
+      const link = a.link(target)
+      link.refusesStarts = link.delaysStartsMs > 0
+      link.delaysStartsMs = 4_000
+    }
+    cell.configure([{ id: 'x', ...LONG }])
+    await cell.run(20_000)
+    expect(cell.starts).to.have.length(1)
+    expect((await a.status())?.tasks[0]).to.include({ state: 'running', attempt: 1 })
+  })
+
   describe('store outage', () => {
     const outages = [
       { name: 'down', faults: { down: true } },
@@ -243,13 +258,14 @@
         { id: 'fixed', ...LONG }, { id: 'soft', preemptible: true, ...LONG }, { id: 'web', kind: 'service' }
       ])
       await cell.run(8_000)
-      const [home, ...others] = new Set(cell.runningTasks.flatMap((task) => cell.runningOn(task)))
-      expect(others, 'all tasks start on one worker').to.deep.equal([])
-      const other = home === 'w0' ? 'w1' : 'w0'
-      cell.list(home!, 'leaving')
+      const before = new Map(cell.runningTasks.map((task) => [task, cell.runningOn(task)]))
+      expect(before.size).to.equal(3)
+      for (const id of ['w0', 'w1']) cell.list(id, 'leaving')
+      cell.addWorker('w2')
       await cell.run(15_000)
-      const places = cell.runningTasks.map((task) => `${task} ${cell.runningOn(task).join()}`)
-      expect(places).to.deep.equal([`s/fixed/0 ${home}`, `s/soft/0 ${other}`, `s/web@hall/0 ${other}`])
+      expect(cell.runningOn('s/fixed/0')).to.deep.equal(before.get('s/fixed/0'))
+      expect(cell.runningOn('s/soft/0')).to.deep.equal(['w2'])
+      expect(cell.runningOn('s/web@hall/0')).to.deep.equal(['w2'])
     })
   })
 
@@ -385,7 +401,11 @@
       web(3)
       await cell.run(3_000)
       expect(cell.runningTasks).to.deep.equal([0, 1, 2].map((index) => `s/web@hall/${index}`))
-      expect(cell.starts).to.have.length(4)
+      web(4)
+      await cell.run(3_000)
+      web(3)
+      await cell.run(3_000)
+      expect(cell.starts).to.have.length(5)
       web(3, { ...SLOT, cpuMillis: 500 })
       let fewest = 3
       for (let ms = 0; ms < 20_000; ms += 50) {
@@ -409,7 +429,6 @@
       await cell.run(30_000)
       expect(cell.starts).to.have.length(1)
       expect(await b.explain('s/x/0')).to.include('over: succeeded')
-      cell.recordedSuccesses.clear()
       cell.configure([{ id: 'x', payload: { runMs: 2_000 } }])
       await cell.run(10_000)
       expect(cell.starts.map(({ attempt }) => attempt)).to.deep.equal([1, 2])
