Make the test of time-outs on a busy pool independent of timer order

The test counted exactly 16 unknown calls and failed once (17) at a load average of 36: a waiting call got the connection of one that had timed out a moment earlier and was written, so unknown was right.

--- a/packages/adapters/src/connectPlatform/test.ts
+++ b/packages/adapters/src/connectPlatform/test.ts
@@ -92,13 +92,15 @@
       await server.kill()
     })
 
-    it('a time-out while all connections are in use: not done for the calls that were not written', async () => {
+    it('a time-out while all connections are in use: not done only for calls that never arrive', async () => {
       const server = await answerRaw({ then: 'hold' })
       platform = connectPlatform({ platformUrl: `http://${server.address}`, storeTimeoutMs: 400 })
       const calls = Array.from({ length: PLATFORM_CONNECTIONS + 5 }, () => platform.table.transact(transaction))
       const certainties = (await Promise.all(calls)).map((outcome) => (outcome.extract() as Failure).certainty)
-      expect(certainties.filter((certainty) => certainty === 'unknown')).to.have.length(PLATFORM_CONNECTIONS)
-      expect(server.requests()).to.equal(PLATFORM_CONNECTIONS)
+      // A waiting call may get the connection of one that timed out a moment earlier.
+      const unknown = certainties.filter((certainty) => certainty === 'unknown').length
+      expect(unknown).to.be.within(PLATFORM_CONNECTIONS, calls.length)
+      expect(server.requests()).to.be.at.most(unknown)
       await server.close()
     })
 
--- a/packages/adapters/src/httpRunnerClient/test.ts
+++ b/packages/adapters/src/httpRunnerClient/test.ts
@@ -132,6 +132,19 @@
     expect(endpoints.runners[0]!.records.runs).to.equal(1)
   })
 
+  it('a time-out while the only connection is in use: not done, and the request never arrives', async () => {
+    const server = await answerRaw({ then: 'hold' })
+    client.limitConnections(server.address, 1)
+    const held = client.send(server.address, { ...get, timeoutMs: 60_000 })
+    while (server.requests() === 0) await new Promise((resolve) => setTimeout(resolve, 5))
+    const outcome = await client.send(server.address, { ...get, timeoutMs: 50 })
+    expect(outcome.extract()).to.include({ certainty: 'not-done', reason: 'timeout' })
+    await client.close()
+    expect((await held).extract()).to.include({ certainty: 'unknown', reason: 'closed' })
+    expect(server.requests()).to.equal(1)
+    await server.close()
+  })
+
   it('never opens more connections than the limit, and closes surplus idle ones when it is lowered', async () => {
     await behave({ serviceMs: 5, pieces: 2, paddingBytes: 5_000 })
     const burst = async () => {
