Let a lapsed worker session stay lapsed

Cause: a heartbeat revived a lapsed session, so an owner resuming after a pause could send its heartbeat first and then a start that was checked before the pause. The adapter test now asks for session-expired on a late heartbeat and failed before the change. Ruled out: leaving it to epoch fencing, which does not help on a worker that the new owner can't reach.

--- a/packages/adapters/src/httpWorkerConnector/test.ts
+++ b/packages/adapters/src/httpWorkerConnector/test.ts
@@ -61,6 +61,8 @@
     const lapsed = await open(1, 0)
     expect((await worker.start(lapsed, [attempt])).extract())
       .to.include({ certainty: 'not-done', reason: 'session-expired' })
+    const renewal = await worker.heartbeat(lapsed, { renewals: [], leaseMs: 1000, acknowledge: [] })
+    expect(renewal.extract(), 'a late heartbeat does not revive the session').to.include({ reason: 'session-expired' })
     const replaced = await open(1)
     await open(1)
     expect((await worker.start(replaced, [attempt])).extract()).to.include({ reason: 'session-expired' })
--- a/packages/standins/src/memoryWorker/index.ts
+++ b/packages/standins/src/memoryWorker/index.ts
@@ -79,7 +79,7 @@
     leaseMs: number
     acknowledge: Array<{ task: string, attempt: number }>
   }): Promise<Outcome<{ attempts: AttemptReport[] }>> {
-    return this.faults.apply(() => this.#withSession<{ attempts: AttemptReport[] }>(session, false, (state) => {
+    return this.faults.apply(() => this.#withSession<{ attempts: AttemptReport[] }>(session, true, (state) => {
       state.sessionExpiresAt = performance.now() + state.ttlMs
       for (const { task, attempt } of request.renewals) this.#renew(attemptKey(task, attempt), request.leaseMs)
       for (const { task, attempt } of request.acknowledge) this.#forget(attemptKey(task, attempt))
