--- a/packages/bench/src/measureSlots/_lib/strategies.ts
+++ b/packages/bench/src/measureSlots/_lib/strategies.ts
@@ -147,7 +147,7 @@
     const queues = Array.from({ length: ENTRIES }, () => new TokenQueue(site, 0))
     const exchange = (queue: TokenQueue, holder: SlotHolder, now: number): void => {
       const holdings = queue.held.map((held, runner) => {
-        return { endpoint: ENDPOINT, runner: `${runner}`, held, inUse: queue.inUse[runner] ?? 0 }
+        return { endpoint: ENDPOINT, runner: `${runner}`, held, inUse: queue.inUse[runner] ?? 0, avoided: false }
       })
       const report = holder.report(now, holdings, [{ endpoint: ENDPOINT, waiting: queue.waiting.length }])
       if (report === undefined) return
--- a/packages/core/src/createEndpointRouter/_lib/RunnerPool.ts
+++ b/packages/core/src/createEndpointRouter/_lib/RunnerPool.ts
@@ -82,9 +82,10 @@
     }
   }
 
-  use (): SlotUse[] {
-    return this.#list.filter(({ held }) => held > 0).map(({ node, held, inUse }) => {
-      return { runner: node.id, failureDomain: node.failureDomain, held, inUse }
+  use (typicalMs: number): SlotUse[] {
+    return this.#list.filter(({ held }) => held > 0).map((runner) => {
+      const { node, held, inUse } = runner
+      return { runner: node.id, failureDomain: node.failureDomain, held, inUse, avoided: isAvoided(runner, typicalMs) }
     })
   }
 
@@ -126,8 +127,7 @@
     if (wanted.onlyHealthy === true || runner.inUse > 0) return false
     const due = now - (wanted.repeatable ? 0 : LONGEST_EXCLUSION_MS)
     if (runner.excludedUntil !== undefined) return due >= runner.excludedUntil
-    const slow = runner.latencyMs !== undefined && runner.latencyMs > SLOW_FACTOR * wanted.typicalMs
-    return slow && due - runner.lastSentAt >= SLOW_PROBE_MS
+    return isSlow(runner, wanted.typicalMs) && due - runner.lastSentAt >= SLOW_PROBE_MS
   }
 
   #score (runner: RunnerState, wanted: Wanted, now: number): number {
@@ -135,3 +135,11 @@
     return expected * (1 + runner.inUse / runner.held) / (1.05 - runner.failures) ** 2
   }
 }
+
+function isSlow (runner: RunnerState, typicalMs: number): boolean {
+  return typicalMs > 0 && runner.latencyMs !== undefined && runner.latencyMs > SLOW_FACTOR * typicalMs
+}
+
+function isAvoided (runner: RunnerState, typicalMs: number): boolean {
+  return runner.open && (runner.excludedUntil !== undefined || isSlow(runner, typicalMs))
+}
--- a/packages/core/src/createEndpointRouter/_lib/RunnerState.ts
+++ b/packages/core/src/createEndpointRouter/_lib/RunnerState.ts
@@ -1,5 +1,8 @@
 import type { ExchangeResult, RunnerNode } from '../../types.ts'
-import { AVERAGE_WEIGHT, FAILURE_THRESHOLD, FIRST_EXCLUSION_MS, LONGEST_EXCLUSION_MS } from '../constants/index.ts'
+import {
+  FAILURE_THRESHOLD, FAILURE_WEIGHT, FIRST_EXCLUSION_MS, LATENCY_WEIGHT,
+  LONGEST_EXCLUSION_MS
+} from '../constants/index.ts'
 
 /** One runner: its tokens in this entry, and what its exchanges have shown. */
 export class RunnerState {
@@ -40,7 +43,7 @@
   }
 
   /** An aborted exchange shows only that the runner was at least this slow. */
-  finish (request: string, result: ExchangeResult, aborted: boolean, now: number): void {
+  finish (request: string, result: ExchangeResult, aborted: boolean, typicalMs: number, now: number): void {
     const elapsed = now - (this.starts.get(request) ?? now)
     this.starts.delete(request)
     this.inUse--
@@ -53,9 +56,9 @@
     }
     this.recalled = Math.min(this.recalled, this.inUse - this.expired)
     if (aborted) {
-      if (this.latencyMs !== undefined && elapsed > this.latencyMs) this.#learn(elapsed)
+      if (this.latencyMs !== undefined && elapsed > this.latencyMs) this.#learn(elapsed, typicalMs)
     } else if (result === 'answered') {
-      this.#learn(elapsed)
+      this.#learn(elapsed, typicalMs)
       this.#succeed()
     } else {
       this.#fail(now)
@@ -68,8 +71,9 @@
     return Math.max(this.latencyMs ?? typicalMs, oldest === undefined ? 0 : (now - oldest) / 3)
   }
 
-  #learn (elapsed: number): void {
-    this.latencyMs = this.latencyMs === undefined ? elapsed : average(this.latencyMs, elapsed)
+  /** Starts from the endpoint's mean: a single long request does not make a runner slow. */
+  #learn (elapsed: number, typicalMs: number): void {
+    this.latencyMs = average(this.latencyMs ?? (typicalMs > 0 ? typicalMs : elapsed), elapsed, LATENCY_WEIGHT)
   }
 
   #succeed (): void {
@@ -78,11 +82,11 @@
       this.#exclusionMs = FIRST_EXCLUSION_MS
       this.failures = 0
     }
-    this.failures = average(this.failures, 0)
+    this.failures = average(this.failures, 0, FAILURE_WEIGHT)
   }
 
   #fail (now: number): void {
-    this.failures = average(this.failures, 1)
+    this.failures = average(this.failures, 1, FAILURE_WEIGHT)
     if (this.failures < FAILURE_THRESHOLD) return
     // Failures of exchanges sent before the exclusion say nothing new.
     if (this.excludedUntil !== undefined && now < this.excludedUntil) return
@@ -91,6 +95,6 @@
   }
 }
 
-function average (old: number, newest: number): number {
-  return old + AVERAGE_WEIGHT * (newest - old)
+function average (old: number, newest: number, weight: number): number {
+  return old + weight * (newest - old)
 }
--- a/packages/core/src/createEndpointRouter/constants/index.ts
+++ b/packages/core/src/createEndpointRouter/constants/index.ts
@@ -24,15 +24,20 @@
 /** Share of the tokens that must be free for a hedge, so that hedges never delay first attempts. */
 export const HEDGE_FREE_SHARE = 0.1
 
-/** Weight of the newest figure in a runner's averages. */
-export const AVERAGE_WEIGHT = 0.2
+/**
+ * Weight of the newest latency in a runner's average. At 0.2 with a threshold of three medians, exponential service
+ * times alone made healthy runners look slow all the time.
+ */
+export const LATENCY_WEIGHT = 0.1
+/** Weight of the newest outcome in a runner's failure average. */
+export const FAILURE_WEIGHT = 0.2
 /** A runner whose failure average exceeds this is excluded; five failures in a row reach it. */
 export const FAILURE_THRESHOLD = 0.6
 export const FIRST_EXCLUSION_MS = 1000
 export const LONGEST_EXCLUSION_MS = 30_000
 /** When more than this share of the runners is excluded, the fault is the endpoint's and exclusion would not help. */
 export const EXCLUDED_SHARE_LIMIT = 0.5
-/** A runner this many times slower than the endpoint's median is used only when waiting would take longer. */
+/** A runner this many times slower than the endpoint's mean is used only when waiting would take longer. */
 export const SLOW_FACTOR = 3
 /** A slow runner gets one repeatable request after this time, to see whether it has recovered. */
 export const SLOW_PROBE_MS = 5000
--- a/packages/core/src/createEndpointRouter/index.ts
+++ b/packages/core/src/createEndpointRouter/index.ts
@@ -114,7 +114,7 @@
     const startedAt = state?.starts.get(request)
     if (state === undefined || startedAt === undefined) throw new Error(`no exchange of ${request} with ${runner}`)
     const tracked = this.#requests.get(request)
-    state.finish(request, result, tracked === undefined, now)
+    state.finish(request, result, tracked === undefined, this.#latencies.mean, now)
     const actions = tracked === undefined ? [] : this.#settle(tracked, runner, result, now - startedAt, now)
     return [...actions, ...this.#dispatch(now)]
   }
@@ -152,7 +152,7 @@
 
   use (now: number): SlotUse[] {
     this.#advance(now)
-    return this.#pool.use()
+    return this.#pool.use(this.#latencies.mean)
   }
 
   waiting (): number {
@@ -220,7 +220,7 @@
       repeatable: request.repeatable,
       tried: request.tried,
       otherwiseMs: this.#admission.tokenGapMs(this.#pool.held) * this.#queue.size,
-      typicalMs: this.#latencies.percentile(0.5)
+      typicalMs: this.#latencies.mean
     }
   }
 
--- a/packages/core/src/createSlotLedger/_lib/Claims.ts
+++ b/packages/core/src/createSlotLedger/_lib/Claims.ts
@@ -4,6 +4,7 @@
 export interface Bound {
   held: number
   inUse: number
+  avoided: boolean
 }
 
 /** Tokens that one incarnation of an entry holds at most. */
@@ -26,7 +27,10 @@
   loads: Map<string, EndpointLoad>
 }
 
-export interface EndpointLoad extends Bound {
+/** Without the tokens of runners that the entry avoids: those are of no use to it. */
+export interface EndpointLoad {
+  held: number
+  inUse: number
   waiting: number
   smoothed: number
   /** Since when requests wait although no token is held. */
@@ -112,11 +116,10 @@
     }
     claim.bounds.clear()
     for (const load of claim.loads.values()) load.held = load.inUse = load.waiting = 0
-    for (const { endpoint, runner, held, inUse } of holdings) {
-      this.raise(claim, { endpoint, runner, slots: held })
-      const bound = claim.bounds.get(runnerKey({ endpoint, runner }))
-      if (bound !== undefined) bound.inUse += inUse
-      this.load(claim, endpoint).inUse += inUse
+    for (const { endpoint, runner, held, inUse, avoided } of holdings) {
+      const bound = this.raise(claim, { endpoint, runner, slots: held }, avoided)
+      bound.inUse += inUse
+      if (!avoided) this.load(claim, endpoint).inUse += inUse
     }
     if (claim.answered) return
     for (const [key, { held }] of claim.bounds) {
@@ -126,14 +129,15 @@
     this.#settle(claim)
   }
 
-  raise (claim: Claim, move: SlotMove): void {
+  raise (claim: Claim, move: SlotMove, avoided = false): Bound {
     const key = runnerKey(move)
     const runner = this.runners.get(key) ?? this.#addRunner({ endpoint: move.endpoint, runner: move.runner, slots: 0 })
     runner.held += move.slots
-    const bound = claim.bounds.get(key) ?? { held: 0, inUse: 0 }
+    const bound = claim.bounds.get(key) ?? { held: 0, inUse: 0, avoided }
     bound.held += move.slots
     claim.bounds.set(key, bound)
-    this.load(claim, move.endpoint).held += move.slots
+    if (!bound.avoided) this.load(claim, move.endpoint).held += move.slots
+    return bound
   }
 
   load (claim: Claim, endpoint: string): EndpointLoad {
--- a/packages/core/src/createSlotLedger/_lib/planMoves.ts
+++ b/packages/core/src/createSlotLedger/_lib/planMoves.ts
@@ -29,8 +29,9 @@
     return { grants: [], releases: runners.flatMap((runner) => toMoves(runner, holding(claim, runner))) }
   }
   const takers = claims.all().filter((each) => each.registered && isActive(each) && !each.leaving)
+  const usable = runners.filter((runner) => !isAvoided(takers, runner))
   const lent = takers.reduce((sum, each) => sum + claims.load(each, endpoint).held, 0)
-  const free = runners.reduce((sum, runner) => sum + Math.max(0, claims.free(runner)), 0)
+  const free = usable.reduce((sum, runner) => sum + Math.max(0, claims.free(runner)), 0)
   const targets = planTargets(lent + free, takers.map((each) => {
     const { smoothed, hungrySince } = claims.load(each, endpoint)
     const starvation = hungrySince === undefined ? 0 : (now - hungrySince) / STARVATION_MS
@@ -44,10 +45,10 @@
   // Free tokens that were recalled for other entries are left to them.
   const wanted = Math.max(target - held, Math.min(waiting - (held - inUse), free - missing))
   if (wanted > 0 && free > 0) {
-    return { grants: grant(claims, claim, runners, Math.min(wanted, free)), releases: overdrawn }
+    return { grants: grant(claims, claim, usable, Math.min(wanted, free)), releases: overdrawn }
   }
   const surplus = overdrawn.length > 0 ? 0 : Math.min(recallable(claims.load(claim, endpoint), target), missing - free)
-  return { grants: [], releases: surplus > 0 ? recall(claim, runners, surplus) : overdrawn }
+  return { grants: [], releases: surplus > 0 ? recall(claim, usable, surplus) : overdrawn }
 }
 
 /**
@@ -61,6 +62,13 @@
   return waiting > 0 ? 0 : Math.min(surplus, idle)
 }
 
+/** Whether at least half of its holders avoid the runner. Its tokens stay where they are, for probes. */
+function isAvoided (takers: Claim[], runner: RunnerSlots): boolean {
+  const bounds = takers.flatMap((claim) => claim.bounds.get(runnerKey(runner)) ?? [])
+  const avoiding = bounds.filter(({ avoided }) => avoided).length
+  return avoiding > 0 && avoiding >= bounds.length / 2
+}
+
 function isActive (claim: Claim): boolean {
   return claim.retiredAt === undefined && claim.leftAt === undefined && claim.answered
 }
@@ -81,7 +89,11 @@
 
 /** Recalls free tokens before those in use, and evenly over runners. */
 function recall (claim: Claim, runners: RunnerSlots[], count: number): SlotMove[] {
-  return deal(runners, count, (runner) => holding(claim, runner), (runner, dealt) => {
+  const limit = (runner: RunnerSlots): number => {
+    const bound = claim.bounds.get(runnerKey(runner))
+    return bound === undefined || bound.avoided ? 0 : bound.held
+  }
+  return deal(runners, count, limit, (runner, dealt) => {
     const bound = claim.bounds.get(runnerKey(runner))
     return bound === undefined ? -Infinity : bound.held - bound.inUse - dealt + bound.held / 1000
   })
--- a/packages/core/src/createSlotLedger/test.ts
+++ b/packages/core/src/createSlotLedger/test.ts
@@ -43,7 +43,7 @@
   report (now: number): SlotReport | undefined {
     this.trim(now)
     const holdings = RUNNERS.map((runner) => {
-      return { endpoint: 'origem', runner, held: this.held.get(runner) ?? 0, inUse: this.busy(runner) }
+      return { endpoint: 'origem', runner, held: this.held.get(runner) ?? 0, inUse: this.busy(runner), avoided: false }
     })
     return this.holder.report(now, holdings, [{ endpoint: 'origem', waiting: this.waiting }])
   }
--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -131,6 +131,8 @@
   failureDomain: string
   held: number
   inUse: number
+  /** Excluded because it fails, or slow; the allocator must not count its tokens as spare. */
+  avoided: boolean
 }
 
 /** Admission, queueing, choice of runner, retries and hedging for one endpoint in one entry. Does no I/O. */
--- a/packages/protocol/src/rpcMessages/index.ts
+++ b/packages/protocol/src/rpcMessages/index.ts
@@ -31,7 +31,9 @@
   endpoint: Type.String(),
   runner: Type.String(),
   held: Count,
-  inUse: Count
+  inUse: Count,
+  /** The entry sends requests there only as a last resort, because the runner fails or is slow. */
+  avoided: Type.Boolean()
 })
 export type SlotHolding = Static<typeof SlotHolding>
 
