--- a/packages/bench/src/measureRouting/_lib/runRouters.ts
+++ b/packages/bench/src/measureRouting/_lib/runRouters.ts
@@ -8,7 +8,8 @@
 
 const ENDPOINT = 'origem'
 const DOMAIN = 'arquivo-historico'
-const REPORT_MS = 50
+/** How often an entry looks whether a report is due. */
+const CHECK_MS = 5
 /** Final refusals that answer early; the others count as missed deadlines or as errors. */
 const EARLY = new Set(['queue-full', 'team-limit', 'deadline-too-short', 'no-runner', 'leaving'])
 
@@ -117,11 +118,13 @@
   }
   renew()
   for (const [index, entry] of entries.entries()) {
-    const repeat = (): void => {
-      report(entry)
-      events.add(events.now + REPORT_MS, repeat)
+    const { router, holder } = entry
+    const check = (now: number): void => {
+      const spare = router.use(now).reduce((sum, { held, inUse, avoided }) => sum + (avoided ? 0 : held - inUse), 0)
+      if (now >= holder.nextReportAt(router.waiting(), spare)) report(entry)
+      events.add(now + CHECK_MS, check)
     }
-    events.add(index * REPORT_MS / ENTRIES, repeat)
+    events.add(index * CHECK_MS / ENTRIES, check)
   }
   for (const request of trace) events.add(request.at, () => entries[request.entry]?.submit(request))
 }
--- a/packages/bench/src/measureSlots/_lib/strategies.ts
+++ b/packages/bench/src/measureSlots/_lib/strategies.ts
@@ -9,6 +9,8 @@
 /** One way, between any two machines. */
 export const HOP_MS = 0.5
 const ENDPOINT = 'origem'
+/** How often an entry looks whether a report is due. */
+const CHECK_MS = 5
 
 export interface Arrival {
   at: number
@@ -138,8 +140,8 @@
 /** Any runner, whatever its load; what exceeds its slots queues there. */
 export const unlimited: Strategy = (site) => (arrival) => site.sent(arrival, site.random.integer(RUNNERS), () => {})
 
-/** Tokens lent by the ledger; every entry reports at the interval. */
-export function lent (reportIntervalMs: number): Strategy {
+/** Tokens lent by the ledger; entries report at the interval, or at the urgent one while callers wait for tokens. */
+export function lent (reportIntervalMs: number, urgentIntervalMs = reportIntervalMs): Strategy {
   return (site) => {
     const { events } = site
     const ledger = createSlotLedger({ epoch: 1, registrations: [], renewedAt: 0 }, 0)
@@ -168,12 +170,12 @@
     }
     renew()
     for (const [index, queue] of queues.entries()) {
-      const holder = createSlotHolder(`entry-${index}`, '1')
-      const report = (): void => {
-        exchange(queue, holder, events.now)
-        events.add(events.now + reportIntervalMs, report)
+      const holder = createSlotHolder(`entry-${index}`, '1', { reportIntervalMs, urgentIntervalMs })
+      const check = (now: number): void => {
+        if (now >= holder.nextReportAt(queue.waiting.length, queue.free)) exchange(queue, holder, now)
+        events.add(now + CHECK_MS, check)
       }
-      events.add(index * reportIntervalMs / ENTRIES, report)
+      events.add(index * CHECK_MS / ENTRIES, check)
     }
     return (arrival) => queues[arrival.entry]?.push(arrival)
   }
--- a/packages/bench/src/measureSlots/index.ts
+++ b/packages/bench/src/measureSlots/index.ts
@@ -26,6 +26,8 @@
   'lent-10': lent(10),
   'lent-50': lent(50),
   'lent-200': lent(200),
+  // The holder's defaults: 50 ms, and 20 ms while callers wait for tokens.
+  'lent-50-20': lent(50, 20),
   unlimited
 }
 
--- a/packages/core/src/createEndpointRouter/test.ts
+++ b/packages/core/src/createEndpointRouter/test.ts
@@ -118,6 +118,26 @@
     expect(later.filter((runner) => runner === 'bad').length).to.be.at.least(200)
   })
 
+  it('excludes a runner that fails again and again, probes it once, and uses it after a success', () => {
+    const router = setUp({ bad: 2, r1: 1, r2: 1 })
+    const busy = [request(), request()].flatMap((each) => sends(router.submit(each, 0)))
+    const free = ['bad', 'r1', 'r2'].find((id) => !busy.some(({ runner }) => runner === id)) ?? ''
+    let now = 0
+    for (let index = 0; index < 8; index++) {
+      now += 1
+      for (const send of sends(router.submit(request({ repeatable: false, arrivedAt: now }), now))) {
+        router.finish(send.request, send.runner, 'server-error', now)
+      }
+    }
+    expect(router.use(now).filter(({ avoided }) => avoided).map(({ runner }) => runner)).to.deep.equal([free])
+    for (let index = 0; index < 3; index++) router.submit(request({ arrivedAt: now }), now)
+    expect(router.waiting()).to.be.at.least(2)
+    const [probe, ...more] = sends(router.tick(now + 1000))
+    expect([probe?.runner, more]).to.deep.equal([free, []])
+    router.finish(probe?.request ?? '', free, 'answered', now + 1050)
+    expect(router.use(now + 1050).filter(({ avoided }) => avoided)).to.deep.equal([])
+  })
+
   it('avoids a slow runner but not one with a single long request, and probes it for recovery', () => {
     const router = setUp({ slow: 4, r1: 4, r2: 4, r3: 4 })
     serveMany(router, 100, 0, () => ({ ms: 50, result: 'answered' }))
--- a/packages/core/src/createSlotHolder/index.ts
+++ b/packages/core/src/createSlotHolder/index.ts
@@ -17,7 +17,8 @@
  * @param incarnation - Changes at each start of the process.
  * @param options.reportIntervalMs - Interval while requests wait or tokens are spare. Default: 50.
  * @param options.idleIntervalMs - Interval otherwise. Default: 1,000.
- * @param options.urgentIntervalMs - Shortest interval, used while requests wait and no token is spare. Default: 50.
+ * @param options.urgentIntervalMs - Interval while requests wait and no token is spare, or tokens are recalled.
+ *   Default: 20.
  * @param options.answerTimeoutMs - How long an answer is waited for before the next report. Default: 1,000.
  *
  * @example
@@ -26,7 +27,7 @@
  */
 export function createSlotHolder (entry: string, incarnation: string, options: HolderOptions = {}): SlotHolder {
   return new Holder(entry, incarnation, {
-    reportIntervalMs: 50, idleIntervalMs: 1000, urgentIntervalMs: 50, answerTimeoutMs: 1000, ...options
+    reportIntervalMs: 50, idleIntervalMs: 1000, urgentIntervalMs: 20, answerTimeoutMs: 1000, ...options
   })
 }
 
@@ -91,11 +92,11 @@
     const { reportIntervalMs, idleIntervalMs, urgentIntervalMs, answerTimeoutMs } = this.#options
     const interval = this.#awaited !== undefined
       ? answerTimeoutMs
-      : waiting > 0 && spare === 0
-        ? urgentIntervalMs
-        : waiting > 0 || spare > 0
-          ? reportIntervalMs
-          : idleIntervalMs
+      : (waiting > 0 && spare === 0) || this.#recalled.size > 0
+          ? urgentIntervalMs
+          : waiting > 0 || spare > 0
+            ? reportIntervalMs
+            : idleIntervalMs
     return this.#sentAt + interval
   }
 
