--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -155,7 +155,10 @@
   submit (request: CallerRequest, now: number): RouteAction[]
   /** The exchange has ended and no longer uses its slot. */
   finish (request: string, runner: string, result: ExchangeResult, now: number): RouteAction[]
-  /** The caller has gone away. */
+  /**
+   * The caller has gone away. A not-repeatable request in flight goes on, and its answer is still handed out, since a
+   * repeat may ask for it.
+   */
   abandon (request: string, now: number): RouteAction[]
   /** Deadlines and hedges that are due. */
   tick (now: number): RouteAction[]
