--- a/packages/core/src/createEndpointRouter/_lib/RunnerPool.ts
+++ b/packages/core/src/createEndpointRouter/_lib/RunnerPool.ts
@@ -1,5 +1,5 @@
 import type { RunnerNode, SlotUse } from '../../types.ts'
-import { CHOICES, EXCLUDED_SHARE_LIMIT, LONGEST_EXCLUSION_MS, SLOW_FACTOR, SLOW_PROBE_MS } from '../constants/index.ts'
+import { CHOICES, EXCLUDED_SHARE_LIMIT, LONGEST_EXCLUSION_MS, SCORE_SPREAD, SLOW_FACTOR, SLOW_PROBE_MS } from '../constants/index.ts'
 import { RunnerState } from './RunnerState.ts'
 
 interface Wanted {
@@ -82,9 +82,10 @@
     }
   }
 
-  use (): SlotUse[] {
-    return this.#list.filter(({ held }) => held > 0).map(({ node, held, inUse }) => {
-      return { runner: node.id, failureDomain: node.failureDomain, held, inUse }
+  use (typicalMs: number): SlotUse[] {
+    return this.#list.filter(({ held }) => held > 0).map((runner) => {
+      const { node, held, inUse } = runner
+      return { runner: node.id, failureDomain: node.failureDomain, held, inUse, avoided: isAvoided(runner, typicalMs) }
     })
   }
 
@@ -126,12 +127,22 @@
     if (wanted.onlyHealthy === true || runner.inUse > 0) return false
     const due = now - (wanted.repeatable ? 0 : LONGEST_EXCLUSION_MS)
     if (runner.excludedUntil !== undefined) return due >= runner.excludedUntil
-    const slow = runner.latencyMs !== undefined && runner.latencyMs > SLOW_FACTOR * wanted.typicalMs
-    return slow && due - runner.lastSentAt >= SLOW_PROBE_MS
+    return isSlow(runner, wanted.typicalMs) && due - runner.lastSentAt >= SLOW_PROBE_MS
   }
 
   #score (runner: RunnerState, wanted: Wanted, now: number): number {
-    const expected = runner.expectedMs(wanted.typicalMs, now) + 1
-    return expected * (1 + runner.inUse / runner.held) / (1.05 - runner.failures) ** 2
+    // The spread lets a runner whose figures are almost as good have its turn; without it the slightest past fault
+    // keeps a runner out for good while others are free.
+    const spread = 1 + SCORE_SPREAD * this.#random()
+    const expected = (runner.expectedMs(wanted.typicalMs, now) + 1) * spread
+    return expected * (1 + runner.inUse / runner.held) / (1.05 - runner.expectedFailures(now)) ** 2
   }
 }
+
+function isSlow (runner: RunnerState, typicalMs: number): boolean {
+  return typicalMs > 0 && runner.latencyMs !== undefined && runner.latencyMs > SLOW_FACTOR * typicalMs
+}
+
+function isAvoided (runner: RunnerState, typicalMs: number): boolean {
+  return runner.open && (runner.excludedUntil !== undefined || isSlow(runner, typicalMs))
+}
--- a/packages/core/src/createEndpointRouter/_lib/RunnerState.ts
+++ b/packages/core/src/createEndpointRouter/_lib/RunnerState.ts
@@ -1,5 +1,8 @@
 import type { ExchangeResult, RunnerNode } from '../../types.ts'
-import { AVERAGE_WEIGHT, FAILURE_THRESHOLD, FIRST_EXCLUSION_MS, LONGEST_EXCLUSION_MS } from '../constants/index.ts'
+import {
+  FAILURE_THRESHOLD, FAILURE_WEIGHT, FIRST_EXCLUSION_MS, FORGET_MS, LATENCY_WEIGHT, LONGEST_EXCLUSION_MS,
+  MEMORY_MS
+} from '../constants/index.ts'
 
 /** One runner: its tokens in this entry, and what its exchanges have shown. */
 export class RunnerState {
@@ -17,6 +20,8 @@
   excludedUntil: number | undefined
   #exclusionMs = FIRST_EXCLUSION_MS
   lastSentAt = -Infinity
+  /** How long the runner was not used before the newest exchange. */
+  #idleMs = 0
   /** Start of each exchange, oldest first. */
   readonly starts = new Map<string, number>()
 
@@ -35,12 +40,13 @@
 
   start (request: string, now: number): void {
     this.inUse++
+    this.#idleMs = Math.max(0, now - this.lastSentAt)
     this.lastSentAt = now
     this.starts.set(request, now)
   }
 
   /** An aborted exchange shows only that the runner was at least this slow. */
-  finish (request: string, result: ExchangeResult, aborted: boolean, now: number): void {
+  finish (request: string, result: ExchangeResult, aborted: boolean, typicalMs: number, now: number): void {
     const elapsed = now - (this.starts.get(request) ?? now)
     this.starts.delete(request)
     this.inUse--
@@ -53,23 +59,47 @@
     }
     this.recalled = Math.min(this.recalled, this.inUse - this.expired)
     if (aborted) {
-      if (this.latencyMs !== undefined && elapsed > this.latencyMs) this.#learn(elapsed)
+      if (this.latencyMs !== undefined && elapsed > this.latencyMs) this.#learn(elapsed, typicalMs)
     } else if (result === 'answered') {
-      this.#learn(elapsed)
+      this.#learn(elapsed, typicalMs)
       this.#succeed()
     } else {
       this.#fail(now)
     }
   }
 
-  /** Expected time of an exchange in ms; the age of the oldest one reveals a runner that hangs. */
+  /**
+   * Expected time of an exchange in ms. Approaches the endpoint's mean while the runner is not used, so that it is
+   * tried again; the age of the oldest exchange reveals a runner that hangs.
+   */
   expectedMs (typicalMs: number, now: number): number {
     const oldest = this.starts.values().next().value
-    return Math.max(this.latencyMs ?? typicalMs, oldest === undefined ? 0 : (now - oldest) / 3)
+    const learned = typicalMs + ((this.latencyMs ?? typicalMs) - typicalMs) * this.#freshness(now)
+    return Math.max(learned, oldest === undefined ? 0 : (now - oldest) / 3)
   }
 
-  #learn (elapsed: number): void {
-    this.latencyMs = this.latencyMs === undefined ? elapsed : average(this.latencyMs, elapsed)
+  /** Expected share of failures; fades while the runner is not used. */
+  expectedFailures (now: number): number {
+    return this.failures * this.#freshness(now)
+  }
+
+  #freshness (now: number): number {
+    return Math.exp(-Math.max(0, now - this.lastSentAt) / MEMORY_MS)
+  }
+
+  /**
+   * Starts from the endpoint's mean: a single long request does not make a runner slow. Old figures count less, so that
+   * a few probes show a recovery.
+   */
+  #learn (elapsed: number, typicalMs: number): void {
+    const old = this.latencyMs ?? (typicalMs > 0 ? typicalMs : elapsed)
+    const kept = this.latencyMs === undefined ? 1 : Math.exp(-this.#idleMs / FORGET_MS)
+    const weight = 1 - (1 - LATENCY_WEIGHT) * kept
+    this.latencyMs = average(old, elapsed, weight)
+  }
+
+  #fadedFailures (): number {
+    return this.failures * Math.exp(-this.#idleMs / MEMORY_MS)
   }
 
   #succeed (): void {
@@ -78,11 +108,11 @@
       this.#exclusionMs = FIRST_EXCLUSION_MS
       this.failures = 0
     }
-    this.failures = average(this.failures, 0)
+    this.failures = average(this.#fadedFailures(), 0, FAILURE_WEIGHT)
   }
 
   #fail (now: number): void {
-    this.failures = average(this.failures, 1)
+    this.failures = average(this.#fadedFailures(), 1, FAILURE_WEIGHT)
     if (this.failures < FAILURE_THRESHOLD) return
     // Failures of exchanges sent before the exclusion say nothing new.
     if (this.excludedUntil !== undefined && now < this.excludedUntil) return
@@ -91,6 +121,6 @@
   }
 }
 
-function average (old: number, newest: number): number {
-  return old + AVERAGE_WEIGHT * (newest - old)
+function average (old: number, newest: number, weight: number): number {
+  return old + weight * (newest - old)
 }
--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -143,6 +143,8 @@
   failureDomain: string
   held: number
   inUse: number
+  /** Excluded because it fails, or slow; the allocator must not count its tokens as spare. */
+  avoided: boolean
 }
 
 /** Admission, queueing, choice of runner, retries and hedging for one endpoint in one entry. Does no I/O. */
@@ -170,7 +172,10 @@
    * retry and no hedge, and its other exchanges are aborted. `finish` still follows.
    */
   commit? (request: string, runner: string, now: number): RouteAction[]
-  /** The caller has gone away. */
+  /**
+   * The caller has gone away. A not-repeatable request in flight goes on, and its answer is still handed out, since a
+   * repeat may ask for it.
+   */
   abandon (request: string, now: number): RouteAction[]
   /** Deadlines and hedges that are due. */
   tick (now: number): RouteAction[]
