--- a/packages/daemon/src/entry/once/_lib/Backlog.ts
+++ b/packages/daemon/src/entry/once/_lib/Backlog.ts
@@ -7,6 +7,7 @@
   readonly #intervalMs: number
   #timer: ReturnType<typeof setTimeout> | undefined
   #running: Promise<void> | undefined
+  #closed = false
 
   constructor (intervalMs: number) {
     this.#intervalMs = intervalMs
@@ -29,7 +30,7 @@
 
   close (): void {
     clearTimeout(this.#timer)
-    this.#timer = undefined
+    this.#closed = true
     this.#jobs.clear()
   }
 
@@ -38,7 +39,7 @@
   }
 
   #arm (): void {
-    if (this.#timer !== undefined || this.#jobs.size === 0) return
+    if (this.#closed || this.#timer !== undefined || this.#jobs.size === 0) return
     this.#timer = setTimeout(async () => {
       await this.flush()
       this.#timer = undefined
--- a/packages/daemon/src/entry/once/test.ts
+++ b/packages/daemon/src/entry/once/test.ts
@@ -5,6 +5,7 @@
 import type { Peers } from '../../types.ts'
 import { sweepOnceRecords } from '../sweepOnceRecords/index.ts'
 import { answer, bodyOf, callOf, FaultyTable, openRoute, refused, reset, ScriptedRunners, silent } from '../testSupport/index.ts'
+import type { RouteTask } from '../routeTask/index.ts'
 import type { CallResult } from '../types.ts'
 import { OnceTask } from './index.ts'
 
@@ -16,12 +17,20 @@
   let objects: MemoryObjectStore
   let runners: ScriptedRunners
   let entries: Map<string, OnceTask>
+  let started: OnceTask[]
+  let routes: RouteTask[]
 
   beforeEach(() => {
     table = new FaultyTable()
     objects = new MemoryObjectStore()
     runners = new ScriptedRunners(() => answer('booked'))
     entries = new Map()
+    started = []
+    routes = []
+  })
+  afterEach(async () => {
+    await Promise.all(started.map(async (entry) => await entry.close()))
+    for (const route of routes) route.close()
   })
 
   const peers = {
@@ -43,6 +52,8 @@
       logger: silent
     })
     entries.set(id, entry)
+    started.push(entry)
+    routes.push(route)
     return entry
   }
 
