--- a/packages/daemon/src/entry/routeTask/test.ts
+++ b/packages/daemon/src/entry/routeTask/test.ts
@@ -150,7 +150,7 @@
 
     it('ends a body that trickles past it, since withheld tokens are freed after the longest deadline', async () => {
       const runners = new ScriptedRunners((_address, request) => answer(bodyOf('a', hang(request), 'cut')))
-      const { result } = openRoute(runners).submit(callOf({ repeatable: false, deadline: performance.now() + 2000 }))
+      const { result } = openRoute(runners).submit(callOf({ deadline: performance.now() + 2000 }))
       await clock.tickAsync(1000)
       const streaming = await result
       if (streaming.kind !== 'streaming') throw new Error(`expected a stream, got ${streaming.kind}`)
@@ -160,6 +160,18 @@
     })
   })
 
+  it('ends an exchange at the deadline although nobody waits for it, since it holds a token', async () => {
+    const clock = FakeTimers.install()
+    const runners = new ScriptedRunners((_address, request) => hang(request))
+    const route = openRoute(runners)
+    const call = route.submit(callOf({ repeatable: false, deadline: performance.now() + 2000 }))
+    call.abandon()
+    await clock.tickAsync(2001)
+    expect(await call.result).to.have.property('kind', 'unknown')
+    expect(route.inFlight).to.equal(0)
+    clock.uninstall()
+  })
+
   it('takes the answer of a runner that was removed or has moved while it worked', async () => {
     let respond: () => void = () => {}
     const gate = new Promise<void>((resolve) => { respond = resolve })
