--- a/packages/daemon/src/entry/routeTask/index.ts
+++ b/packages/daemon/src/entry/routeTask/index.ts
@@ -215,15 +215,12 @@
     const address = this.#addresses.get(runner)
     const timeoutMs = Math.ceil(deadline - performance.now())
     if (address === undefined || timeoutMs <= 0) return this.#finish(id, runner, pending, 'not-run')
-    // The runner client's own timeout may end with the headers; the body has to end by the deadline too, because a dead
-    // entry's tokens are withheld only for the longest deadline.
-    const timer = setTimeout(() => exchange.controller.abort(), timeoutMs)
+    // The router aborts what is left at the deadline: a dead entry's tokens are withheld only for the longest deadline.
     const outcome = await this.#runners.send(address, { ...forwarded, timeoutMs, signal: exchange.controller.signal })
     const result = await outcome.caseOf<Promise<ExchangeResult>>({
       Left: async ({ certainty }) => certainty === 'not-done' ? 'not-run' : 'unknown',
       Right: async (response) => await this.#receive(id, runner, pending, exchange, response)
     })
-    clearTimeout(timer)
     this.#finish(id, runner, pending, result)
   }
 
