Tell the router when an answer is being passed on

Without it the router hedged and retried requests whose answer was already on its way to the caller; the route task refused those sends as not run, which counts against a healthy runner.

--- a/packages/core/src/createEndpointRouter/index.ts
+++ b/packages/core/src/createEndpointRouter/index.ts
@@ -95,7 +95,14 @@
     if (this.#requests.has(request.id)) throw new Error(`request ${request.id} was submitted twice`)
     this.#advance(now)
     const tracked: Tracked = {
-      ...request, waiting: true, attempts: 0, tried: new Set(), mayHaveRun: false, inFlight: new Set(), waited: false
+      ...request,
+      waiting: true,
+      attempts: 0,
+      tried: new Set(),
+      mayHaveRun: false,
+      committed: false,
+      inFlight: new Set(),
+      waited: false
     }
     const refusal = this.#refusal(tracked, now)
     if (refusal !== undefined) return [this.#refuse(tracked, refusal, now)]
@@ -119,6 +126,15 @@
     return [...actions, ...this.#dispatch(now)]
   }
 
+  commit (request: string, runner: string, now: number): RouteAction[] {
+    const tracked = this.#requests.get(request)
+    if (tracked === undefined) return []
+    this.#advance(now)
+    tracked.committed = true
+    return [...tracked.inFlight].filter((other) => other !== runner)
+      .map((other) => ({ kind: 'abort', request, runner: other }))
+  }
+
   abandon (request: string, now: number): RouteAction[] {
     const tracked = this.#requests.get(request)
     if (tracked === undefined) return []
@@ -236,7 +252,7 @@
 
   #hedge (request: Tracked, now: number): RouteAction[] {
     const { free, held } = this.#pool
-    if (!request.repeatable || request.inFlight.size !== 1) return []
+    if (!request.repeatable || request.committed || request.inFlight.size !== 1) return []
     if (this.#queue.size > 0 || free < held * HEDGE_FREE_SHARE) return []
     const tried = new Set([...request.tried, ...request.inFlight])
     const runner = this.#pool.choose({ ...this.#wanted(request), tried, onlyHealthy: true }, now)
@@ -253,7 +269,7 @@
     request.tried.add(runner)
     if (result !== 'not-run') request.mayHaveRun = true
     if (request.inFlight.size > 0) return []
-    const mayRepeat = request.repeatable || !request.mayHaveRun
+    const mayRepeat = !request.committed && (request.repeatable || !request.mayHaveRun)
     if (mayRepeat && request.attempts < MAX_ATTEMPTS && now < request.deadline && this.#budget.spend(now)) {
       request.waiting = true
       this.#queue.putBack(request)
--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -159,7 +159,7 @@
    * The answer of this exchange is being passed on to the caller as it comes: the request gets no other answer, no
    * retry and no hedge, and its other exchanges are aborted. `finish` still follows.
    */
-  commit? (request: string, runner: string, now: number): RouteAction[]
+  commit (request: string, runner: string, now: number): RouteAction[]
   /** The caller has gone away. */
   abandon (request: string, now: number): RouteAction[]
   /** Deadlines and hedges that are due. */
--- a/packages/daemon/src/entry/routeTask/index.ts
+++ b/packages/daemon/src/entry/routeTask/index.ts
@@ -240,8 +240,7 @@
         return 'unknown'
       }
       pending.committedTo = runner
-      if (this.#router.commit !== undefined) this.#apply(this.#router.commit(id, runner, performance.now()))
-      this.#abortOthers(pending, runner)
+      this.#apply(this.#router.commit(id, runner, performance.now()))
       this.#settle(pending, { kind: 'streaming', answer: { status, headers, body: read.body } })
       return await read.ended ? result : 'unknown'
     } catch {
@@ -250,10 +249,6 @@
     }
   }
 
-  #abortOthers (pending: Pending, runner: string): void {
-    for (const [other, { controller }] of pending.exchanges) if (other !== runner) controller.abort()
-  }
-
   #finish (id: string, runner: string, pending: Pending, result: ExchangeResult): void {
     pending.exchanges.delete(runner)
     pending.last = { runner, result }
--- a/packages/daemon/src/entry/routeTask/test.ts
+++ b/packages/daemon/src/entry/routeTask/test.ts
@@ -40,6 +40,8 @@
         { kind: 'answer', request, outcome: 'answered', runner }, { kind: 'abort', request, runner: runner === 'a' ? 'b' : 'a' }
       ]
     },
+    commit: (request: string, runner: string): RouteAction[] =>
+      [{ kind: 'abort', request, runner: runner === 'a' ? 'b' : 'a' }],
     nextTickAt: () => undefined,
     waiting: () => 0
   }
@@ -92,6 +94,22 @@
     expect(route.inFlight).to.equal(0)
   })
 
+  it('does not hedge or retry a request while its answer is being passed on', async () => {
+    const runners = new ScriptedRunners(() => answer('ok'))
+    const route = openRoute(runners, 4)
+    // The router hedges only when it knows how long answers take.
+    for (let count = 0; count < 200; count++) await route.submit(callOf()).result
+    runners.sent.length = 0
+    runners.script = () =>
+      answer(bodyOf('one', new Promise((resolve) => setTimeout(resolve, 100)), 'cut'))
+    const result = await route.submit(callOf(), { streamAfterMs: 0 }).result
+    if (result.kind !== 'streaming') throw new Error(`expected a stream, got ${result.kind}`)
+    expect(await readAll(result.answer).then(() => 'whole', () => 'broken')).to.equal('broken')
+    await new Promise((resolve) => setTimeout(resolve, 10))
+    expect(runners.sent.length).to.equal(1)
+    expect(route.inFlight).to.equal(0)
+  })
+
   it('passes a slow answer on as it comes, in order and whole', async () => {
     const runners = new ScriptedRunners(() =>
       answer(bodyOf('one ', new Promise((resolve) => setTimeout(resolve, 30)), 'two')))
