--- a/packages/daemon/src/entry/domainSlots/index.ts
+++ b/packages/daemon/src/entry/domainSlots/index.ts
@@ -90,7 +90,7 @@
   holdings (): SlotHolding[] {
     return [...this.#parts.routes()].flatMap(([endpoint, task]) => task.use()
       .filter(({ failureDomain, held }) => failureDomain === this.#parts.failureDomain && held > 0)
-      .map(({ runner, held, inUse }) => ({ endpoint, runner, held, inUse })))
+      .map(({ runner, held, inUse, avoided }) => ({ endpoint, runner, held, inUse, avoided })))
   }
 
   /** Gives all tokens back and stops; after the time given the allocator withholds what is left. */
--- a/packages/daemon/src/entry/domainSlots/test.ts
+++ b/packages/daemon/src/entry/domainSlots/test.ts
@@ -77,7 +77,7 @@
     await clock.tickAsync(3000)
     expect(slots.reachable).to.equal(true)
     expect(reports.at(-1)).to.deep.include({ address: 'd2' })
-    expect(reports.at(-1)?.report).to.deep.include({ epoch: 2, holdings: [{ endpoint: 'origem', runner: 'a', held: 3, inUse: 0 }] })
+    expect(reports.at(-1)?.report).to.deep.include({ epoch: 2, holdings: [{ endpoint: 'origem', runner: 'a', held: 3, inUse: 0, avoided: false }] })
   })
 
   it('notices that a paused allocator was replaced although it answers', async () => {
@@ -120,7 +120,7 @@
       epoch, sequence, registered: true, validMs: 60_000, grants: [], releases: [{ endpoint: 'origem', runner: 'a', slots: 1 }]
     })
     await clock.tickAsync(1000)
-    expect(reports.at(-1)?.report.holdings).to.deep.equal([{ endpoint: 'origem', runner: 'a', held: 1, inUse: 1 }])
+    expect(reports.at(-1)?.report.holdings).to.deep.equal([{ endpoint: 'origem', runner: 'a', held: 1, inUse: 1, avoided: false }])
     await clock.tickAsync(5000)
     await call.result
     expect(reports.at(-1)?.report.holdings).to.deep.equal([])
--- a/packages/daemon/src/entry/routeTask/test.ts
+++ b/packages/daemon/src/entry/routeTask/test.ts
@@ -95,19 +95,28 @@
   })
 
   it('does not hedge or retry a request while its answer is being passed on', async () => {
-    const runners = new ScriptedRunners(() => answer('ok'))
+    const clock = FakeTimers.install()
+    const after = async (delayMs: number) => await new Promise((resolve) => setTimeout(resolve, delayMs))
+    const runners = new ScriptedRunners(() => answer(bodyOf(after(50), 'ok')))
     const route = openRoute(runners, 4)
     // The router hedges only when it knows how long answers take.
-    for (let count = 0; count < 200; count++) await route.submit(callOf()).result
+    for (let count = 0; count < 100; count++) {
+      const { result } = route.submit(callOf())
+      await clock.tickAsync(50)
+      await result
+    }
     runners.sent.length = 0
-    runners.script = () =>
-      answer(bodyOf('one', new Promise((resolve) => setTimeout(resolve, 100)), 'cut'))
-    const result = await route.submit(callOf(), { streamAfterMs: 0 }).result
-    if (result.kind !== 'streaming') throw new Error(`expected a stream, got ${result.kind}`)
-    expect(await readAll(result.answer).then(() => 'whole', () => 'broken')).to.equal('broken')
-    await new Promise((resolve) => setTimeout(resolve, 10))
+    runners.script = () => answer(bodyOf('one', after(500), 'cut'))
+    const { result } = route.submit(callOf(), { streamAfterMs: 10 })
+    await clock.tickAsync(10)
+    const streaming = await result
+    if (streaming.kind !== 'streaming') throw new Error(`expected a stream, got ${streaming.kind}`)
+    const broken = readAll(streaming.answer).then(() => 'whole', () => 'broken')
+    await clock.tickAsync(1000)
+    expect(await broken).to.equal('broken')
     expect(runners.sent.length).to.equal(1)
     expect(route.inFlight).to.equal(0)
+    clock.uninstall()
   })
 
   it('passes a slow answer on as it comes, in order and whole', async () => {
--- a/packages/daemon/src/entry/slotAllocator/test.ts
+++ b/packages/daemon/src/entry/slotAllocator/test.ts
@@ -85,7 +85,7 @@
     report(second, 2, 1, { entry: 'e2' })
     await settle()
     expect(report(second, 2, 2, { entry: 'e2' }).grants).to.deep.equal([])
-    report(second, 2, 3, { holdings: [{ endpoint: 'origem', runner: 'a', held, inUse: 0 }], demands: [] })
+    report(second, 2, 3, { holdings: [{ endpoint: 'origem', runner: 'a', held, inUse: 0, avoided: false }], demands: [] })
     expect(report(second, 2, 4, { entry: 'e2' }).grants[0]?.slots).to.equal(8 - held)
   })
 
