--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -171,7 +171,7 @@
    * The answer of this exchange is being passed on to the caller as it comes: the request gets no other answer, no
    * retry and no hedge, and its other exchanges are aborted. `finish` still follows.
    */
-  commit? (request: string, runner: string, now: number): RouteAction[]
+  commit (request: string, runner: string, now: number): RouteAction[]
   /**
    * The caller has gone away. A not-repeatable request in flight goes on, and its answer is still handed out, since a
    * repeat may ask for it.
--- a/packages/daemon/src/entry/routeTask/test.ts
+++ b/packages/daemon/src/entry/routeTask/test.ts
@@ -40,6 +40,8 @@
         { kind: 'answer', request, outcome: 'answered', runner }, { kind: 'abort', request, runner: runner === 'a' ? 'b' : 'a' }
       ]
     },
+    commit: (request: string, runner: string): RouteAction[] =>
+      [{ kind: 'abort', request, runner: runner === 'a' ? 'b' : 'a' }],
     nextTickAt: () => undefined,
     waiting: () => 0
   }
@@ -92,6 +94,39 @@
     expect(route.inFlight).to.equal(0)
   })
 
+  it('does not hedge or retry a request while its answer is being passed on', async () => {
+    const clock = FakeTimers.install()
+    const after = async (delayMs: number) => await new Promise((resolve) => setTimeout(resolve, delayMs))
+    const runners = new ScriptedRunners(() => answer(bodyOf(after(50), 'ok')))
+    const router = createEndpointRouter()
+    const results: ExchangeResult[] = []
+    const finish = router.finish.bind(router)
+    router.finish = (request, runner, result, now) => {
+      results.push(result)
+      return finish(request, runner, result, now)
+    }
+    const route = openRoute(runners, 4, router)
+    // The router hedges only when it knows how long answers take.
+    for (let count = 0; count < 100; count++) {
+      const { result } = route.submit(callOf())
+      await clock.tickAsync(50)
+      await result
+    }
+    results.length = 0
+    runners.script = () => answer(bodyOf('one', after(500), 'cut'))
+    const { result } = route.submit(callOf(), { streamAfterMs: 10 })
+    await clock.tickAsync(10)
+    const streaming = await result
+    if (streaming.kind !== 'streaming') throw new Error(`expected a stream, got ${streaming.kind}`)
+    const broken = readAll(streaming.answer).then(() => 'whole', () => 'broken')
+    await clock.tickAsync(1000)
+    expect(await broken).to.equal('broken')
+    // A hedge or retry that is refused here would count against a healthy runner.
+    expect(results).to.deep.equal(['unknown'])
+    expect(route.inFlight).to.equal(0)
+    clock.uninstall()
+  })
+
   it('passes a slow answer on as it comes, in order and whole', async () => {
     const runners = new ScriptedRunners(() =>
       answer(bodyOf('one ', new Promise((resolve) => setTimeout(resolve, 30)), 'two')))
@@ -160,6 +195,18 @@
     })
   })
 
+  it('ends an exchange at the deadline although nobody waits for it, since it holds a token', async () => {
+    const clock = FakeTimers.install()
+    const runners = new ScriptedRunners((_address, request) => hang(request))
+    const route = openRoute(runners)
+    const call = route.submit(callOf({ repeatable: false, deadline: performance.now() + 2000 }))
+    call.abandon()
+    await clock.tickAsync(2001)
+    expect(await call.result).to.have.property('kind', 'unknown')
+    expect(route.inFlight).to.equal(0)
+    clock.uninstall()
+  })
+
   it('takes the answer of a runner that was removed or has moved while it worked', async () => {
     let respond: () => void = () => {}
     const gate = new Promise<void>((resolve) => { respond = resolve })
