Take an excluded worker back when nothing probes it

Such a worker is now taken back after a second wait; its remembered failures exclude it again at once if it fails.

--- a/packages/core/src/placement/_lib/WorkerHealth.ts
+++ b/packages/core/src/placement/_lib/WorkerHealth.ts
@@ -7,6 +7,7 @@
 
 interface Exclusion {
   state: 'excluded' | 'probing'
+  /** When this state ends unless a probe runs, in ms. */
   until: number
   waitMs: number
   /** Task that runs as the probe. */
@@ -51,10 +52,17 @@
     this.#exclusions.set(worker, { state: 'excluded', until: now + PROBE_AFTER_MS, waitMs: PROBE_AFTER_MS, probe: undefined })
   }
 
-  /** Lets excluded workers whose wait is over try a task; returns them. */
+  /**
+   * Lets excluded workers whose wait is over try a task. A worker that nothing tried for as long again is taken back:
+   * only gangs may need it, and they try no worker that is being probed. Returns the workers that changed.
+   */
   refresh (now: number): string[] {
-    const due = [...this.#exclusions].filter(([, exclusion]) => exclusion.state === 'excluded' && exclusion.until <= now)
-    for (const [, exclusion] of due) exclusion.state = 'probing'
+    const due = [...this.#exclusions].filter(([, { until, probe }]) => until <= now && probe === undefined)
+    for (const [worker, exclusion] of due) {
+      if (exclusion.state === 'probing') this.#exclusions.delete(worker)
+      exclusion.state = 'probing'
+      exclusion.until = now + exclusion.waitMs
+    }
     return due.map(([worker]) => worker)
   }
 
--- a/packages/core/src/placement/test.ts
+++ b/packages/core/src/placement/test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import type { PlacementDecision, Placer, TaskGroup } from '../types.ts'
-import { HOLD_SHARE_OF_RUN } from './constants/index.ts'
+import { HOLD_SHARE_OF_RUN, PROBE_AFTER_MS } from './constants/index.ts'
 import { IndexedPlacer } from './indexed/IndexedPlacer.ts'
 import { NaivePlacer } from './naive/NaivePlacer.ts'
 
@@ -164,6 +164,20 @@
       expect(usedWorkers(placer.decide(100_001, 10))).to.deep.equal(['w0'])
     })
 
+    it('takes an excluded worker back for a gang when nothing else probes it', () => {
+      // Guards against a gang that waits for ever: gangs probe no worker, and only they may need this one.
+      addWorkers(1, 2)
+      for (let index = 0; index < 3; index++) {
+        submit(buildGroup(`f${index}`, 1))
+        placer.decide(0, 10)
+        placer.recordOutcome(`f${index}-0`, 'w0', { succeeded: false, runMs: 1 })
+        placer.release(`f${index}-0`)
+      }
+      submit(buildGroup('gang', 2, { kind: 'gang' }))
+      const started = [1, 2, 3, 4].flatMap((minutes) => startedTasks(placer.decide(minutes * PROBE_AFTER_MS, 10)))
+      expect(started).to.deep.equal(['gang-0', 'gang-1'])
+    })
+
     it('tries a failed task on another worker first', () => {
       // Guards against a bad worker, the best fit because it is empty, using up all retries of a task.
       addWorkers(2, 1)
