--- a/packages/daemon/src/scheduler/history.test.ts
+++ b/packages/daemon/src/scheduler/history.test.ts
@@ -4,7 +4,7 @@
 import { SLOT, TestCell, type TestProcess } from './testSupport/index.ts'
 
 const FIRST_SEED = Number(process.env['HISTORY_SEED'] ?? 1)
-const SEEDS = Number(process.env['HISTORY_SEEDS'] ?? 6)
+const SEEDS = Number(process.env['HISTORY_SEEDS'] ?? 12)
 const STEPS = 40
 const PRIORITIES = ['urgent', 'normal', 'low'] as const
 
--- a/packages/daemon/src/scheduler/testSupport/index.ts
+++ b/packages/daemon/src/scheduler/testSupport/index.ts
@@ -167,6 +167,8 @@
   /** Tasks whose success is in the journal. */
   readonly recordedSuccesses = new Set<string>()
   readonly violations: string[] = []
+  /** Processor share in use by worker. */
+  readonly #used = new Map<string, number>()
   readonly #listeners = new Set<(configuration: Configuration) => void>()
   #configuration: Configuration | undefined
   #number = 0
@@ -298,8 +300,9 @@
     }
     if (others.length === 0) this.running.delete(task)
     else this.running.set(task, others)
-    const here = [...this.running.values()].flat().filter((each) => each.worker === worker)
-    const used = here.reduce((sum, each) => sum + each.report.resources.cpuMillis, 0)
+    const change = event === 'start' ? report.resources.cpuMillis : -report.resources.cpuMillis
+    const used = (this.#used.get(worker) ?? 0) + change
+    this.#used.set(worker, used)
     if (used > capacity.cpuMillis) this.violations.push(`${worker} is overcommitted: ${used} of ${capacity.cpuMillis}`)
   }
 }
