--- /dev/null
+++ b/packages/daemon/src/scheduler/workerSession/test.ts
@@ -0,0 +1,73 @@
+import FakeTimers, { type Clock } from '@sinonjs/fake-timers'
+import { expect } from 'chai'
+import type { WorkerClient } from '@gypsumspring/adapters'
+import type { LeaseRight } from '@gypsumspring/core'
+import { MemoryWorker } from '@gypsumspring/standins'
+import { pino } from 'pino'
+import { Metrics } from '../../metrics/index.ts'
+import { CallLimiter } from '../_lib/CallLimiter.ts'
+import { WorkerSession, type SessionOwner } from './index.ts'
+
+const resources = { cpuMillis: 1, memoryMb: 1, accelerators: 0 }
+const terms = { sessionTtlMs: 60_000, taskLeaseMs: 30_000, runHorizonMs: 60_000, heartbeatMs: 5_000 }
+
+describe('WorkerSession', () => {
+  let clock: Clock
+  let right: LeaseRight
+
+  beforeEach(() => {
+    clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] })
+    right = 'decide'
+  })
+
+  afterEach(() => clock.uninstall())
+
+  const open = (worker: string, client: WorkerClient, limiter: CallLimiter): WorkerSession => {
+    const owner: SessionOwner = {
+      right: () => right,
+      listRenewals: () => [],
+      onOpened: () => {},
+      onReports: () => {},
+      onStarted: () => {},
+      onStartFailed: () => {},
+      onSilent: () => {},
+      onFenced: () => {}
+    }
+    const session = new WorkerSession({
+      worker,
+      client,
+      shard: 's',
+      epoch: 1,
+      ownedSince: 0,
+      label: () => '1',
+      terms,
+      owner,
+      startLimiter: limiter,
+      callLimiter: new CallLimiter(10),
+      log: pino({ level: 'silent' }),
+      metrics: new Metrics()
+    })
+    session.open()
+    return session
+  }
+
+  it('checks the lease again for a start that waited behind others, since the lease may have lapsed meanwhile', async () => {
+    const limiter = new CallLimiter(1)
+    const [slow, waiting] = [new MemoryWorker('w0', resources), new MemoryWorker('w1', resources)]
+    const sessions = [open('w0', slow, limiter), open('w1', waiting, limiter)]
+    await clock.tickAsync(10)
+    slow.faults.set({ delayMs: 3_000 })
+    for (const [attempt, session] of sessions.entries()) {
+      session.start({ task: 't', attempt, resources, leaseMs: 30_000, payload: {} })
+    }
+    await clock.tickAsync(1_000)
+    right = 'sustain'
+    await clock.tickAsync(20_000)
+    expect(slow.running, 'sent under the lease').to.have.length(1)
+    expect(waiting.running).to.deep.equal([])
+    right = 'decide'
+    await clock.tickAsync(6_000)
+    expect(waiting.running).to.have.length(1)
+    for (const session of sessions) session.close()
+  })
+})
