Do not say 'not run' of a repeat whose record was not read; renew leases at a share of their length

Callers now mark the first sending with 'gs-attempt: 1'; without the mark such a refusal is 'unknown'. Ruled out: asking all other entries, since one that has restarted can't answer. Leases were renewed every 3 s whatever their length, so a lease of 1.5 s lapsed between renewals in the process tests. The lease moved out of the scheduler's folder, since slot allocators use it too.

--- a/packages/daemon/src/entry/addEntryParts.ts
+++ b/packages/daemon/src/entry/addEntryParts.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto'
 import { createEndpointRouter, type EndpointRouter } from '@gypsumspring/core'
 import { createPartLogger } from '../logging/index.ts'
-import { ShardLease } from '../scheduler/shardLease/index.ts'
+import { ShardLease } from '../lease/index.ts'
 import type { ProcessContext } from '../types.ts'
 import { CallerFront } from './callerFront/index.ts'
 import { GIVE_BACK_MS, READY_GRACE_MS, SWEEP_INTERVAL_MS } from './constants/index.ts'
--- a/packages/daemon/src/entry/callerFront/index.ts
+++ b/packages/daemon/src/entry/callerFront/index.ts
@@ -112,8 +112,10 @@
   async #handle (request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
     const arrivedAt = performance.now()
     this.#closeWithServer(reply.raw)
-    if (!this.#accepting) return this.#refuse(reply, 503, 'leaving', { retryAfterMs: LEAVING_RETRY_MS })
-    if (!this.#parts.directory.ready()) return this.#refuse(reply, 503, 'not-ready', { retryAfterMs: LEAVING_RETRY_MS })
+    if (!this.#accepting || !this.#parts.directory.ready()) {
+      const outcome = mayHaveRunBefore(request) ? 'unknown' : 'not-run'
+      return this.#refuse(reply, 503, this.#accepting ? 'not-ready' : 'leaving', { outcome, retryAfterMs: LEAVING_RETRY_MS })
+    }
     const { endpoint = '' } = request.params as { endpoint?: string }
     const options = parseCallerHeaders(request.method, request.headers).chain((parsed) => this.#checkTeam(parsed))
     if (options.isLeft()) return this.#refuse(reply, 400, 'invalid-headers', { violations: options.extract() })
@@ -173,7 +175,7 @@
       case 'in-flight':
         return this.#refuse(reply, 409, 'first-copy-in-flight', { ...result, outcome: 'in-flight' })
       case 'unknown':
-        return this.#refuse(reply, 504, 'no-whole-answer', { ...result, outcome: 'unknown' })
+        return this.#refuse(reply, 504, result.reason ?? 'no-whole-answer', { ...result, outcome: 'unknown' })
       case 'mismatch':
         return this.#refuse(reply, 422, 'request-id-reused', {
           violations: [{ path: 'x-request-id', value: JSON.stringify(requestId), allowed: 'an id not used with another method, path or body' }]
@@ -215,6 +217,12 @@
   detail?: string
 }
 
+/** Whether a copy of a not-repeatable request may have run at another entry, whose record was not read. */
+function mayHaveRunBefore ({ method, headers }: FastifyRequest): boolean {
+  const options = parseCallerHeaders(method, headers)
+  return options.map(({ repeatable, firstAttempt }) => !repeatable && !firstAttempt).orDefault(false)
+}
+
 function toCall (
   request: FastifyRequest, endpoint: string, options: CallerOptions, arrivedAt: number, body: Uint8Array
 ): CallerCall {
--- a/packages/daemon/src/entry/once/index.ts
+++ b/packages/daemon/src/entry/once/index.ts
@@ -35,7 +35,6 @@
   inner?: Call<RouteResult>
 }
 
-const DEADLINE_PASSED: CallResult = { kind: 'not-run', reason: 'deadline-passed', retryAfterMs: REPEAT_RETRY_MS }
 const CALLER_GONE: CallResult = { kind: 'not-run', reason: 'caller-gone', retryAfterMs: REPEAT_RETRY_MS }
 
 /**
@@ -116,7 +115,8 @@
     }
     if (attempt.callerGone || performance.now() >= call.deadline) {
       this.#giveUp(attempt)
-      return attempt.callerGone ? CALLER_GONE : DEADLINE_PASSED
+      // The claim proves that no other copy has run.
+      return attempt.callerGone ? CALLER_GONE : { kind: 'not-run', reason: 'deadline-passed', retryAfterMs: REPEAT_RETRY_MS }
     }
     attempt.inner = this.#parts.send(call, { wholeBytes: MAX_STORED_ANSWER_BYTES, streamAfterMs: Infinity })
     const result = await attempt.inner.result
@@ -136,16 +136,18 @@
     call: CallerCall, attempt: Attempt
   ): Promise<{ kind: 'claimed', version: number } | { kind: 'known', result: CallResult }> {
     const { key, record } = attempt
-    if (performance.now() < this.#storeDownUntil) return { kind: 'known', result: this.#refuse(key) }
+    if (performance.now() < this.#storeDownUntil) return { kind: 'known', result: this.#refuse(call, key, 'store-unavailable') }
     let over: Row | undefined
     for (let look = 0; look < LOOKS_AT_RECORD; look++) {
       const claim = await this.#store.claim(key, record, over, call.deadline)
       if (claim.kind === 'claimed') return claim
       if (claim.kind === 'refused') {
         if (claim.maybeWritten) this.#giveUp(attempt)
-        if (performance.now() >= call.deadline) return { kind: 'known', result: DEADLINE_PASSED }
+        if (performance.now() >= call.deadline) {
+          return { kind: 'known', result: this.#refuse(call, key, 'deadline-passed') }
+        }
         this.#storeDownUntil = performance.now() + STORE_PROBE_MS
-        return { kind: 'known', result: this.#refuse(key) }
+        return { kind: 'known', result: this.#refuse(call, key, 'store-unavailable') }
       }
       if (claim.kind === 'unclear') {
         this.#giveUp(attempt)
@@ -159,10 +161,10 @@
     return { kind: 'known', result: { kind: 'in-flight', retryAfterMs: REPEAT_RETRY_MS } }
   }
 
-  #refuse (key: string): CallResult {
-    return this.#ended.get(key) === true
-      ? { kind: 'unknown', retryAfterMs: STORE_RETRY_MS }
-      : { kind: 'not-run', reason: 'store-unavailable', retryAfterMs: STORE_RETRY_MS }
+  /** Without the record only the caller knows whether an earlier copy may have run at another entry. */
+  #refuse ({ firstAttempt }: CallerCall, key: string, reason: string): CallResult {
+    const isUnsent = firstAttempt && this.#ended.get(key) !== true
+    return { kind: isUnsent ? 'not-run' : 'unknown', reason, retryAfterMs: STORE_RETRY_MS }
   }
 
   /** What a record of another attempt means for a repeat; `free` when its claim was given up before sending. */
--- a/packages/daemon/src/entry/parseCallerHeaders/index.ts
+++ b/packages/daemon/src/entry/parseCallerHeaders/index.ts
@@ -12,10 +12,12 @@
   'gs-team': Type.String({ pattern: '^[a-z0-9][a-z0-9-]{0,62}$', description: 'id of a team' }),
   'gs-class': Type.Union([Type.Literal('interactive'), Type.Literal('normal'), Type.Literal('bulk')]),
   'gs-deadline-ms': Type.Integer({ minimum: 1, maximum: MAX_DEADLINE_MS, description: `1 to ${MAX_DEADLINE_MS} ms` }),
+  'gs-attempt': Type.Optional(Type.Integer({ minimum: 1, maximum: 1000, description: '1 for the first time the request is sent' })),
   'gs-repeatable': Type.Union([Type.Literal('true'), Type.Literal('false')])
 }, { additionalProperties: false })
 
 const HEADER_NAMES = Object.keys(CallerHeaders.properties)
+const NUMBER_HEADERS = new Set(['gs-deadline-ms', 'gs-attempt'])
 const REPEATABLE_METHODS = new Set(['GET', 'HEAD'])
 
 export interface CallerOptions {
@@ -24,6 +26,8 @@
   class: Static<typeof CallerHeaders>['gs-class']
   deadlineMs: number
   repeatable: boolean
+  /** The caller says that no copy of this request was sent before. */
+  firstAttempt: boolean
 }
 
 /**
@@ -58,12 +62,13 @@
     team: valid['gs-team'],
     class: valid['gs-class'],
     deadlineMs: valid['gs-deadline-ms'],
-    repeatable: valid['gs-repeatable'] === 'true'
+    repeatable: valid['gs-repeatable'] === 'true',
+    firstAttempt: valid['gs-attempt'] === 1
   })
 }
 
 function convert (name: string, value: unknown): unknown {
-  return name === 'gs-deadline-ms' && typeof value === 'string' && /^\d{1,9}$/.test(value) ? Number(value) : value
+  return NUMBER_HEADERS.has(name) && typeof value === 'string' && /^\d{1,9}$/.test(value) ? Number(value) : value
 }
 
 function nameHeader ({ path, value, allowed }: SchemaViolation): SchemaViolation {
--- a/packages/daemon/src/entry/parseCallerHeaders/test.ts
+++ b/packages/daemon/src/entry/parseCallerHeaders/test.ts
@@ -21,7 +21,7 @@
     { name: 'a doubled header', headers: { 'gs-repeatable': 'true, false' }, path: 'gs-repeatable', value: '"true, false"' },
     { name: 'a request id that would change the record key', headers: { 'x-request-id': 'a/b' }, path: 'x-request-id', value: '"a/b"' },
     { name: 'a not-repeatable request without an id', headers: { 'gs-repeatable': 'false', 'x-request-id': undefined }, path: 'x-request-id', value: 'nothing' },
-    { name: 'a misspelt header', headers: { 'gs-deadline': '5' }, path: 'gs-deadline', value: '"5"', allowed: 'one of x-request-id, gs-team, gs-class, gs-deadline-ms, gs-repeatable' }
+    { name: 'a misspelt header', headers: { 'gs-deadline': '5' }, path: 'gs-deadline', value: '"5"', allowed: 'one of x-request-id, gs-team, gs-class, gs-deadline-ms, gs-attempt, gs-repeatable' }
   ]
   for (const { name, headers, ...expected } of cases) {
     it(`names field, value and what is allowed for ${name}`, () => {
--- a/packages/daemon/src/entry/test.ts
+++ b/packages/daemon/src/entry/test.ts
@@ -44,7 +44,8 @@
     cell.table.reads = 'down'
     cell.objects.faults.set({ down: true })
     expect(await (await fetch(`${entry.callers}/e/origem/x`, { headers })).text()).to.equal('ok')
-    const refused = await fetch(`${entry.callers}/e/origem/x`, post('r-1'))
+    const first = { method: 'POST', headers: { ...headers, 'x-request-id': 'r-1', 'gs-attempt': '1' } }
+    const refused = await fetch(`${entry.callers}/e/origem/x`, first)
     expect([refused.status, refused.headers.get('gs-outcome'), refused.headers.get('retry-after')])
       .to.deep.equal([503, 'not-run', '5'])
     await until(async () => (await readyz(entry)).degraded.some(({ dependency }) => dependency === 'table service'))
--- a/packages/daemon/src/entry/testSupport/index.ts
+++ b/packages/daemon/src/entry/testSupport/index.ts
@@ -69,6 +69,7 @@
     class: 'normal',
     requestId: 'r-1',
     repeatable: true,
+    firstAttempt: false,
     arrivedAt: now,
     deadline: now + 10_000,
     forwarded: { method, path: '/x', headers: {}, body: Buffer.from(body) },
--- a/packages/daemon/src/entry/types.ts
+++ b/packages/daemon/src/entry/types.ts
@@ -19,6 +19,8 @@
   /** The caller's own id, or one made here when the caller gave none. */
   requestId: string
   repeatable: boolean
+  /** The caller says that no copy of this request was sent before. */
+  firstAttempt: boolean
   arrivedAt: number
   deadline: number
   forwarded: ForwardedRequest
@@ -42,7 +44,7 @@
   | { kind: 'answered', answer: WholeAnswer }
   | { kind: 'streaming', answer: StreamedAnswer }
   | { kind: 'not-run', reason: string, retryAfterMs: number }
-  | { kind: 'unknown', retryAfterMs: number }
+  | { kind: 'unknown', retryAfterMs: number, reason?: string }
 
 /** What a caller is told. */
 export type CallResult =
--- a/packages/daemon/src/scheduler/shardLease/index.ts
+++ b/packages/daemon/src/lease/index.ts
@@ -1,8 +1,13 @@
 import type { Row } from '@gypsumspring/adapters'
 import { isLeaseLapsed, judgeLease, type LeaseRight } from '@gypsumspring/core'
-import { RENEWAL_MS, RENEWAL_RETRY_MS } from '../constants/index.ts'
 import type { Ownership, RenewalRow, ShardLeaseOptions, ShardRow } from './types.ts'
 
+/** Share of the lease between two renewals, so that three fit into it. */
+const RENEWAL_SHARE = 0.3
+
+/** Share of the lease after which a renewal without an answer is repeated. */
+const RETRY_SHARE = 0.05
+
 export type * from './types.ts'
 
 /**
@@ -69,6 +74,16 @@
     })
   }
 
+  /** Time between renewals by the owner, and between reads by a candidate. */
+  get #renewalMs (): number {
+    return this.#options.terms.shardLeaseMs * RENEWAL_SHARE
+  }
+
+  /** Time after which the owner repeats a renewal that got no answer. */
+  get #retryMs (): number {
+    return this.#options.terms.shardLeaseMs * RETRY_SHARE
+  }
+
   get #prefix (): string {
     return this.#options.prefix ?? 'shard'
   }
@@ -98,21 +113,21 @@
       checks: [{ key: this.#shardKey, version: owned.rowVersion }],
       writes: [{ kind: 'put', key: this.#renewalKey, value }]
     })
-    if (this.#owned !== owned) return RENEWAL_MS
+    if (this.#owned !== owned) return this.#renewalMs
     return outcome.caseOf({
       Right: () => {
         if (this.right() !== 'decide') this.#options.log.info({ shard: owned.shard }, 'lease renewed, deciding')
         this.#renewedAt = sentAt
-        return RENEWAL_MS
+        return this.#renewalMs
       },
       Left: ({ reason, message }) => {
         this.#options.metrics.count(`${this.#prefix}_renewal_failed`, { reason })
         if (reason === 'conflict') {
           this.lose('renewal-conflict')
-          return RENEWAL_MS
+          return this.#renewalMs
         }
         this.#options.log.warn({ shard: owned.shard, right: this.right(), message }, 'renewal failed')
-        return RENEWAL_RETRY_MS
+        return this.#retryMs
       }
     })
   }
@@ -122,7 +137,7 @@
     const { table, writer, shard, terms, rank, log } = this.#options
     const shardRow = await table.read(this.#shardKey)
     const renewalRow = await table.read(this.#renewalKey)
-    if (shardRow.isLeft() || renewalRow.isLeft()) return RENEWAL_MS
+    if (shardRow.isLeft() || renewalRow.isLeft()) return this.#renewalMs
     const [row, renewal] = [shardRow.unsafeCoerce(), renewalRow.unsafeCoerce()]
     const value = row?.value as ShardRow | undefined
     this.#currentOwner = value?.owner
@@ -135,12 +150,12 @@
     const released = (renewal?.value as RenewalRow | undefined)?.released === true
     const content = JSON.stringify([row?.version ?? 0, renewal?.version ?? 0])
     if (this.#seen?.content !== content) this.#seen = { content, since: performance.now() }
-    const waitMs = rank() * RENEWAL_MS
+    const waitMs = rank() * this.#renewalMs
     const vacant = row === undefined || released
     const lapsed = vacant
       ? askedAt - this.#seen.since >= waitMs || waitMs === 0
       : isLeaseLapsed(this.#seen.since, askedAt - waitMs, terms.shardLeaseMs)
-    return lapsed ? await this.#take(row, renewal) : RENEWAL_MS
+    return lapsed ? await this.#take(row, renewal) : this.#renewalMs
   }
 
   async #take (row: Row | undefined, renewal: Row | undefined): Promise<number> {
@@ -161,13 +176,13 @@
     return outcome.caseOf({
       Right: ({ versions }) => {
         this.#gain(epoch, versions[0] ?? 0, sentAt)
-        return RENEWAL_MS
+        return this.#renewalMs
       },
       Left: ({ reason, certainty }) => {
         metrics.count(`${this.#prefix}_takeover_failed`, { reason })
         log.info({ shard, epoch, reason, certainty }, 'takeover failed')
         // The next read tells whether a write with a lost answer took effect.
-        return certainty === 'unknown' ? RENEWAL_RETRY_MS : RENEWAL_MS
+        return certainty === 'unknown' ? this.#retryMs : this.#renewalMs
       }
     })
   }
--- a/packages/daemon/src/scheduler/shardLease/test.ts
+++ b/packages/daemon/src/lease/test.ts
@@ -3,7 +3,7 @@
 import type { Table, Transaction } from '@gypsumspring/adapters'
 import { MemoryTable } from '@gypsumspring/standins'
 import { pino } from 'pino'
-import { Metrics } from '../../metrics/index.ts'
+import { Metrics } from '../metrics/index.ts'
 import { ShardLease } from './index.ts'
 
 const terms = { shardLeaseMs: 10_000, runHorizonMs: 60_000 }
--- a/packages/daemon/src/scheduler/shardLease/types.ts
+++ b/packages/daemon/src/lease/types.ts
@@ -1,6 +1,6 @@
 import type { Table } from '@gypsumspring/adapters'
-import type { Logger } from '../../logging/index.ts'
-import type { Metrics } from '../../metrics/index.ts'
+import type { Logger } from '../logging/index.ts'
+import type { Metrics } from '../metrics/index.ts'
 
 /** Value of the row `shard/<id>`; changes only when the owner changes. */
 export interface ShardRow {
--- a/packages/daemon/src/scheduler/ShardSupervisor.ts
+++ b/packages/daemon/src/scheduler/ShardSupervisor.ts
@@ -6,7 +6,7 @@
 import { CallLimiter } from './_lib/CallLimiter.ts'
 import { LONGEST_STORE_RETRY_MS, WORKER_CALLS_AT_ONCE } from './constants/index.ts'
 import { readShardState } from './journal/index.ts'
-import { ShardLease, type Ownership } from './shardLease/index.ts'
+import { ShardLease, type Ownership } from '../lease/index.ts'
 import { describeShard, explainTask } from './shardOwner/describeShard.ts'
 import { ShardOwner, type ShardConfiguration } from './shardOwner/index.ts'
 
--- a/packages/daemon/src/scheduler/constants/index.ts
+++ b/packages/daemon/src/scheduler/constants/index.ts
@@ -1,9 +1,3 @@
-/** Time between renewals of a shard lease by its owner, and between reads by a candidate. Three fit into D. */
-export const RENEWAL_MS = 3_000
-
-/** Time after which the owner repeats a renewal that got no answer. */
-export const RENEWAL_RETRY_MS = 500
-
 /** Journal rows between two snapshots. */
 export const FLUSHES_PER_SNAPSHOT = 200
 
--- a/packages/daemon/src/scheduler/journal/types.ts
+++ b/packages/daemon/src/scheduler/journal/types.ts
@@ -2,7 +2,7 @@
 import type { RecordedState } from '@gypsumspring/core'
 import type { Logger } from '../../logging/index.ts'
 import type { Metrics } from '../../metrics/index.ts'
-import type { Ownership } from '../shardLease/index.ts'
+import type { Ownership } from '../../lease/index.ts'
 
 /** `refused`: another shard holds a group that the records claim; nothing was recorded. */
 export type AppendResult = 'recorded' | 'refused'
--- a/packages/daemon/src/scheduler/shardOwner/index.ts
+++ b/packages/daemon/src/scheduler/shardOwner/index.ts
@@ -3,7 +3,7 @@
 } from '@gypsumspring/core'
 import { ADOPTION_MS, DECISIONS_PER_TURN, GROUP_RETRY_MS, SETTLE_MS, SWEEP_MS } from '../constants/index.ts'
 import { Journal, type AppendResult } from '../journal/index.ts'
-import type { Ownership } from '../shardLease/index.ts'
+import type { Ownership } from '../../lease/index.ts'
 import { AttemptDriver } from './AttemptDriver.ts'
 import { GroupCatalog } from './GroupCatalog.ts'
 import { GroupSettler } from './GroupSettler.ts'
--- a/packages/daemon/src/scheduler/shardOwner/options.ts
+++ b/packages/daemon/src/scheduler/shardOwner/options.ts
@@ -6,7 +6,7 @@
 import type { Settings } from '../../settings/index.ts'
 import type { CallLimiter } from '../_lib/CallLimiter.ts'
 import type { ShardRecord } from '../journal/index.ts'
-import type { Ownership } from '../shardLease/index.ts'
+import type { Ownership } from '../../lease/index.ts'
 
 /** The part of the configuration that concerns one shard. */
 export interface ShardConfiguration {
