Keep a gang's reservation until it starts

Cause: a class has one backfill reservation. A small task that started freed it, and the next small task that found no room took it in the same pass, before the turn of a gang whose team has the larger share. Overdue reservations were dropped before their group's turn, so small work took what they had kept free. The group submitted first now takes the reservation over, an overdue plan is renewed in place, and its expected start never moves later.

--- a/packages/core/src/placement/_lib/rules.ts
+++ b/packages/core/src/placement/_lib/rules.ts
@@ -46,7 +46,23 @@
 export function isOverdue (reservation: Reservation, now: number): boolean {
   return reservation.kind === 'preemption'
     ? now > reservation.madeAt + PREEMPTION_TIMEOUT_MS
-    : now > reservation.startsAt + RESERVATION_OVERDUE_MS
+    : now > Math.max(reservation.startsAt, reservation.madeAt) + RESERVATION_OVERDUE_MS
+}
+
+/**
+ * Tells whether a group may take a backfill reservation over from its holder. The group that was submitted first has
+ * it, or a stream of small work would hand it on from one task to the next and a gang would never get it.
+ */
+export function precedesHolder (group: GroupRecord, holder: Reservation | undefined): boolean {
+  return holder === undefined || compareSubmitted(group, holder.group) < 0
+}
+
+/**
+ * Renews an overdue plan. The expected start never moves later: work with estimates that are too short would otherwise
+ * be let in on the reserved workers again and again.
+ */
+export function renewReservation (plan: Reservation, previous: Reservation): Reservation {
+  return { ...plan, startsAt: Math.min(plan.startsAt, previous.startsAt) }
 }
 
 /** Expected end of a running task in ms; infinity for a service. */
--- a/packages/core/src/placement/indexed/IndexedPlacer.ts
+++ b/packages/core/src/placement/indexed/IndexedPlacer.ts
@@ -2,15 +2,16 @@
 import type { PlacementDecision, Placer, TaskGroup, WorkerNode } from '../../types.ts'
 import { explainTask } from '../_lib/explainTask.ts'
 import { addScaled } from '../_lib/resources.ts'
-import { countStartingTasks, holdsBackTeam, staysWithinQuota } from '../_lib/rules.ts'
+import { countStartingTasks, holdsBackTeam, renewReservation, staysWithinQuota } from '../_lib/rules.ts'
 import { RunTimes } from '../_lib/RunTimes.ts'
 import { TaskBook } from '../_lib/TaskBook.ts'
 import { WorkerHealth } from '../_lib/WorkerHealth.ts'
 import { PRIORITY_CLASSES } from '../constants/index.ts'
 import { findImpossibility } from '../findImpossibility/index.ts'
-import type { GroupRecord, TaskRecord } from '../types.ts'
+import type { GroupRecord, Reservation, TaskRecord } from '../types.ts'
 import { CapacityShapes } from './CapacityShapes.ts'
 import { GroupIndex } from './GroupIndex.ts'
+import { planIndexedBackfill } from './planIndexedReservation.ts'
 import { QueueOrder } from './QueueOrder.ts'
 import { ReservationIndex } from './ReservationIndex.ts'
 import { startGroup, type StartContext } from './startGroup.ts'
@@ -148,7 +149,7 @@
       const entry = table.entries.get(worker)
       if (entry !== undefined) this.#syncWorker(entry)
     }
-    if (reservations.dropStale(now, (worker) => this.#canStart(worker))) this.#context.planVersion++
+    for (const stale of reservations.takeStale(now, (worker) => this.#canStart(worker))) this.#renew(stale, now)
     const decisions = this.#dropImpossible(limit)
     const heldTeams = new Map<string, number>()
     for (let rank = 0; rank < PRIORITY_CLASSES.length && decisions.length < limit; rank++) {
@@ -266,6 +267,15 @@
     this.#groups.remove(group)
   }
 
+  /** Plans a stale reservation again before anybody else can take what it has kept free so far. */
+  #renew (stale: Reservation, now: number): void {
+    const { table, reservations } = this.#context
+    this.#context.planVersion++
+    if (stale.kind !== 'backfill') return
+    const plan = planIndexedBackfill(table, stale.group, countStartingTasks(stale.group), now)
+    if (plan !== undefined) reservations.add(renewReservation(plan, stale))
+  }
+
   #unreserve (group: GroupRecord): void {
     if (this.#context.reservations.remove(group)) this.#context.planVersion++
   }
--- a/packages/core/src/placement/indexed/ReservationIndex.ts
+++ b/packages/core/src/placement/indexed/ReservationIndex.ts
@@ -19,11 +19,12 @@
     return this.#reservations.get(group)
   }
 
-  hasBackfill (rank: number): boolean {
-    for (const { kind, group } of this.#reservations.values()) {
-      if (kind === 'backfill' && group.rank === rank) return true
+  /** Returns the backfill reservation of a class. */
+  findBackfill (rank: number): Reservation | undefined {
+    for (const reservation of this.#reservations.values()) {
+      if (reservation.kind === 'backfill' && reservation.group.rank === rank) return reservation
     }
-    return false
+    return undefined
   }
 
   add (reservation: Reservation): void {
@@ -50,14 +51,14 @@
     return true
   }
 
-  /** Drops reservations that are overdue or on workers that may not start tasks; returns true when any was dropped. */
-  dropStale (now: number, canStart: (worker: string) => boolean): boolean {
-    let dropped = false
+  /** Takes out reservations that are overdue or on workers that may not start tasks. */
+  takeStale (now: number, canStart: (worker: string) => boolean): Reservation[] {
+    const stale: Reservation[] = []
     for (const [group, reservation] of this.#reservations) {
       if (!isOverdue(reservation, now) && [...reservation.tasks.keys()].every(canStart)) continue
       this.remove(group)
-      dropped = true
+      stale.push(reservation)
     }
-    return dropped
+    return stale
   }
 }
--- a/packages/core/src/placement/indexed/startGroup.ts
+++ b/packages/core/src/placement/indexed/startGroup.ts
@@ -1,4 +1,4 @@
-import { computeHoldMs, findAvoidedWorker, findSpreadKey } from '../_lib/rules.ts'
+import { computeHoldMs, findAvoidedWorker, findSpreadKey, precedesHolder } from '../_lib/rules.ts'
 import type { GroupRecord, TaskRecord, WaitReason } from '../types.ts'
 import { findWorker, type WorkerQuery } from './findWorker.ts'
 import { planIndexedBackfill, planIndexedPreemption } from './planIndexedReservation.ts'
@@ -81,7 +81,8 @@
   const own = reservations.get(group)
   const waiting: Start = { kind: 'wait', reason: 'capacity' }
   const mayPreempt = group.rank === 0 && own?.kind !== 'preemption'
-  const mayReserve = own === undefined && !reservations.hasBackfill(group.rank)
+  const holder = reservations.findBackfill(group.rank)
+  const mayReserve = own === undefined && precedesHolder(group, holder)
   if (mayPreempt && !hasFailed(context, group, count, 'preemption')) {
     const plan = planIndexedPreemption(table, group, count, now)
     if (plan !== undefined) {
@@ -96,6 +97,7 @@
     const reservation = planIndexedBackfill(table, group, count, now)
     if (reservation === undefined) rememberFailure(context, group, count, 'backfill')
     else {
+      if (holder !== undefined) reservations.remove(holder.group)
       reservations.add(reservation)
       context.planVersion++
     }
--- a/packages/core/src/placement/naive/NaivePlacer.ts
+++ b/packages/core/src/placement/naive/NaivePlacer.ts
@@ -3,7 +3,8 @@
 import { explainTask } from '../_lib/explainTask.ts'
 import { addScaled, computeDominantShare, NOTHING } from '../_lib/resources.ts'
 import {
-  bindsGroup, compareQueued, computeHoldMs, countStartingTasks, holdsBackTeam, isOverdue, staysWithinQuota
+  bindsGroup, compareQueued, computeHoldMs, countStartingTasks, holdsBackTeam, isOverdue,
+  precedesHolder, renewReservation, staysWithinQuota
 } from '../_lib/rules.ts'
 import { RunTimes } from '../_lib/RunTimes.ts'
 import { TaskBook } from '../_lib/TaskBook.ts'
@@ -113,8 +114,11 @@
   decide (now: number, limit: number): PlacementDecision[] {
     this.#now = now
     this.#health.refresh(now)
-    this.#reservations = this.#reservations.filter((reservation) =>
-      !isOverdue(reservation, now) && [...reservation.tasks.keys()].every((worker) => this.#canStart(worker)))
+    const isStale = (reservation: Reservation): boolean =>
+      isOverdue(reservation, now) || ![...reservation.tasks.keys()].every((worker) => this.#canStart(worker))
+    const stale = this.#reservations.filter(isStale)
+    this.#reservations = this.#reservations.filter((reservation) => !stale.includes(reservation))
+    for (const reservation of stale) this.#renew(reservation, now)
     const decisions = this.#dropImpossible(limit)
     const tried = new Set<GroupRecord>()
     const heldTeams = new Map<string, number>()
@@ -184,9 +188,12 @@
       return plan.victims.length > 0 ? { kind: 'preempt', group: id, victims: plan.victims.map((task) => task.id) } : undefined
     }
     const isBackfill = ({ kind, group: { rank } }: Reservation): boolean => kind === 'backfill' && rank === group.rank
-    if (this.#reservations.some(isBackfill)) return undefined
+    const holder = this.#reservations.find(isBackfill)
+    if (!precedesHolder(group, holder)) return undefined
     const backfill = planBackfill(view, group, countStartingTasks(group), now)
-    if (backfill !== undefined) this.#reservations.push(backfill)
+    if (backfill === undefined) return undefined
+    if (holder !== undefined) this.#unreserve(holder.group)
+    this.#reservations.push(backfill)
     return undefined
   }
 
@@ -282,6 +289,14 @@
     this.#unreserve(group)
   }
 
+  /** Plans a stale reservation again before anybody else can take what it has kept free so far. */
+  #renew (stale: Reservation, now: number): void {
+    const { group, kind } = stale
+    if (kind !== 'backfill') return
+    const plan = planBackfill(this.#view(group, now, undefined), group, countStartingTasks(group), now)
+    if (plan !== undefined) this.#reservations.push(renewReservation(plan, stale))
+  }
+
   #unreserve (group: GroupRecord): void {
     this.#reservations = this.#reservations.filter((reservation) => reservation.group !== group)
   }
