Add the operators' guide, architecture page and generated reference pages

The settings and the manifest were described only in their schemas, and the metrics only in the code. The reference pages are generated from the schemas by npm run docs; the lint step fails when they are out of date.

The manifest schema gains titles, which are shown in the reference and by gypsumctl schema; descriptions, and with them error messages, are unchanged.

--- a/packages/protocol/src/manifest/index.ts
+++ b/packages/protocol/src/manifest/index.ts
@@ -1,6 +1,12 @@
 import { Type, type Static } from '@sinclair/typebox'
 
-const Identifier = Type.String({ pattern: '^[a-z0-9][a-z0-9-]{0,62}$', description: 'lower-case letters, digits and hyphens' })
+const identifierOptions = {
+  pattern: '^[a-z0-9][a-z0-9-]{0,62}$', description: 'lower-case letters, digits and hyphens'
+}
+const Identifier = Type.String(identifierOptions)
+
+/** An identifier with its meaning as the title: the description is shown to those who break the pattern. */
+const identifier = (title: string) => Type.String({ ...identifierOptions, title })
 
 /** Amounts of a worker, a task or a quota. */
 export const Resources = Type.Object({
@@ -11,8 +17,10 @@
 export type Resources = Static<typeof Resources>
 
 export const Team = Type.Object({
-  id: Identifier,
-  quota: Resources,
+  id: identifier('name of the team'),
+  quota: Type.Object(Resources.properties, {
+    additionalProperties: false, title: 'most that all tasks of the team may hold at once'
+  }),
   requestShare: Type.Optional(Type.Number({
     minimum: 0.01, maximum: 100, default: 1, description: 'weight of the team in an endpoint\'s queue'
   }))
@@ -20,47 +28,53 @@
 export type Team = Static<typeof Team>
 
 export const EndpointRunner = Type.Object({
-  id: Identifier,
+  id: identifier('name of the runner'),
   address: Type.String({ pattern: '^[0-9a-fA-F.:\\[\\]]+:[0-9]{1,5}$', description: 'IP address and port' }),
-  failureDomain: Identifier,
+  failureDomain: identifier('failure domain that the runner is in'),
   vm: Type.Optional(Type.String({ description: 'VM id in the inventory; the runner leaves with it' }))
 }, { additionalProperties: false })
 export type EndpointRunner = Static<typeof EndpointRunner>
 
 export const Endpoint = Type.Object({
-  id: Identifier,
+  id: identifier('name of the endpoint; unique in the cell'),
   slotsPerRunner: Type.Integer({ minimum: 1, maximum: 1024, description: 'requests a runner works on at once' }),
   connectionsPerRunner: Type.Integer({ minimum: 1, maximum: 4096, description: 'open connections a runner accepts' }),
   queueLimit: Type.Optional(Type.Integer({
     minimum: 0, maximum: 100_000, default: 200, description: 'requests that wait in one entry'
   })),
-  runners: Type.Array(EndpointRunner, { minItems: 1, maxItems: 10_000 })
+  runners: Type.Array(EndpointRunner, { minItems: 1, maxItems: 10_000, title: 'processes that answer the requests' })
 }, { additionalProperties: false })
 export type Endpoint = Static<typeof Endpoint>
 
-export const WorkloadKind = Type.Union([Type.Literal('service'), Type.Literal('batch'), Type.Literal('gang')])
+export const WorkloadKind = Type.Union([Type.Literal('service'), Type.Literal('batch'), Type.Literal('gang')], {
+  title: 'a service runs until it is removed, a batch run ends, the tasks of a gang start together'
+})
 export type WorkloadKind = Static<typeof WorkloadKind>
 
 export const PriorityClass = Type.Union([
   Type.Literal('urgent'), Type.Literal('high'), Type.Literal('normal'), Type.Literal('low')
-])
+], { title: 'class in the queue; default: normal' })
 export type PriorityClass = Static<typeof PriorityClass>
 
-export const Spread = Type.Union([Type.Literal('none'), Type.Literal('rack'), Type.Literal('failure-domain')])
+export const Spread = Type.Union([Type.Literal('none'), Type.Literal('rack'), Type.Literal('failure-domain')], {
+  title: 'what the tasks are spread over; default: none'
+})
 export type Spread = Static<typeof Spread>
 
 export const Workload = Type.Object({
-  id: Identifier,
-  team: Identifier,
+  id: identifier('name of the workload'),
+  team: identifier('team that the workload belongs to'),
   kind: WorkloadKind,
   tasks: Type.Integer({ minimum: 1, maximum: 100_000, description: 'number of tasks' }),
-  resources: Resources,
+  resources: Type.Object(Resources.properties, { additionalProperties: false, title: 'what each task needs' }),
   priority: Type.Optional(PriorityClass),
   spread: Type.Optional(Spread),
   preemptible: Type.Optional(Type.Boolean({ default: false, description: 'may be checkpointed and stopped for urgent work' })),
   retryLimit: Type.Optional(Type.Integer({ minimum: 0, maximum: 100, default: 3, description: 'new attempts after a failure' })),
   estimatedRunSeconds: Type.Optional(Type.Number({ minimum: 0, maximum: 31_536_000, description: 'run time expected by the owner' })),
-  restart: Type.Optional(Type.Union([Type.Literal('always'), Type.Literal('on-failure'), Type.Literal('never')])),
+  restart: Type.Optional(Type.Union([Type.Literal('always'), Type.Literal('on-failure'), Type.Literal('never')], {
+    title: 'when an ended task runs again; default: always for a service, else on-failure'
+  })),
   failureDomains: Type.Optional(Type.Array(Identifier, { minItems: 1, description: 'failure domains allowed; default: all' })),
   payload: Type.Optional(Type.Record(Type.String(), Type.Unknown(), { description: 'passed to the worker unchanged' }))
 }, { additionalProperties: false })
@@ -68,13 +82,13 @@
 
 /** What an operator's build pipeline generates for one scope. */
 export const Manifest = Type.Object({
-  scope: Identifier,
+  scope: identifier('name under which one pipeline applies its manifest'),
   packingWeight: Type.Optional(Type.Number({
     minimum: 0, maximum: 1, default: 0.5, description: '0 minimises waiting time, 1 maximises packing'
   })),
-  teams: Type.Array(Team, { minItems: 1, maxItems: 1000 }),
-  endpoints: Type.Optional(Type.Array(Endpoint, { maxItems: 10_000 })),
-  workloads: Type.Optional(Type.Array(Workload, { maxItems: 100_000 }))
+  teams: Type.Array(Team, { minItems: 1, maxItems: 1000, title: 'teams with their quotas' }),
+  endpoints: Type.Optional(Type.Array(Endpoint, { maxItems: 10_000, title: 'endpoints that callers reach under /e/<id>' })),
+  workloads: Type.Optional(Type.Array(Workload, { maxItems: 100_000, title: 'services, batch runs and gangs' }))
 }, { additionalProperties: false, $id: 'gypsumspring/manifest' })
 export type Manifest = Static<typeof Manifest>
 
--- /dev/null
+++ b/scripts/docs/renderInterfaces.ts
@@ -0,0 +1,57 @@
+import type { TObject, TSchema } from '@sinclair/typebox'
+import { exitCodes } from '../../packages/cli/src/output/index.ts'
+import { rpcMethods } from '../../packages/protocol/src/rpcMessages/index.ts'
+import { describeRange, describeType, listFields } from './describeSchema.ts'
+import { NOTICE, renderTable } from './renderTable.ts'
+
+/** Compiles only while every exit code has a meaning. */
+const EXIT_CODE_MEANINGS: Record<keyof typeof exitCodes, string> = {
+  ok: 'done; for a change: in force everywhere',
+  usage: 'unknown command or missing argument; nothing was sent',
+  invalidManifest: 'the manifest or an argument is not valid; nothing was changed',
+  conflict: 'the scope has another version than the expected one; nothing was changed',
+  notYetInForce: 'the change is accepted but was not seen in force everywhere within the wait; processes that lack it are named',
+  unavailable: 'the entry or the store does not answer; nothing was changed',
+  unknownOutcome: 'the change may have been made',
+  notFound: 'no such task, workload, endpoint or runner'
+}
+
+/**
+ * Renders the reference page of exit codes and of the messages between processes.
+ *
+ * @returns The page as Markdown.
+ *
+ * @example
+ * renderInterfaces().startsWith('# Interfaces')
+ */
+export function renderInterfaces (): string {
+  const codes = Object.entries(exitCodes).map(([name, code]) =>
+    [String(code), `\`${name}\``, EXIT_CODE_MEANINGS[name as keyof typeof exitCodes]])
+  const methods = Object.entries(rpcMethods).flatMap(([name, { params, result }]) => [
+    '', `### ${name}`, '', ...renderFields('params', params), '', ...renderFields('result', result)
+  ])
+  return [
+    '# Interfaces',
+    '',
+    NOTICE,
+    '',
+    'The HTTP interface for callers and operators is in [design.md](design.md), section 7; its use by operators is in',
+    '[operators.md](operators.md). The HTTP interfaces of the platform and of workers are in [adapters.md](adapters.md).',
+    '',
+    '## Exit codes of gypsumctl',
+    '',
+    ...renderTable([['code', 'name', 'meaning'], ...codes]),
+    '',
+    '## RPC methods between processes',
+    '',
+    'JSON-RPC 2.0 over TCP, one frame a line, at most 1 MiB a frame. `[]` stands for each item of a list.',
+    ...methods,
+    ''
+  ].join('\n')
+}
+
+function renderFields (kind: string, schema: TObject | TSchema): string[] {
+  const rows = listFields(schema).map(({ path, schema: field }) =>
+    [`\`${path}\``, describeType(field), describeRange(field)])
+  return renderTable([[kind, 'type', 'range'], ...rows])
+}
