--- a/scripts/docs/describeSchema.ts
+++ b/scripts/docs/describeSchema.ts
@@ -1,4 +1,4 @@
-import { KindGuard, type TSchema } from '@sinclair/typebox'
+import { KindGuard, type TRecord, type TSchema } from '@sinclair/typebox'
 
 /** One field of a schema with the path from the root of the document. */
 export interface Field {
@@ -8,17 +8,22 @@
 }
 
 /**
- * Lists the fields of an object schema, depth first.
+ * Lists the fields of a schema, depth first.
  *
- * @param schema - An object schema.
- * @param path - Path of the object itself.
- * @returns Each field; items of an array have the path of the array with `[]`.
+ * @param schema - Any schema; only objects have fields.
+ * @param path - Path of the value itself. Default: the root.
+ * @returns Each field; items of an array have the path of the array with `[]`, values of a map that with `.<name>`. The
+ * fields of all options of a union are listed.
  *
  * @example
  * listFields(Type.Object({ a: Type.String() })) // => [{ path: 'a', ... }]
  */
 export function listFields (schema: TSchema, path = ''): Field[] {
+  // A schema with an id has a page of its own.
+  if (path !== '' && schema.$id !== undefined) return []
   if (KindGuard.IsArray(schema)) return listFields(schema.items, `${path}[]`)
+  if (KindGuard.IsUnion(schema)) return schema.anyOf.flatMap((option) => listFields(option, path))
+  if (KindGuard.IsRecord(schema)) return listFields(valueOf(schema), `${path}.<name>`)
   if (!KindGuard.IsObject(schema)) return []
   return Object.entries(schema.properties).flatMap(([name, property]) => {
     const inner = path === '' ? name : `${path}.${name}`
@@ -37,14 +42,19 @@
  * describeType(Type.Array(Type.String())) // => 'list of string'
  */
 export function describeType (schema: TSchema): string {
-  if (KindGuard.IsUnion(schema)) return schema.anyOf.map(describeType).join(' or ')
+  if (schema.$id !== undefined) return schema.$id
+  if (KindGuard.IsUnion(schema)) return [...new Set(schema.anyOf.map(describeType))].join(' or ')
   if (KindGuard.IsIntersect(schema)) return schema.allOf.map(describeType).join(' and ')
   if (KindGuard.IsLiteral(schema)) return `\`${schema.const}\``
   if (KindGuard.IsArray(schema)) return `list of ${describeType(schema.items)}`
-  if (KindGuard.IsRecord(schema)) return `map of ${describeType(Object.values(schema.patternProperties)[0] as TSchema)}`
+  if (KindGuard.IsRecord(schema)) return `map of ${describeType(valueOf(schema))}`
   if (KindGuard.IsUnknown(schema)) return 'any value'
   if (typeof schema['type'] === 'string') return schema['type']
-  throw new Error(`no description of a schema of kind ${String(schema[Symbol.for('TypeBox.Kind') as never])}`)
+  throw new Error(`no description of the schema ${JSON.stringify(schema)}`)
+}
+
+function valueOf (schema: TRecord): TSchema {
+  return Object.values(schema.patternProperties)[0] as TSchema
 }
 
 /**
--- a/scripts/docs/renderInterfaces.ts
+++ b/scripts/docs/renderInterfaces.ts
@@ -1,4 +1,5 @@
-import type { TObject, TSchema } from '@sinclair/typebox'
+import { KindGuard, type TSchema } from '@sinclair/typebox'
+import * as wire from '../../packages/adapters/src/wire/index.ts'
 import { exitCodes } from '../../packages/cli/src/output/index.ts'
 import { rpcMethods } from '../../packages/protocol/src/rpcMessages/index.ts'
 import { describeRange, describeType, listFields } from './describeSchema.ts'
@@ -30,6 +31,10 @@
   const methods = Object.entries(rpcMethods).flatMap(([name, { params, result }]) => [
     '', `### ${name}`, '', ...renderFields('params', params), '', ...renderFields('result', result)
   ])
+  const bodies = Object.entries(wire).flatMap(([name, schema]) =>
+    KindGuard.IsSchema(schema) && listFields(schema).length > 0
+      ? ['', `### ${name}`, '', ...renderFields('field', schema)]
+      : [])
   return [
     '# Interfaces',
     '',
@@ -44,14 +49,20 @@
     '',
     '## RPC methods between processes',
     '',
-    'JSON-RPC 2.0 over TCP, one frame a line, at most 1 MiB a frame. `[]` stands for each item of a list.',
+    'JSON-RPC 2.0 over TCP, one frame a line, at most 1 MiB a frame. `[]` stands for each item of a list, `<name>` for each',
+    'name in a map. `gypsumspring/manifest` is described in [reference-manifest.md](reference-manifest.md).',
     ...methods,
+    '',
+    '## Bodies of the HTTP interfaces to the platform and to workers',
+    '',
+    'The calls that carry them are in [adapters.md](adapters.md).',
+    ...bodies,
     ''
   ].join('\n')
 }
 
-function renderFields (kind: string, schema: TObject | TSchema): string[] {
-  const rows = listFields(schema).map(({ path, schema: field }) =>
-    [`\`${path}\``, describeType(field), describeRange(field)])
-  return renderTable([[kind, 'type', 'range'], ...rows])
+function renderFields (kind: string, schema: TSchema): string[] {
+  const rows = listFields(schema).map(({ path, schema: field, isRequired }) =>
+    [`\`${path}\``, describeType(field), describeRange(field), isRequired ? 'yes' : 'no'])
+  return renderTable([[kind, 'type', 'range', 'required'], ...rows])
 }
