Measure the capacity slopes of schedulers, entries and configuration

Resident memory, processor time, bytes and store calls were known only for placement. The benchmark runs small cells of separate processes at three sizes and fits a line through each figure. Bytes are read from /proc/<pid>/io, which counts read and write calls and so the socket traffic of Node: 1,000,000 bytes over loopback were counted as 1,001,623 read and 1,000,069 written. A counting forwarder was ruled out because peers announce their own addresses.

--- a/packages/bench/src/benchmarks.ts
+++ b/packages/bench/src/benchmarks.ts
@@ -1,3 +1,4 @@
+import { measureCapacity } from './measureCapacity/index.ts'
 import { runPacking } from './packing/index.ts'
 import { runPlacement } from './placement/index.ts'
 import { runPlacementMemory } from './placementMemory/index.ts'
@@ -12,7 +13,8 @@
   packing: runPacking,
   'placement-memory': runPlacementMemory,
   routing: measureRouting,
-  slots: measureSlots
+  slots: measureSlots,
+  capacity: measureCapacity
 }
 
 export type BenchmarkName = string
