--- a/packages/bench/src/measureCapacity/_lib/readUsage.ts
+++ b/packages/bench/src/measureCapacity/_lib/readUsage.ts
@@ -9,6 +9,8 @@
   residentMb: number
   receivedBytes: number
   sentBytes: number
+  /** Write calls, most of which carry one message. */
+  writeCalls: number
 }
 
 /** Use of a process over an interval. */
@@ -22,6 +24,7 @@
   sentBytes: number
   receivedKbPerSecond: number
   sentKbPerSecond: number
+  writeCallsPerSecond: number
 }
 
 /** Clock ticks per second in /proc/<pid>/stat; fixed in Linux's interface to user processes. */
@@ -48,7 +51,8 @@
     cpuMs: (Number(fields[11]) + Number(fields[12])) * 1000 / TICKS_PER_SECOND,
     residentMb: Number(/^VmRSS:\s+(\d+)/m.exec(status)?.[1]) / 1024,
     receivedBytes: Number(/^rchar: (\d+)/m.exec(io)?.[1]),
-    sentBytes: Number(/^wchar: (\d+)/m.exec(io)?.[1])
+    sentBytes: Number(/^wchar: (\d+)/m.exec(io)?.[1]),
+    writeCalls: Number(/^syscw: (\d+)/m.exec(io)?.[1])
   }
 }
 
@@ -66,7 +70,8 @@
     receivedBytes,
     sentBytes,
     receivedKbPerSecond: receivedBytes / seconds / 1000,
-    sentKbPerSecond: sentBytes / seconds / 1000
+    sentKbPerSecond: sentBytes / seconds / 1000,
+    writeCallsPerSecond: (later.writeCalls - earlier.writeCalls) / seconds
   }
 }
 
