Report slot tokens once a second while nothing waits, and notify holders

An entry with spare tokens reported its holdings every 50 ms even when idle. Now it does so only while requests wait or tokens are recalled, else every second. When the allocator handles the report of an entry that lacks tokens, it sends slots.notify to the entries that hold some, at most once per 50 ms each; a notified entry reports at once.

Ruled out: notifying only holders whose last report showed a surplus.

The daemon used 50 ms for urgent reports against the documented 20 ms; it now uses 20 ms.

The ledger takes H from the caller and the drift margin from the shared constants.

--- a/packages/bench/src/measureRouting/_lib/runRouters.ts
+++ b/packages/bench/src/measureRouting/_lib/runRouters.ts
@@ -28,7 +28,7 @@
     this.#events = events
     this.#runners = runners
     this.#tally = tally
-    this.holder = createSlotHolder(`entry-${index}`, '1')
+    this.holder = createSlotHolder(`${index}`, '1')
     this.router = createEndpointRouter({ seed: 31 + index })
     this.router.setRunners(runners.map((_, runner) => {
       return { id: `${runner}`, failureDomain: DOMAIN, slots: SLOTS, leaving: false }
@@ -90,7 +90,7 @@
 
 /** Our routers in all entries, with slot tokens lent by one ledger. */
 export function runRouters (trace: TraceRequest[], events: EventQueue, runners: Runner[], tally: Tally): void {
-  const ledger = createSlotLedger({ epoch: 1, registrations: [], renewedAt: 0 }, 0)
+  const ledger = createSlotLedger({ epoch: 1, registrations: [], renewedAt: 0, runHorizonMs: 1_800_000 }, 0)
   ledger.setRunners(Array.from({ length: RUNNERS }, (_, runner) => {
     return { endpoint: ENDPOINT, runner: `${runner}`, slots: SLOTS }
   }))
@@ -102,6 +102,7 @@
     if (message === undefined) return
     events.add(events.now + HOP_MS, () => {
       const answer = ledger.handle(message, events.now)
+      for (const index of ledger.takeNotices()) notify(entries[Number(index)] as Entry)
       const pending = ledger.pendingRegistrations()
       if (pending !== undefined) ledger.confirmRegistrations(pending)
       events.add(events.now + HOP_MS, (now) => {
@@ -112,16 +113,25 @@
       })
     })
   }
+  const reportIfDue = (entry: Entry, now: number): void => {
+    const { router, holder } = entry
+    const spare = router.use(now).reduce((sum, { held, inUse, avoided }) => sum + (avoided ? 0 : held - inUse), 0)
+    if (now >= holder.nextReportAt(router.waiting(), spare)) report(entry)
+  }
+  const notify = (entry: Entry): void => {
+    events.add(events.now + HOP_MS, (now) => {
+      entry.holder.notify(ledger.epoch)
+      reportIfDue(entry, now)
+    })
+  }
   const renew = (): void => {
     ledger.renewed(events.now)
     events.add(events.now + 3000, renew)
   }
   renew()
   for (const [index, entry] of entries.entries()) {
-    const { router, holder } = entry
     const check = (now: number): void => {
-      const spare = router.use(now).reduce((sum, { held, inUse, avoided }) => sum + (avoided ? 0 : held - inUse), 0)
-      if (now >= holder.nextReportAt(router.waiting(), spare)) report(entry)
+      reportIfDue(entry, now)
       events.add(now + CHECK_MS, check)
     }
     events.add(index * CHECK_MS / ENTRIES, check)
--- a/packages/bench/src/measureSlots/_lib/strategies.ts
+++ b/packages/bench/src/measureSlots/_lib/strategies.ts
@@ -144,9 +144,20 @@
 export function lent (reportIntervalMs: number, urgentIntervalMs = reportIntervalMs): Strategy {
   return (site) => {
     const { events } = site
-    const ledger = createSlotLedger({ epoch: 1, registrations: [], renewedAt: 0 }, 0)
+    const ledger = createSlotLedger({ epoch: 1, registrations: [], renewedAt: 0, runHorizonMs: 1_800_000 }, 0)
     ledger.setRunners(Array.from({ length: RUNNERS }, (_, runner) => ({ endpoint: ENDPOINT, runner: `${runner}`, slots: SLOTS })))
     const queues = Array.from({ length: ENTRIES }, () => new TokenQueue(site, 0))
+    const holders = queues.map((_, index) => createSlotHolder(`${index}`, '1', { reportIntervalMs, urgentIntervalMs }))
+    const exchangeIfDue = (index: number, now: number): void => {
+      const [queue, holder] = [queues[index] as TokenQueue, holders[index] as SlotHolder]
+      if (now >= holder.nextReportAt(queue.waiting.length, queue.free)) exchange(queue, holder, now)
+    }
+    const notify = (index: number): void => {
+      events.add(events.now + HOP_MS, (now) => {
+        holders[index]?.notify(ledger.epoch)
+        exchangeIfDue(index, now)
+      })
+    }
     const exchange = (queue: TokenQueue, holder: SlotHolder, now: number): void => {
       const holdings = queue.held.map((held, runner) => {
         return { endpoint: ENDPOINT, runner: `${runner}`, held, inUse: queue.inUse[runner] ?? 0, avoided: false }
@@ -155,6 +166,7 @@
       if (report === undefined) return
       events.add(now + HOP_MS, () => {
         const answer = ledger.handle(report, events.now)
+        for (const entry of ledger.takeNotices()) notify(Number(entry))
         const pending = ledger.pendingRegistrations()
         if (pending !== undefined) ledger.confirmRegistrations(pending)
         events.add(events.now + HOP_MS, () => {
@@ -169,10 +181,9 @@
       events.add(events.now + 3000, renew)
     }
     renew()
-    for (const [index, queue] of queues.entries()) {
-      const holder = createSlotHolder(`entry-${index}`, '1', { reportIntervalMs, urgentIntervalMs })
+    for (const index of queues.keys()) {
       const check = (now: number): void => {
-        if (now >= holder.nextReportAt(queue.waiting.length, queue.free)) exchange(queue, holder, now)
+        exchangeIfDue(index, now)
         events.add(now + CHECK_MS, check)
       }
       events.add(index * CHECK_MS / ENTRIES, check)
--- a/packages/core/src/createSlotHolder/index.ts
+++ b/packages/core/src/createSlotHolder/index.ts
@@ -15,10 +15,10 @@
  *
  * @param entry - Process id of the entry.
  * @param incarnation - Changes at each start of the process.
- * @param options.reportIntervalMs - Interval while requests wait or tokens are spare. Default: 50.
- * @param options.idleIntervalMs - Interval otherwise. Default: 1,000.
- * @param options.urgentIntervalMs - Interval while requests wait and no token is spare, or tokens are recalled.
- *   Default: 20.
+ * @param options.reportIntervalMs - Interval while requests wait and tokens are spare. Default: 50.
+ * @param options.idleIntervalMs - Interval while no request waits; a notification shortens it. Default: 1,000.
+ * @param options.urgentIntervalMs - Interval while requests wait and no token is spare, or tokens are recalled; also
+ *   the shortest time between a report and the one that a notification asks for. Default: 20.
  * @param options.answerTimeoutMs - How long an answer is waited for before the next report. Default: 1,000.
  *
  * @example
@@ -38,6 +38,7 @@
   /** Sequence of the report whose answer may still be applied. */
   #awaited: number | undefined
   #recalled = new Map<string, SlotMove>()
+  #notified = false
   readonly #entry: string
   readonly #incarnation: string
   readonly #options: Required<HolderOptions>
@@ -56,6 +57,11 @@
     if (epoch <= this.#epoch) return
     this.#epoch = epoch
     this.#awaited = undefined
+    this.#notified = false
+  }
+
+  notify (epoch: number): void {
+    if (epoch === this.#epoch) this.#notified = true
   }
 
   report (now: number, holdings: SlotHolding[], demands: SlotDemand[], leaving = false): SlotReport | undefined {
@@ -63,6 +69,7 @@
     this.#sequence++
     this.#awaited = this.#sequence
     this.#sentAt = now
+    this.#notified = false
     return {
       entry: this.#entry,
       incarnation: this.#incarnation,
@@ -92,9 +99,9 @@
     const { reportIntervalMs, idleIntervalMs, urgentIntervalMs, answerTimeoutMs } = this.#options
     const interval = this.#awaited !== undefined
       ? answerTimeoutMs
-      : (waiting > 0 && spare === 0) || this.#recalled.size > 0
+      : (waiting > 0 && spare === 0) || this.#recalled.size > 0 || this.#notified
           ? urgentIntervalMs
-          : waiting > 0 || spare > 0
+          : waiting > 0
             ? reportIntervalMs
             : idleIntervalMs
     return this.#sentAt + interval
--- a/packages/core/src/createSlotHolder/test.ts
+++ b/packages/core/src/createSlotHolder/test.ts
@@ -43,6 +43,23 @@
     expect(holder.apply(answerTo(second), 1520)).to.deep.equal({ grants: [], releases: [] })
   })
 
+  it('reports early when notified, not in a row, and not for an allocator that it does not follow', () => {
+    const { holder, second } = setUp()
+    holder.apply(answerTo(second), 1510)
+    expect(holder.nextReportAt(0, 8), 'nothing waits').to.equal(2500)
+    for (const other of [2, 4]) holder.notify(other)
+    expect(holder.nextReportAt(0, 8), 'another epoch').to.equal(2500)
+    for (let repeated = 0; repeated < 2; repeated++) holder.notify(3)
+    expect(holder.nextReportAt(0, 8), 'notified').to.equal(1520)
+    const third = holder.report(1700, [], [])?.sequence ?? 0
+    holder.notify(3)
+    expect(holder.nextReportAt(0, 8), 'an answer is awaited').to.equal(2700)
+    holder.apply(answerTo(third), 1701)
+    holder.report(1720, [], [])
+    holder.apply(answerTo(third + 1), 1721)
+    expect(holder.nextReportAt(0, 8), 'reported since').to.equal(2720)
+  })
+
   it('reports again only when the answer is overdue, and cancels recalls that are no longer asked for', () => {
     const { holder, second } = setUp()
     expect(holder.report(2000, [], [])).to.equal(undefined)
--- a/packages/core/src/createSlotLedger/_lib/Claims.ts
+++ b/packages/core/src/createSlotLedger/_lib/Claims.ts
@@ -19,6 +19,8 @@
   /** Whether it has reported to this allocator; until then its holdings are unknown. */
   answered: boolean
   lastContact: number
+  /** When it was last named as a holder of tokens that another entry lacks. */
+  noticedAt: number
   lastSequence: number
   lastAnswer: SlotAnswer | undefined
   /** By runner key. */
@@ -71,6 +73,7 @@
       leaving: false,
       answered: options.answered,
       lastContact: now,
+      noticedAt: -Infinity,
       lastSequence: -1,
       lastAnswer: undefined,
       bounds: new Map(),
--- a/packages/core/src/createSlotLedger/_lib/SlotWorld.test.ts
+++ b/packages/core/src/createSlotLedger/_lib/SlotWorld.test.ts
@@ -3,9 +3,10 @@
 import type { SlotAnswer, SlotHolder, SlotLedger, SlotRegistration, SlotReport, SlotRunner } from '../../types.ts'
 import { createSlotHolder } from '../../createSlotHolder/index.ts'
 import { createSlotLedger } from '../index.ts'
-import { DRIFT_MARGIN } from '../constants/index.ts'
+import { DRIFT_MARGIN } from '../../constants/index.ts'
 
 export const LEASE_MS = 10_000
+export const RUN_HORIZON_MS = 1_800_000
 /** Longest deadline of a request and life of a message; not taken from the code under test. */
 export const LONGEST_DEADLINE_MS = 30_000
 export const SLOTS = 4
@@ -78,6 +79,7 @@
 export interface Allocator { ledger: SlotLedger, renewedAt: number, drift: number, paused: boolean }
 type Message = { sentAt: number } & (
   | { kind: 'report', allocator: Allocator, from: Entry, report: SlotReport }
+  | { kind: 'notice', to: Entry, from: Allocator }
   | { kind: 'answer', to: Entry, answer: SlotAnswer })
 
 /** Entries, allocators, the lease row and a network that loses, repeats and reorders. Time is true time. */
@@ -118,7 +120,7 @@
     const drift = [0.99, 1.01][this.row.epoch % 2] as number
     const { epoch, registrations } = this.row
     const now = this.time * drift
-    const ledger = createSlotLedger({ epoch, registrations, renewedAt: now }, now)
+    const ledger = createSlotLedger({ epoch, registrations, renewedAt: now, runHorizonMs: RUN_HORIZON_MS }, now)
     ledger.setRunners(this.runners)
     this.allocators.push({ ledger, renewedAt: this.time, drift, paused: false })
   }
@@ -154,20 +156,32 @@
     if (message === undefined) return
     if (fate !== 'repeat') this.messages.splice(this.messages.indexOf(message), 1)
     if (fate === 'drop') return
-    if (message.kind === 'answer') {
+    if (message.kind !== 'report') {
       if (this.entries.get(message.to.id) !== message.to) return
       // What has reached a paused process waits in its socket.
       if (message.to.paused) this.messages.push(message)
-      else message.to.apply(message.answer, this.time * message.to.drift)
+      else if (message.kind === 'answer') message.to.apply(message.answer, this.time * message.to.drift)
+      else this.#notify(message.to, message.from)
     } else if (message.allocator.paused) {
       this.messages.push(message)
     } else {
       const { ledger, drift } = message.allocator
       const answer = ledger.handle(message.report, this.time * drift)
       this.messages.push({ sentAt: this.time, kind: 'answer', to: message.from, answer })
+      for (const id of ledger.takeNotices()) {
+        const to = this.entries.get(id)
+        if (to !== undefined) this.messages.push({ sentAt: this.time, kind: 'notice', to, from: message.allocator })
+      }
     }
   }
 
+  /** The notified entry reports to the sender if a report is due. */
+  #notify (entry: Entry, allocator: Allocator): void {
+    entry.holder.notify(allocator.ledger.epoch)
+    const now = this.time * entry.drift
+    if (entry.holder.nextReportAt(entry.waiting, 0) <= now) this.send(entry, allocator)
+  }
+
   advance (ms: number): void {
     // Steps keep exchanges within their deadline, and live owners renewing.
     for (let left = ms; left > 0; left -= 5000) {
@@ -178,7 +192,7 @@
     }
     for (let index = this.messages.length - 1; index >= 0; index--) {
       const message = this.messages[index] as Message
-      const paused = message.kind === 'answer' ? message.to.paused : message.allocator.paused
+      const paused = message.kind === 'report' ? message.allocator.paused : message.to.paused
       if (!paused && this.time - message.sentAt > LONGEST_DEADLINE_MS) this.messages.splice(index, 1)
     }
     this.current.ledger.tick(this.time * this.current.drift)
--- a/packages/core/src/createSlotLedger/_lib/planMoves.ts
+++ b/packages/core/src/createSlotLedger/_lib/planMoves.ts
@@ -10,24 +10,36 @@
 
 /** Decides which tokens the reporting entry gets and which it is asked to give back; changes no count. */
 export function planMoves (claims: Claims, claim: Claim, now: number): Moves {
+  const moves = [...groupByEndpoint(claims)].map(([endpoint, runners]) => {
+    return planEndpoint(claims, claim, endpoint, runners, now)
+  })
+  return { grants: moves.flatMap(({ grants }) => grants), releases: moves.flatMap(({ releases }) => releases) }
+}
+
+/**
+ * Entries that tokens could be recalled from for the requests that wait at the reporting entry; changes no count. Which
+ * of their tokens are spare is known only as of their last report, so each one that holds tokens there is named. Naming
+ * only those with a surplus in their last report tripled the 99th percentile of waiting at 80% load.
+ */
+export function findHolders (claims: Claims, claim: Claim): Claim[] {
+  if (claim.leaving) return []
+  const short = [...claim.loads].filter(([, { held, inUse, waiting }]) => waiting > held - inUse)
+  return claims.all().filter((each) => each !== claim && isActive(each) && !each.leaving &&
+    short.some(([endpoint]) => claims.load(each, endpoint).held > 0))
+}
+
+function groupByEndpoint (claims: Claims): Map<string, RunnerSlots[]> {
   const byEndpoint = new Map<string, RunnerSlots[]>()
   for (const runner of claims.runners.values()) {
     const group = byEndpoint.get(runner.endpoint)
     if (group === undefined) byEndpoint.set(runner.endpoint, [runner])
     else group.push(runner)
   }
-  const moves = [...byEndpoint].map(([endpoint, runners]) => planEndpoint(claims, claim, endpoint, runners, now))
-  return { grants: moves.flatMap(({ grants }) => grants), releases: moves.flatMap(({ releases }) => releases) }
+  return byEndpoint
 }
 
-function planEndpoint (claims: Claims, claim: Claim, endpoint: string, runners: RunnerSlots[], now: number): Moves {
-  const overdrawn = runners.filter((runner) => claims.free(runner) < 0).flatMap((runner) => {
-    const held = claim.bounds.get(runnerKey(runner))?.held ?? 0
-    return toMoves(runner, Math.min(held, -claims.free(runner)))
-  })
-  if (claim.leaving) {
-    return { grants: [], releases: runners.flatMap((runner) => toMoves(runner, holding(claim, runner))) }
-  }
+/** Who can hold tokens of the endpoint, how many of them are free, and how many each entry should hold. */
+function assess (claims: Claims, endpoint: string, runners: RunnerSlots[], now: number) {
   const takers = claims.all().filter((each) => each.registered && isActive(each) && !each.leaving)
   const usable = runners.filter((runner) => !isAvoided(takers, runner))
   const lent = takers.reduce((sum, each) => sum + claims.load(each, endpoint).held, 0)
@@ -37,6 +49,18 @@
     const starvation = hungrySince === undefined ? 0 : (now - hungrySince) / STARVATION_MS
     return { entry: each.entry, load: smoothed, starvation }
   }))
+  return { takers, usable, free, targets }
+}
+
+function planEndpoint (claims: Claims, claim: Claim, endpoint: string, runners: RunnerSlots[], now: number): Moves {
+  const overdrawn = runners.filter((runner) => claims.free(runner) < 0).flatMap((runner) => {
+    const held = claim.bounds.get(runnerKey(runner))?.held ?? 0
+    return toMoves(runner, Math.min(held, -claims.free(runner)))
+  })
+  if (claim.leaving) {
+    return { grants: [], releases: runners.flatMap((runner) => toMoves(runner, holding(claim, runner))) }
+  }
+  const { takers, usable, free, targets } = assess(claims, endpoint, runners, now)
   const { held, inUse, waiting } = claims.load(claim, endpoint)
   const target = targets.get(claim.entry) ?? 0
   const missing = takers.filter((each) => each !== claim).reduce((sum, each) => {
--- a/packages/core/src/createSlotLedger/index.ts
+++ b/packages/core/src/createSlotLedger/index.ts
@@ -1,8 +1,9 @@
 import type { SlotMove } from '@gypsumspring/protocol'
 import type { SlotAnswer, SlotLedger, SlotRegistration, SlotReport, SlotRunner } from '../types.ts'
+import { DRIFT_MARGIN } from '../constants/index.ts'
 import { Claims, type Claim } from './_lib/Claims.ts'
-import { planMoves } from './_lib/planMoves.ts'
-import { DRIFT_MARGIN, LOAD_WINDOW_MS, LONGEST_DEADLINE_MS, RUN_HORIZON_MS } from './constants/index.ts'
+import { findHolders, planMoves } from './_lib/planMoves.ts'
+import { LOAD_WINDOW_MS, LONGEST_DEADLINE_MS, NOTIFY_INTERVAL_MS } from './constants/index.ts'
 
 interface LedgerOptions {
   epoch: number
@@ -10,6 +11,8 @@
   registrations: SlotRegistration[]
   /** When the renewal or takeover write that gave the lease was sent, in ms. */
   renewedAt: number
+  /** H: how long tokens stay valid without contact, in ms. Store outages of that length revoke none. */
+  runHorizonMs: number
 }
 
 /**
@@ -21,10 +24,11 @@
  * @param options.epoch - Epoch of the allocator's lease row.
  * @param options.registrations - Incarnations listed in the row at the takeover; any of them may hold tokens.
  * @param options.renewedAt - Time in ms at which the write that took the row over was sent.
+ * @param options.runHorizonMs - H in ms; the same in all processes, since a successor waits for it.
  * @param now - Time in ms.
  *
  * @example
- * const ledger = createSlotLedger({ epoch: 1, registrations: [], renewedAt: 0 }, 0)
+ * const ledger = createSlotLedger({ epoch: 1, registrations: [], renewedAt: 0, runHorizonMs: 1_800_000 }, 0)
  * ledger.setRunners([{ endpoint: 'origem', runner: 'r1', slots: 8 }])
  */
 export function createSlotLedger (options: LedgerOptions, now: number): SlotLedger {
@@ -34,12 +38,15 @@
 class Ledger implements SlotLedger {
   readonly epoch: number
   readonly #claims = new Claims()
+  readonly #runHorizonMs: number
   #renewedAt: number
   #confirmed: SlotRegistration[]
+  #notices = new Set<string>()
 
   constructor (options: LedgerOptions, now: number) {
     this.epoch = options.epoch
     this.#renewedAt = options.renewedAt
+    this.#runHorizonMs = options.runHorizonMs
     this.#confirmed = options.registrations
     for (const registration of options.registrations) {
       this.#claims.add(registration, now, { registered: true, answered: false })
@@ -66,13 +73,20 @@
     if (report.sequence === claim.lastSequence) return claim.lastAnswer ?? refusal
     if (claim.retiredAt !== undefined || report.sequence < claim.lastSequence) return refusal
     this.#record(claim, report, now)
-    const validMs = Math.max(0, Math.floor(this.#renewedAt + RUN_HORIZON_MS - now))
+    const validMs = Math.max(0, Math.floor(this.#renewedAt + this.#runHorizonMs - now))
     claim.lastAnswer = claim.registered && validMs > 0
-      ? { ...refusal, registered: true, validMs: Math.min(validMs, RUN_HORIZON_MS), ...this.#move(claim, now) }
+      ? { ...refusal, registered: true, validMs: Math.min(validMs, this.#runHorizonMs), ...this.#move(claim, now) }
       : refusal
+    if (claim.lastAnswer.registered) this.#notice(claim, now)
     return claim.lastAnswer
   }
 
+  takeNotices (): string[] {
+    const notices = [...this.#notices]
+    this.#notices.clear()
+    return notices
+  }
+
   pendingRegistrations (): SlotRegistration[] | undefined {
     const wanted = this.#registrations()
     const complete = this.#claims.all().every(({ registered }) => registered)
@@ -144,9 +158,18 @@
     return moves
   }
 
+  /** Names holders of tokens that the claim lacks, unless they have reported or were named a moment ago. */
+  #notice (claim: Claim, now: number): void {
+    for (const holder of findHolders(this.#claims, claim)) {
+      if (now - Math.max(holder.lastContact, holder.noticedAt) < NOTIFY_INTERVAL_MS) continue
+      holder.noticedAt = now
+      this.#notices.add(holder.entry)
+    }
+  }
+
   #expiresAt (claim: Claim): number {
     const gone = Math.min(claim.retiredAt ?? Infinity, claim.leftAt ?? Infinity)
-    return Math.min(gone, claim.lastContact + RUN_HORIZON_MS * DRIFT_MARGIN) + LONGEST_DEADLINE_MS
+    return Math.min(gone, claim.lastContact + this.#runHorizonMs * DRIFT_MARGIN) + LONGEST_DEADLINE_MS
   }
 
   #registrations (): SlotRegistration[] {
--- a/packages/core/src/createSlotLedger/test.ts
+++ b/packages/core/src/createSlotLedger/test.ts
@@ -1,7 +1,10 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
-import { Entry, ENTRIES, LEASE_MS, LONGEST_DEADLINE_MS, RUNNERS, SLOTS, World } from './_lib/SlotWorld.test.ts'
-import { DRIFT_MARGIN, RUN_HORIZON_MS } from './constants/index.ts'
+import { DRIFT_MARGIN } from '../constants/index.ts'
+import {
+  Entry, ENTRIES, LEASE_MS, LONGEST_DEADLINE_MS, RUN_HORIZON_MS, RUNNERS, SLOTS, World
+} from './_lib/SlotWorld.test.ts'
+import { createSlotLedger } from './index.ts'
 
 const index = fc.nat(7)
 const fate = fc.constantFrom('deliver' as const, 'deliver' as const, 'deliver' as const, 'drop' as const, 'repeat' as const)
@@ -229,6 +232,59 @@
     expect(lent, 'tokens of the entry that was cut off').to.equal(SLOTS)
   })
 
+  describe('takeNotices', () => {
+    const setUp = () => {
+      const ledger = createSlotLedger({ epoch: 1, registrations: [], renewedAt: 0, runHorizonMs: 60_000 }, 0)
+      ledger.setRunners([{ endpoint: 'origem', runner: 'r0', slots: 4 }])
+      const report = (entry: string, sequence: number, now: number, held: number, waiting: number) => ledger.handle({
+        entry,
+        incarnation: '1',
+        epoch: 1,
+        sequence,
+        holdings: held === 0 ? [] : [{ endpoint: 'origem', runner: 'r0', held, inUse: 0, avoided: false }],
+        demands: [{ endpoint: 'origem', waiting }],
+        leaving: false
+      }, now)
+      for (const entry of ['holder', 'empty', 'short']) report(entry, 1, 0, 0, 0)
+      ledger.confirmRegistrations(ledger.pendingRegistrations() ?? [])
+      report('holder', 2, 0, 0, 9)
+      report('holder', 3, 1, 4, 0)
+      return { ledger, report }
+    }
+
+    // Without the notification callers wait for up to a second; with more of them an idle cell is never quiet.
+    it('names an entry that holds tokens which another one lacks, once per report interval', () => {
+      const { ledger, report } = setUp()
+      const named = [20, 60, 100, 120].map((now, index) => {
+        report('short', 2 + index, now, 0, 3)
+        return ledger.takeNotices()
+      })
+      expect(named).to.deep.equal([[], ['holder'], [], ['holder']])
+    })
+
+    it('names nobody while no request waits, and for a repeated report nobody again', () => {
+      const { ledger, report } = setUp()
+      report('short', 2, 500, 0, 0)
+      expect(ledger.takeNotices()).to.deep.equal([])
+      report('short', 3, 600, 0, 3)
+      expect(ledger.takeNotices()).to.deep.equal(['holder'])
+      report('short', 3, 900, 0, 3)
+      expect(ledger.takeNotices()).to.deep.equal([])
+    })
+  })
+
+  // A ledger with another H than its process would lend tokens of a lost entry too early, or not for half an hour.
+  for (const runHorizonMs of [20_000, 1_800_000]) {
+    it(`withholds the tokens of a lost entry for the H given, ${runHorizonMs} ms`, () => {
+      const ledger = createSlotLedger({ epoch: 1, registrations: [], renewedAt: 0, runHorizonMs }, 0)
+      const report = { entry: 'e0', incarnation: '1', epoch: 1, holdings: [], demands: [], leaving: false }
+      ledger.handle({ ...report, sequence: 1 }, 0)
+      ledger.confirmRegistrations(ledger.pendingRegistrations() ?? [])
+      expect(ledger.handle({ ...report, sequence: 2 }, 1000).validMs).to.equal(runHorizonMs - 1000)
+      expect(ledger.nextTickAt()).to.equal(1000 + runHorizonMs * 1.03 + LONGEST_DEADLINE_MS)
+    })
+  }
+
   for (const [way, rounds] of [['is no longer listed', 40], ['says that it leaves', 6]] as const) {
     it(`lends the tokens of an entry that ${way}`, () => {
       const world = new World()
--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -215,6 +215,12 @@
   renewed (sentAt: number): void
   /** The answer to a report. Same report, same answer. */
   handle (report: SlotReport, now: number): SlotAnswer
+  /**
+   * Entries that hold tokens which the sender of a report lacks, and have to be told to report at once. Each is named
+   * at most once per report interval. A notification that is lost, late or repeated changes only when its receiver
+   * reports.
+   */
+  takeNotices (): string[]
   /** What the row has to hold; undefined while it holds that already. Entries not in the row get no token. */
   pendingRegistrations (): SlotRegistration[] | undefined
   /** The row was written with these registrations, under this ledger's epoch. One write at a time. */
@@ -251,6 +257,8 @@
   report (now: number, holdings: SlotHolding[], demands: SlotDemand[], leaving?: boolean): SlotReport | undefined
   /** Applies an answer once; late, repeated and outdated ones change nothing. */
   apply (answer: SlotAnswer, now: number): SlotChange
+  /** The allocator asks for a report at once; ignored under another epoch than the one followed. */
+  notify (epoch: number): void
   /** When to report next. Call it again when requests begin to wait, which makes the report due earlier. */
   nextReportAt (waiting: number, spare: number): number
 }
--- a/packages/daemon/src/entry/addEntryParts.ts
+++ b/packages/daemon/src/entry/addEntryParts.ts
@@ -4,7 +4,7 @@
 import { ShardLease } from '../scheduler/shardLease/index.ts'
 import type { ProcessContext } from '../types.ts'
 import { CallerFront } from './callerFront/index.ts'
-import { GIVE_BACK_MS, READY_GRACE_MS, SWEEP_INTERVAL_MS } from './constants/index.ts'
+import { GIVE_BACK_MS, NOTIFY_TIMEOUT_MS, READY_GRACE_MS, SWEEP_INTERVAL_MS } from './constants/index.ts'
 import { describeReadiness } from './describeReadiness/index.ts'
 import { EndpointRoutes } from './endpointRoutes/index.ts'
 import { InventoryWatch } from './inventoryWatch/index.ts'
@@ -42,6 +42,7 @@
 export function addEntryParts (context: ProcessContext, options: EntryOptions = {}): EntryPorts {
   const entry = new Entry(context, options)
   context.handlers['slots.report'] = (report) => entry.allocator.report(report)
+  context.handlers['slots.notify'] = ({ failureDomain, epoch }) => entry.notify(failureDomain, epoch)
   context.handlers['once.status'] = (question) => entry.once.status(question)
   context.lifecycle.add({ name: 'operators', start: () => entry.startOperators(), stop: () => entry.stopOperators() })
   context.lifecycle.add({ name: 'slots', start: () => entry.startSlots(), stop: () => entry.stopSlots() })
@@ -109,7 +110,13 @@
       metrics
     })
     this.allocator = new SlotAllocator({
-      failureDomain: settings.failureDomain, table, lease: this.#lease, metrics, logger: slotsLog
+      failureDomain: settings.failureDomain,
+      table,
+      lease: this.#lease,
+      runHorizonMs: settings.runHorizonMs,
+      notify: (id, epoch) => this.#notifyEntry(id, epoch),
+      metrics,
+      logger: slotsLog
     })
     this.#reporter = new SlotsReporter({
       ownDomain: settings.failureDomain,
@@ -145,6 +152,12 @@
     })
   }
 
+  /** Another entry lacks tokens that this one holds. */
+  notify (failureDomain: string, epoch: number) {
+    this.#reporter.notify(failureDomain, epoch)
+    return {}
+  }
+
   async startOperators (): Promise<void> {
     const { operatorPort, host } = this.#context.settings
     this.ports.operators = await this.#operators.listen(operatorPort, host)
@@ -206,6 +219,16 @@
     this.allocator.setRunners(this.#routes.listSlots(settings.failureDomain))
   }
 
+  #notifyEntry (id: string, epoch: number): void {
+    const { settings: { failureDomain, id: self }, members, peers, metrics } = this.#context
+    if (id === self) return this.#reporter.notify(failureDomain, epoch)
+    const address = members.find(id)?.address
+    if (address === undefined) return metrics.count('slot_notifications', { result: 'no-address' })
+    peers.call(address, 'slots.notify', { failureDomain, epoch }, { timeoutMs: NOTIFY_TIMEOUT_MS })
+      .then((outcome) => metrics.count('slot_notifications', { result: outcome.isRight() ? 'sent' : 'failed' }))
+      .catch((error: unknown) => process.nextTick(() => { throw error }))
+  }
+
   #noteInventory (changed: boolean): void {
     if (changed) this.#configure()
     for (const entry of this.allocator.registered()) {
--- a/packages/daemon/src/entry/constants/index.ts
+++ b/packages/daemon/src/entry/constants/index.ts
@@ -37,5 +37,8 @@
 /** Longest time for which a leaving entry tries to give its slot tokens back, in ms; then they are withheld. */
 export const GIVE_BACK_MS = 2000
 
+/** Longest wait for the acknowledgement of a slot notification, in ms; the entry reports by itself after as long. */
+export const NOTIFY_TIMEOUT_MS = 1000
+
 /** Time between removals of old at-most-once records, in ms. */
 export const SWEEP_INTERVAL_MS = 60_000
--- a/packages/daemon/src/entry/domainSlots/index.ts
+++ b/packages/daemon/src/entry/domainSlots/index.ts
@@ -16,7 +16,7 @@
   demands: () => SlotDemand[]
   /** Answers reports when this process is the allocator itself. */
   local: (report: SlotReport) => SlotAnswer
-  /** Shortest interval between reports, in ms. */
+  /** Interval between reports while requests wait, in ms. */
   reportMs: number
   metrics: Metrics
   logger: Logger
@@ -40,6 +40,9 @@
 /** Longest wait for the allocator's answer, in ms. */
 const ANSWER_TIMEOUT_MS = 1000
 
+/** Interval between reports while requests wait and no token is spare, or tokens are recalled, in ms. */
+const URGENT_MS = 20
+
 /** Reports this entry's tokens of one failure domain to the domain's allocator and applies its answers. */
 export class DomainSlots {
   readonly #parts: DomainSlotsParts
@@ -58,7 +61,9 @@
     this.#parts = parts
     const { id, incarnation } = parts.self
     this.#holder = createSlotHolder(id, incarnation, {
-      reportIntervalMs: parts.reportMs, urgentIntervalMs: parts.reportMs, answerTimeoutMs: ANSWER_TIMEOUT_MS
+      reportIntervalMs: parts.reportMs,
+      urgentIntervalMs: Math.min(URGENT_MS, parts.reportMs),
+      answerTimeoutMs: ANSWER_TIMEOUT_MS
     })
   }
 
@@ -87,6 +92,12 @@
     this.#timer = setTimeout(() => this.#start(), Math.max(0, this.#nextAt() - performance.now()))
   }
 
+  /** The allocator asks for a report at once. */
+  notify (epoch: number): void {
+    this.#holder.notify(epoch)
+    this.poke()
+  }
+
   holdings (): SlotHolding[] {
     return [...this.#parts.routes()].flatMap(([endpoint, task]) => task.use()
       .filter(({ failureDomain, held }) => failureDomain === this.#parts.failureDomain && held > 0)
--- a/packages/daemon/src/entry/domainSlots/test.ts
+++ b/packages/daemon/src/entry/domainSlots/test.ts
@@ -10,6 +10,7 @@
 describe('DomainSlots', () => {
   let clock: FakeTimers.Clock
   let table: FaultyTable
+  let waiting: number
   let reports: Array<{ address: string, report: SlotReport }>
   let reply: (address: string, report: SlotReport) => Outcome<SlotAnswer>
   let route: ReturnType<typeof openRoute>
@@ -19,6 +20,7 @@
     clock = FakeTimers.install()
     table = new FaultyTable()
     reports = []
+    waiting = 1
     route = openRoute(new ScriptedRunners(() => answer('ok')), 0)
     slots = new DomainSlots({
       failureDomain: 'home',
@@ -31,7 +33,7 @@
         }
       } as unknown as Peers,
       routes: () => new Map([['origem', route]]),
-      demands: () => [{ endpoint: 'origem', waiting: 1 }],
+      demands: () => [{ endpoint: 'origem', waiting }],
       local: () => { throw new Error('not the allocator') },
       reportMs: 50,
       metrics: new Metrics(),
@@ -100,6 +102,20 @@
     expect([held(), slots.reachable]).to.deep.equal([3, true])
   })
 
+  it('reports at once when the allocator asks for it, else once a second while nothing waits', async () => {
+    waiting = 0
+    reply = grant(3)
+    slots.poke()
+    await clock.tickAsync(2000)
+    const before = reports.length
+    await clock.tickAsync(5000)
+    expect(reports.length - before).to.equal(5)
+    await clock.tickAsync(500)
+    slots.notify(1)
+    await clock.tickAsync(0)
+    expect(reports.length - before).to.equal(6)
+  })
+
   it('uses no token past its validity', async () => {
     reply = grant(3)
     slots.poke()
--- a/packages/daemon/src/entry/slotAllocator/index.ts
+++ b/packages/daemon/src/entry/slotAllocator/index.ts
@@ -23,6 +23,10 @@
   failureDomain: string
   table: Table
   lease: DomainLease
+  /** H, in ms. */
+  runHorizonMs: number
+  /** Asks an entry to report at once. */
+  notify: (entry: string, epoch: number) => void
   metrics: Metrics
   logger: Logger
 }
@@ -68,7 +72,7 @@
   /** The lease was gained: reads who may hold tokens, then answers reports. */
   async gain (term: Term): Promise<void> {
     this.#term = term
-    const { table, lease, logger, failureDomain } = this.#parts
+    const { table, lease, runHorizonMs, logger, failureDomain } = this.#parts
     while (this.#term === term) {
       // Read after the takeover: registrations of earlier terms can't be written any more.
       const outcome = await table.read(this.#key)
@@ -77,7 +81,7 @@
         const row = outcome.unsafeCoerce()
         const registrations = (row?.value as { registrations: SlotRegistration[] } | undefined)?.registrations ?? []
         const ledger = createSlotLedger(
-          { epoch: term.epoch, registrations, renewedAt: lease.renewedAt }, performance.now())
+          { epoch: term.epoch, registrations, renewedAt: lease.renewedAt, runHorizonMs }, performance.now())
         ledger.setRunners(this.#runners)
         this.#office = { term, ledger, version: row?.version ?? 0, registrations, left: new Set(), writing: undefined }
         this.#timer = setInterval(() => this.#check(), CHECK_MS)
@@ -103,6 +107,7 @@
     }
     office.ledger.renewed(this.#parts.lease.renewedAt)
     const answer = office.ledger.handle(report, performance.now())
+    for (const entry of office.ledger.takeNotices()) this.#parts.notify(entry, office.term.epoch)
     if (report.leaving && report.holdings.length === 0) office.left.add(registrationKey(report))
     else office.left.delete(registrationKey(report))
     this.#parts.metrics.count('slot_reports', { result: answer.registered ? 'answered' : 'unregistered' })
--- a/packages/daemon/src/entry/slotAllocator/test.ts
+++ b/packages/daemon/src/entry/slotAllocator/test.ts
@@ -10,11 +10,13 @@
   let table: FaultyTable
   let right: LeaseRight
   let open: SlotAllocator[]
+  let notified: string[]
 
   beforeEach(() => {
     table = new FaultyTable()
     right = 'decide'
     open = []
+    notified = []
   })
   afterEach(() => { for (const allocator of open) allocator.lose() })
 
@@ -24,6 +26,8 @@
       failureDomain: 'home',
       table,
       lease: { right: () => right, renewedAt: performance.now() },
+      runHorizonMs: 60_000,
+      notify: (entry) => { notified.push(entry) },
       metrics: new Metrics(),
       logger: silent
     })
@@ -109,6 +113,18 @@
     expect(report(allocator, 1, 3)).to.include({ epoch: 0, registered: false })
   })
 
+  it('notifies the holder of tokens that another entry lacks', async () => {
+    const allocator = await start(1)
+    report(allocator, 1, 1)
+    report(allocator, 1, 1, { entry: 'e2', demands: [] })
+    await settle()
+    const holdings = [{ endpoint: 'origem', runner: 'a', held: 8, inUse: 0, avoided: false }]
+    report(allocator, 1, 2, { holdings, demands: [] })
+    await new Promise((resolve) => setTimeout(resolve, 60))
+    report(allocator, 1, 2, { entry: 'e2' })
+    expect(notified).to.deep.equal(['e1'])
+  })
+
   it('hands the row over without the entries that have given everything back', async () => {
     const allocator = await start(1)
     report(allocator, 1, 1)
--- a/packages/daemon/src/entry/slotsReporter/index.ts
+++ b/packages/daemon/src/entry/slotsReporter/index.ts
@@ -44,6 +44,11 @@
     }, POKE_DELAY_MS)
   }
 
+  /** The allocator of a failure domain asks for a report at once. */
+  notify (failureDomain: string, epoch: number): void {
+    if (!this.#leaving) this.#domains.get(failureDomain)?.slots.notify(epoch)
+  }
+
   /** Failure domains whose allocator does not answer. */
   unreachable (): string[] {
     return [...this.#domains].filter(([, { slots }]) => !slots.reachable).map(([domain]) => domain)
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -33,7 +33,7 @@
     description: 'RPC ports of the processes on each entry VM, separated by commas'
   }),
   inventoryMs: Milliseconds(2_000, 'time between reads of the list of VMs'),
-  slotReportMs: Milliseconds(50, 'time between slot reports while requests wait or tokens are spare'),
+  slotReportMs: Milliseconds(50, 'time between slot reports while requests wait'),
   storeTimeoutMs: Milliseconds(1_000, 'longest wait for the table service or the object store'),
   workersPerShard: Type.Integer({
     minimum: 0, maximum: 100_000, default: 0, description: 'most workers of a shard; 0 makes one shard per failure domain'
--- a/packages/protocol/src/rpcMessages/index.ts
+++ b/packages/protocol/src/rpcMessages/index.ts
@@ -110,6 +110,8 @@
       grants: Type.Array(SlotMove),
       releases: Type.Array(SlotMove)
     })),
+  /** Asks an entry to report at once, since another one lacks tokens that it holds. Nothing depends on its arrival. */
+  'slots.notify': method(Type.Object({ failureDomain: Type.String(), epoch: Count }), Type.Object({})),
   'once.status': method(
     Type.Object({ key: Type.String(), nonce: Type.String() }),
     Type.Object({ state: OnceState })),
