Lose, delay and repeat slot notifications in the property test

The schedules now contain entries that lack tokens while others hold them, and faults aimed at notifications. Faults of reports and answers are still chosen among those only, so that notifications don't dilute them.

--- a/packages/core/src/createSlotLedger/_lib/SlotWorld.test.ts
+++ b/packages/core/src/createSlotLedger/_lib/SlotWorld.test.ts
@@ -151,8 +151,10 @@
     if (report !== undefined) this.messages.push({ sentAt: this.time, kind: 'report', allocator, from: entry, report })
   }
 
-  deliver (index: number, fate: 'deliver' | 'drop' | 'repeat'): void {
-    const message = this.messages[index % Math.max(1, this.messages.length)]
+  /** Delivers, drops or repeats a message of the kinds wanted. */
+  deliver (index: number, fate: 'deliver' | 'drop' | 'repeat', wanted = (_kind: Message['kind']) => true): void {
+    const candidates = this.messages.filter(({ kind }) => wanted(kind))
+    const message = candidates[index % Math.max(1, candidates.length)]
     if (message === undefined) return
     if (fate !== 'repeat') this.messages.splice(this.messages.indexOf(message), 1)
     if (fate === 'drop') return
--- a/packages/core/src/createSlotLedger/test.ts
+++ b/packages/core/src/createSlotLedger/test.ts
@@ -14,6 +14,8 @@
   { weight: 8, arbitrary: fc.record({ kind: fc.constant('exchange' as const), entry: index, old: fc.nat(5) }) },
   { weight: 4, arbitrary: fc.record({ kind: fc.constant('report' as const), entry: index, old: fc.nat(5) }) },
   { weight: 6, arbitrary: fc.record({ kind: fc.constant('network' as const), index, fate }) },
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('lack' as const), entry: index, old: fc.nat(5) }) },
+  { weight: 4, arbitrary: fc.record({ kind: fc.constant('notice' as const), index, fate }) },
   { weight: 4, arbitrary: fc.record({ kind: fc.constant('use' as const), entry: index, runner: fc.nat(1), start: fc.boolean() }) },
   { weight: 2, arbitrary: fc.record({ kind: fc.constant('demand' as const), entry: index, waiting: fc.constantFrom(0, 3, 30) }) },
   { weight: 3, arbitrary: fc.record({ kind: fc.constant('maintain' as const), old: fc.nat(5) }) },
@@ -38,7 +40,14 @@
   const allocator = 'old' in step ? world.allocators.at(step.old < 4 ? -1 : 2 - step.old) ?? world.current : world.current
   if (step.kind === 'report' && entry !== undefined) world.send(entry, allocator)
   if (step.kind === 'exchange' && entry !== undefined) world.exchange(entry, allocator)
-  if (step.kind === 'network') world.deliver(step.index, step.fate)
+  if (step.kind === 'lack' && entry !== undefined) {
+    // Long enough after the last reports for the others to be notified.
+    world.advance(60)
+    entry.waiting = 30
+    world.exchange(entry, allocator)
+  }
+  if (step.kind === 'notice') world.deliver(step.index, step.fate, (kind) => kind === 'notice')
+  if (step.kind === 'network') world.deliver(step.index, step.fate, (kind) => kind !== 'notice')
   if (step.kind === 'demand' && entry !== undefined) entry.waiting = step.waiting
   if (step.kind === 'maintain') world.maintain(allocator)
   if (step.kind === 'time') world.advance(step.ms)
