--- a/packages/core/src/createSlotLedger/test.ts
+++ b/packages/core/src/createSlotLedger/test.ts
@@ -1,7 +1,10 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
-import { Entry, ENTRIES, LEASE_MS, LONGEST_DEADLINE_MS, RUNNERS, SLOTS, World } from './_lib/SlotWorld.test.ts'
-import { DRIFT_MARGIN, RUN_HORIZON_MS } from './constants/index.ts'
+import { DRIFT_MARGIN } from '../constants/index.ts'
+import {
+  Entry, ENTRIES, LEASE_MS, LONGEST_DEADLINE_MS, RUN_HORIZON_MS, RUNNERS, SLOTS, World
+} from './_lib/SlotWorld.test.ts'
+import { createSlotLedger } from './index.ts'
 
 const index = fc.nat(7)
 const fate = fc.constantFrom('deliver' as const, 'deliver' as const, 'deliver' as const, 'drop' as const, 'repeat' as const)
@@ -11,6 +14,8 @@
   { weight: 8, arbitrary: fc.record({ kind: fc.constant('exchange' as const), entry: index, old: fc.nat(5) }) },
   { weight: 4, arbitrary: fc.record({ kind: fc.constant('report' as const), entry: index, old: fc.nat(5) }) },
   { weight: 6, arbitrary: fc.record({ kind: fc.constant('network' as const), index, fate }) },
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('lack' as const), entry: index, old: fc.nat(5) }) },
+  { weight: 4, arbitrary: fc.record({ kind: fc.constant('notice' as const), index, fate }) },
   { weight: 4, arbitrary: fc.record({ kind: fc.constant('use' as const), entry: index, runner: fc.nat(1), start: fc.boolean() }) },
   { weight: 2, arbitrary: fc.record({ kind: fc.constant('demand' as const), entry: index, waiting: fc.constantFrom(0, 3, 30) }) },
   { weight: 3, arbitrary: fc.record({ kind: fc.constant('maintain' as const), old: fc.nat(5) }) },
@@ -35,7 +40,14 @@
   const allocator = 'old' in step ? world.allocators.at(step.old < 4 ? -1 : 2 - step.old) ?? world.current : world.current
   if (step.kind === 'report' && entry !== undefined) world.send(entry, allocator)
   if (step.kind === 'exchange' && entry !== undefined) world.exchange(entry, allocator)
-  if (step.kind === 'network') world.deliver(step.index, step.fate)
+  if (step.kind === 'lack' && entry !== undefined) {
+    // Long enough after the last reports for the others to be notified.
+    world.advance(60)
+    entry.waiting = 30
+    world.exchange(entry, allocator)
+  }
+  if (step.kind === 'notice') world.deliver(step.index, step.fate, (kind) => kind === 'notice')
+  if (step.kind === 'network') world.deliver(step.index, step.fate, (kind) => kind !== 'notice')
   if (step.kind === 'demand' && entry !== undefined) entry.waiting = step.waiting
   if (step.kind === 'maintain') world.maintain(allocator)
   if (step.kind === 'time') world.advance(step.ms)
@@ -229,6 +241,59 @@
     expect(lent, 'tokens of the entry that was cut off').to.equal(SLOTS)
   })
 
+  describe('takeNotices', () => {
+    const setUp = () => {
+      const ledger = createSlotLedger({ epoch: 1, registrations: [], renewedAt: 0, runHorizonMs: 60_000 }, 0)
+      ledger.setRunners([{ endpoint: 'origem', runner: 'r0', slots: 4 }])
+      const report = (entry: string, sequence: number, now: number, held: number, waiting: number) => ledger.handle({
+        entry,
+        incarnation: '1',
+        epoch: 1,
+        sequence,
+        holdings: held === 0 ? [] : [{ endpoint: 'origem', runner: 'r0', held, inUse: 0, avoided: false }],
+        demands: [{ endpoint: 'origem', waiting }],
+        leaving: false
+      }, now)
+      for (const entry of ['holder', 'empty', 'short']) report(entry, 1, 0, 0, 0)
+      ledger.confirmRegistrations(ledger.pendingRegistrations() ?? [])
+      report('holder', 2, 0, 0, 9)
+      report('holder', 3, 1, 4, 0)
+      return { ledger, report }
+    }
+
+    // Without the notification callers wait for up to a second; with more of them an idle cell is never quiet.
+    it('names an entry that holds tokens which another one lacks, once per report interval', () => {
+      const { ledger, report } = setUp()
+      const named = [20, 60, 100, 120].map((now, index) => {
+        report('short', 2 + index, now, 0, 3)
+        return ledger.takeNotices()
+      })
+      expect(named).to.deep.equal([[], ['holder'], [], ['holder']])
+    })
+
+    it('names nobody while no request waits, and for a repeated report nobody again', () => {
+      const { ledger, report } = setUp()
+      report('short', 2, 500, 0, 0)
+      expect(ledger.takeNotices()).to.deep.equal([])
+      report('short', 3, 600, 0, 3)
+      expect(ledger.takeNotices()).to.deep.equal(['holder'])
+      report('short', 3, 900, 0, 3)
+      expect(ledger.takeNotices()).to.deep.equal([])
+    })
+  })
+
+  // A ledger with another H than its process would lend tokens of a lost entry too early, or not for half an hour.
+  for (const runHorizonMs of [20_000, 1_800_000]) {
+    it(`withholds the tokens of a lost entry for the H given, ${runHorizonMs} ms`, () => {
+      const ledger = createSlotLedger({ epoch: 1, registrations: [], renewedAt: 0, runHorizonMs }, 0)
+      const report = { entry: 'e0', incarnation: '1', epoch: 1, holdings: [], demands: [], leaving: false }
+      ledger.handle({ ...report, sequence: 1 }, 0)
+      ledger.confirmRegistrations(ledger.pendingRegistrations() ?? [])
+      expect(ledger.handle({ ...report, sequence: 2 }, 1000).validMs).to.equal(runHorizonMs - 1000)
+      expect(ledger.nextTickAt()).to.equal(1000 + runHorizonMs * 1.03 + LONGEST_DEADLINE_MS)
+    })
+  }
+
   for (const [way, rounds] of [['is no longer listed', 40], ['says that it leaves', 6]] as const) {
     it(`lends the tokens of an entry that ${way}`, () => {
       const world = new World()
