Let placers start work within a claimed part of a quota

Placers were given the whole quota of a team in every shard. Without setClaims the whole quota counts as claimed, so the scheduler behaves as before until it passes claims.

--- a/packages/core/src/placement/_lib/explainTask.ts
+++ b/packages/core/src/placement/_lib/explainTask.ts
@@ -8,6 +8,8 @@
   excludedWorkers: number
   usedByTeam: Resources
   quota: Resources | undefined
+  /** What the shard may use of the quota; undefined for a team without quota. */
+  claimed: Resources | undefined
   reservation: Reservation | undefined
   packingWeight: number
 }
@@ -41,6 +43,9 @@
   if (group.waitReason === 'quota' && facts.quota !== undefined) {
     lines.push(`Team ${group.spec.team} uses ${describeResources(facts.usedByTeam)} of ${describeResources(facts.quota)}.`)
   }
+  if (group.waitReason === 'quota' && facts.claimed !== undefined) {
+    lines.push(`This shard has claimed ${describeResources(facts.claimed)} of the quota; tasks in other shards are not counted above.`)
+  }
   if (facts.reservation !== undefined) {
     const { kind, startsAt, tasks } = facts.reservation
     lines.push(kind === 'preemption'
--- a/packages/core/src/placement/_lib/resources.ts
+++ b/packages/core/src/placement/_lib/resources.ts
@@ -16,6 +16,24 @@
   }
 }
 
+/** Smaller amount of two in each dimension. */
+export function takeSmaller (a: Resources, b: Resources): Resources {
+  return {
+    cpuMillis: Math.min(a.cpuMillis, b.cpuMillis),
+    memoryMb: Math.min(a.memoryMb, b.memoryMb),
+    accelerators: Math.min(a.accelerators, b.accelerators)
+  }
+}
+
+/** Larger amount of two in each dimension. */
+export function takeLarger (a: Resources, b: Resources): Resources {
+  return {
+    cpuMillis: Math.max(a.cpuMillis, b.cpuMillis),
+    memoryMb: Math.max(a.memoryMb, b.memoryMb),
+    accelerators: Math.max(a.accelerators, b.accelerators)
+  }
+}
+
 /** Largest share of a limit over the dimensions; a dimension whose limit is 0 counts only when it is used. */
 export function computeDominantShare (used: Resources, limit: Resources): number {
   return Math.max(
--- a/packages/core/src/placement/_lib/rules.ts
+++ b/packages/core/src/placement/_lib/rules.ts
@@ -4,8 +4,9 @@
   DEFAULT_RUN_MS, HOLD_LIMIT_MS, HOLD_SHARE_OF_RUN, OVERRUN_SHARE, PREEMPTION_TIMEOUT_MS, PRIORITY_CLASSES,
   RESERVATION_OVERDUE_MS
 } from '../constants/index.ts'
+import type { QuotaClaim, QuotaDemand } from '../../types.ts'
 import type { GroupRecord, Reservation, TaskRecord } from '../types.ts'
-import { addScaled, fits } from './resources.ts'
+import { addScaled, fits, NOTHING, takeLarger, takeSmaller } from './resources.ts'
 
 /** Tasks of a group that start in one decision: all waiting ones of a gang, else one. */
 export function countStartingTasks (group: GroupRecord): number {
@@ -17,6 +18,40 @@
   return quota === undefined || fits(addScaled(used, group.spec.resources, countStartingTasks(group)), quota)
 }
 
+/** What a team may use now, and what holding back may count on; undefined for a team without quota. */
+export function limitByClaim (
+  team: string, quota: Resources | undefined, claims: Map<string, QuotaClaim> | undefined
+): QuotaClaim | undefined {
+  if (quota === undefined) return undefined
+  if (claims === undefined) return { claimed: quota, reachable: quota }
+  const { claimed = NOTHING, reachable = NOTHING } = claims.get(team) ?? {}
+  return { claimed: takeSmaller(claimed, quota), reachable: takeSmaller(takeLarger(claimed, reachable), quota) }
+}
+
+/** Sums up what is used and needed of the quotas; needs are in queue order. */
+export function sumQuotaDemands (
+  used: Iterable<[string, Resources]>, groups: Iterable<GroupRecord>, isReserved: (group: GroupRecord) => boolean
+): Map<string, QuotaDemand> {
+  const demands = new Map<string, QuotaDemand>()
+  const find = (team: string): QuotaDemand => {
+    const demand = demands.get(team) ?? { used: NOTHING, reserved: NOTHING, needs: [] }
+    demands.set(team, demand)
+    return demand
+  }
+  for (const [team, amount] of used) if (!fits(amount, NOTHING)) find(team).used = amount
+  const waiting = [...groups].filter((group) => group.waiting.size > 0)
+  for (const group of waiting.sort((a, b) => a.rank - b.rank || compareSubmitted(a, b))) {
+    const { team, resources, kind } = group.spec
+    if (group.waitReason === 'quota') {
+      find(team).needs.push({ resources, tasks: group.waiting.size, whole: kind === 'gang' })
+    } else if (isReserved(group)) {
+      const demand = find(team)
+      demand.reserved = addScaled(demand.reserved, resources, countStartingTasks(group))
+    }
+  }
+  return demands
+}
+
 /**
  * Tells whether a group that waits for quota holds back later groups of its team, which would otherwise use up each
  * amount that becomes free. A group that cannot start beside the team's services holds back nothing.
--- a/packages/core/src/placement/_test/CellModel.ts
+++ b/packages/core/src/placement/_test/CellModel.ts
@@ -1,5 +1,7 @@
 import type { Resources } from '@gypsumspring/protocol'
-import type { PlacementDecision, TaskGroup, WorkerNode } from '../../types.ts'
+import type { PlacementDecision, QuotaClaim, TaskGroup, WorkerNode } from '../../types.ts'
+
+const NOTHING: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
 
 /** Independent record of a cell that checks each decision against the rules; throws at the first broken one. */
 export class CellModel {
@@ -11,6 +13,7 @@
   readonly waiting = new Set<string>()
   readonly victims = new Set<string>()
   quotas = new Map<string, Resources>()
+  claims: Map<string, QuotaClaim> | undefined
 
   apply (decision: PlacementDecision): void {
     const group = this.groups.get(decision.group)
@@ -39,12 +42,14 @@
     }
   }
 
-  /** Names the worker or team that is over its capacity or quota. */
+  /** Names the worker or team that is over its capacity, quota or claim. */
   findOver (node: WorkerNode, team: string): string | undefined {
     if (exceeds(this.#sum((task) => this.placed.get(task) === node.id), node.capacity)) return `worker ${node.id}`
     const quota = this.quotas.get(team)
     if (quota === undefined) return undefined
-    return exceeds(this.#sum((task) => this.groupOf.get(task)!.team === team), quota) ? `team ${team}` : undefined
+    const used = this.#sum((task) => this.groupOf.get(task)!.team === team)
+    const claimed = this.claims === undefined ? quota : this.claims.get(team)?.claimed ?? NOTHING
+    return exceeds(used, quota) || exceeds(used, claimed) ? `team ${team}` : undefined
   }
 
   /** Amounts held by the placed tasks that a condition selects. */
--- a/packages/core/src/placement/_test/runHistory.ts
+++ b/packages/core/src/placement/_test/runHistory.ts
@@ -1,11 +1,11 @@
 import fc from 'fast-check'
 import type { PriorityClass, Resources, Spread, WorkloadKind } from '@gypsumspring/protocol'
-import type { Placer, PlacementDecision, WorkerNode } from '../../types.ts'
+import type { Placer, PlacementDecision, QuotaClaim, WorkerNode } from '../../types.ts'
 import { CellModel } from './CellModel.ts'
 
 export const STEP_KINDS = [
   'submit', 'submit', 'submit', 'decide', 'decide', 'decide', 'end', 'end', 'fail', 'stop', 'cancel', 'lose', 'add',
-  'toggle', 'usage', 'requeueHeld', 'lateOutcome', 'restore', 'quotas', 'weight'
+  'toggle', 'usage', 'requeueHeld', 'lateOutcome', 'restore', 'quotas', 'claims', 'weight'
 ] as const
 
 export type Step = { kind: typeof STEP_KINDS[number], a: number, b: number, c: number }
@@ -178,6 +178,14 @@
     this.#each((placer) => placer.setQuotas(this.model.quotas))
   }
 
+  /** The shard's part of the quotas; sometimes none is known for a team, or the whole quota is its own. */
+  claims ({ a, b, c }: Step): void {
+    const claimed: Resources = { cpuMillis: 20 * a, memoryMb: 20 * b, accelerators: a % 5 }
+    const reachable = { ...claimed, cpuMillis: claimed.cpuMillis + 10 * c }
+    const claims = new Map([[`team-${b % 3}`, { claimed, reachable }], ['team-0', { claimed: reachable, reachable }]])
+    this.#setClaims(c % 5 === 0 ? undefined : claims)
+  }
+
   weight ({ a }: Step): void {
     this.#each((placer) => placer.setPackingWeight(a / 999))
   }
@@ -189,6 +197,7 @@
   drain (): void {
     for (const worker of this.model.unavailable) this.#each((placer) => placer.setWorkerAvailable(worker, true))
     this.model.unavailable.clear()
+    this.#setClaims(undefined)
     for (let round = 0; this.model.waiting.size > 0 || this.model.placed.size > 0; round++) {
       if (round > 4 * this.#count) throw new Error(`still waiting: ${[...this.model.waiting].join()}`)
       this.decide({ kind: 'decide', a: 3000, b: 0, c: 0 })
@@ -199,6 +208,11 @@
     }
   }
 
+  #setClaims (claims: Map<string, QuotaClaim> | undefined): void {
+    this.model.claims = claims
+    this.#each((placer) => placer.setClaims(claims))
+  }
+
   #addWorker (a: number, b: number): void {
     const node: WorkerNode = {
       id: `w${this.#count++}`,
--- a/packages/core/src/placement/indexed/IndexedPlacer.ts
+++ b/packages/core/src/placement/indexed/IndexedPlacer.ts
@@ -1,8 +1,8 @@
 import type { Resources } from '@gypsumspring/protocol'
-import type { PlacementDecision, Placer, TaskGroup, WorkerNode } from '../../types.ts'
+import type { PlacementDecision, Placer, QuotaClaim, QuotaDemand, TaskGroup, WorkerNode } from '../../types.ts'
 import { explainTask } from '../_lib/explainTask.ts'
 import { addScaled } from '../_lib/resources.ts'
-import { countStartingTasks, holdsBackTeam, staysWithinQuota } from '../_lib/rules.ts'
+import { countStartingTasks, holdsBackTeam, staysWithinQuota, sumQuotaDemands } from '../_lib/rules.ts'
 import { RunTimes } from '../_lib/RunTimes.ts'
 import { TaskBook } from '../_lib/TaskBook.ts'
 import { WorkerHealth } from '../_lib/WorkerHealth.ts'
@@ -73,6 +73,15 @@
     this.#recheckAll = true
   }
 
+  setClaims (claims: Map<string, QuotaClaim> | undefined): void {
+    this.#teams.setClaims(claims)
+  }
+
+  listQuotaDemands (): Map<string, QuotaDemand> {
+    const { reservations } = this.#context
+    return sumQuotaDemands(this.#teams.usedByTeam(), this.#book.groups.values(), (group) => reservations.has(group))
+  }
+
   setPackingWeight (weight: number): void {
     this.#context.packingWeight = Math.min(1, Math.max(0, weight))
   }
@@ -171,6 +180,7 @@
       excludedWorkers: this.#health.excludedCount(),
       usedByTeam: this.#teams.used(team),
       quota: this.#teams.quota(team),
+      claimed: this.#teams.limit(team)?.claimed,
       reservation: record && reservations.get(record.group),
       packingWeight
     }, now)
@@ -178,11 +188,12 @@
 
   #attempt (group: GroupRecord, now: number, heldTeams: Map<string, number>): PlacementDecision | undefined {
     const { team, id } = group.spec
-    const quota = this.#teams.quota(team)
+    const limit = this.#teams.limit(team)
     const heldRank = heldTeams.get(team)
     const isHeldBack = heldRank !== undefined && group.rank >= heldRank
-    if (isHeldBack || !staysWithinQuota(group, this.#teams.used(team), quota)) {
-      if (!isHeldBack && holdsBackTeam(group, this.#teams.usedByServices(team), quota)) heldTeams.set(team, group.rank)
+    if (isHeldBack || !staysWithinQuota(group, this.#teams.used(team), limit?.claimed)) {
+      const holdsBack = holdsBackTeam(group, this.#teams.usedByServices(team), limit?.reachable)
+      if (!isHeldBack && holdsBack) heldTeams.set(team, group.rank)
       group.waitReason = 'quota'
       this.#unreserve(group)
       return undefined
--- a/packages/core/src/placement/indexed/ReservationIndex.ts
+++ b/packages/core/src/placement/indexed/ReservationIndex.ts
@@ -19,6 +19,10 @@
     return this.#reservations.get(group)
   }
 
+  has (group: GroupRecord): boolean {
+    return this.#reservations.has(group)
+  }
+
   hasBackfill (rank: number): boolean {
     for (const { kind, group } of this.#reservations.values()) {
       if (kind === 'backfill' && group.rank === rank) return true
--- a/packages/core/src/placement/indexed/TeamTotals.ts
+++ b/packages/core/src/placement/indexed/TeamTotals.ts
@@ -1,5 +1,7 @@
 import type { Resources } from '@gypsumspring/protocol'
+import type { QuotaClaim } from '../../types.ts'
 import { addScaled, computeDominantShare, NOTHING } from '../_lib/resources.ts'
+import { limitByClaim } from '../_lib/rules.ts'
 import type { GroupRecord } from '../types.ts'
 
 interface TeamTotal { used: Resources, usedByServices: Resources, share: number, shareVersion: number }
@@ -8,6 +10,7 @@
 export class TeamTotals {
   readonly #totals = new Map<string, TeamTotal>()
   #quotas = new Map<string, Resources>()
+  #claims: Map<string, QuotaClaim> | undefined
   #cell = NOTHING
   #version = 0
 
@@ -16,6 +19,10 @@
     this.#version++
   }
 
+  setClaims (claims: Map<string, QuotaClaim> | undefined): void {
+    this.#claims = claims && new Map(claims)
+  }
+
   /** Adds a worker to the capacity of the cell, or takes it out with the factor -1. */
   addCapacity (capacity: Resources, factor: number): void {
     this.#cell = addScaled(this.#cell, capacity, factor)
@@ -41,6 +48,14 @@
     return this.#quotas.get(team)
   }
 
+  limit (team: string): QuotaClaim | undefined {
+    return limitByClaim(team, this.#quotas.get(team), this.#claims)
+  }
+
+  * usedByTeam (): Generator<[string, Resources]> {
+    for (const [team, { used }] of this.#totals) yield [team, used]
+  }
+
   share (team: string): number {
     const total = this.#find(team)
     if (total.shareVersion !== this.#version) {
--- a/packages/core/src/placement/indexed/test.ts
+++ b/packages/core/src/placement/indexed/test.ts
@@ -14,6 +14,10 @@
     : decision.kind === 'preempt' ? { ...decision, victims: [...decision.victims].sort() } : decision)
 }
 
+function sortEntries<Value> (map: Map<string, Value>): Array<[string, Value]> {
+  return [...map].sort(([a], [b]) => a < b ? -1 : 1)
+}
+
 describe('IndexedPlacer', () => {
   it('breaks no rule of capacity, quota, gang or place over random histories', () => {
     // Guards against index totals that drift from the tasks: a worker or team over its limit, a gang started in part.
@@ -58,6 +62,7 @@
       made.push(...decisions)
       if (decisions.length === 0) break
     }
+    expect(sortEntries(indexed.listQuotaDemands())).to.deep.equal(sortEntries(naive.listQuotaDemands()))
     for (const task of history.model.waiting) expect(indexed.explain(task, now)).to.deep.equal(naive.explain(task, now))
     return made
   })
--- a/packages/core/src/placement/naive/NaivePlacer.ts
+++ b/packages/core/src/placement/naive/NaivePlacer.ts
@@ -1,9 +1,10 @@
 import type { Resources } from '@gypsumspring/protocol'
-import type { PlacementDecision, Placer, TaskGroup, WorkerNode } from '../../types.ts'
+import type { PlacementDecision, Placer, QuotaClaim, QuotaDemand, TaskGroup, WorkerNode } from '../../types.ts'
 import { explainTask } from '../_lib/explainTask.ts'
 import { addScaled, computeDominantShare, NOTHING } from '../_lib/resources.ts'
 import {
-  bindsGroup, compareQueued, computeHoldMs, countStartingTasks, holdsBackTeam, isOverdue, staysWithinQuota
+  bindsGroup, compareQueued, computeHoldMs, countStartingTasks, holdsBackTeam, isOverdue, limitByClaim,
+  staysWithinQuota, sumQuotaDemands
 } from '../_lib/rules.ts'
 import { RunTimes } from '../_lib/RunTimes.ts'
 import { TaskBook } from '../_lib/TaskBook.ts'
@@ -27,6 +28,7 @@
   readonly #checked = new Set<GroupRecord>()
   #reservations: Reservation[] = []
   #quotas = new Map<string, Resources>()
+  #claims: Map<string, QuotaClaim> | undefined
   #packingWeight = 0.5
   #now = 0
 
@@ -54,6 +56,17 @@
     this.#checked.clear()
   }
 
+  setClaims (claims: Map<string, QuotaClaim> | undefined): void {
+    this.#claims = claims && new Map(claims)
+  }
+
+  listQuotaDemands (): Map<string, QuotaDemand> {
+    const teams = new Set(Array.from(this.#book.tasks.values(), (task) => task.group.spec.team))
+    const used = Array.from(teams, (team): [string, Resources] => [team, this.#usedBy(team, () => true)])
+    const reserved = new Set(this.#reservations.map(({ group }) => group))
+    return sumQuotaDemands(used, this.#book.groups.values(), (group) => reserved.has(group))
+  }
+
   setPackingWeight (weight: number): void {
     this.#packingWeight = Math.min(1, Math.max(0, weight))
   }
@@ -140,6 +153,7 @@
       excludedWorkers: this.#health.excludedCount(),
       usedByTeam: this.#usedBy(team, () => true),
       quota: this.#quotas.get(team),
+      claimed: limitByClaim(team, this.#quotas.get(team), this.#claims)?.claimed,
       reservation: this.#reservations.find((reservation) => reservation.group === record?.group),
       packingWeight: this.#packingWeight
     }, now)
@@ -147,10 +161,10 @@
 
   #attempt (group: GroupRecord, now: number, heldTeams: Map<string, number>): PlacementDecision | undefined {
     const { team, id } = group.spec
-    const quota = this.#quotas.get(team)
-    if (!staysWithinQuota(group, this.#usedBy(team, () => true), quota)) {
+    const limit = limitByClaim(team, this.#quotas.get(team), this.#claims)
+    if (!staysWithinQuota(group, this.#usedBy(team, () => true), limit?.claimed)) {
       const usedByServices = this.#usedBy(team, (task) => task.group.spec.kind === 'service')
-      if (holdsBackTeam(group, usedByServices, quota)) heldTeams.set(team, group.rank)
+      if (holdsBackTeam(group, usedByServices, limit?.reachable)) heldTeams.set(team, group.rank)
       return this.#waitForQuota(group)
     }
     if (this.#workers.size === 0) {
--- a/packages/core/src/placement/test.ts
+++ b/packages/core/src/placement/test.ts
@@ -101,6 +101,28 @@
       expect(startedTasks(placer.decide(4, 1))).to.include('gang-0')
     })
 
+    it('waits for a claim that is too small, and holds back other work only while the claim may grow enough', () => {
+      // Guards against a gang found impossible for want of a claim, and small work that waits for a gang that other
+      // shards keep from starting.
+      addWorkers(1, 9)
+      const whole = (count: number) => ({ ...cores(count), memoryMb: 1e6 })
+      placer.setQuotas(new Map([['a', whole(6)]]))
+      placer.setClaims(new Map())
+      submit(buildGroup('gang', 5, { kind: 'gang' }), buildGroup('small', 2, { submittedAt: 1 }))
+      expect(placer.decide(1, 10)).to.deep.equal([])
+      placer.setClaims(new Map([['a', { claimed: whole(2), reachable: whole(5) }]]))
+      expect(placer.decide(2, 10)).to.deep.equal([])
+      expect(placer.explain('gang-0', 2).join()).to.include('has claimed 2 processors')
+      expect(placer.listQuotaDemands().get('a')?.needs.map(({ tasks, whole }) => ({ tasks, whole })))
+        .to.deep.equal([{ tasks: 5, whole: true }, { tasks: 2, whole: false }])
+      placer.setClaims(new Map([['a', { claimed: whole(2), reachable: whole(4) }]]))
+      expect(startedTasks(placer.decide(3, 10))).to.deep.equal(['small-0', 'small-1'])
+      placer.setClaims(new Map([['a', { claimed: whole(7), reachable: whole(7) }]]))
+      expect(placer.decide(4, 10)).to.deep.equal([])
+      placer.release('small-0')
+      expect(startedTasks(placer.decide(5, 10))).to.have.lengthOf(5).and.include('gang-0')
+    })
+
     it('shares a class between teams and serves classes in order', () => {
       // Guards against a team that submits first or most taking the whole cell.
       addWorkers(1, 6)
--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -43,6 +43,33 @@
   | { kind: 'preempt', group: string, victims: string[] }
   | { kind: 'impossible', group: string, reason: string }
 
+/** Share of a team's quota that one shard may use. */
+export interface QuotaClaim {
+  /** What the shard's tasks may take. */
+  claimed: Resources
+  /** The claim and what no shard had claimed when last read. A group that needs more holds back no other group. */
+  reachable: Resources
+}
+
+/** Tasks that wait for quota in a shard. */
+export interface QuotaNeed {
+  /** Needs of each task. */
+  resources: Resources
+  tasks: number
+  /** All tasks start together. */
+  whole: boolean
+}
+
+/** What a shard needs of a team's quota. */
+export interface QuotaDemand {
+  /** Taken by placed tasks. */
+  used: Resources
+  /** Needed by groups for which workers are reserved; they start without a new decision on quota. */
+  reserved: Resources
+  /** In queue order; empty when nothing waits for quota. */
+  needs: QuotaNeed[]
+}
+
 /** Decides where tasks run. Owns the view of capacity, quotas and the queue of one shard; does no I/O. */
 export interface Placer {
   addWorker (worker: WorkerNode): void
@@ -52,6 +79,13 @@
   setWorkerAvailable (worker: string, available: boolean): void
   /** A team without quota is not limited. */
   setQuotas (quotas: Map<string, Resources>): void
+  /**
+   * Shares of the quotas that this shard may use; a team with a quota and without a claim starts nothing. Never called
+   * or with undefined: the whole quotas.
+   */
+  setClaims (claims: Map<string, QuotaClaim> | undefined): void
+  /** What is used and needed of the quotas, by team; teams that use and need nothing are left out. */
+  listQuotaDemands (): Map<string, QuotaDemand>
   /** 0 minimises waiting time, 1 maximises packing. */
   setPackingWeight (weight: number): void
   /**
