--- a/packages/daemon/src/scheduler/constants/index.ts
+++ b/packages/daemon/src/scheduler/constants/index.ts
@@ -50,5 +50,17 @@
 /** A run of this length ends a series of failures of a service task. */
 export const HEALTHY_RUN_MS = 60_000
 
+/** Least time between two transactions on quota claims of one shard; bounds their share of the store's writes. */
+export const CLAIM_INTERVAL_MS = 500
+
+/** Time between reads of the claims on a quota that a shard waits for; up to half as much is added at random. */
+export const CLAIM_POLL_MS = 2_000
+
+/** Rows of quota claims that are read singly in one round; more are read by one scan. */
+export const CLAIM_READS_AT_ONCE = 4
+
+/** Time after which a part of a claim that was not used is given back; up to as much is added at random. */
+export const CLAIM_IDLE_MS = 5_000
+
 /** Tasks listed by `shard.status`; more would exceed the largest RPC frame (1 MiB). */
 export const STATUS_TASKS = 2_000
--- /dev/null
+++ b/packages/daemon/src/scheduler/quotaClaims/types.ts
@@ -0,0 +1,24 @@
+import type { Table } from '@gypsumspring/adapters'
+import type { Placer } from '@gypsumspring/core'
+import type { Resources } from '@gypsumspring/protocol'
+import type { Logger } from '../../logging/index.ts'
+import type { Metrics } from '../../metrics/index.ts'
+import type { Ownership } from '../shardLease/index.ts'
+
+/** Value of the row `quota/<team>`. */
+export interface QuotaRow {
+  /** What each shard may use of the team's quota. */
+  claims: Record<string, Resources>
+}
+
+export interface QuotaClaimsOptions {
+  ownership: Ownership
+  table: Table
+  placer: Placer
+  /** The owner holds its lease and the placer knows all tasks of the shard. */
+  mayWrite: () => boolean
+  /** The placer's claims have changed. */
+  onChange: () => void
+  log: Logger
+  metrics: Metrics
+}
--- a/packages/daemon/src/scheduler/shardOwner/index.ts
+++ b/packages/daemon/src/scheduler/shardOwner/index.ts
@@ -3,6 +3,7 @@
 } from '@gypsumspring/core'
 import { ADOPTION_MS, DECISIONS_PER_TURN, GROUP_RETRY_MS, SETTLE_MS, SWEEP_MS } from '../constants/index.ts'
 import { Journal, type AppendResult } from '../journal/index.ts'
+import { QuotaClaims } from '../quotaClaims/index.ts'
 import type { Ownership } from '../shardLease/index.ts'
 import { AttemptDriver } from './AttemptDriver.ts'
 import { GroupCatalog } from './GroupCatalog.ts'
@@ -22,6 +23,7 @@
 export class ShardOwner {
   readonly #options: ShardOwnerOptions
   readonly #journal: Journal
+  readonly #claims: QuotaClaims
   readonly #table = new TaskTable()
   readonly #submissions: Submissions
   readonly #settler: GroupSettler
@@ -53,6 +55,9 @@
       configVersion: () => this.configVersion,
       mayWrite: () => this.right() === 'decide'
     })
+    this.#claims = new QuotaClaims({
+      ...this.#options, mayWrite: () => this.pauseReason === undefined, onChange: () => this.#schedule()
+    })
     this.#submissions = new Submissions(placer)
     this.#driver = new AttemptDriver({
       ...this.#options,
@@ -114,6 +119,7 @@
     this.#configuration = configuration
     this.#configured = true
     placer.setQuotas(configuration.quotas)
+    this.#claims.setQuotas(configuration.quotas)
     placer.setPackingWeight(configuration.packingWeight)
     const definitions = this.#catalog.read(configuration, (id) => this.#table.groups.has(id))
     for (const group of this.#table.groups.values()) {
@@ -138,6 +144,7 @@
     clearTimeout(this.#turnTimer)
     clearInterval(this.#sweepTimer)
     this.#journal.close()
+    this.#claims.close()
     this.#workers.close()
   }
 
@@ -226,6 +233,7 @@
     const decisions = this.#options.placer.decide(now, DECISIONS_PER_TURN)
     this.#options.metrics.recordDuration('decision', performance.now() - decidedAt)
     for (const decision of decisions) this.#apply(decision)
+    this.#claims.review()
     // Rounds take at most half of the time, whatever the size of the groups.
     this.#turnMs = performance.now() - now
     if (decisions.length === DECISIONS_PER_TURN) this.#schedule(this.#turnMs)
--- a/packages/daemon/src/scheduler/testSupport/index.ts
+++ b/packages/daemon/src/scheduler/testSupport/index.ts
@@ -167,6 +167,8 @@
   /** Tasks whose success is in the journal. */
   readonly recordedSuccesses = new Set<string>()
   readonly violations: string[] = []
+  /** Quota of team `t` over the whole cell; undefined for none. */
+  quota: Resources | undefined
   /** Processor share in use by worker. */
   readonly #used = new Map<string, number>()
   readonly #listeners = new Set<(configuration: Configuration) => void>()
@@ -233,7 +235,9 @@
       { team: 't', kind: 'batch', tasks: 1, resources: SLOT, retryLimit: 100, ...workload }))
     this.#configuration = {
       index: { version, scopes: {}, operations: { drainedRunners: [], cancelledWorkloads } },
-      manifests: { s: { scope: 's', teams: [], workloads: whole } }
+      manifests: {
+        s: { scope: 's', teams: this.quota === undefined ? [] : [{ id: 't', quota: this.quota }], workloads: whole }
+      }
     }
     for (const listener of this.#listeners) listener(this.#configuration)
   }
@@ -247,6 +251,11 @@
     Object.assign(this.#configuration ?? {}, { index: { version: 0, scopes: {}, operations } })
   }
 
+  /** Processor share of all running attempts. */
+  get runningMillis (): number {
+    return [...this.running.values()].flat().reduce((sum, { report }) => sum + report.resources.cpuMillis, 0)
+  }
+
   async run (ms: number): Promise<void> {
     await this.clock.tickAsync(ms)
   }
@@ -303,6 +312,9 @@
     const change = event === 'start' ? report.resources.cpuMillis : -report.resources.cpuMillis
     const used = (this.#used.get(worker) ?? 0) + change
     this.#used.set(worker, used)
+    if (event === 'start' && this.quota !== undefined && this.runningMillis > this.quota.cpuMillis) {
+      this.violations.push(`team t is over its quota: ${this.runningMillis} of ${this.quota.cpuMillis}`)
+    }
     if (used > capacity.cpuMillis) this.violations.push(`${worker} is overcommitted: ${used} of ${capacity.cpuMillis}`)
   }
 }
