--- a/packages/core/src/placement/indexed/ReservationIndex.ts
+++ b/packages/core/src/placement/indexed/ReservationIndex.ts
@@ -19,6 +19,10 @@
     return this.#reservations.get(group)
   }
 
+  has (group: GroupRecord): boolean {
+    return this.#reservations.has(group)
+  }
+
   /** Returns the backfill reservation of a class. */
   findBackfill (rank: number): Reservation | undefined {
     for (const reservation of this.#reservations.values()) {
