--- a/packages/core/src/planQuotaClaim/index.ts
+++ b/packages/core/src/planQuotaClaim/index.ts
@@ -2,8 +2,11 @@
 import { addScaled, countFitting, fits, NOTHING, takeLarger } from '../placement/_lib/resources.ts'
 import type { QuotaDemand } from '../types.ts'
 
-/** Part of the quota that a claim takes at least, so that a growing team needs few writes. */
-const SMALLEST_CLAIM_SHARE = 1 / 8
+/**
+ * Part of what no shard has claimed that a claim takes at least, so that a growing team needs few writes. An eighth of
+ * the quota itself would be gone after eight of 32 shards.
+ */
+const CHUNK_SHARE = 1 / 8
 
 interface ClaimPlan {
   /** What the shard should claim in all; undefined when its present claim is enough or can't grow enough to help. */
@@ -46,9 +49,9 @@
   }
   if (fits(target, base)) return { claim: fits(base, own) ? undefined : base, reachable, isOver }
   const chunk: Resources = {
-    cpuMillis: Math.min(free.cpuMillis, Math.ceil(quota.cpuMillis * SMALLEST_CLAIM_SHARE)),
-    memoryMb: Math.min(free.memoryMb, Math.ceil(quota.memoryMb * SMALLEST_CLAIM_SHARE)),
-    accelerators: Math.min(free.accelerators, Math.ceil(quota.accelerators * SMALLEST_CLAIM_SHARE))
+    cpuMillis: Math.ceil(free.cpuMillis * CHUNK_SHARE),
+    memoryMb: Math.ceil(free.memoryMb * CHUNK_SHARE),
+    accelerators: Math.ceil(free.accelerators * CHUNK_SHARE)
   }
   return { claim: takeLarger(target, addScaled(base, chunk, 1)), reachable, isOver }
 }
--- a/packages/core/src/planQuotaClaim/test.ts
+++ b/packages/core/src/planQuotaClaim/test.ts
@@ -11,7 +11,7 @@
 
 describe('planQuotaClaim', () => {
   const cases = [
-    { name: 'claims an eighth for a small need', own: 0, others: 0, used: 0, needs: [batch(1)], claim: 2 },
+    { name: 'claims an eighth of what is left for a small need', own: 0, others: 0, used: 0, needs: [batch(1)], claim: 2 },
     { name: 'claims what is needed above an eighth', own: 0, others: 4, used: 0, needs: [batch(7)], claim: 7 },
     { name: 'claims what is left for a batch run', own: 2, others: 11, used: 2, needs: [batch(9)], claim: 5 },
     { name: 'claims nothing while it has enough', own: 4, others: 4, used: 2, needs: [batch(2)], claim: undefined },
--- a/packages/daemon/src/entry/addEntryParts.ts
+++ b/packages/daemon/src/entry/addEntryParts.ts
@@ -137,7 +137,7 @@
     })
     this.#front = new CallerFront({
       directory: {
-        ready: () => context.configuration.current !== undefined,
+        ready: () => context.configuration.current !== undefined && this.#hasSlots(),
         hasEndpoint: (endpoint) => this.#routes.find(endpoint) !== undefined,
         hasTeam: (team) => this.#routes.hasTeam(team)
       },
@@ -245,8 +245,18 @@
       .catch((error: unknown) => process.nextTick(() => { throw error }))
   }
 
+  /**
+   * False when no token is held and none can be had, as after a restart during a store outage. Requests would only wait
+   * for their deadline.
+   */
+  #hasSlots (): boolean {
+    return this.#tableHealth.downSince === undefined || this.#reporter.reachesAllocator ||
+      [...this.#routes.all().values()].some((task) => task.use().some(({ held }) => held > 0))
+  }
+
   #readiness () {
     return describeReadiness({
+      hasSlots: this.#hasSlots(),
       stopping: this.#stopping,
       hasConfiguration: this.#context.configuration.current !== undefined,
       accepting: this.#front.accepting,
--- a/packages/daemon/src/entry/describeReadiness/index.ts
+++ b/packages/daemon/src/entry/describeReadiness/index.ts
@@ -4,6 +4,8 @@
   stopping: boolean
   hasConfiguration: boolean
   accepting: boolean
+  /** Slot tokens are held, or can still be had. */
+  hasSlots: boolean
   tableDown: boolean
   objectsDown: boolean
   /** Failure domains whose slot allocator does not answer. */
@@ -14,17 +16,23 @@
  * Tells whether an entry can serve, and what it can't serve at present.
  *
  * @param health - What the parts of the entry observe.
- * @returns Ready as soon as a configuration is in force and callers are accepted; a missing dependency degrades.
+ * @returns Ready when a configuration is in force, callers are accepted and slot tokens can be had; a missing
+ * dependency degrades.
  *
  * @example
  * describeReadiness({ stopping: false, hasConfiguration: true, accepting: true, tableDown: false, ... })
  */
 export function describeReadiness (health: EntryHealth): Readiness {
-  const reason = health.stopping
-    ? 'the process is leaving'
-    : health.hasConfiguration ? 'the caller port is not open' : 'no configuration is known'
-  const ready = !health.stopping && health.hasConfiguration && health.accepting
-  return { ready, ...(ready ? {} : { reason }), degraded: listDegradations(health) }
+  const reason = findObstacle(health)
+  const degraded = listDegradations(health)
+  return reason === undefined ? { ready: true, degraded } : { ready: false, reason, degraded }
+}
+
+function findObstacle ({ stopping, hasConfiguration, accepting, hasSlots }: EntryHealth): string | undefined {
+  if (stopping) return 'the process is leaving'
+  if (!hasConfiguration) return 'no configuration is known'
+  if (!accepting) return 'the caller port is not open'
+  return hasSlots ? undefined : 'no slot tokens are held, and no allocator is known while the table service does not answer'
 }
 
 function listDegradations ({ tableDown, objectsDown, unreachableDomains }: EntryHealth): Readiness['degraded'] {
--- a/packages/daemon/src/entry/slotsReporter/index.ts
+++ b/packages/daemon/src/entry/slotsReporter/index.ts
@@ -54,6 +54,11 @@
     return [...this.#domains].filter(([, { slots }]) => !slots.reachable).map(([domain]) => domain)
   }
 
+  /** Whether an allocator answers that could grant tokens. */
+  get reachesAllocator (): boolean {
+    return [...this.#domains.values()].some(({ slots }) => slots.reachable)
+  }
+
   /** Gives all tokens back and stops. */
   async close (withinMs: number): Promise<void> {
     this.#leaving = true
--- a/packages/daemon/src/entry/test.ts
+++ b/packages/daemon/src/entry/test.ts
@@ -52,6 +52,18 @@
     expect((await readyz(entry)).ready).to.equal(true)
   })
 
+  it('answers at once and is not ready when it starts in a store outage, instead of holding requests to their deadline',
+    async () => {
+      cell.table.then = 'down'
+      cell.table.reads = 'down'
+      const entry = await start('e1')
+      await until(async () => !(await readyz(entry)).ready)
+      const startedAt = performance.now()
+      const response = await fetch(`${entry.callers}/e/origem/x`, { headers: { ...headers, 'gs-deadline-ms': '20000' } })
+      expect([response.status, response.headers.get('gs-outcome')]).to.deep.equal([503, 'not-run'])
+      expect(performance.now() - startedAt, 'a fraction of the deadline').to.be.below(10_000)
+    })
+
   it('runs a request once although the caller repeats it at another entry', async () => {
     const [first, second] = [await start('e1'), await start('e2')]
     for (const entry of [first, second, first]) {
--- a/packages/daemon/src/scheduler/addSchedulerParts.ts
+++ b/packages/daemon/src/scheduler/addSchedulerParts.ts
@@ -1,5 +1,6 @@
 import { IndexedPlacer } from '@gypsumspring/core'
 import type { ProcessContext } from '../types.ts'
+import { StatusServer } from './statusServer/index.ts'
 import { ShardSupervisor, type SupervisorOptions } from './ShardSupervisor.ts'
 
 /**
@@ -18,5 +19,10 @@
     const lines = supervisor.explain(task)
     return { found: lines !== undefined, lines: lines ?? [] }
   }
+  const status = new StatusServer(context)
+  const { operatorPort, host } = context.settings
+  context.lifecycle.add({
+    name: 'status', start: async () => await status.listen(operatorPort, host), stop: async () => await status.close()
+  })
   context.lifecycle.add({ name: 'scheduler', start: () => supervisor.start(), stop: async () => await supervisor.stop() })
 }
--- a/packages/daemon/src/scheduler/constants/index.ts
+++ b/packages/daemon/src/scheduler/constants/index.ts
@@ -50,6 +50,9 @@
 /** Time between reads of the claims on a quota that a shard waits for; up to half as much is added at random. */
 export const CLAIM_POLL_MS = 2_000
 
+/** Rows of quota claims that are written in one transaction. */
+export const CLAIMS_AT_ONCE = 64
+
 /** Rows of quota claims that are read singly in one round; more are read by one scan. */
 export const CLAIM_READS_AT_ONCE = 4
 
@@ -58,3 +61,6 @@
 
 /** Tasks listed by `shard.status`; more would exceed the largest RPC frame (1 MiB). */
 export const STATUS_TASKS = 2_000
+
+/** Share of L for which the leases of a worker that does not answer are still renewed; covers a lost answer or two. */
+export const RENEWED_WHILE_SILENT = 1 / 3
--- a/packages/daemon/src/scheduler/quotaClaims/index.ts
+++ b/packages/daemon/src/scheduler/quotaClaims/index.ts
@@ -4,7 +4,7 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { computePhase } from '../_lib/computePhase.ts'
-import { CLAIM_IDLE_MS, CLAIM_INTERVAL_MS, CLAIM_POLL_MS, CLAIM_READS_AT_ONCE } from '../constants/index.ts'
+import { CLAIM_IDLE_MS, CLAIM_INTERVAL_MS, CLAIM_POLL_MS, CLAIM_READS_AT_ONCE, CLAIMS_AT_ONCE } from '../constants/index.ts'
 import { TeamClaim } from './_lib/TeamClaim.ts'
 import type { QuotaClaimsOptions, QuotaRow } from './types.ts'
 
@@ -30,8 +30,8 @@
   readonly #random
   #published = ''
   #nextAt = 0
-  /** Teams written in one transaction; one after a conflict, so that a contended team does not delay the others. */
-  #batchSize = Infinity
+  /** Teams written in one transaction; halved by a conflict, which fails all of them, and doubled by a success. */
+  #batchSize = CLAIMS_AT_ONCE
   #turn = 0
   #busy = false
   #timer: NodeJS.Timeout | undefined
@@ -77,11 +77,28 @@
   }
 
   async #runRound (): Promise<void> {
-    const { placer, onChange } = this.#options
+    const { onChange } = this.#options
     this.#nextAt = performance.now() + CLAIM_INTERVAL_MS
-    await this.#read()
+    const now = performance.now()
+    const due = [...this.#teams.values()].filter((claim) =>
+      claim.isUnread || claim.isStale || (claim.isShort && now >= claim.nextPollAt))
+    await this.#read(new Set(due))
+    // Other shards have often changed a row since it was read last; a fresh one makes conflicts rare.
+    const outdated = this.#isActive() ? this.#listChanges().map(({ claim }) => claim) : []
+    await this.#read(new Set(outdated.filter((claim) => !due.includes(claim))))
     if (!this.#isActive()) return
-    const demands = placer.listQuotaDemands()
+    const changes = this.#listChanges()
+    const start = changes.length > this.#batchSize ? this.#turn++ % changes.length : 0
+    const chosen = changes.slice(start, start + this.#batchSize)
+    for (const change of chosen) change.row = change.claim.prepare(change.row.claims[change.claim.shard]!)
+    if (this.#publish()) onChange()
+    if (chosen.length > 0) await this.#write(chosen)
+    if (!this.#closed && this.#publish()) onChange()
+  }
+
+  /** Claims to make and to give back, as far as the rows known allow. */
+  #listChanges (): Change[] {
+    const demands = this.#options.placer.listQuotaDemands()
     const now = performance.now()
     const changes: Change[] = []
     for (const [team, claim] of this.#teams) {
@@ -89,20 +106,13 @@
       const next = claim.review(demands.get(team) ?? NO_DEMAND, now, () => CLAIM_IDLE_MS + this.#below(CLAIM_IDLE_MS))
       if (next !== undefined) changes.push(describeChange(team, claim, next))
     }
-    const start = this.#batchSize === 1 ? this.#turn++ % Math.max(1, changes.length) : 0
-    const chosen = changes.slice(start, start + this.#batchSize)
-    for (const change of chosen) change.row = change.claim.prepare(change.row.claims[change.claim.shard]!)
-    if (this.#publish()) onChange()
-    if (chosen.length > 0) await this.#write(chosen)
-    if (!this.#closed && this.#publish()) onChange()
+    return changes
   }
 
-  /** Reads the rows that are unknown, in doubt, or waited for. */
-  async #read (): Promise<void> {
+  async #read (claims: Set<TeamClaim>): Promise<void> {
     const { table, metrics } = this.#options
     const now = performance.now()
-    const due = [...this.#teams].filter(([, claim]) =>
-      claim.isUnread || claim.isStale || (claim.isShort && now >= claim.nextPollAt))
+    const due = [...this.#teams].filter(([, claim]) => claims.has(claim))
     if (due.length === 0) return
     for (const [, claim] of due) claim.nextPollAt = now + CLAIM_POLL_MS + this.#below(CLAIM_POLL_MS / 2)
     if (due.length > CLAIM_READS_AT_ONCE) {
@@ -139,7 +149,7 @@
     const outcome = await table.transact(transaction)
     outcome.caseOf({
       Right: ({ versions }) => {
-        this.#batchSize = Infinity
+        this.#batchSize = Math.min(CLAIMS_AT_ONCE, this.#batchSize * 2)
         for (const [index, { claim, row, kind }] of changes.entries()) {
           claim.confirm(row, versions[index]!)
           metrics.count('quota_claims', { kind })
@@ -150,7 +160,7 @@
         metrics.count('quota_claim_failed', { reason: failure.reason, certainty: failure.certainty })
         log.debug({ shard: ownership.shard, reason: failure.reason }, 'quota claim failed')
         if (failure.reason !== 'conflict') return
-        this.#batchSize = 1
+        this.#batchSize = Math.max(1, Math.floor(changes.length / 2))
         // Shards that want the same quota would otherwise collide again.
         this.#nextAt = performance.now() + this.#below(CLAIM_INTERVAL_MS)
       }
--- a/packages/daemon/src/scheduler/quotaClaims/test.ts
+++ b/packages/daemon/src/scheduler/quotaClaims/test.ts
@@ -1,8 +1,12 @@
+import { IndexedPlacer } from '@gypsumspring/core'
 import type { Workload } from '@gypsumspring/protocol'
 import { expect } from 'chai'
+import { pino } from 'pino'
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
 import { xorshift128plus } from 'pure-rand/generator/xorshift128plus'
+import { Metrics } from '../../metrics/index.ts'
 import { SLOT, TestCell } from '../testSupport/index.ts'
+import { QuotaClaims } from './index.ts'
 
 const DOMAINS = ['a', 'b', 'c']
 const FIRST_SEED = Number(process.env['QUOTA_SEED'] ?? 1)
@@ -134,6 +138,54 @@
       expect(cell.runningTasks).to.have.length(4)
     })
 
+    it('are not changed by an owner that was fenced while its write was on the way', async () => {
+      // Guards against a late give-back that takes away what the next owner's tasks use.
+      const key = 'shard/fenced'
+      const { table } = cell
+      const putOwner = async (value: number): Promise<number> => {
+        const outcome = await table.transact({ checks: [], writes: [{ kind: 'put', key, value }] })
+        return outcome.unsafeCoerce().versions[0]!
+      }
+      const rowVersion = await putOwner(1)
+      const placer = new IndexedPlacer()
+      placer.addWorker({ id: 'w', failureDomain: 'a', rack: 'r', capacity: QUOTA })
+      placer.setQuotas(new Map([['t', QUOTA]]))
+      const claims = new QuotaClaims({
+        ownership: { shard: 'fenced', epoch: 1, rowVersion, ownedSince: 0 },
+        table,
+        placer,
+        mayWrite: () => true,
+        onChange: () => {},
+        log: pino({ level: 'silent' }),
+        metrics: new Metrics()
+      })
+      claims.setQuotas(new Map([['t', QUOTA]]))
+      placer.submit({
+        id: 'g',
+        team: 't',
+        kind: 'batch',
+        priority: 'normal',
+        spread: 'none',
+        preemptible: false,
+        resources: SLOT,
+        tasks: ['g-0'],
+        submittedAt: 0
+      })
+      const review = async (): Promise<unknown> => {
+        placer.decide(performance.now(), 10)
+        claims.review()
+        await cell.run(1_000)
+        return (await table.read('quota/t')).unsafeCoerce()?.value
+      }
+      const claimed = await review()
+      expect(claimed).to.deep.equal({ claims: { fenced: SLOT } })
+      placer.decide(performance.now(), 10)
+      placer.release('g-0')
+      await putOwner(2)
+      for (let second = 0; second < 60; second++) expect(await review()).to.deep.equal(claimed)
+      claims.close()
+    })
+
     it('start nothing over a lowered quota until tasks of any shard have ended, and stop none', async () => {
       // Guards against a shard that goes on in its old claim after the quota was lowered.
       const services = [submit('x', 'a', { tasks: 2, payload: {} }), submit('y', 'b', { tasks: 2 })]
--- a/packages/daemon/src/scheduler/workerSession/index.ts
+++ b/packages/daemon/src/scheduler/workerSession/index.ts
@@ -1,7 +1,7 @@
 import type { AttemptReport, AttemptStart, WorkerClient, WorkerSession as Session } from '@gypsumspring/adapters'
 import { computeLossTime, type AttemptId } from '@gypsumspring/core'
 import type { Failure, Outcome } from '@gypsumspring/protocol'
-import { CHECKPOINT_TRIES, STARTS_PER_CALL, STOP_GRACE_MS, WORKER_RETRY_MS } from '../constants/index.ts'
+import { CHECKPOINT_TRIES, RENEWED_WHILE_SILENT, STARTS_PER_CALL, STOP_GRACE_MS, WORKER_RETRY_MS } from '../constants/index.ts'
 import { computePhase } from '../_lib/computePhase.ts'
 import type { SessionOptions, StopOrder } from './types.ts'
 
@@ -29,6 +29,8 @@
   #renewedAt: number | undefined
   #silent = true
   #busy = false
+  /** A call that may renew a task lease is under way. */
+  #renewing = false
   #closed = false
   #timer: NodeJS.Timeout | undefined
 
@@ -47,7 +49,7 @@
   isLost (now: number): boolean {
     const { ownedSince, terms } = this.#options
     const contact = this.#renewedAt === undefined ? { ownedSince } : { ownedSince, lastContactAt: this.#renewedAt }
-    return this.#silent && !this.#busy && now >= computeLossTime(contact, terms)
+    return this.#silent && !this.#renewing && now >= computeLossTime(contact, terms)
   }
 
   open (): void {
@@ -147,14 +149,16 @@
   async #heartbeat (session: Session): Promise<void> {
     const { owner, terms, worker } = this.#options
     if (this.#closed) return
-    // Without answers for L the worker can only be declared lost if its leases are no longer renewed.
-    const answering = performance.now() - this.#answeredAt < terms.taskLeaseMs
+    // Each renewal that may have reached a silent worker puts off the time at which it can be declared lost.
+    const answering = performance.now() - this.#answeredAt < terms.taskLeaseMs * RENEWED_WHILE_SILENT
     const renewals = answering && owner.right() !== 'none' ? owner.listRenewals(worker) : []
     const acknowledge = [...this.#acknowledgements.values()]
     this.#nextContactAt = performance.now() + terms.heartbeatMs
     this.#reportWanted = false
     const request = { renewals, leaseMs: terms.taskLeaseMs, acknowledge }
+    this.#renewing = renewals.length > 0
     const outcome = await this.#client.heartbeat(session, request)
+    this.#renewing = false
     if (renewals.length > 0) this.#noteRenewal(outcome)
     this.#settle('heartbeat', outcome)
     outcome.ifRight(({ attempts }) => {
@@ -170,7 +174,9 @@
     if (this.#closed || owner.right() !== 'decide') return
     const starts = [...this.#starts.values()].slice(0, STARTS_PER_CALL)
     for (const start of starts) this.#starts.delete(toKey(start))
+    this.#renewing = true
     const outcome = await this.#client.start(session, starts)
+    this.#renewing = false
     this.#noteRenewal(outcome)
     this.#settle('start', outcome)
     if (this.#closed) return
--- a/packages/daemon/src/scheduler/workerSession/test.ts
+++ b/packages/daemon/src/scheduler/workerSession/test.ts
@@ -22,10 +22,12 @@
 
   afterEach(() => clock.uninstall())
 
-  const open = (worker: string, client: WorkerClient, limiter: CallLimiter): WorkerSession => {
+  const open = (
+    worker: string, client: WorkerClient, limiter: CallLimiter, renewals: Array<{ task: string, attempt: number }> = []
+  ): WorkerSession => {
     const owner: SessionOwner = {
       right: () => right,
-      listRenewals: () => [],
+      listRenewals: () => renewals,
       onOpened: () => {},
       onReports: () => {},
       onStarted: () => {},
@@ -70,4 +72,27 @@
     expect(waiting.running).to.have.length(1)
     for (const session of sessions) session.close()
   })
+
+  const hanging = [
+    { name: 'with a stop outstanding', stops: true },
+    { name: 'without one', stops: false }
+  ]
+  for (const { name, stops } of hanging) {
+    it(`declares a worker that hangs lost ${name}, or its tasks would never move`, async () => {
+      const worker = new MemoryWorker('w0', resources)
+      const session = open('w0', worker, new CallLimiter(1), [{ task: 'a', attempt: 1 }])
+      await clock.tickAsync(12_000)
+      worker.faults.set({ delayMs: 2_000, loseAnswers: 1 })
+      if (stops) session.stop({ task: 'a', attempt: 1, checkpoint: false })
+      await clock.tickAsync(terms.taskLeaseMs)
+      expect(session.isLost(performance.now()), 'while a renewal may still hold').to.equal(false)
+      let isLost = false
+      for (let ms = 0; ms < terms.taskLeaseMs && !isLost; ms += 100) {
+        await clock.tickAsync(100)
+        isLost = session.isLost(performance.now())
+      }
+      expect(isLost).to.equal(true)
+      session.close()
+    })
+  }
 })
--- a/packages/protocol/src/manifest/index.ts
+++ b/packages/protocol/src/manifest/index.ts
@@ -19,7 +19,7 @@
 export const Team = Type.Object({
   id: identifier('name of the team'),
   quota: Type.Object(Resources.properties, {
-    additionalProperties: false, title: 'most that the tasks of the team may hold at once in one shard'
+    additionalProperties: false, title: 'most that the tasks of the team may hold at once in the whole cell'
   }),
   requestShare: Type.Optional(Type.Number({
     minimum: 0.01, maximum: 100, default: 1, description: 'weight of the team in an endpoint\'s queue'
