--- a/packages/daemon/src/entry/addEntryParts.ts
+++ b/packages/daemon/src/entry/addEntryParts.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto'
 import { createEndpointRouter, type EndpointRouter } from '@gypsumspring/core'
 import { createPartLogger } from '../logging/index.ts'
-import { ShardLease } from '../lease/index.ts'
+import { Lease } from '../lease/index.ts'
 import type { ProcessContext } from '../types.ts'
 import { CallerFront } from './callerFront/index.ts'
 import { GIVE_BACK_MS, NOTIFY_TIMEOUT_MS, READY_GRACE_MS, SWEEP_INTERVAL_MS } from './constants/index.ts'
@@ -63,7 +63,7 @@
   readonly #front: CallerFront
   readonly #operators: OperatorApi
   readonly #reporter: SlotsReporter
-  readonly #lease: ShardLease
+  readonly #lease: Lease
   readonly #inventory: InventoryWatch
   #unsubscribe = () => {}
   #sweepTimer: ReturnType<typeof setInterval> | undefined
@@ -92,7 +92,7 @@
       metrics,
       logger: createPartLogger(logger, 'once')
     })
-    this.#lease = new ShardLease({
+    this.#lease = new Lease({
       shard: settings.failureDomain,
       prefix: 'slots',
       owner: settings.id,
--- a/packages/daemon/src/entry/loadManifests/index.ts
+++ b/packages/daemon/src/entry/loadManifests/index.ts
@@ -1,7 +1,8 @@
 import type { ObjectStore } from '@gypsumspring/adapters'
 import {
-  done, manifestObjectKey, notDone, type Configuration, type ConfigurationIndex, type Manifest, type Outcome
+  done, type Configuration, type ConfigurationIndex, type Manifest, type Outcome
 } from '@gypsumspring/protocol'
+import { getManifest } from '../../configuration/index.ts'
 
 /**
  * Loads the manifests that an index names, from the configuration in force as far as it has them.
@@ -24,11 +25,9 @@
       manifests[scope] = inForce
       continue
     }
-    const outcome = await objects.get(manifestObjectKey(hash))
+    const outcome = await getManifest(objects, hash)
     if (outcome.isLeft()) return outcome.map(() => manifests)
-    const bytes = outcome.unsafeCoerce()
-    if (bytes === undefined) return notDone('not-found', `manifest of scope ${scope} is not in the object store`)
-    manifests[scope] = JSON.parse(Buffer.from(bytes).toString()) as Manifest
+    manifests[scope] = outcome.unsafeCoerce()
   }
   return done(manifests)
 }
--- a/packages/daemon/src/entry/operatorApi/index.ts
+++ b/packages/daemon/src/entry/operatorApi/index.ts
@@ -1,9 +1,9 @@
-import { createHash } from 'node:crypto'
 import type { AddressInfo } from 'node:net'
 import {
-  CONFIGURATION_KEY, manifestObjectKey, parseManifest, type ConfigurationIndex, type Manifest
+  CONFIGURATION_KEY, parseManifest, type ConfigurationIndex, type Manifest
 } from '@gypsumspring/protocol'
 import { fastify, type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify'
+import { putManifest } from '../../configuration/index.ts'
 import { setLogLevel } from '../../logging/index.ts'
 import type { ProcessContext } from '../../types.ts'
 import { changeOperations, type Operation } from '../changeOperations/index.ts'
@@ -110,11 +110,10 @@
   }
 
   async #writeScope (reply: FastifyReply, manifest: Manifest, expected: number): Promise<FastifyReply> {
-    const bytes = Buffer.from(JSON.stringify(manifest))
-    const hash = createHash('sha256').update(bytes).digest('hex')
     // The content goes first, so that no index ever names an object that does not exist. Putting it twice is harmless.
-    const stored = await this.#parts.context.platform.objects.put(manifestObjectKey(hash), bytes)
+    const stored = await putManifest(this.#parts.context.platform.objects, manifest)
     if (stored.isLeft()) return respondNotDone(reply, 'store-unavailable')
+    const hash = stored.unsafeCoerce()
     const result = await this.#writer.change((index, manifests) =>
       changeScope(index, manifests, { manifest, hash, expected }))
     return respondToChange(reply, result, (refusal) => {
--- a/packages/daemon/src/lease/index.ts
+++ b/packages/daemon/src/lease/index.ts
@@ -1,6 +1,6 @@
 import type { Row } from '@gypsumspring/adapters'
 import { isLeaseLapsed, judgeLease, type LeaseRight } from '@gypsumspring/core'
-import type { Ownership, RenewalRow, ShardLeaseOptions, ShardRow } from './types.ts'
+import type { Ownership, RenewalRow, LeaseOptions, ShardRow } from './types.ts'
 
 /** Share of the lease between two renewals, so that three fit into it. */
 const RENEWAL_SHARE = 0.3
@@ -14,8 +14,8 @@
  * Competes for the ownership of one shard and renews it. As a candidate it watches the shard's two rows and takes over
  * when the renewal row has not changed for D x 1.03. Owns its timer; calls `onGained` and `onLost` in turn.
  */
-export class ShardLease {
-  readonly #options: ShardLeaseOptions
+export class Lease {
+  readonly #options: LeaseOptions
   #owned: Ownership | undefined
   #renewedAt = -Infinity
   #renewals = 0
@@ -25,7 +25,7 @@
   #closed = false
   #running: Promise<void> | undefined
 
-  constructor (options: ShardLeaseOptions) {
+  constructor (options: LeaseOptions) {
     this.#options = options
   }
 
@@ -194,7 +194,7 @@
     this.#renewals = 0
     this.#seen = undefined
     this.#owned = { shard, epoch, rowVersion, ownedSince: performance.now() }
-    log.info({ shard, epoch }, 'shard taken over')
+    log.info({ shard, epoch }, 'lease taken over')
     metrics.count(`${this.#prefix}_taken`)
     onGained(this.#owned)
   }
--- a/packages/daemon/src/lease/test.ts
+++ b/packages/daemon/src/lease/test.ts
@@ -4,18 +4,18 @@
 import { MemoryTable } from '@gypsumspring/standins'
 import { pino } from 'pino'
 import { Metrics } from '../metrics/index.ts'
-import { ShardLease } from './index.ts'
+import { Lease } from './index.ts'
 
 const terms = { shardLeaseMs: 10_000, runHorizonMs: 60_000 }
 
-describe('ShardLease', () => {
+describe('Lease', () => {
   let clock: Clock
   let table: MemoryTable
   let events: string[]
-  let leases: ShardLease[]
+  let leases: Lease[]
 
-  const compete = (owner: string, rank = 0, through: Table = table): ShardLease => {
-    const lease = new ShardLease({
+  const compete = (owner: string, rank = 0, through: Table = table): Lease => {
+    const lease = new Lease({
       shard: 's',
       owner,
       writer: `${owner}-1`,
--- a/packages/daemon/src/lease/types.ts
+++ b/packages/daemon/src/lease/types.ts
@@ -29,7 +29,7 @@
   ownedSince: number
 }
 
-export interface ShardLeaseOptions {
+export interface LeaseOptions {
   shard: string
   /** Rows are `<prefix>/<shard>` and `<prefix>-renewal/<shard>`. Default: `shard`. */
   prefix?: string
--- a/packages/daemon/src/scheduler/ShardSupervisor.ts
+++ b/packages/daemon/src/scheduler/ShardSupervisor.ts
@@ -6,7 +6,7 @@
 import { CallLimiter } from './_lib/CallLimiter.ts'
 import { LONGEST_STORE_RETRY_MS, WORKER_CALLS_AT_ONCE } from './constants/index.ts'
 import { readShardState } from './journal/index.ts'
-import { ShardLease, type Ownership } from '../lease/index.ts'
+import { Lease, type Ownership } from '../lease/index.ts'
 import { describeShard, explainTask } from './shardOwner/describeShard.ts'
 import { ShardOwner, type ShardConfiguration } from './shardOwner/index.ts'
 
@@ -15,7 +15,7 @@
 }
 
 interface Slot {
-  lease: ShardLease
+  lease: Lease
   owner: ShardOwner | undefined
   ownership: Ownership | undefined
 }
@@ -108,7 +108,7 @@
 
   #compete (shard: string): void {
     const { settings, platform, metrics, incarnation } = this.#context
-    const lease = new ShardLease({
+    const lease = new Lease({
       shard,
       owner: settings.id,
       writer: incarnation,
