--- a/packages/standins/src/processTests/killedProcess.test.ts
+++ b/packages/standins/src/processTests/killedProcess.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import type { Workload } from '@gypsumspring/protocol'
+import { callControl } from '../callControl/index.ts'
 import type { Cell, EntryVm } from '../startCell/index.ts'
 import { checkInvariants, readShards, startTestCell, waitFor, waitUntilSettled } from './_support/cell.ts'
 import { countOutcomes, Load } from './_support/Load.ts'
@@ -52,4 +53,18 @@
       await checkInvariants(cell)
     })
   })
+
+  it('hangs no caller when every runner of the endpoint dies at once', async () => {
+    const load = new Load(cell, '/e/origem/surnames/rossi', 10, { headers: { 'gs-team': 'balcao' } })
+    await waitFor('requests are answered', async () => await countRuns() > 0)
+    await cell.endpoints.kill()
+    await new Promise((resolve) => setTimeout(resolve, 2000))
+    const counts = countOutcomes(await load.stop())
+    expect(ALLOWED_OUTCOMES, JSON.stringify(counts)).to.include.members(Object.keys(counts))
+  })
+
+  async function countRuns (): Promise<number> {
+    const runners = await callControl(cell.endpointsUrl, 'runners') as Array<{ records: { runs: number } }>
+    return runners.reduce((sum, { records }) => sum + records.runs, 0)
+  }
 })
