--- a/packages/core/src/placement/_lib/explainTask.ts
+++ b/packages/core/src/placement/_lib/explainTask.ts
@@ -28,13 +28,16 @@
   const { spec } = group
   const lines = [`Task ${id} belongs to group ${spec.id} (${spec.kind}, ${spec.priority}) of team ${spec.team}.`]
   if (task.worker !== undefined) {
-    lines.push(`It holds worker ${task.worker} since ${now - task.startedAt} ms.`)
+    lines.push(`It has held worker ${task.worker} for ${Math.round(now - task.startedAt)} ms.`)
     if (task.stoppingSince !== undefined) lines.push('It is being stopped for more urgent work.')
     if (group.cancelled) lines.push('Its group is cancelled; the capacity is free once the task is released.')
     return lines
   }
   if (!group.waiting.has(task)) return [...lines, 'It has ended.']
-  return [...lines, `It waits since ${now - task.queuedAt} ms and needs ${describeResources(spec.resources)}.`, ...explainWait(group, facts, now)]
+  const need = describeResources(spec.resources)
+  return [
+    ...lines, `It has waited for ${Math.round(now - task.queuedAt)} ms and needs ${need}.`, ...explainWait(group, facts, now)
+  ]
 }
 
 function explainWait (group: GroupRecord, facts: PlacementFacts, now: number): string[] {
--- a/packages/daemon/src/metrics/index.ts
+++ b/packages/daemon/src/metrics/index.ts
@@ -72,7 +72,7 @@
 function renderSummary (name: string, histogram: Histogram): string {
   const metric = `gypsumspring_${name}_seconds`
   const quantiles = PERCENTILES.map((percentile) =>
-    `${metric}{quantile="${percentile / 100}"} ${histogram.getValueAtPercentile(percentile) / 1e6}`)
+    `${metric}{quantile="${Number((percentile / 100).toFixed(3))}"} ${histogram.getValueAtPercentile(percentile) / 1e6}`)
   const sum = histogram.mean * histogram.totalCount / 1e6
   return [`# TYPE ${metric} summary`, ...quantiles, `${metric}_sum ${sum}`, `${metric}_count ${histogram.totalCount}`, ''].join('\n')
 }
