Share the empty configuration index and the timer wait

Found in the read-through: the empty index was written in the configuration task and in the writer, and the wait on a timer seven times. Looked at and left: the placers' withdraw and cancel are alike because both implement one interface and have to stay independent of each other; the HTTP adapters share only their shape.

--- a/packages/daemon/src/configuration/ConfigurationTask.ts
+++ b/packages/daemon/src/configuration/ConfigurationTask.ts
@@ -1,6 +1,7 @@
 import type { Platform } from '@gypsumspring/adapters'
 import {
-  CONFIGURATION_KEY, ConfigurationIndex, type Configuration, type Manifest, type RpcParams, type RpcResult
+  CONFIGURATION_KEY, ConfigurationIndex, EMPTY_CONFIGURATION_INDEX, type Configuration, type Manifest, type RpcParams,
+  type RpcResult
 } from '@gypsumspring/protocol'
 import { Value } from '@sinclair/typebox/value'
 import type { Logger } from '../logging/index.ts'
@@ -14,10 +15,6 @@
 /** Workers asked for their label; an owner leaves the label with all of its workers. */
 const MAX_INSPECTED_WORKERS = 64
 
-const EMPTY_INDEX: ConfigurationIndex = {
-  version: 0, scopes: {}, operations: { drainedRunners: [], cancelledWorkloads: [] }
-}
-
 type Message =
   /** Read the row in the table. */
   | { kind: 'poll' }
@@ -118,7 +115,7 @@
         log.warn({ reason }, 'configuration row not read')
       },
       Right: async (row) => {
-        const value = row?.value ?? EMPTY_INDEX
+        const value = row?.value ?? EMPTY_CONFIGURATION_INDEX
         if (!Value.Check(ConfigurationIndex, value)) {
           metrics.count('config_read_failures', { reason: 'invalid' })
           log.error({ version: row?.version }, 'configuration row violates its schema')
--- a/packages/daemon/src/entry/addEntryParts.ts
+++ b/packages/daemon/src/entry/addEntryParts.ts
@@ -14,6 +14,7 @@
 import { SlotAllocator } from './slotAllocator/index.ts'
 import { SlotsReporter } from './slotsReporter/index.ts'
 import { sweepOnceRecords } from './sweepOnceRecords/index.ts'
+import { sleep } from '../sleep/index.ts'
 
 interface EntryOptions {
   createRouter?: (endpoint: string) => EndpointRouter
@@ -280,7 +281,3 @@
 function seedOf (incarnation: string, endpoint: string): number {
   return createHash('sha256').update(`${incarnation}/${endpoint}`).digest().readInt32LE(0)
 }
-
-async function sleep (delayMs: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, delayMs))
-}
--- a/packages/daemon/src/entry/configurationWriter/index.ts
+++ b/packages/daemon/src/entry/configurationWriter/index.ts
@@ -1,8 +1,11 @@
 import type { ObjectStore, Table } from '@gypsumspring/adapters'
-import { CONFIGURATION_KEY, type Configuration, type ConfigurationIndex, type Manifest } from '@gypsumspring/protocol'
+import {
+  CONFIGURATION_KEY, EMPTY_CONFIGURATION_INDEX, type Configuration, type ConfigurationIndex, type Manifest
+} from '@gypsumspring/protocol'
 import type { Either } from 'purify-ts/Either'
 import type { Metrics } from '../../metrics/index.ts'
 import { loadManifests } from '../loadManifests/index.ts'
+import { sleep } from '../../sleep/index.ts'
 
 /**
  * Computes the next index from the one in the table. Called again after a lost race, so it must not keep state.
@@ -27,8 +30,6 @@
   metrics: Metrics
 }
 
-const EMPTY: ConfigurationIndex = { version: 0, scopes: {}, operations: { drainedRunners: [], cancelledWorkloads: [] } }
-
 /** Writes of one change before it is given up; each lost race means that another change has won. */
 const ATTEMPTS = 10
 
@@ -58,7 +59,7 @@
         return failed('store-unavailable')
       }
       const row = read.unsafeCoerce()
-      const index = (row?.value as ConfigurationIndex | undefined) ?? EMPTY
+      const index = (row?.value as ConfigurationIndex | undefined) ?? EMPTY_CONFIGURATION_INDEX
       const manifests = await loadManifests(objects, index, known())
       if (manifests.isLeft()) return failed('store-unavailable')
       const next = await change(index, manifests.unsafeCoerce())
@@ -78,7 +79,3 @@
     return failed(maybeWritten ? 'store-unavailable' : 'contention')
   }
 }
-
-async function sleep (delayMs: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, delayMs))
-}
--- a/packages/daemon/src/entry/domainSlots/index.ts
+++ b/packages/daemon/src/entry/domainSlots/index.ts
@@ -5,6 +5,7 @@
 import type { Metrics } from '../../metrics/index.ts'
 import type { Peers } from '../../types.ts'
 import type { RouteTask } from '../routeTask/index.ts'
+import { sleep } from '../../sleep/index.ts'
 
 export interface DomainSlotsParts {
   failureDomain: string
@@ -112,7 +113,7 @@
     clearTimeout(this.#timer)
     while (!this.#parked && performance.now() < end) {
       await this.#report()
-      if (!this.#parked) await new Promise((resolve) => setTimeout(resolve, GIVE_BACK_STEP_MS))
+      if (!this.#parked) await sleep(GIVE_BACK_STEP_MS)
     }
     this.close()
   }
--- a/packages/daemon/src/entry/once/_lib/OnceStore.ts
+++ b/packages/daemon/src/entry/once/_lib/OnceStore.ts
@@ -4,6 +4,7 @@
 import { CLAIM_ATTEMPTS, CLAIM_BACKOFF_MS } from '../constants/index.ts'
 import { decodeAnswer, encodeAnswer } from './answerCodec.ts'
 import { answerKey, expiryKey, parseRecord, type OnceRecord } from './record.ts'
+import { sleep } from '../../../sleep/index.ts'
 
 /**
  * How an attempt to claim ended. `refused`: the row is certainly not ours unless `maybeWritten`. `unclear`: a row
@@ -95,7 +96,3 @@
     return bytes && decodeAnswer(bytes)
   }
 }
-
-async function sleep (delayMs: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, delayMs))
-}
--- a/packages/daemon/src/entry/slotAllocator/index.ts
+++ b/packages/daemon/src/entry/slotAllocator/index.ts
@@ -5,6 +5,7 @@
 } from '@gypsumspring/core'
 import type { Logger } from '../../logging/index.ts'
 import type { Metrics } from '../../metrics/index.ts'
+import { sleep } from '../../sleep/index.ts'
 
 /** What the allocator needs to know of its hold on the row `slots/<domain>`. */
 export interface Term {
@@ -88,7 +89,7 @@
         logger.info({ failureDomain, epoch: term.epoch, registrations: registrations.length }, 'allocating')
         return
       }
-      await new Promise((resolve) => setTimeout(resolve, READ_RETRY_MS))
+      await sleep(READ_RETRY_MS)
     }
   }
 
--- a/packages/daemon/src/scheduler/ShardSupervisor.ts
+++ b/packages/daemon/src/scheduler/ShardSupervisor.ts
@@ -9,6 +9,7 @@
 import { Lease, type Ownership } from '../lease/index.ts'
 import { describeShard, explainTask } from './shardOwner/describeShard.ts'
 import { ShardOwner, type ShardConfiguration } from './shardOwner/index.ts'
+import { sleep } from '../sleep/index.ts'
 
 export interface SupervisorOptions {
   createPlacer: () => Placer
@@ -173,7 +174,7 @@
         const level = reason === 'invalid' ? 'error' : 'warn'
         this.#log[level]({ shard, reason, message }, 'state can not be read')
       })
-      await new Promise((resolve) => setTimeout(resolve, LONGEST_STORE_RETRY_MS))
+      await sleep(LONGEST_STORE_RETRY_MS)
     }
   }
 
--- a/packages/daemon/src/scheduler/journal/index.ts
+++ b/packages/daemon/src/scheduler/journal/index.ts
@@ -6,6 +6,7 @@
 import { assignmentKey, journalKey } from './_lib/keys.ts'
 import { Snapshots } from './Snapshots.ts'
 import type { AppendResult, JournalOptions } from './types.ts'
+import { sleep } from '../../sleep/index.ts'
 
 export { readShardState } from './readShardState.ts'
 export type * from './types.ts'
@@ -87,7 +88,7 @@
       else {
         this.#failing = true
         const delayMs = retryMs
-        await new Promise((resolve) => setTimeout(resolve, delayMs))
+        await sleep(delayMs)
         retryMs = Math.min(retryMs * 2, LONGEST_STORE_RETRY_MS)
         if (this.#closed) return
       }
--- a/packages/protocol/src/manifest/index.ts
+++ b/packages/protocol/src/manifest/index.ts
@@ -107,6 +107,11 @@
 })
 export type ConfigurationIndex = Static<typeof ConfigurationIndex>
 
+/** Index of a cell to which nothing was ever applied. */
+export const EMPTY_CONFIGURATION_INDEX: ConfigurationIndex = {
+  version: 0, scopes: {}, operations: { drainedRunners: [], cancelledWorkloads: [] }
+}
+
 /** A whole configuration: the index with the manifest of each scope. */
 export const Configuration = Type.Object({
   index: ConfigurationIndex,
