--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -250,8 +250,7 @@
       if (isVacant || record.node === this.#options.node) {
         if (this.#resigned) await sleep(FOLLOW_INTERVAL_MS)
         else await this.#takeOver(row, true)
-      }
-      else await this.#follow(record, row)
+      } else await this.#follow(record, row)
     }
   }
 
--- /dev/null
+++ b/packages/jobs/src/node/test.ts
@@ -0,0 +1,207 @@
+import { install, type Clock } from '@sinonjs/fake-timers'
+import { expect } from 'chai'
+import { MemoryCell, toQueue } from '../standins/index.ts'
+
+const ID = '00000000000000a1'
+
+describe('CellNode', () => {
+  let clock: Clock
+  beforeEach(() => { clock = install() })
+  afterEach(() => clock.uninstall())
+
+  const cases: Array<{ name: string, play: (cell: MemoryCell) => Promise<void>, options?: ConstructorParameters<typeof MemoryCell>[0] }> = [
+    {
+      name: 'runs the steps of a job in order and shows it as completed',
+      play: async (cell) => {
+        const accepted = cell.submit(ID, [{ count: 3 }, { count: 2, after: [0] }])
+        await clock.tickAsync(100)
+        expect(await accepted).to.equal('accepted')
+        await clock.tickAsync(3_000)
+        expect(await showSoon(cell, ID)).to.equal('completed')
+      }
+    },
+    {
+      name: 'keeps one job when the same id is submitted at two nodes at once',
+      play: async (cell) => {
+        const both = Promise.all([cell.submit(ID, [{}], { node: 'n0' }), cell.submit(ID, [{}], { node: 'n1' })])
+        await clock.tickAsync(200)
+        expect(await both).to.deep.equal(['accepted', 'accepted'])
+        await clock.tickAsync(3_000)
+        expect(cell.checker.starts).to.equal(1)
+      }
+    },
+    {
+      name: 'goes on within three seconds when the owner is killed, and starts nothing twice',
+      play: async (cell) => {
+        void cell.submit(ID, [{ count: 4 }, { count: 4, after: [0] }])
+        await clock.tickAsync(500)
+        cell.killNode(cell.owner!.name)
+        await clock.tickAsync(3_000)
+        expect(cell.owner).not.to.equal(undefined)
+        await clock.tickAsync(2_000)
+        expect(await showSoon(cell, ID)).to.equal('completed')
+        expect(cell.checker.starts).to.equal(8)
+      }
+    },
+    {
+      name: 'recovers jobs and running tasks from the store when all nodes are killed at once',
+      play: async (cell) => {
+        void cell.submit(ID, [{ count: 4, estimatedRunMs: 4_000 }])
+        await clock.tickAsync(500)
+        for (const name of [...cell.nodes.keys()]) cell.killNode(name)
+        await clock.tickAsync(300)
+        for (const name of [...cell.nodes.keys()]) cell.startNode(name)
+        await clock.tickAsync(6_000)
+        expect(await showSoon(cell, ID)).to.equal('completed')
+        expect(cell.checker.starts).to.equal(4)
+      }
+    },
+    {
+      name: 'waits for the lease of a worker that is lost before its tasks run elsewhere',
+      play: async (cell) => {
+        void cell.submit(ID, [{ count: 1, estimatedRunMs: 3_000 }])
+        await clock.tickAsync(500)
+        const worker = [...cell.workers.workers.values()].find(({ runs }) => runs.size > 0)!
+        worker.fault = () => 'silent'
+        await clock.tickAsync(3_000)
+        expect(cell.checker.starts).to.equal(1)
+        await clock.tickAsync(8_000)
+        expect(cell.checker.starts).to.equal(2)
+        expect(await showSoon(cell, ID)).to.equal('completed')
+      }
+    },
+    {
+      name: 'starts a task once when the answers to orders are lost or the orders are carried out late',
+      play: async (cell) => {
+        let calls = 0
+        for (const worker of cell.workers.workers.values()) {
+          worker.fault = (call) => call === 'start' ? ([undefined, 'lost', 'late'] as const)[calls++ % 3] : undefined
+        }
+        void cell.submit(ID, [{ count: 12 }])
+        await clock.tickAsync(10_000)
+        expect(await showSoon(cell, ID)).to.equal('completed')
+        expect(cell.checker.starts).to.equal(12)
+      }
+    },
+    {
+      name: 'loses nothing when answers of the store are lost or writes are carried out late',
+      play: async (cell) => {
+        let calls = 0
+        for (const { store } of cell.nodes.values()) {
+          store.fault = (call) => call === 'commit' ? ([undefined, 'lost', undefined, 'late'] as const)[calls++ % 4] : undefined
+        }
+        void cell.submit(ID, [{ count: 4 }, { count: 4, after: [0] }])
+        await clock.tickAsync(10_000)
+        expect(await showSoon(cell, ID)).to.equal('completed')
+        expect(cell.checker.starts).to.equal(8)
+      }
+    },
+    {
+      name: 'writes through another node while the store turns the owner away',
+      play: async (cell) => {
+        await clock.tickAsync(2_000)
+        const owner = cell.owner!
+        owner.store.fault = () => 'refused'
+        void cell.submit(ID, [{ count: 4 }])
+        await clock.tickAsync(3_000)
+        expect(cell.owner).to.equal(owner)
+        expect(await showSoon(cell, ID)).to.equal('completed')
+      }
+    },
+    {
+      name: 'refuses at once while the store is out of reach for all nodes',
+      play: async (cell) => {
+        await clock.tickAsync(1_000)
+        for (const { store } of cell.nodes.values()) store.fault = () => 'refused'
+        await clock.tickAsync(3_000)
+        const answer = cell.submit(ID, [{}])
+        await clock.tickAsync(200)
+        expect(await answer).to.equal('refused')
+      }
+    },
+    {
+      name: 'hands the cell over without a gap when the owner resigns',
+      play: async (cell) => {
+        await clock.tickAsync(1_000)
+        const { name, cell: node } = cell.owner!
+        void node.resign()
+        await clock.tickAsync(900)
+        expect(cell.owner?.name).not.to.equal(name)
+        expect(cell.owner).not.to.equal(undefined)
+      }
+    },
+    {
+      name: 'stops the tasks of a cancelled job',
+      play: async (cell) => {
+        void cell.submit(ID, [{ count: 3, estimatedRunMs: 60_000 }])
+        await clock.tickAsync(500)
+        void cell.cancel(ID)
+        await clock.tickAsync(1_000)
+        expect(await showSoon(cell, ID)).to.equal('cancelled')
+        for (let index = 0; index < 3; index++) expect(cell.checker.countRunning(`${ID}.0.0.${index}`)).to.equal(0)
+      }
+    },
+    {
+      name: 'shows a job as failed after as many failures of a task as its queue allows',
+      options: { outlook: () => ({ how: 'failed', afterMs: 50 }), workers: 6 },
+      play: async (cell) => {
+        void cell.submit(ID, [{}], { queue: toQueue('batch', { maxAttempts: 2 }) })
+        await clock.tickAsync(6_000)
+        expect(await showSoon(cell, ID)).to.equal('failed')
+        expect(cell.checker.starts).to.equal(2)
+      }
+    },
+    {
+      name: 'starts a long-running task again however it ended',
+      options: { outlook: (key, run) => run < 3 ? { how: 'done', afterMs: 300 } : undefined },
+      play: async (cell) => {
+        void cell.submit(ID, [{ longRunning: true }])
+        await clock.tickAsync(3_000)
+        expect(cell.checker.starts).to.equal(3)
+        expect(await showSoon(cell, ID)).to.equal('running')
+      }
+    },
+    {
+      name: 'starts a gang only when all its tasks find room',
+      options: { workers: 2 },
+      play: async (cell) => {
+        const big = { demand: { cpuMillis: 16_000, memoryMb: 100, accelerators: 0 } }
+        void cell.submit(ID, [{ ...big, estimatedRunMs: 2_000 }])
+        await clock.tickAsync(300)
+        void cell.submit('00000000000000a2', [{ ...big, count: 2, gang: true }])
+        await clock.tickAsync(1_000)
+        expect(cell.checker.starts).to.equal(1)
+        await clock.tickAsync(4_000)
+        expect(await showSoon(cell, '00000000000000a2')).to.equal('completed')
+      }
+    },
+    {
+      name: 'reads on from the tables when the store has dropped its history',
+      play: async (cell) => {
+        await clock.tickAsync(1_000)
+        cell.rows.compact()
+        const other = [...cell.nodes.values()].find(({ cell: node }) => !node.isOwner)!
+        void cell.submit(ID, [{}], { node: other.name })
+        await clock.tickAsync(100)
+        cell.rows.compact()
+        await clock.tickAsync(5_000)
+        expect(await showSoon(cell, ID)).to.equal('completed')
+      }
+    }
+  ]
+
+  for (const { name, play, options } of cases) {
+    it(name, async () => {
+      const cell = new MemoryCell(options)
+      await clock.tickAsync(1_500)
+      await play(cell)
+      expect(cell.checker.violations).to.deep.equal([])
+    })
+  }
+
+  async function showSoon (cell: MemoryCell, id: string): Promise<string | undefined> {
+    const shown = cell.show(id)
+    await clock.tickAsync(300)
+    return await shown
+  }
+})
--- /dev/null
+++ b/packages/jobs/src/standins/MemoryRecordStore.ts
@@ -0,0 +1,120 @@
+import { done, notDone, sleep, unknownEffect, type Outcome } from '@gypsumspring/protocol'
+import type { Commit, CommitResult, RecordStore, RowChanges, StoredRow } from '../ports.ts'
+
+/** What becomes of one call: `lost` is carried out without an answer, `late` is carried out after `lateMs`. */
+export type StoreFault = 'refused' | 'silent' | 'lost' | 'late' | undefined
+
+interface Options {
+  /** Time of a call, in ms. Default: 5. */
+  latencyMs?: number
+}
+
+/** Time after which a late call is carried out, in ms. */
+const LATE_MS = 2_000
+
+/** Time after which a caller without an answer gives up, in ms. */
+const TIMEOUT_MS = 1_500
+
+/** Rows that several nodes share; each node has its own view, with its own faults. */
+export class MemoryRows {
+  readonly rows = new Map<string, StoredRow>()
+  history: StoredRow[] = []
+  version = 0
+  /** Oldest version from which changes can still be read. */
+  oldest = 0
+  #waiters = new Set<() => void>()
+
+  apply (commit: Commit): CommitResult {
+    const { partition } = commit
+    const current = commit.expected.map(({ table, key }) => this.rows.get(name(table, partition, key)) ??
+      { table, partition, key, version: 0, value: undefined })
+    if (current.some(({ version }, index) => version !== commit.expected[index]!.version)) return { kind: 'conflict', rows: current }
+    this.version++
+    for (const { table, key, value } of commit.puts) this.#write({ table, partition, key, version: this.version, value })
+    for (const { table, key } of commit.removes) this.#write({ table, partition, key, version: this.version, value: undefined })
+    for (const wake of [...this.#waiters]) wake()
+    return { kind: 'committed', version: this.version }
+  }
+
+  /** Drops the history, as the platform does at times. */
+  compact (): void {
+    this.oldest = this.version
+    this.history = []
+  }
+
+  /** Resolves with the next change, or after a time. */
+  changed (waitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const finish = () => {
+        clearTimeout(timer)
+        this.#waiters.delete(finish)
+        resolve()
+      }
+      const timer = setTimeout(finish, waitMs)
+      this.#waiters.add(finish)
+    })
+  }
+
+  #write (row: StoredRow): void {
+    const key = name(row.table, row.partition, row.key)
+    if (row.value === undefined) this.rows.delete(key)
+    else this.rows.set(key, row)
+    this.history.push(row)
+  }
+}
+
+/** One node's connection to the rows. */
+export class MemoryRecordStore implements RecordStore {
+  readonly #shared: MemoryRows
+  readonly #latencyMs: number
+  /** Decides what becomes of each call. */
+  fault: (call: 'commit' | 'read') => StoreFault = () => undefined
+
+  constructor (shared: MemoryRows, options: Options = {}) {
+    this.#shared = shared
+    this.#latencyMs = options.latencyMs ?? 5
+  }
+
+  async commit (commit: Commit): Promise<Outcome<CommitResult>> {
+    const fault = this.fault('commit')
+    await sleep(this.#latencyMs)
+    if (fault === 'refused') return notDone('unavailable', 'the store refused the call')
+    if (fault === 'late') setTimeout(() => this.#shared.apply(commit), LATE_MS)
+    const result = fault === undefined || fault === 'lost' ? this.#shared.apply(commit) : undefined
+    if (fault === undefined) return done(result!)
+    await sleep(TIMEOUT_MS)
+    return unknownEffect('timeout', 'no answer from the store')
+  }
+
+  read (table: string, partition: string): Promise<Outcome<RowChanges>> {
+    return this.#answer(() => {
+      const rows = [...this.#shared.rows.values()].filter((row) => row.table === table && row.partition === partition)
+      return done({ rows, version: this.#shared.version })
+    })
+  }
+
+  readRow (table: string, partition: string, key: string): Promise<Outcome<StoredRow | undefined>> {
+    return this.#answer(() => done(this.#shared.rows.get(name(table, partition, key))))
+  }
+
+  async changes (table: string, after: number, waitMs: number): Promise<Outcome<RowChanges>> {
+    const find = () => this.#shared.history.filter((row) => row.table === table && row.version > after)
+    if (waitMs > 0 && find().length === 0) await this.#shared.changed(waitMs)
+    return await this.#answer(() => after < this.#shared.oldest
+      ? notDone('not-found', 'the history does not reach back')
+      : done({ rows: find(), version: this.#shared.version }))
+  }
+
+  async #answer<Value> (read: () => Outcome<Value>): Promise<Outcome<Value>> {
+    const fault = this.fault('read')
+    await sleep(this.#latencyMs)
+    if (fault === 'refused') return notDone('unavailable', 'the store refused the call')
+    if (fault === undefined) return read()
+    await sleep(TIMEOUT_MS)
+    return unknownEffect('timeout', 'no answer from the store')
+  }
+}
+
+function name (table: string, partition: string, key: string): string {
+  return `${table}/${partition}/${key}`
+}
--- /dev/null
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -0,0 +1,239 @@
+import { done, notDone, sleep, unknownEffect, type Outcome } from '@gypsumspring/protocol'
+import type { StartResult, WorkerLink, WorkerLinks, WorkerRegistry } from '../ports.ts'
+import type { EndedRun, RunEnd, RunOrder, StartOrder, TaskKey, WorkerEntry, WorkerView } from '../types.ts'
+import { PromiseChecker } from './PromiseChecker.ts'
+
+/** What becomes of one order: `late` is carried out after `LATE_MS` and never answered. */
+export type OrderFault = 'silent' | 'lost' | 'late' | 'unhealthy' | undefined
+
+const LATE_MS = 3_000
+const TIMEOUT_MS = 400
+const LATENCY_MS = 2
+
+/** How a run ends, and after which time in ms; undefined for a run that goes on. */
+export type Outlook = (key: TaskKey, run: number, worker: string) => { how: RunEnd, afterMs: number } | undefined
+
+interface Run {
+  key: TaskKey
+  run: number
+  endsBy: ReturnType<typeof setTimeout> | undefined
+  checkpoint: string
+  gangSize: number
+}
+
+/** One incarnation of a worker with leases, fencing and a list of ends. */
+export class MemoryWorker {
+  readonly entry: WorkerEntry
+  readonly runs = new Map<string, Run>()
+  readonly #highestRun = new Map<string, number>()
+  readonly #checker: PromiseChecker
+  readonly #outlook: Outlook
+  ended: EndedRun[] = []
+  #sequence = 0
+  #token = 0
+  #leaseUntil = 0
+  #leaseTimer: ReturnType<typeof setTimeout> | undefined
+  #waiters = new Set<() => void>()
+  alive = true
+  /** Decides what becomes of each call. */
+  fault: (call: 'look' | 'start' | 'stop' | 'pace') => OrderFault = () => undefined
+
+  constructor (entry: WorkerEntry, checker: PromiseChecker, outlook: Outlook) {
+    this.entry = entry
+    this.#checker = checker
+    this.#outlook = outlook
+  }
+
+  get clockMs (): number {
+    return performance.now() + CLOCK_OFFSET_MS
+  }
+
+  /** Ends everything without a word. */
+  crash (): void {
+    this.alive = false
+    clearTimeout(this.#leaseTimer)
+    for (const [name, run] of this.runs) {
+      clearTimeout(run.endsBy)
+      this.#checker.ended(name, run.run, this.entry.id, 'lost')
+    }
+    this.runs.clear()
+  }
+
+  accepts (token: number): boolean {
+    if (token < this.#token) return false
+    this.#token = token
+    return true
+  }
+
+  extend (until: number | undefined): void {
+    if (until === undefined || until <= this.#leaseUntil) return
+    this.#leaseUntil = until
+    clearTimeout(this.#leaseTimer)
+    this.#leaseTimer = setTimeout(() => {
+      for (const run of [...this.runs.values()]) this.#end(run, 'lapsed')
+    }, until - this.clockMs)
+  }
+
+  start (order: StartOrder, leaseUntil: number): StartResult {
+    const name = toName(order.key)
+    const known = this.runs.get(name)
+    this.extend(leaseUntil)
+    if (known?.run === order.run) return { kind: 'started' }
+    if (order.run <= (this.#highestRun.get(name) ?? 0)) return { kind: 'refused', reason: 'old-run' }
+    if (leaseUntil <= this.clockMs) return { kind: 'refused', reason: 'too-late' }
+    this.#highestRun.set(name, order.run)
+    this.#checker.started(order, this.entry)
+    const run: Run = { key: order.key, run: order.run, endsBy: undefined, checkpoint: order.checkpoint, gangSize: 1 }
+    this.runs.set(name, run)
+    const outlook = this.#outlook(order.key, order.run, this.entry.id)
+    if (outlook !== undefined) run.endsBy = setTimeout(() => this.#end(run, outlook.how), outlook.afterMs)
+    return { kind: 'started' }
+  }
+
+  stop ({ key, run }: RunOrder): void {
+    const name = toName(key)
+    this.#highestRun.set(name, Math.max(run, this.#highestRun.get(name) ?? 0))
+    const known = this.runs.get(name)
+    if (known !== undefined && known.run <= run) setTimeout(() => { if (this.runs.get(name) === known) this.#end(known, 'stopped') }, STOP_MS)
+  }
+
+  async view (acknowledged: number, waitMs: number): Promise<WorkerView> {
+    this.ended = this.ended.filter(({ sequence, key, run }) => {
+      if (sequence <= acknowledged) this.#checker.acknowledged(toName(key), run)
+      return sequence > acknowledged
+    })
+    if (this.ended.length === 0 && waitMs > 0) await this.#nextEnd(waitMs)
+    const running = [...this.runs.values()].map(({ key, run, checkpoint }) => ({ key, run, checkpoint, percent: 100, usage: 0 }))
+    return { clockMs: this.clockMs, running, ended: [...this.ended] }
+  }
+
+  #nextEnd (waitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const finish = () => {
+        clearTimeout(timer)
+        this.#waiters.delete(finish)
+        resolve()
+      }
+      const timer = setTimeout(finish, waitMs)
+      this.#waiters.add(finish)
+    })
+  }
+
+  #end (run: Run, how: RunEnd): void {
+    const name = toName(run.key)
+    clearTimeout(run.endsBy)
+    if (!this.runs.delete(name)) return
+    this.#checker.ended(name, run.run, this.entry.id, how)
+    this.ended.push({ sequence: ++this.#sequence, key: run.key, run: run.run, how, checkpoint: run.checkpoint })
+    for (const wake of [...this.#waiters]) wake()
+  }
+}
+
+/** Difference of a worker's clock to that of the process, in ms: nobody may assume that they agree. */
+const CLOCK_OFFSET_MS = 1_000_000
+
+const STOP_MS = 300
+
+/** The workers of a cell: their registry and the links of one node to them. */
+export class MemoryWorkers implements WorkerRegistry, WorkerLinks {
+  readonly workers = new Map<string, MemoryWorker>()
+  readonly checker = new PromiseChecker()
+  readonly #unlisted = new Set<string>()
+  #version = 1
+  #changes: Array<{ version: number, id: string }> = []
+
+  add (entry: WorkerEntry, outlook: Outlook): MemoryWorker {
+    const worker = new MemoryWorker(entry, this.checker, outlook)
+    this.workers.set(entry.id, worker)
+    this.#note(entry.id)
+    return worker
+  }
+
+  /** Takes a worker off the list; it may live on. */
+  unlist (id: string): void {
+    this.#unlisted.add(id)
+    this.#note(id)
+  }
+
+  async list (): Promise<Outcome<{ workers: WorkerEntry[], version: number }>> {
+    await sleep(LATENCY_MS)
+    return done({ workers: this.#listed(), version: this.#version })
+  }
+
+  async changes (after: number, waitMs: number): Promise<Outcome<{ workers: WorkerEntry[], removed: string[], version: number }>> {
+    if (after >= this.#version) await sleep(Math.min(waitMs, 100))
+    const changed = new Set(this.#changes.filter(({ version }) => version > after).map(({ id }) => id))
+    const workers = this.#listed().filter(({ id }) => changed.has(id))
+    const present = new Set(workers.map(({ id }) => id))
+    return done({ workers, removed: [...changed].filter((id) => !present.has(id)), version: this.#version })
+  }
+
+  open (entry: WorkerEntry): WorkerLink {
+    return new MemoryLink(this.workers.get(entry.id)!)
+  }
+
+  #listed (): WorkerEntry[] {
+    return [...this.workers.values()].filter(({ entry }) => !this.#unlisted.has(entry.id)).map(({ entry }) => entry)
+  }
+
+  #note (id: string): void {
+    this.#changes.push({ version: ++this.#version, id })
+  }
+}
+
+class MemoryLink implements WorkerLink {
+  readonly #worker: MemoryWorker
+
+  constructor (worker: MemoryWorker) {
+    this.#worker = worker
+  }
+
+  look ({ token, acknowledged, leaseUntil, waitMs = 0 }: Parameters<WorkerLink['look']>[0]): Promise<Outcome<WorkerView>> {
+    return this.#call('look', token, async () => {
+      this.#worker.extend(leaseUntil)
+      return done(await this.#worker.view(acknowledged, waitMs))
+    })
+  }
+
+  async start (order: StartOrder, token: number, leaseUntil: number): Promise<Outcome<StartResult>> {
+    return await this.#call<StartResult>('start', token, () => done(this.#worker.start(order, leaseUntil)))
+  }
+
+  stop (order: RunOrder, token: number): Promise<Outcome<void>> {
+    return this.#call('stop', token, () => done(this.#worker.stop(order)))
+  }
+
+  pace (_order: RunOrder, _percent: number, token: number): Promise<Outcome<void>> {
+    return this.#call('pace', token, () => done(undefined))
+  }
+
+  close (): void {}
+
+  async #call<Value> (
+    name: 'look' | 'start' | 'stop' | 'pace', token: number, act: () => Outcome<Value> | Promise<Outcome<Value>>
+  ): Promise<Outcome<Value>> {
+    await sleep(LATENCY_MS)
+    const fault = this.#worker.alive ? this.#worker.fault(name) : 'silent'
+    if (fault === 'silent') return await noAnswer()
+    if (fault === 'late') {
+      setTimeout(() => { if (this.#worker.alive && this.#worker.accepts(token)) act() }, LATE_MS)
+      return await noAnswer()
+    }
+    if (!this.#worker.accepts(token)) {
+      return name === 'start' ? done({ kind: 'refused', reason: 'stale-token' } as Value) : notDone('stale-epoch', 'a higher token was seen')
+    }
+    if (fault === 'unhealthy') return name === 'start' ? done({ kind: 'refused', reason: 'unhealthy' } as Value) : notDone('unavailable', 'unhealthy')
+    const outcome = await act()
+    await sleep(LATENCY_MS)
+    return fault === 'lost' ? await noAnswer() : outcome
+  }
+}
+
+async function noAnswer (): Promise<Outcome<never>> {
+  await sleep(TIMEOUT_MS)
+  return unknownEffect('timeout', 'no answer from the worker')
+}
+
+function toName ({ job, occurrence, step, index }: TaskKey): string {
+  return `${job}.${occurrence}.${step}.${index}`
+}
