Replace a silent owner sooner, and let a slow owner hand over

Cause: the takeover after a cut waited for the time-outs of the follower's own messages; a look at a cut-off worker took 1.2 s to fail.

--- a/packages/jobs/src/constants/index.ts
+++ b/packages/jobs/src/constants/index.ts
@@ -26,7 +26,7 @@
 export const OWNER_ORPHAN_MS = 8_000
 
 /** Longest time that one look at a worker waits for an end, in ms. It bounds how old the view of a quiet worker is. */
-export const LOOK_WAIT_MS = 700
+export const LOOK_WAIT_MS = 500
 
 /** Longest wait for the answer to an order, in ms. Workers answer in about 4 ms; a repeat is harmless. */
 export const ORDER_TIMEOUT_MS = 400
@@ -72,7 +72,7 @@
 export const OVERDUE_EXTRA_MS = 2_000
 
 /** A cut-off owner is replaced when its record in the store has not changed for this time, in ms. */
-export const OWNER_SILENCE_MS = 900
+export const OWNER_SILENCE_MS = 700
 
 /** Time between two renewals of the owner's record, in ms. */
 export const OWNER_RENEW_MS = 500
--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -45,11 +45,14 @@
 /** Time between two messages of a follower to the owner, in ms. */
 const FOLLOW_INTERVAL_MS = 250
 
+/** Time between two reads of the record of an owner that is out of reach, in ms. */
+const SUSPECT_INTERVAL_MS = 140
+
 /** Longest wait for the owner's answer to a follower, in ms. */
-const FOLLOW_TIMEOUT_MS = 500
+const FOLLOW_TIMEOUT_MS = 400
 
 /** An owner whose port refuses connections is replaced when its record has not changed for this time, in ms. */
-const REFUSED_SILENCE_MS = 600
+const REFUSED_SILENCE_MS = 550
 
 /** A follower that was silent for this time is no longer used for advice or as a relay, in ms. */
 const FOLLOWER_SILENCE_MS = 1_500
@@ -81,6 +84,8 @@
   #stopped = false
   #resigned = false
   #ownerEnded: (() => void) | undefined
+  /** Steady time until which this node doesn't take the cell over, in ms, since it is too slow to decide. */
+  #restUntil = 0
 
   constructor (parts: CellNodeParts, options: CellNodeOptions) {
     this.#parts = parts
@@ -248,44 +253,59 @@
       const { record } = row
       const isVacant = record === undefined || record.released
       if (isVacant || record.node === this.#options.node) {
-        if (this.#resigned) await sleep(FOLLOW_INTERVAL_MS)
-        else await this.#takeOver(row, true)
-      } else await this.#follow(record, row)
+        if (this.#mayLead()) await this.#takeOver(row, true)
+        else await sleep(FOLLOW_INTERVAL_MS)
+      } else await this.#follow(record)
     }
   }
 
-  /** Follows an owner until it is gone for good, which ends in a takeover, or somebody else is the owner. */
-  async #follow (record: OwnerRecord, row: OwnerRow): Promise<void> {
+  /** Follows an owner until it is out of reach, and then until another one is known or this node has taken over. */
+  async #follow (record: OwnerRecord): Promise<void> {
     const peer = this.#peer(record.address)
-    let silence = OWNER_SILENCE_MS
-    let observed = row
-    let unchangedSince = performance.now()
+    const greeting = { node: this.#options.node, address: this.#options.address }
     while (!this.#stopped) {
-      const answer = await peer.call('cell.follow', { node: this.#options.node, address: this.#options.address }, { timeoutMs: FOLLOW_TIMEOUT_MS })
+      const answer = await peer.call('cell.follow', greeting, { timeoutMs: FOLLOW_TIMEOUT_MS })
       const result = valueOf(answer)
-      if (result !== undefined && result.isOwner && result.token === record.token) {
-        this.#setOwnerPeer(peer, record.token)
-        for (const address of result.peers) if (address !== this.#options.address) this.#peer(address)
-        unchangedSince = performance.now()
-        await sleep(FOLLOW_INTERVAL_MS)
+      if (result === undefined || !result.isOwner || result.token !== record.token) {
+        this.#setOwnerPeer(undefined, record.token)
+        const silenceMs = failureOf(answer)?.certainty === 'unknown' ? OWNER_SILENCE_MS : REFUSED_SILENCE_MS
+        if (await this.#suspect(record, silenceMs)) return
         continue
       }
-      this.#setOwnerPeer(undefined, record.token)
-      silence = failureOf(answer)?.certainty === 'unknown' ? OWNER_SILENCE_MS : REFUSED_SILENCE_MS
+      this.#setOwnerPeer(peer, record.token)
+      for (const address of result.peers) if (address !== this.#options.address) this.#peer(address)
+      await sleep(FOLLOW_INTERVAL_MS)
+    }
+  }
+
+  /**
+   * Watches the record of an owner that is out of reach for this node. An owner that renews its record is left alone.
+   *
+   * @returns whether the owner has changed
+   */
+  async #suspect (record: OwnerRecord, silenceMs: number): Promise<boolean> {
+    let observed: number | undefined
+    let unchangedSince = performance.now()
+    while (!this.#stopped) {
       const current = valueOf(await readOwner(this.#store, CELL_PARTITION))
-      if (current === undefined) {
-        unchangedSince = performance.now()
-      } else if (current.record === undefined || current.record.released || current.record.token !== record.token) {
-        return
-      } else if (current.version !== observed.version) {
-        observed = current
-        unchangedSince = performance.now()
-      } else if (performance.now() - unchangedSince > silence && !this.#resigned) {
+      if (current === undefined) return false
+      if (current.record === undefined || current.record.released || current.record.token !== record.token) return true
+      if (observed !== undefined && current.version !== observed) return false
+      if (observed === undefined) unchangedSince = performance.now()
+      observed = current.version
+      if (performance.now() - unchangedSince > silenceMs) {
+        if (!this.#mayLead()) return false
         await this.#takeOver(current, false)
-        return
+        return true
       }
-      await sleep(FOLLOW_INTERVAL_MS / 2)
+      await sleep(SUSPECT_INTERVAL_MS)
     }
+    return true
+  }
+
+  /** A slow node leaves a vacant cell to the others for a while. */
+  #mayLead (): boolean {
+    return !this.#resigned && performance.now() >= this.#restUntil
   }
 
   #setOwnerPeer (peer: (Peer & { close (): void }) | undefined, token: number): void {
@@ -322,11 +342,23 @@
     owner.addNode({ id: node, adviser: parts.adviser })
     this.#run(owner.start())
     const sweep = setInterval(() => this.#sweepFollowers(), FOLLOW_INTERVAL_MS)
+    const lag = watchLag((lagMs) => this.#standDown(owner, lagMs))
     await ended
     clearInterval(sweep)
+    clearInterval(lag)
     this.#followers.clear()
   }
 
+  /** Leaves the cell to a faster node, if there is one. */
+  #standDown (owner: CellOwner, lagMs: number): void {
+    if (this.#owner !== owner || this.#followers.size === 0) return
+    this.#parts.log.warn({ token: owner.token, lagMs: Math.round(lagMs) }, 'this node is too slow to own the cell')
+    this.#parts.counters.count('stand_downs')
+    this.#restUntil = performance.now() + STAND_DOWN_MS
+    this.#owner = undefined
+    this.#run(owner.stop(true).then(() => this.#ownerEnded?.()))
+  }
+
   #handleFollow (node: string, address: string): CellResult<'cell.follow'> {
     const owner = this.#owner
     if (owner === undefined) return { isOwner: false, token: 0, peers: [] }
@@ -364,6 +396,30 @@
   }
 }
 
+/** Time between two readings of the lag of timers, in ms. */
+const LAG_INTERVAL_MS = 100
+
+/** Average lag at which a node is too slow to own a cell, in ms; a quick task waits for several turns of the loop. */
+const LAG_LIMIT_MS = 60
+
+/** Weight of a new reading of the lag. */
+const LAG_GAIN = 0.1
+
+/** Time for which a slow node doesn't take the cell over again, in ms. */
+const STAND_DOWN_MS = 8_000
+
+/** Calls back when timers of this process fire late for about a second, as they do on a machine that turned slow. */
+function watchLag (onSlow: (lagMs: number) => void): ReturnType<typeof setInterval> {
+  let expectedAt = performance.now() + LAG_INTERVAL_MS
+  let averageMs = 0
+  return setInterval(() => {
+    const now = performance.now()
+    averageMs += LAG_GAIN * (Math.min(Math.max(0, now - expectedAt), LAG_INTERVAL_MS * 2) - averageMs)
+    expectedAt = now + LAG_INTERVAL_MS
+    if (averageMs > LAG_LIMIT_MS) onSlow(averageMs)
+  }, LAG_INTERVAL_MS)
+}
+
 /** Wait before a job that could not be stored is written again, in ms. */
 const ACCEPT_RETRY_MS = 60
 
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -123,7 +123,7 @@
   #confirm (task: TaskRun): void {
     task.status = 'running'
     task.startedAt = this.#cell.now()
-    this.#cell.counters.recordDuration('task_wait', task.startedAt - task.waitingSince)
+    this.#cell.counters.recordDuration('task_wait', task.startedAt - Math.max(task.waitingSince, task.step.readyAt ?? 0))
     const { job } = task.step
     if (job.isOver || job.cancelled) this.stop(task, 'drop')
   }
