Hand the cell over within 200 ms when its owner stops

Cause: the release of the ownership raced with the commit under way and failed, so that the others waited for silence.

--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -67,6 +67,10 @@
 const ASK_TIMEOUT_MS = 800
 
 interface Follower {
+  /** Age of its process, in ms. */
+  uptimeMs: number
+  /** It is about to stop. */
+  resigned: boolean
   peer: Peer & { close (): void }
   seenAt: number
 }
@@ -86,6 +90,11 @@
   #ownerEnded: (() => void) | undefined
   /** Steady time until which this node doesn't take the cell over, in ms, since it is too slow to decide. */
   #restUntil = 0
+  readonly #startedAt = performance.now()
+  /** Token of the last owner that said it has given the cell up. */
+  #released = 0
+  #isSuccessor = false
+  #wake: (() => void) | undefined
 
   constructor (parts: CellNodeParts, options: CellNodeOptions) {
     this.#parts = parts
@@ -116,10 +125,7 @@
   /** Gives the cell up for good, so that another node can take it over; callers are still served. */
   async resign (): Promise<void> {
     this.#resigned = true
-    const owner = this.#owner
-    this.#owner = undefined
-    await owner?.stop(true)
-    this.#ownerEnded?.()
+    if (this.#owner !== undefined) await this.#handOver(this.#owner)
   }
 
   /** Stops everything. */
@@ -193,7 +199,8 @@
   handlers (): CellHandlers {
     const direct = this.#store.direct
     return {
-      'cell.follow': ({ node, address }) => this.#handleFollow(node, address),
+      'cell.follow': (greeting) => this.#handleFollow(greeting),
+      'cell.released': ({ token, successor }) => this.#handleReleased(token, successor),
       'cell.accept': ({ job }) => {
         this.#owner?.accept(job)
         return { taken: this.#owner?.isRecovered === true }
@@ -262,8 +269,9 @@
   /** Follows an owner until it is out of reach, and then until another one is known or this node has taken over. */
   async #follow (record: OwnerRecord): Promise<void> {
     const peer = this.#peer(record.address)
-    const greeting = { node: this.#options.node, address: this.#options.address }
+    const { node, address } = this.#options
     while (!this.#stopped) {
+      const greeting = { node, address, uptimeMs: performance.now() - this.#startedAt, resigned: this.#resigned }
       const answer = await peer.call('cell.follow', greeting, { timeoutMs: FOLLOW_TIMEOUT_MS })
       const result = valueOf(answer)
       if (result === undefined || !result.isOwner || result.token !== record.token) {
@@ -274,10 +282,23 @@
       }
       this.#setOwnerPeer(peer, record.token)
       for (const address of result.peers) if (address !== this.#options.address) this.#peer(address)
-      await sleep(FOLLOW_INTERVAL_MS)
+      await this.#releasedOrAfter(FOLLOW_INTERVAL_MS)
+      if (this.#released >= record.token) return
     }
   }
 
+  /** Waits, but no longer than until the owner says that it has given the cell up. */
+  async #releasedOrAfter (delayMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, delayMs)
+      this.#wake = () => {
+        clearTimeout(timer)
+        resolve()
+      }
+    })
+    this.#wake = undefined
+  }
+
   /**
    * Watches the record of an owner that is out of reach for this node. An owner that renews its record is left alone.
    *
@@ -317,7 +338,10 @@
   }
 
   async #takeOver (previous: OwnerRow, predecessorEnded: boolean): Promise<void> {
-    await sleep(Math.random() * TAKEOVER_SPREAD_MS)
+    // The others leave a released cell to the successor for a moment.
+    if (!this.#isSuccessor) await sleep(Math.random() * TAKEOVER_SPREAD_MS + (this.#released > 0 ? TAKEOVER_SPREAD_MS : 0))
+    this.#isSuccessor = false
+    this.#released = 0
     const { node, address } = this.#options
     const claim = await Ownership.claim(this.#store, CELL_PARTITION, previous, { node, address })
     const ownership = valueOf(claim)
@@ -355,16 +379,37 @@
     this.#parts.log.warn({ token: owner.token, lagMs: Math.round(lagMs) }, 'this node is too slow to own the cell')
     this.#parts.counters.count('stand_downs')
     this.#restUntil = performance.now() + STAND_DOWN_MS
+    this.#run(this.#handOver(owner))
+  }
+
+  /** Gives the cell up and tells the followers, of which the one that was started last is to take over. */
+  async #handOver (owner: CellOwner): Promise<void> {
     this.#owner = undefined
-    this.#run(owner.stop(true).then(() => this.#ownerEnded?.()))
+    await owner.stop()
+    const candidates = [...this.#followers.values()].filter(({ resigned }) => !resigned)
+    // Where nodes are restarted in turn, the one that was started last is not restarted again soon.
+    const successor = candidates.reduce<Follower | undefined>(
+      (best, follower) => best === undefined || follower.uptimeMs < best.uptimeMs ? follower : best, undefined)
+    for (const follower of this.#followers.values()) {
+      const message = { token: owner.token, successor: follower === successor }
+      this.#run(follower.peer.call('cell.released', message, { timeoutMs: ASK_TIMEOUT_MS }))
+    }
+    this.#ownerEnded?.()
+  }
+
+  #handleReleased (token: number, successor: boolean): CellResult<'cell.released'> {
+    this.#released = Math.max(this.#released, token)
+    this.#isSuccessor = successor
+    this.#wake?.()
+    return {}
   }
 
-  #handleFollow (node: string, address: string): CellResult<'cell.follow'> {
+  #handleFollow ({ node, address, uptimeMs, resigned }: CellParams<'cell.follow'>): CellResult<'cell.follow'> {
     const owner = this.#owner
     if (owner === undefined) return { isOwner: false, token: 0, peers: [] }
     const peer = this.#peer(address)
     const known = this.#followers.get(node)
-    this.#followers.set(node, { peer, seenAt: performance.now() })
+    this.#followers.set(node, { peer, seenAt: performance.now(), uptimeMs, resigned })
     if (known?.peer !== peer) owner.addNode({ id: node, adviser: new RemoteAdviser(peer) })
     const peers = [...this.#followers.values()].map((follower) => follower.peer.address)
     return { isOwner: true, token: owner.token, peers }
--- a/packages/jobs/src/node/messages.ts
+++ b/packages/jobs/src/node/messages.ts
@@ -30,9 +30,11 @@
 export const cellMethods = {
   /** Sent at short intervals by each node to the owner; shows that both are alive. */
   'cell.follow': {
-    params: Type.Object({ node: Type.String(), address: Type.String() }),
+    params: Type.Object({ node: Type.String(), address: Type.String(), uptimeMs: Type.Number(), resigned: Type.Boolean() }),
     result: Type.Object({ isOwner: Type.Boolean(), token: Count, peers: Type.Array(Type.String()) })
   },
+  /** Tells a follower that the owner has given the cell up, and whether it is the one to take it over. */
+  'cell.released': { params: Type.Object({ token: Count, successor: Type.Boolean() }), result: Type.Object({}) },
   /** Tells the owner of a job that was stored. */
   'cell.accept': { params: Type.Object({ job: Job }), result: Type.Object({ taken: Type.Boolean() }) },
   'cell.cancel': { params: Type.Object({ id: Type.String() }), result: Type.Object({ taken: Type.Boolean() }) },
--- a/packages/jobs/src/node/test.ts
+++ b/packages/jobs/src/node/test.ts
@@ -125,7 +125,7 @@
         await clock.tickAsync(1_000)
         const { name, cell: node } = cell.owner!
         void node.resign()
-        await clock.tickAsync(900)
+        await clock.tickAsync(200)
         expect(cell.owner?.name).not.to.equal(name)
         expect(cell.owner).not.to.equal(undefined)
       }
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -73,6 +73,8 @@
   #stopped = false
   #placing = false
   #wakeCommit: (() => void) | undefined
+  #committing: Promise<void> | undefined
+  #commitsEnded = false
   #flushWaiters: Array<() => void> = []
   #tick: ReturnType<typeof setInterval> | undefined
 
@@ -103,7 +105,8 @@
   /** Reads what lasts and starts to decide. */
   async start (): Promise<void> {
     const { log } = this.#parts
-    this.#run(this.#commitLoop())
+    this.#committing = this.#commitLoop().finally(() => { this.#commitsEnded = true })
+    this.#run(this.#committing)
     const listed = await this.#insist('workers', () => this.#parts.registry.list())
     if (listed === undefined) return
     for (const worker of listed.workers) this.#addWorker(worker)
@@ -119,12 +122,14 @@
     this.#requestPlacing()
   }
 
-  /** Stops deciding. With `release` others can take over at once. */
-  async stop (release: boolean): Promise<void> {
+  /** Stops deciding, stores what is known, and lets others take over at once. */
+  async stop (): Promise<void> {
     if (this.#stopped) return
     this.#end()
-    if (release) await this.#ownership.release()
-    else this.#ownership.abandon()
+    // Commits form a chain: the last one has to wait for the one that is under way.
+    await Promise.race([this.#committing, sleep(STOP_WAIT_MS)])
+    if (!this.#commitsEnded) this.#ownership.abandon()
+    if (!this.#ownership.isLost) await this.#ownership.release(this.#takeBatch().puts)
   }
 
   /** Takes in a job that was stored. */
@@ -431,11 +436,14 @@
       const batch = this.#takeBatch()
       const removes = this.#forgotten.splice(0, MAX_FORGOTTEN_PER_COMMIT).map((key) => ({ table: PROGRESS_TABLE, key }))
       const sentAt = performance.now()
-      if (!await this.#ownership.commit(batch.puts, removes)) {
+      const isOwner = await this.#ownership.commit(batch.puts, removes)
+      const tookMs = Math.round(performance.now() - sentAt)
+      if (tookMs > SLOW_COMMIT_MS) this.#parts.log.warn({ tookMs, rows: batch.puts.length, isOwner }, 'the store is slow')
+      if (!isOwner) {
         this.#lose('another node has taken the cell over')
         return
       }
-      this.#parts.counters.recordDuration('commit_time', performance.now() - sentAt)
+      this.#parts.counters.recordDuration('commit_time', tookMs)
       if (!this.#stopped) this.#applyStored(batch)
       await this.#removeRecords(removes.map(({ key }) => key))
     }
@@ -503,6 +511,12 @@
   }
 }
 
+/** Longest wait for the commit that is under way when the owner stops, in ms; the store may be away. */
+const STOP_WAIT_MS = 1_500
+
+/** Commits that take longer are logged, in ms; usual ones take 13 ms. */
+const SLOW_COMMIT_MS = 200
+
 /** Least time that a draining worker stays when it doesn't say, in ms. */
 const DEFAULT_LEAVE_MS = 2_000
 
--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -99,10 +99,10 @@
     return written.orDefault(false)
   }
 
-  /** Gives the cell up, so that others need not wait. */
-  async release (): Promise<boolean> {
+  /** Writes rows of the cell for the last time and gives it up, so that others need not wait. */
+  async release (puts: Commit['puts'] = []): Promise<boolean> {
     const record = { ...this.#record, sequence: this.#record.sequence + 1, released: true }
-    const written = await this.#write(record, [], [], 2)
+    const written = await this.#write(record, puts, [], 2)
     this.#lost = true
     return written.orDefault(false)
   }
