Serve while some partitions of the store are away

Cause: a job whose partition gave no answer was held until the caller's deadline, and a new owner could not start before all partitions of accepted jobs were readable.

--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -4,7 +4,7 @@
 import { CellOwner, type CellOwnerOptions } from '../owner/CellOwner.ts'
 import { Ownership, commitRepeatedly, readOwner, type OwnerRecord, type OwnerRow } from '../ownership/index.ts'
 import type { Advice, Adviser, ConfigurationSource, Counters, DecisionLog, RecordStore, WorkerLinks, WorkerRegistry } from '../ports.ts'
-import { CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, encodeJob, toJobPartition } from '../records/index.ts'
+import { CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, encodeJob, toJobPartitions } from '../records/index.ts'
 import { decodeProgress } from '../book/index.ts'
 import type { Job, JobState } from '../types.ts'
 import type { CellMethod, CellParams, CellResult } from './messages.ts'
@@ -139,13 +139,12 @@
   async accept (job: Job, deadlineMs: number): Promise<Acceptance> {
     const giveUpAt = performance.now() + deadlineMs
     const key = { table: JOBS_TABLE, key: job.id }
-    const commit = {
-      partition: toJobPartition(job.id), expected: [{ ...key, version: 0 }], puts: [{ ...key, value: encodeJob(job) }], removes: []
-    }
+    const commits = toJobPartitions(job.id).map((partition) => (
+      { partition, expected: [{ ...key, version: 0 }], puts: [{ ...key, value: encodeJob(job) }], removes: [] }))
     let uncertain = false
     let reason = 'the store is out of reach'
     while (performance.now() < giveUpAt) {
-      const outcome = await commitRepeatedly(this.#store, commit)
+      const outcome = await commitRepeatedly(this.#store, commits)
       const result = valueOf(outcome)
       if (result !== undefined) {
         this.#run(this.#notifyOwner('cell.accept', { job }, (owner) => owner.accept(job)))
@@ -169,21 +168,25 @@
     const progress = await this.#store.readRow(PROGRESS_TABLE, CELL_PARTITION, id)
     if (progress.isLeft()) return progress as Outcome<never>
     const value = progress.unsafeCoerce()?.value
-    const stored = value === undefined ? undefined : decodeProgress(value)
-    if (stored !== undefined) return done(stored.state)
-    const job = await this.#store.readRow(JOBS_TABLE, toJobPartition(id), id)
-    return job.map((row) => row === undefined ? undefined : 'queued')
+    const known = value === undefined ? undefined : decodeProgress(value)
+    if (known !== undefined) return done(known.state)
+    const stored = await this.#isStored(id)
+    return stored.map((found) => found ? 'queued' : undefined)
+  }
+
+  /** Whether a job was accepted, by the rows of the nodes that accepted it. */
+  async #isStored (id: string): Promise<Outcome<boolean>> {
+    const rows = await Promise.all(toJobPartitions(id).map((partition) => this.#store.readRow(JOBS_TABLE, partition, id)))
+    if (rows.some((row) => valueOf(row) !== undefined)) return done(true)
+    return (rows.find((row) => row.isLeft()) as Outcome<never> | undefined) ?? done(false)
   }
 
   /** Stores that a job is cancelled. The result tells whether there is such a job. */
   async cancel (id: string): Promise<Outcome<boolean>> {
-    const partition = toJobPartition(id)
-    const row = await this.#store.readRow(JOBS_TABLE, partition, id)
-    const found = row.map((job) => job !== undefined)
+    const found = await this.#askOwner(id) !== undefined ? done(true) : await this.#isStored(id)
     if (found.isLeft() || found.extract() === false) return found
-    const outcome = await commitRepeatedly(this.#store, {
-      partition, expected: [], puts: [{ table: CANCELS_TABLE, key: id, value: Buffer.from('{}') }], removes: []
-    })
+    const outcome = await commitRepeatedly(this.#store, toJobPartitions(id).map((partition) => (
+      { partition, expected: [], puts: [{ table: CANCELS_TABLE, key: id, value: Buffer.from('{}') }], removes: [] })))
     if (outcome.isRight()) this.#run(this.#notifyOwner('cell.cancel', { id }, (owner) => owner.cancel(id)))
     return outcome.map(() => true)
   }
--- a/packages/jobs/src/node/test.ts
+++ b/packages/jobs/src/node/test.ts
@@ -108,6 +108,30 @@
         expect(await showSoon(cell, ID)).to.equal('completed')
       }
     },
+    {
+      name: 'accepts and finishes jobs while half of the partitions of accepted jobs give no answer',
+      play: async (cell) => {
+        await clock.tickAsync(1_000)
+        for (const { store } of cell.nodes.values()) store.fault = (_call, partition) => /^jobs-\d*[02468]$/.test(partition) ? 'silent' : undefined
+        const accepted = Promise.all(Array.from({ length: 16 }, (_, index) => cell.submit(`00000000000000b${index.toString(16)}`, [{}])))
+        await clock.tickAsync(1_000)
+        expect(new Set(await accepted)).to.deep.equal(new Set(['accepted']))
+        await clock.tickAsync(4_000)
+        expect(await showSoon(cell, '00000000000000b0')).to.equal('completed')
+      }
+    },
+    {
+      name: 'takes over while a partition of accepted jobs is away, and stops nothing that it does not know yet',
+      play: async (cell) => {
+        void cell.submit(ID, [{ count: 4, estimatedRunMs: 4_000 }])
+        await clock.tickAsync(500)
+        for (const { store } of cell.nodes.values()) store.fault = (_call, partition) => partition.startsWith('jobs-') ? 'refused' : undefined
+        cell.killNode(cell.owner!.name)
+        await clock.tickAsync(7_000)
+        expect(await showSoon(cell, ID)).to.equal('completed')
+        expect(cell.checker.starts).to.equal(4)
+      }
+    },
     {
       name: 'refuses at once while the store is out of reach for all nodes',
       play: async (cell) => {
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -10,7 +10,7 @@
   ConfigurationSource, Counters, DecisionLog, RecordStore, RowChanges, StoredRow, WorkerLinks, WorkerRegistry
 } from '../ports.ts'
 import {
-  CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, decodeJob, listJobPartitions, toJobPartition
+  CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, TAKEN_TABLE, decodeJob, encodeJob, listJobPartitions, toJobPartitions
 } from '../records/index.ts'
 import type { Job, JobState, WorkerEntry } from '../types.ts'
 import { WorkerState } from '../workers/WorkerState.ts'
@@ -110,15 +110,17 @@
     const listed = await this.#insist('workers', () => this.#parts.registry.list())
     if (listed === undefined) return
     for (const worker of listed.workers) this.#addWorker(worker)
-    const jobs = await this.#readJobs()
-    if (jobs === undefined) return
+    if (!await this.#readTaken()) return
     this.#recovered = true
     this.#tick = setInterval(() => this.#onTick(), TICK_MS)
-    log.info({ token: this.token, jobs: this.cell.active.size, workers: this.cell.workers.size, tookMs: Math.round(performance.now() - this.#claimedAt) }, 'cell recovered')
+    log.info({
+      token: this.token, jobs: this.cell.active.size, workers: this.cell.workers.size, tookMs: Math.round(performance.now() - this.#claimedAt)
+    }, 'cell recovered')
     for (const session of this.#sessions.values()) this.#run(session.run())
     this.#run(this.#watchRegistry(listed.version))
-    this.#run(this.#watchIntake(JOBS_TABLE, jobs.jobs, (row) => this.#takeJobRow(row)))
-    this.#run(this.#watchIntake(CANCELS_TABLE, jobs.cancels, (row) => this.cancel(row.key)))
+    this.#run(this.#watchIntake(CANCELS_TABLE, (row) => this.cancel(row.key)))
+    this.#run(this.#watchIntake(JOBS_TABLE, (row) => this.#takeJobRow(row)))
+    for (const job of this.cell.active) this.#askAhead(job)
     this.#requestPlacing()
   }
 
@@ -201,23 +203,20 @@
     return undefined
   }
 
-  async #readJobs (): Promise<{ jobs: number, cancels: number } | undefined> {
+  /** Reads what earlier owners stored. Jobs that none of them took in are read later, since their partitions may be away. */
+  async #readTaken (): Promise<boolean> {
     const { store } = this.#parts
-    const readAll = (table: string) => Promise.all(
-      listJobPartitions().map((partition) => this.#insist(table, () => store.read(table, partition))))
-    const [progressRows, jobReads, cancelReads] = await Promise.all([
-      this.#insist(PROGRESS_TABLE, () => store.read(PROGRESS_TABLE, CELL_PARTITION)), readAll(JOBS_TABLE), readAll(CANCELS_TABLE)
-    ])
-    if (this.#stopped || progressRows === undefined) return undefined
+    const [progressRows, jobRows] = await Promise.all([PROGRESS_TABLE, TAKEN_TABLE].map((table) =>
+      this.#insist(table, () => store.read(table, CELL_PARTITION))))
+    if (this.#stopped || progressRows === undefined || jobRows === undefined) return false
     const progress = new Map<string, Progress>()
     for (const { key, value } of progressRows.rows) {
       const decoded = value === undefined ? undefined : decodeProgress(value)
       if (decoded !== undefined) progress.set(key, decoded)
       else this.#parts.log.warn({ job: key }, 'progress record can not be read')
     }
-    for (const row of rowsOf(cancelReads)) this.#cancels.add(row.key)
-    for (const row of rowsOf(jobReads)) this.#takeJobRow(row, progress.get(row.key))
-    return { jobs: oldestVersion(jobReads), cancels: oldestVersion(cancelReads) }
+    for (const row of jobRows.rows) this.#takeJobRow(row, progress.get(row.key))
+    return true
   }
 
   #takeJobRow ({ key, value }: StoredRow, progress?: Progress): void {
@@ -234,6 +233,7 @@
     const run = new JobRun(job, performance.now(), Date.now())
     this.cell.jobs.set(job.id, run)
     if (progress !== undefined) run.restore(progress, performance.now())
+    run.isTaken = progress !== undefined
     for (const task of run.tasks()) if (task.hasRun) this.#holdInherited(task)
     if (run.isOver) return
     this.cell.active.add(run)
@@ -360,9 +360,9 @@
     if (worker !== undefined) worker.unlistedSince ??= performance.now()
   }
 
-  /** Reads rows that other nodes wrote, for those of which no notification arrived. */
-  async #watchIntake (table: string, from: number, take: (row: StoredRow) => void): Promise<void> {
-    let version = from
+  /** Reads rows that other nodes wrote: all of them at first, then those of which no notification arrived. */
+  async #watchIntake (table: string, take: (row: StoredRow) => void): Promise<void> {
+    let version = await this.#readIntake(table, take)
     while (!this.#stopped) {
       await sleep(INTAKE_READ_MS)
       const outcome = await this.#parts.store.changes(table, version, 0)
@@ -370,15 +370,19 @@
       if (changes !== undefined) {
         version = changes.version
         for (const row of changes.rows) if (row.value !== undefined) take(row)
-      } else if (failureOf(outcome)?.reason === 'not-found') {
-        const reads = await Promise.all(listJobPartitions().map((partition) =>
-          this.#insist(table, () => this.#parts.store.read(table, partition))))
-        version = oldestVersion(reads)
-        for (const row of rowsOf(reads)) take(row)
-      }
+      } else if (failureOf(outcome)?.reason === 'not-found') version = await this.#readIntake(table, take)
     }
   }
 
+  async #readIntake (table: string, take: (row: StoredRow) => void): Promise<number> {
+    const reads = await Promise.all(listJobPartitions().map(async (partition) => {
+      const read = await this.#insist(table, () => this.#parts.store.read(table, partition))
+      for (const row of read?.rows ?? []) take(row)
+      return read
+    }))
+    return oldestVersion(reads)
+  }
+
   #requestPlacing (): void {
     if (this.#placing || !this.#recovered || this.#stopped) return
     this.#placing = true
@@ -434,7 +438,7 @@
       if (this.cell.dirty.size === 0 && !this.#hasUnstoredEnds()) await this.#waitForWork()
       if (this.#stopped) return
       const batch = this.#takeBatch()
-      const removes = this.#forgotten.splice(0, MAX_FORGOTTEN_PER_COMMIT).map((key) => ({ table: PROGRESS_TABLE, key }))
+      const removes = this.#forgotten.splice(0, MAX_FORGOTTEN_PER_COMMIT).flatMap((key) => [PROGRESS_TABLE, TAKEN_TABLE].map((table) => ({ table, key })))
       const sentAt = performance.now()
       const isOwner = await this.#ownership.commit(batch.puts, removes)
       const tookMs = Math.round(performance.now() - sentAt)
@@ -445,7 +449,7 @@
       }
       this.#parts.counters.recordDuration('commit_time', tookMs)
       if (!this.#stopped) this.#applyStored(batch)
-      await this.#removeRecords(removes.map(({ key }) => key))
+      await this.#removeRecords(new Set(removes.map(({ key }) => key)))
     }
   }
 
@@ -477,6 +481,11 @@
       const value = encodeProgress(job)
       bytes += value.length
       batch.puts.push({ table: PROGRESS_TABLE, key: job.id, value })
+      if (!job.isTaken) {
+        const jobBytes = encodeJob(job.job)
+        bytes += jobBytes.length
+        batch.puts.push({ table: TAKEN_TABLE, key: job.id, value: jobBytes })
+      }
       batch.states.push([job, job.state])
       for (const task of job.tasks()) {
         if (task.status === 'starting' && !task.ordered) batch.orders.push({ task, run: task.run })
@@ -492,7 +501,10 @@
   }
 
   #applyStored (batch: Batch): void {
-    for (const [job, state] of batch.states) job.shownState = state
+    for (const [job, state] of batch.states) {
+      job.shownState = state
+      job.isTaken = true
+    }
     for (const [worker, sequence] of batch.ends) worker.storedEnds = Math.max(worker.storedEnds, sequence)
     for (const { task, run } of batch.orders) {
       if (task.status === 'starting' && task.run === run && !task.ordered) this.#run(this.#tracker.start(task))
@@ -501,12 +513,12 @@
   }
 
   /** Removes the records of forgotten jobs that other nodes wrote. Repeated by nobody: a leftover is read and forgotten again. */
-  async #removeRecords (ids: string[]): Promise<void> {
+  async #removeRecords (ids: Set<string>): Promise<void> {
     for (const id of ids) {
       this.#cancels.delete(id)
-      await this.#parts.store.commit({
-        partition: toJobPartition(id), expected: [], puts: [], removes: [{ table: JOBS_TABLE, key: id }, { table: CANCELS_TABLE, key: id }]
-      })
+      const removes = [{ table: JOBS_TABLE, key: id }, { table: CANCELS_TABLE, key: id }]
+      await Promise.all(toJobPartitions(id).map((partition) =>
+        this.#parts.store.commit({ partition, expected: [], puts: [], removes })))
     }
   }
 }
@@ -539,10 +551,6 @@
   }
 }
 
-function rowsOf (reads: Array<RowChanges | undefined>): StoredRow[] {
-  return reads.flatMap((read) => read?.rows ?? [])
-}
-
 function oldestVersion (reads: Array<RowChanges | undefined>): number {
   return Math.min(...reads.map((read) => read?.version ?? 0))
 }
--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -126,7 +126,7 @@
     let outcome: Outcome<CommitResult> = notDone('closed', 'the ownership was lost')
     for (let round = 0; round < rounds && !this.#lost; round++) {
       const sentAt = performance.now()
-      outcome = await commitRepeatedly(this.#store, commit)
+      outcome = await commitRepeatedly(this.#store, Array.from({ length: COMMIT_COPIES }, () => commit))
       const result = valueOf(outcome)
       if (result !== undefined) return done(this.#settle(result, record, value, sentAt))
       await sleep(COMMIT_REPEAT_MS)
@@ -150,37 +150,45 @@
 }
 
 /**
- * Sends a commit, and again beside it while no answer comes. Only for commits of which at most one can succeed.
+ * Sends copies of a commit one after the other while no answer comes. A copy for another partition is sent at once when
+ * a partition refuses. Only for commits that may be carried out more than once, or of which at most one can succeed.
  *
  * @param store - The store.
- * @param commit - The commit; it must check a version that it changes.
- * @returns The first answer that tells whether it was written, else the last failure.
+ * @param copies - The copies, in the order in which they are tried.
+ * @returns The first answer that tells what was written, else the last failure; `unknown` when any copy was.
  */
-export async function commitRepeatedly (store: RecordStore, commit: Commit): Promise<Outcome<CommitResult>> {
+export async function commitRepeatedly (store: RecordStore, copies: readonly Commit[]): Promise<Outcome<CommitResult>> {
   let settled = false
   let open = 0
+  let sent = 0
   let uncertain: Outcome<CommitResult> | undefined
   return await new Promise((resolve) => {
+    const settle = (outcome: Outcome<CommitResult>) => {
+      settled = true
+      resolve(outcome)
+    }
     const send = async () => {
+      const copy = copies[sent++]!
       open++
       const sentAt = performance.now()
-      const outcome = await store.commit(commit)
-      if (outcome.isRight()) usual.record(performance.now() - sentAt)
+      const outcome = await store.commit(copy)
       open--
+      if (outcome.isRight()) usual.record(performance.now() - sentAt)
       if (settled) return
+      if (outcome.isRight()) {
+        settle(outcome)
+        return
+      }
       if (isUncertain(outcome)) uncertain = outcome
-      if (outcome.isLeft() && open > 0) return
-      settled = true
-      resolve(outcome.isLeft() ? uncertain ?? outcome : outcome)
+      if (sent < copies.length && copies[sent]!.partition !== copy.partition) await send()
+      else if (open === 0) settle(uncertain ?? outcome)
     }
     const run = async () => {
       send().catch((error) => { throw error })
-      let waitMs = Math.max(COMMIT_REPEAT_MS, COMMIT_REPEAT_FACTOR * usual.ms)
-      for (let copies = 1; copies < COMMIT_COPIES; copies++) {
+      for (let waitMs = Math.max(COMMIT_REPEAT_MS, COMMIT_REPEAT_FACTOR * usual.ms); sent < copies.length; waitMs *= 2) {
         await sleep(waitMs)
         if (settled) return
-        send().catch((error) => { throw error })
-        waitMs *= 2
+        if (sent < copies.length) send().catch((error) => { throw error })
       }
     }
     run().catch((error) => { throw error })
--- a/packages/jobs/src/records/index.ts
+++ b/packages/jobs/src/records/index.ts
@@ -8,24 +8,33 @@
 /** Cancelled jobs. */
 export const CANCELS_TABLE = 'cancels'
 
+/** Jobs that the owner has taken in, beside their progress: a new owner needs no other partition to go on. */
+export const TAKEN_TABLE = 'taken'
+
 /** Progress of jobs, written by the owner of the cell only. */
 export const PROGRESS_TABLE = 'progress'
 
 /** Partition of the owner's rows. */
 export const CELL_PARTITION = 'cell'
 
+/** Partitions that are tried for one job; some may be out of service. */
+const PARTITIONS_PER_JOB = 3
+
 /**
- * Finds the partition of a job's own rows.
+ * Finds the partitions of a job's own rows. The same job may be in several of them: its id tells that it is one.
  *
  * @param id - Id of the job.
- * @returns One of `listJobPartitions()`.
+ * @returns Some of `listJobPartitions()`, in the order in which they are tried.
  */
-export function toJobPartition (id: string): string {
+export function toJobPartitions (id: string): string[] {
   let hash = 0
   for (let position = 0; position < id.length; position++) hash = (hash * 31 + id.charCodeAt(position)) >>> 0
-  return `jobs-${hash % JOB_PARTITIONS}`
+  return Array.from({ length: PARTITIONS_PER_JOB }, (_, index) => `jobs-${(hash + index * PARTITION_STRIDE) % JOB_PARTITIONS}`)
 }
 
+/** Distance between the partitions of one job; no divisor of their number. */
+const PARTITION_STRIDE = 5
+
 export function listJobPartitions (): string[] {
   return Array.from({ length: JOB_PARTITIONS }, (_, index) => `jobs-${index}`)
 }
--- a/packages/jobs/src/standins/MemoryRecordStore.ts
+++ b/packages/jobs/src/standins/MemoryRecordStore.ts
@@ -68,7 +68,7 @@
   readonly #shared: MemoryRows
   readonly #latencyMs: number
   /** Decides what becomes of each call. */
-  fault: (call: 'commit' | 'read') => StoreFault = () => undefined
+  fault: (call: 'commit' | 'read', partition: string) => StoreFault = () => undefined
 
   constructor (shared: MemoryRows, options: Options = {}) {
     this.#shared = shared
@@ -76,7 +76,7 @@
   }
 
   async commit (commit: Commit): Promise<Outcome<CommitResult>> {
-    const fault = this.fault('commit')
+    const fault = this.fault('commit', commit.partition)
     await sleep(this.#latencyMs)
     if (fault === 'refused') return notDone('unavailable', 'the store refused the call')
     if (fault === 'late') setTimeout(() => this.#shared.apply(commit), LATE_MS)
@@ -87,26 +87,26 @@
   }
 
   read (table: string, partition: string): Promise<Outcome<RowChanges>> {
-    return this.#answer(() => {
+    return this.#answer(partition, () => {
       const rows = [...this.#shared.rows.values()].filter((row) => row.table === table && row.partition === partition)
       return done({ rows, version: this.#shared.version })
     })
   }
 
   readRow (table: string, partition: string, key: string): Promise<Outcome<StoredRow | undefined>> {
-    return this.#answer(() => done(this.#shared.rows.get(name(table, partition, key))))
+    return this.#answer(partition, () => done(this.#shared.rows.get(name(table, partition, key))))
   }
 
   async changes (table: string, after: number, waitMs: number): Promise<Outcome<RowChanges>> {
     const find = () => this.#shared.history.filter((row) => row.table === table && row.version > after)
     if (waitMs > 0 && find().length === 0) await this.#shared.changed(waitMs)
-    return await this.#answer(() => after < this.#shared.oldest
+    return await this.#answer('', () => after < this.#shared.oldest
       ? notDone('not-found', 'the history does not reach back')
       : done({ rows: find(), version: this.#shared.version }))
   }
 
-  async #answer<Value> (read: () => Outcome<Value>): Promise<Outcome<Value>> {
-    const fault = this.fault('read')
+  async #answer<Value> (partition: string, read: () => Outcome<Value>): Promise<Outcome<Value>> {
+    const fault = this.fault('read', partition)
     await sleep(this.#latencyMs)
     if (fault === 'refused') return notDone('unavailable', 'the store refused the call')
     if (fault === undefined) return read()
