--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -1,4 +1,4 @@
-import { done, failureOf, valueOf, type Outcome } from '@gypsumspring/protocol'
+import { done, failureOf, unknownEffect, valueOf, type Outcome } from '@gypsumspring/protocol'
 import { sleep } from '@gypsumspring/protocol'
 import { OWNER_SILENCE_MS } from '../constants/index.ts'
 import { CellOwner, type CellOwnerOptions } from '../owner/CellOwner.ts'
@@ -60,8 +60,8 @@
 /** Largest random wait before a takeover, in ms, so that rarely two nodes try at once. */
 const TAKEOVER_SPREAD_MS = 120
 
-/** The store counts as out of reach when it has not answered for this time, in ms. */
-const STORE_SILENCE_MS = 1_200
+/** Time between two looks at whether the store answers, in ms. */
+const PROBE_INTERVAL_MS = 150
 
 /** Longest wait for the owner's answer to a question of a caller, in ms. */
 const ASK_TIMEOUT_MS = 800
@@ -110,7 +110,7 @@
 
   /** Whether jobs can be accepted here: the store has answered a short while ago. */
   get canAccept (): boolean {
-    return performance.now() - this.#store.lastAnswerAt < STORE_SILENCE_MS
+    return this.#store.isAnswering
   }
 
   get isOwner (): boolean {
@@ -142,9 +142,10 @@
     const commits = toJobPartitions(job.id).map((partition) => (
       { partition, expected: [{ ...key, version: 0 }], puts: [{ ...key, value: encodeJob(job) }], removes: [] }))
     let uncertain = false
-    let reason = 'the store is out of reach'
+    let reason = 'unavailable'
     while (performance.now() < giveUpAt) {
-      const outcome = await commitRepeatedly(this.#store, commits)
+      if (!this.canAccept) return uncertain ? { kind: 'uncertain', reason } : { kind: 'refused', reason: 'unavailable' }
+      const outcome = await this.#whileAnswering(commitRepeatedly(this.#store, commits), giveUpAt)
       const result = valueOf(outcome)
       if (result !== undefined) {
         this.#run(this.#notifyOwner('cell.accept', { job }, (owner) => owner.accept(job)))
@@ -155,12 +156,22 @@
         reason = failure.reason
       })
       this.#parts.counters.count('store_retries', { what: 'accept' })
-      if (!uncertain && !this.canAccept) return { kind: 'refused', reason }
       await sleep(ACCEPT_RETRY_MS)
     }
     return uncertain ? { kind: 'uncertain', reason } : { kind: 'refused', reason }
   }
 
+  /** The outcome of a write, or `unknown` as soon as waiting for it has no use any more. */
+  async #whileAnswering<Value> (write: Promise<Outcome<Value>>, giveUpAt: number): Promise<Outcome<Value>> {
+    let settled: Outcome<Value> | undefined
+    this.#run(write.then((outcome) => { settled = outcome }))
+    const watch = async (): Promise<Outcome<Value>> => {
+      while (this.canAccept && performance.now() < giveUpAt) await sleep(WATCH_INTERVAL_MS)
+      return settled ?? unknownEffect('timeout', 'the store does not answer')
+    }
+    return await Promise.race([write, watch()])
+  }
+
   /** State to show for a job; undefined when no such job was accepted. */
   async show (id: string): Promise<Outcome<JobState | undefined>> {
     const answer = await this.#askOwner(id)
@@ -247,9 +258,8 @@
   /** Keeps `canAccept` up to date on a node that has nothing else to ask the store. */
   async #probeStore (): Promise<void> {
     while (!this.#stopped) {
-      const quietMs = performance.now() - this.#store.lastAnswerAt
-      if (quietMs > STORE_SILENCE_MS / 2) await readOwner(this.#store, CELL_PARTITION)
-      await sleep(STORE_SILENCE_MS / 4)
+      await this.#store.probe()
+      await sleep(PROBE_INTERVAL_MS)
     }
   }
 
@@ -468,6 +478,9 @@
   }, LAG_INTERVAL_MS)
 }
 
+/** Time between two looks at whether a write is still worth waiting for, in ms. */
+const WATCH_INTERVAL_MS = 50
+
 /** Wait before a job that could not be stored is written again, in ms. */
 const ACCEPT_RETRY_MS = 60
 
--- a/packages/jobs/src/node/RelayedStore.ts
+++ b/packages/jobs/src/node/RelayedStore.ts
@@ -1,5 +1,7 @@
 import { done, failureOf, notDone, type Failure, type Outcome } from '@gypsumspring/protocol'
 import type { Commit, CommitResult, Counters, RecordStore, RowChanges, StoredRow } from '../ports.ts'
+import { CONTROL_TABLE } from '../ownership/index.ts'
+import { CELL_PARTITION } from '../records/index.ts'
 import type { CellMethod, CellParams, CellResult } from './messages.ts'
 
 /** Calls methods of another node. */
@@ -16,6 +18,15 @@
 /** Longest wait for a peer's answer, in ms. */
 const RELAY_TIMEOUT_MS = 1_200
 
+/** The store counts as out of reach when it has not answered any call for this time, in ms. */
+const STORE_SILENCE_MS = 900
+
+/** Time without an answer after which the store is probed, in ms. */
+const PROBE_AFTER_MS = 350
+
+/** Longest wait for the answer to a probe, in ms; a slow store answers in 200 ms. */
+const PROBE_TIMEOUT_MS = 500
+
 /** Peers that are tried for one call. */
 const PEERS_PER_CALL = 2
 
@@ -45,6 +56,21 @@
     return this.#direct
   }
 
+  /** Whether the store has answered a short while ago; without an answer there is no use in waiting for one. */
+  get isAnswering (): boolean {
+    return performance.now() - this.lastAnswerAt < STORE_SILENCE_MS
+  }
+
+  /** Finds out whether the store answers this node, unless another call has just told. */
+  async probe (): Promise<void> {
+    const now = performance.now()
+    if (now - this.lastAnswerAt < PROBE_AFTER_MS && now >= this.#restUntil) return
+    const outcome = await this.#direct.readRow(CONTROL_TABLE, CELL_PARTITION, '', { timeoutMs: PROBE_TIMEOUT_MS })
+    if (isUnreachable(outcome)) return
+    this.lastAnswerAt = performance.now()
+    this.#restUntil = 0
+  }
+
   async commit (commit: Commit): Promise<Outcome<CommitResult>> {
     const params = {
       ...commit, puts: commit.puts.map(({ value, ...row }) => ({ ...row, value: Buffer.from(value).toString('base64') }))
--- a/packages/jobs/src/ports.ts
+++ b/packages/jobs/src/ports.ts
@@ -43,7 +43,9 @@
   /** Reads a whole table of one partition. */
   read (table: string, partition: string): Promise<Outcome<RowChanges>>
   /** Reads one row; undefined when absent. */
-  readRow (table: string, partition: string, key: string): Promise<Outcome<StoredRow | undefined>>
+  readRow (
+    table: string, partition: string, key: string, options?: { timeoutMs?: number }
+  ): Promise<Outcome<StoredRow | undefined>>
   /** Reads what changed after a version; `not-found` when the history no longer reaches back. */
   changes (table: string, after: number, waitMs: number): Promise<Outcome<RowChanges>>
 }
