--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -69,6 +69,8 @@
 interface Follower {
   /** Age of its process, in ms. */
   uptimeMs: number
+  /** It reaches the store without help. */
+  hasStore: boolean
   /** It is about to stop. */
   resigned: boolean
   peer: Peer & { close (): void }
@@ -85,6 +87,8 @@
   #owner: CellOwner | undefined
   #ownerPeer: (Peer & { close (): void }) | undefined
   #ownerToken = 0
+  /** Nodes through which this one may reach the store. */
+  #helpers: Peer[] = []
   #stopped = false
   #resigned = false
   #ownerEnded: (() => void) | undefined
@@ -100,7 +104,7 @@
     this.#parts = parts
     this.#options = options
     this.#store = new RelayedStore(parts.store, () => this.#relayPeers(), parts.counters)
-    for (const address of options.seeds) if (address !== options.address) this.#peer(address)
+    for (const address of options.seeds) if (address !== options.address) this.#helpers.push(this.#peer(address))
   }
 
   /** The store with its detours, for the parts of this node that read it. */
@@ -251,8 +255,8 @@
   }
 
   #relayPeers (): Peer[] {
-    if (this.#owner !== undefined) return [...this.#followers.values()].map(({ peer }) => peer)
-    return [...this.#known.values()]
+    if (this.#owner === undefined) return this.#helpers
+    return [...this.#followers.values()].filter(({ hasStore }) => hasStore).map(({ peer }) => peer)
   }
 
   /** Keeps `canAccept` up to date on a node that has nothing else to ask the store. */
@@ -284,7 +288,7 @@
     const peer = this.#peer(record.address)
     const { node, address } = this.#options
     while (!this.#stopped) {
-      const greeting = { node, address, uptimeMs: performance.now() - this.#startedAt, resigned: this.#resigned }
+      const greeting = { node, address, uptimeMs: performance.now() - this.#startedAt, resigned: this.#resigned, hasStore: this.#store.isDirect }
       const answer = await peer.call('cell.follow', greeting, { timeoutMs: FOLLOW_TIMEOUT_MS })
       const result = valueOf(answer)
       if (result === undefined || !result.isOwner || result.token !== record.token) {
@@ -294,7 +298,8 @@
         continue
       }
       this.#setOwnerPeer(peer, record.token)
-      for (const address of result.peers) if (address !== this.#options.address) this.#peer(address)
+      const others = result.peers.filter((other) => other !== address)
+      this.#helpers = [peer, ...others.map((other) => this.#peer(other))]
       await this.#releasedOrAfter(FOLLOW_INTERVAL_MS)
       if (this.#released >= record.token) return
     }
@@ -417,14 +422,14 @@
     return {}
   }
 
-  #handleFollow ({ node, address, uptimeMs, resigned }: CellParams<'cell.follow'>): CellResult<'cell.follow'> {
+  #handleFollow ({ node, address, uptimeMs, resigned, hasStore }: CellParams<'cell.follow'>): CellResult<'cell.follow'> {
     const owner = this.#owner
     if (owner === undefined) return { isOwner: false, token: 0, peers: [] }
     const peer = this.#peer(address)
     const known = this.#followers.get(node)
-    this.#followers.set(node, { peer, seenAt: performance.now(), uptimeMs, resigned })
+    this.#followers.set(node, { peer, seenAt: performance.now(), uptimeMs, resigned, hasStore })
     if (known?.peer !== peer) owner.addNode({ id: node, adviser: new RemoteAdviser(peer) })
-    const peers = [...this.#followers.values()].map((follower) => follower.peer.address)
+    const peers = [...this.#followers.values()].filter((follower) => follower.hasStore).map((follower) => follower.peer.address)
     return { isOwner: true, token: owner.token, peers }
   }
 
--- a/packages/jobs/src/node/RelayedStore.ts
+++ b/packages/jobs/src/node/RelayedStore.ts
@@ -1,4 +1,4 @@
-import { done, failureOf, notDone, type Failure, type Outcome } from '@gypsumspring/protocol'
+import { done, failureOf, notDone, unknownEffect, type Failure, type Outcome } from '@gypsumspring/protocol'
 import type { Commit, CommitResult, Counters, RecordStore, RowChanges, StoredRow } from '../ports.ts'
 import { CONTROL_TABLE } from '../ownership/index.ts'
 import { CELL_PARTITION } from '../records/index.ts'
@@ -12,11 +12,15 @@
   ): Promise<Outcome<CellResult<Method>>>
 }
 
-/** Time for which the direct way is not tried after it failed, in ms. */
-const DIRECT_REST_MS = 700
+/** Least time without an answer after which other ways are tried, in ms; and that as a multiple of the usual time. */
+const PATIENCE_MS = 250
+const PATIENCE_FACTOR = 4
+
+/** Weight of a new observation in the usual time of a call. */
+const USUAL_GAIN = 0.3
 
 /** Longest wait for a peer's answer, in ms. */
-const RELAY_TIMEOUT_MS = 1_200
+const RELAY_TIMEOUT_MS = 600
 
 /** The store counts as out of reach when it has not answered any call for this time, in ms. */
 const STORE_SILENCE_MS = 900
@@ -40,7 +44,9 @@
   readonly #direct: RecordStore
   readonly #peers: () => Peer[]
   readonly #counters: Counters
-  #restUntil = 0
+  /** Whether this node's own connection works; only a probe makes it so again. */
+  #isDirect = true
+  #usualMs = 0
   #turn = 0
   /** Steady time of the last answer of the store, in ms. */
   lastAnswerAt = 0
@@ -61,14 +67,22 @@
     return performance.now() - this.lastAnswerAt < STORE_SILENCE_MS
   }
 
+  /** Whether this node reaches the store without help. */
+  get isDirect (): boolean {
+    return this.#isDirect
+  }
+
   /** Finds out whether the store answers this node, unless another call has just told. */
   async probe (): Promise<void> {
     const now = performance.now()
-    if (now - this.lastAnswerAt < PROBE_AFTER_MS && now >= this.#restUntil) return
+    if (now - this.lastAnswerAt < PROBE_AFTER_MS && this.#isDirect) return
     const outcome = await this.#direct.readRow(CONTROL_TABLE, CELL_PARTITION, '', { timeoutMs: PROBE_TIMEOUT_MS })
-    if (isUnreachable(outcome)) return
+    if (isUnreachable(outcome)) {
+      this.#isDirect = false
+      return
+    }
     this.lastAnswerAt = performance.now()
-    this.#restUntil = 0
+    this.#isDirect = true
   }
 
   async commit (commit: Commit): Promise<Outcome<CommitResult>> {
@@ -90,39 +104,62 @@
 
   async changes (table: string, after: number, waitMs: number): Promise<Outcome<RowChanges>> {
     return await this.#either(() => this.#direct.changes(table, after, waitMs), 'cell.store.changes',
-      { table, after, waitMs }, fromChanges)
+      { table, after, waitMs }, fromChanges, waitMs)
   }
 
   async #either<Method extends RelayMethod, Value> (
-    direct: () => Promise<Outcome<Value>>, method: Method, params: CellParams<Method>, decode: (ok: OkOf<Method>) => Value
+    direct: () => Promise<Outcome<Value>>, method: Method, params: CellParams<Method>,
+    decode: (ok: OkOf<Method>) => Value, ownWaitMs = 0
   ): Promise<Outcome<Value>> {
-    if (performance.now() >= this.#restUntil) {
-      const outcome = await direct()
-      if (!isUnreachable(outcome)) {
+    if (this.#isDirect || this.#peers().length === 0) {
+      const outcome = await this.#callDirect(direct, method !== 'cell.store.commit', ownWaitMs)
+      if (outcome !== undefined && !isUnreachable(outcome)) {
         this.lastAnswerAt = performance.now()
         return outcome
       }
-      this.#restUntil = performance.now() + DIRECT_REST_MS
+      this.#isDirect = false
       // The call may have been carried out; the caller knows whether it may be repeated.
-      if (failureOf(outcome)?.certainty === 'unknown' && method === 'cell.store.commit') return outcome
+      if (failureOf(outcome ?? NO_ANSWER)?.certainty === 'unknown' && method === 'cell.store.commit') return outcome ?? NO_ANSWER
     }
-    return await this.#relay(method, params, decode)
+    return await this.#relay(method, params, decode, ownWaitMs)
+  }
+
+  /** Makes a call that is given up when its answer is overdue, if another way may be tried beside it. */
+  async #callDirect<Value> (
+    direct: () => Promise<Outcome<Value>>, mayGiveUp: boolean, ownWaitMs: number
+  ): Promise<Outcome<Value> | undefined> {
+    const sentAt = performance.now()
+    const patienceMs = Math.max(PATIENCE_MS, PATIENCE_FACTOR * this.#usualMs)
+    let timer: ReturnType<typeof setTimeout> | undefined
+    const overdue = new Promise<undefined>((resolve) => {
+      timer = setTimeout(() => {
+        // Later calls, and further copies of this one, take another way.
+        this.#isDirect = false
+        if (mayGiveUp) resolve(undefined)
+      }, patienceMs + ownWaitMs)
+    })
+    const outcome = await Promise.race([direct(), overdue])
+    clearTimeout(timer)
+    if (ownWaitMs === 0 && outcome?.isRight() === true) this.#usualMs += USUAL_GAIN * (performance.now() - sentAt - this.#usualMs)
+    return outcome
   }
 
   async #relay<Method extends RelayMethod, Value> (
-    method: Method, params: CellParams<Method>, decode: (ok: OkOf<Method>) => Value
+    method: Method, params: CellParams<Method>, decode: (ok: OkOf<Method>) => Value, ownWaitMs: number
   ): Promise<Outcome<Value>> {
     const peers = this.#peers()
     let last: Outcome<Value> = notDone('unavailable', 'the store is out of reach, and no other node is known')
     for (let attempt = 0; attempt < Math.min(PEERS_PER_CALL, peers.length); attempt++) {
-      const peer = peers[this.#turn++ % peers.length]!
+      // A peer that has helped is asked again.
+      const peer = peers[this.#turn % peers.length]!
       this.#counters.count('store_calls_relayed')
-      const answer = await peer.call(method, params, { timeoutMs: RELAY_TIMEOUT_MS })
+      const answer = await peer.call(method, params, { timeoutMs: RELAY_TIMEOUT_MS + ownWaitMs })
       last = answer.chain((result) => fromRelayed(result as { ok: OkOf<Method> } | { failure: unknown })).map(decode)
       if (!isUnreachable(last)) {
         this.lastAnswerAt = performance.now()
         return last
       }
+      this.#turn++
       if (failureOf(last)?.certainty === 'unknown' && method === 'cell.store.commit') return last
     }
     return last
@@ -146,6 +183,8 @@
   return notDone(reason, message).mapLeft((failure) => ({ ...failure, certainty }))
 }
 
+const NO_ANSWER: Outcome<never> = unknownEffect('timeout', 'no answer from the store')
+
 /** Reasons of failures for which another way to the store is tried. */
 const UNREACHABLE: ReadonlySet<string> = new Set(['unavailable', 'overloaded', 'timeout', 'closed'])
 
--- a/packages/jobs/src/node/messages.ts
+++ b/packages/jobs/src/node/messages.ts
@@ -30,7 +30,7 @@
 export const cellMethods = {
   /** Sent at short intervals by each node to the owner; shows that both are alive. */
   'cell.follow': {
-    params: Type.Object({ node: Type.String(), address: Type.String(), uptimeMs: Type.Number(), resigned: Type.Boolean() }),
+    params: Type.Object({ node: Type.String(), address: Type.String(), uptimeMs: Type.Number(), resigned: Type.Boolean(), hasStore: Type.Boolean() }),
     result: Type.Object({ isOwner: Type.Boolean(), token: Count, peers: Type.Array(Type.String()) })
   },
   /** Tells a follower that the owner has given the cell up, and whether it is the one to take it over. */
