--- a/packages/jobs/src/node/RelayedStore.ts
+++ b/packages/jobs/src/node/RelayedStore.ts
@@ -29,7 +29,7 @@
 const PROBE_AFTER_MS = 350
 
 /** Longest wait for the answer to a probe, in ms; a slow store answers in 200 ms. */
-const PROBE_TIMEOUT_MS = 500
+const PROBE_TIMEOUT_MS = 700
 
 /** Peers that are tried for one call. */
 const PEERS_PER_CALL = 2
@@ -77,6 +77,7 @@
     const now = performance.now()
     if (now - this.lastAnswerAt < PROBE_AFTER_MS && this.#isDirect) return
     const outcome = await this.#direct.readRow(CONTROL_TABLE, CELL_PARTITION, '', { timeoutMs: PROBE_TIMEOUT_MS })
+    if (outcome.isRight()) this.#noteAnswer(now)
     if (isUnreachable(outcome)) {
       this.#isDirect = false
       return
@@ -138,22 +139,33 @@
         if (mayGiveUp) resolve(undefined)
       }, patienceMs + ownWaitMs)
     })
-    const outcome = await Promise.race([direct(), overdue])
+    const answered = direct().then((outcome) => {
+      // Late answers count too: they tell that the store is slow and not out of reach.
+      if (outcome.isRight() && ownWaitMs === 0) this.#noteAnswer(sentAt)
+      return outcome
+    })
+    const outcome = await Promise.race([answered, overdue])
     clearTimeout(timer)
-    if (ownWaitMs === 0 && outcome?.isRight() === true) this.#usualMs += USUAL_GAIN * (performance.now() - sentAt - this.#usualMs)
     return outcome
   }
 
+  #noteAnswer (sentAt: number): void {
+    const now = performance.now()
+    this.lastAnswerAt = now
+    this.#usualMs += USUAL_GAIN * (now - sentAt - this.#usualMs)
+  }
+
   async #relay<Method extends RelayMethod, Value> (
     method: Method, params: CellParams<Method>, decode: (ok: OkOf<Method>) => Value, ownWaitMs: number
   ): Promise<Outcome<Value>> {
     const peers = this.#peers()
+    const timeoutMs = RELAY_TIMEOUT_MS + PATIENCE_FACTOR * this.#usualMs + ownWaitMs
     let last: Outcome<Value> = notDone('unavailable', 'the store is out of reach, and no other node is known')
     for (let attempt = 0; attempt < Math.min(PEERS_PER_CALL, peers.length); attempt++) {
       // A peer that has helped is asked again.
       const peer = peers[this.#turn % peers.length]!
       this.#counters.count('store_calls_relayed')
-      const answer = await peer.call(method, params, { timeoutMs: RELAY_TIMEOUT_MS + ownWaitMs })
+      const answer = await peer.call(method, params, { timeoutMs })
       last = answer.chain((result) => fromRelayed(result as { ok: OkOf<Method> } | { failure: unknown })).map(decode)
       if (!isUnreachable(last)) {
         this.lastAnswerAt = performance.now()
--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -5,6 +5,9 @@
 import { COMMIT_COPIES, COMMIT_REPEAT_FACTOR, COMMIT_REPEAT_MS } from '../constants/index.ts'
 import type { Commit, CommitResult, RecordStore, RowAddress, StoredRow } from '../ports.ts'
 
+/** Times that an unanswered claim is sent again; the answer to a repeat tells whether the claim has succeeded. */
+const CLAIM_ROUNDS = 4
+
 export const CONTROL_TABLE = 'control'
 const OWNER_KEY = 'owner'
 
@@ -80,7 +83,7 @@
   ): Promise<Outcome<Ownership>> {
     const record = { ...self, token: (previous.record?.token ?? 0) + 1, sequence: 0, released: false }
     const ownership = new Ownership(store, cell, record, previous.version, performance.now())
-    const written = await ownership.#write({ ...record }, [], [], 1)
+    const written = await ownership.#write({ ...record }, [], [], CLAIM_ROUNDS)
     return written.chain((committed) => committed ? done(ownership) : notDone('conflict', 'another node took the cell over'))
   }
 
