--- a/packages/jobs/src/book/progress.ts
+++ b/packages/jobs/src/book/progress.ts
@@ -36,7 +36,8 @@
   Type.Array(Count),
   Type.Array(Type.Tuple([Count, Count])),
   Type.Array(Type.Tuple([
-    Count, Count, Count, Type.Integer({ minimum: 0, maximum: STATUSES.length - 1 }), Count, Count, Type.String(), Type.String()
+    Count, Count, Count, Type.Integer({ minimum: 0, maximum: STATUSES.length - 1 }), Count, Count, Type.String(),
+    Type.String()
   ]))
 ])
 type ProgressRow = Static<typeof ProgressRow>
--- a/packages/jobs/src/constants/index.ts
+++ b/packages/jobs/src/constants/index.ts
@@ -13,7 +13,10 @@
 /** Partitions of the store over which accepted jobs are spread, since a partition executes its writes one by one. */
 export const JOB_PARTITIONS = 16
 
-/** Longest lease of the tasks on a worker, in ms. Longer ones ride out longer cuts, shorter ones end sooner after a loss. */
+/**
+ * Longest lease of the tasks on a worker, in ms. Longer ones ride out longer cuts, shorter ones end sooner after a
+ * loss.
+ */
 export const TASK_LEASE_MS = 5_000
 
 /** Drift of a worker's clock that leases allow for: 2% by the platform's contract, and rounding. */
@@ -22,7 +25,10 @@
 /** Added to a lease's end before its tasks count as gone, in ms: timers of the worker fire slightly late. */
 export const LEASE_SLACK_MS = 150
 
-/** Time after its last confirmed write for which an owner keeps renewing task leases, in ms; rides out store outages. */
+/**
+ * Time after its last confirmed write for which an owner keeps renewing task leases, in ms; rides out store
+ * outages.
+ */
 export const OWNER_ORPHAN_MS = 8_000
 
 /** Longest time that one look at a worker waits for an end, in ms. It bounds how old the view of a quiet worker is. */
--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -3,8 +3,12 @@
 import { OWNER_SILENCE_MS } from '../constants/index.ts'
 import { CellOwner, type CellOwnerOptions } from '../owner/CellOwner.ts'
 import { Ownership, commitRepeatedly, readOwner, type OwnerRecord, type OwnerRow } from '../ownership/index.ts'
-import type { Advice, Adviser, ConfigurationSource, Counters, DecisionLog, RecordStore, WorkerLinks, WorkerRegistry } from '../ports.ts'
-import { CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, encodeJob, toJobPartitions } from '../records/index.ts'
+import type {
+  Advice, Adviser, ConfigurationSource, Counters, DecisionLog, RecordStore, WorkerLinks, WorkerRegistry
+} from '../ports.ts'
+import {
+  CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, encodeJob, toJobPartitions
+} from '../records/index.ts'
 import { decodeProgress } from '../book/index.ts'
 import type { Job, JobState } from '../types.ts'
 import type { CellMethod, CellParams, CellResult } from './messages.ts'
@@ -191,7 +195,8 @@
 
   /** Whether a job was accepted, by the rows of the nodes that accepted it. */
   async #isStored (id: string): Promise<Outcome<boolean>> {
-    const rows = await Promise.all(toJobPartitions(id).map((partition) => this.#store.readRow(JOBS_TABLE, partition, id)))
+    const rows = await Promise.all(toJobPartitions(id).map((partition) => this.#store.readRow(JOBS_TABLE,
+      partition, id)))
     if (rows.some((row) => valueOf(row) !== undefined)) return done(true)
     return (rows.find((row) => row.isLeft()) as Outcome<never> | undefined) ?? done(false)
   }
@@ -231,16 +236,33 @@
         const known = this.#owner?.isRecovered === true
         return { known, state: this.#owner?.stateOf(id) ?? null }
       },
-      'cell.pending': ({ queue }) => ({ pending: this.#owner?.isRecovered === true ? this.#owner.countPending(queue) : null }),
+      'cell.pending': ({ queue }) => ({
+        pending: this.#owner?.isRecovered === true
+          ? this.#owner.countPending(queue)
+          : null
+      }),
       'cell.advise': async ({ workers, timeoutMs, ...step }) =>
         toRelayed(await this.#parts.adviser.advise(step, workers, timeoutMs), (advice) => advice),
       'cell.store.commit': async ({ puts, ...commit }) => toRelayed(
-        await direct.commit({ ...commit, puts: puts.map(({ value, ...row }) => ({ ...row, value: Buffer.from(value, 'base64') })) }),
-        (result) => result.kind === 'conflict' ? { kind: 'conflict' as const, rows: result.rows.map(toWireRow) } : result),
+        await direct.commit({
+          ...commit,
+          puts: puts.map(({ value, ...row }) => ({
+            ...row,
+            value: Buffer.from(value,
+              'base64')
+          }))
+        }),
+        (result) => result.kind === 'conflict'
+          ? {
+              kind: 'conflict' as const,
+              rows: result.rows.map(toWireRow)
+            }
+          : result),
       'cell.store.read': async ({ table, partition }) => toRelayed(await direct.read(table, partition), toWireChanges),
       'cell.store.readRow': async ({ table, partition, key }) =>
         toRelayed(await direct.readRow(table, partition, key), (row) => row === undefined ? null : toWireRow(row)),
-      'cell.store.changes': async ({ table, after, waitMs }) => toRelayed(await direct.changes(table, after, waitMs), toWireChanges)
+      'cell.store.changes': async ({ table, after, waitMs }) => toRelayed(await direct.changes(table, after,
+        waitMs), toWireChanges)
     }
   }
 
@@ -288,7 +310,13 @@
     const peer = this.#peer(record.address)
     const { node, address } = this.#options
     while (!this.#stopped) {
-      const greeting = { node, address, uptimeMs: performance.now() - this.#startedAt, resigned: this.#resigned, hasStore: this.#store.isDirect }
+      const greeting = {
+        node,
+        address,
+        uptimeMs: performance.now() - this.#startedAt,
+        resigned: this.#resigned,
+        hasStore: this.#store.isDirect
+      }
       const answer = await peer.call('cell.follow', greeting, { timeoutMs: FOLLOW_TIMEOUT_MS })
       const result = valueOf(answer)
       if (result === undefined || !result.isOwner || result.token !== record.token) {
@@ -357,17 +385,23 @@
 
   async #takeOver (previous: OwnerRow, predecessorEnded: boolean): Promise<void> {
     // The others leave a released cell to the successor for a moment.
-    if (!this.#isSuccessor) await sleep(Math.random() * TAKEOVER_SPREAD_MS + (this.#released > 0 ? TAKEOVER_SPREAD_MS : 0))
+    if (!this.#isSuccessor) {
+      await sleep(Math.random() * TAKEOVER_SPREAD_MS + (this.#released > 0
+        ? TAKEOVER_SPREAD_MS
+        : 0))
+    }
     this.#isSuccessor = false
     this.#released = 0
     const { node, address } = this.#options
     const claim = await Ownership.claim(this.#store, CELL_PARTITION, previous, { node, address })
     const ownership = valueOf(claim)
     if (ownership === undefined) {
-      this.#parts.log.info({ previous: previous.record?.token ?? 0, reason: failureOf(claim)?.reason }, 'takeover failed')
+      this.#parts.log.info({ previous: previous.record?.token ?? 0, reason: failureOf(claim)?.reason },
+        'takeover failed')
       return
     }
-    this.#parts.log.info({ token: ownership.token, previous: previous.record?.node, predecessorEnded }, 'took the cell over')
+    this.#parts.log.info({ token: ownership.token, previous: previous.record?.node, predecessorEnded },
+      'took the cell over')
     this.#parts.counters.count('takeovers')
     this.#ownerPeer = undefined
     const ended = new Promise<void>((resolve) => { this.#ownerEnded = resolve })
@@ -422,14 +456,18 @@
     return {}
   }
 
-  #handleFollow ({ node, address, uptimeMs, resigned, hasStore }: CellParams<'cell.follow'>): CellResult<'cell.follow'> {
+  #handleFollow ({
+    node, address, uptimeMs, resigned,
+    hasStore
+  }: CellParams<'cell.follow'>): CellResult<'cell.follow'> {
     const owner = this.#owner
     if (owner === undefined) return { isOwner: false, token: 0, peers: [] }
     const peer = this.#peer(address)
     const known = this.#followers.get(node)
     this.#followers.set(node, { peer, seenAt: performance.now(), uptimeMs, resigned, hasStore })
     if (known?.peer !== peer) owner.addNode({ id: node, adviser: new RemoteAdviser(peer) })
-    const peers = [...this.#followers.values()].filter((follower) => follower.hasStore).map((follower) => follower.peer.address)
+    const peers = [...this.#followers.values()].filter((follower) => follower.hasStore).map((follower) =>
+      follower.peer.address)
     return { isOwner: true, token: owner.token, peers }
   }
 
@@ -497,7 +535,8 @@
     this.#peer = peer
   }
 
-  async advise (step: Parameters<Adviser['advise']>[0], workers: string[], timeoutMs: number): ReturnType<Adviser['advise']> {
+  async advise (step: Parameters<Adviser['advise']>[0], workers: string[],
+    timeoutMs: number): ReturnType<Adviser['advise']> {
     const answer = await this.#peer.call('cell.advise', { ...step, workers, timeoutMs }, { timeoutMs: timeoutMs + 200 })
     return answer.chain((result) => fromRelayed(result as { ok: Advice } | { failure: unknown }))
   }
--- a/packages/jobs/src/node/messages.ts
+++ b/packages/jobs/src/node/messages.ts
@@ -7,7 +7,12 @@
 const Bytes = Type.String()
 
 const Row = Type.Object({
-  table: Type.String(), partition: Type.String(), key: Type.String(), version: Count, value: Type.Union([Bytes, Type.Null()])
+  table: Type.String(),
+  partition: Type.String(),
+  key: Type.String(),
+  version: Count,
+  value: Type.Union([Bytes,
+    Type.Null()])
 })
 
 /** Answer of a relayed store call: the result, or the failure as the relaying node saw it. */
@@ -25,12 +30,19 @@
 
 const Changes = Type.Object({ rows: Type.Array(Row), version: Count })
 
-const JobStateName = Type.Union(['queued', 'running', 'completed', 'failed', 'cancelled'].map((state) => Type.Literal(state)))
+const JobStateName = Type.Union(['queued', 'running', 'completed', 'failed', 'cancelled'].map((state) =>
+  Type.Literal(state)))
 
 export const cellMethods = {
   /** Sent at short intervals by each node to the owner; shows that both are alive. */
   'cell.follow': {
-    params: Type.Object({ node: Type.String(), address: Type.String(), uptimeMs: Type.Number(), resigned: Type.Boolean(), hasStore: Type.Boolean() }),
+    params: Type.Object({
+      node: Type.String(),
+      address: Type.String(),
+      uptimeMs: Type.Number(),
+      resigned: Type.Boolean(),
+      hasStore: Type.Boolean()
+    }),
     result: Type.Object({ isOwner: Type.Boolean(), token: Count, peers: Type.Array(Type.String()) })
   },
   /** Tells a follower that the owner has given the cell up, and whether it is the one to take it over. */
--- a/packages/jobs/src/node/test.ts
+++ b/packages/jobs/src/node/test.ts
@@ -4,12 +4,21 @@
 
 const ID = '00000000000000a1'
 
+/** Lets a call go on while the clock is advanced. */
+function start (call: Promise<unknown>): void {
+  call.catch((error) => { throw error })
+}
+
 describe('CellNode', () => {
   let clock: Clock
   beforeEach(() => { clock = install() })
   afterEach(() => clock.uninstall())
 
-  const cases: Array<{ name: string, play: (cell: MemoryCell) => Promise<void>, options?: ConstructorParameters<typeof MemoryCell>[0] }> = [
+  const cases: Array<{
+    name: string,
+    play: (cell: MemoryCell) => Promise<void>,
+    options?: ConstructorParameters<typeof MemoryCell>[0]
+  }> = [
     {
       name: 'runs the steps of a job in order and shows it as completed',
       play: async (cell) => {
@@ -33,7 +42,7 @@
     {
       name: 'goes on within three seconds when the owner is killed, and starts nothing twice',
       play: async (cell) => {
-        void cell.submit(ID, [{ count: 4 }, { count: 4, after: [0] }])
+        start(cell.submit(ID, [{ count: 4 }, { count: 4, after: [0] }]))
         await clock.tickAsync(500)
         cell.killNode(cell.owner!.name)
         await clock.tickAsync(3_000)
@@ -46,7 +55,7 @@
     {
       name: 'recovers jobs and running tasks from the store when all nodes are killed at once',
       play: async (cell) => {
-        void cell.submit(ID, [{ count: 4, estimatedRunMs: 4_000 }])
+        start(cell.submit(ID, [{ count: 4, estimatedRunMs: 4_000 }]))
         await clock.tickAsync(500)
         for (const name of [...cell.nodes.keys()]) cell.killNode(name)
         await clock.tickAsync(300)
@@ -59,7 +68,7 @@
     {
       name: 'waits for the lease of a worker that is lost before its tasks run elsewhere',
       play: async (cell) => {
-        void cell.submit(ID, [{ count: 1, estimatedRunMs: 3_000 }])
+        start(cell.submit(ID, [{ count: 1, estimatedRunMs: 3_000 }]))
         await clock.tickAsync(500)
         const worker = [...cell.workers.workers.values()].find(({ runs }) => runs.size > 0)!
         worker.fault = () => 'silent'
@@ -77,7 +86,7 @@
         for (const worker of cell.workers.workers.values()) {
           worker.fault = (call) => call === 'start' ? ([undefined, 'lost', 'late'] as const)[calls++ % 3] : undefined
         }
-        void cell.submit(ID, [{ count: 12 }])
+        start(cell.submit(ID, [{ count: 12 }]))
         await clock.tickAsync(10_000)
         expect(await showSoon(cell, ID)).to.equal('completed')
         expect(cell.checker.starts).to.equal(12)
@@ -88,9 +97,12 @@
       play: async (cell) => {
         let calls = 0
         for (const { store } of cell.nodes.values()) {
-          store.fault = (call) => call === 'commit' ? ([undefined, 'lost', undefined, 'late'] as const)[calls++ % 4] : undefined
+          store.fault = (call) => call === 'commit'
+            ? ([undefined, 'lost', undefined,
+                'late'] as const)[calls++ % 4]
+            : undefined
         }
-        void cell.submit(ID, [{ count: 4 }, { count: 4, after: [0] }])
+        start(cell.submit(ID, [{ count: 4 }, { count: 4, after: [0] }]))
         await clock.tickAsync(10_000)
         expect(await showSoon(cell, ID)).to.equal('completed')
         expect(cell.checker.starts).to.equal(8)
@@ -102,7 +114,7 @@
         await clock.tickAsync(2_000)
         const owner = cell.owner!
         owner.store.fault = () => 'refused'
-        void cell.submit(ID, [{ count: 4 }])
+        start(cell.submit(ID, [{ count: 4 }]))
         await clock.tickAsync(3_000)
         expect(cell.owner).to.equal(owner)
         expect(await showSoon(cell, ID)).to.equal('completed')
@@ -112,8 +124,12 @@
       name: 'accepts and finishes jobs while half of the partitions of accepted jobs give no answer',
       play: async (cell) => {
         await clock.tickAsync(1_000)
-        for (const { store } of cell.nodes.values()) store.fault = (_call, partition) => /^jobs-\d*[02468]$/.test(partition) ? 'silent' : undefined
-        const accepted = Promise.all(Array.from({ length: 16 }, (_, index) => cell.submit(`00000000000000b${index.toString(16)}`, [{}])))
+        for (const { store } of cell.nodes.values()) {
+          store.fault = (_call, partition) =>
+            /^jobs-\d*[02468]$/.test(partition) ? 'silent' : undefined
+        }
+        const accepted = Promise.all(Array.from({ length: 16 }, (_, index) =>
+          cell.submit(`00000000000000b${index.toString(16)}`, [{}])))
         await clock.tickAsync(1_000)
         expect(new Set(await accepted)).to.deep.equal(new Set(['accepted']))
         await clock.tickAsync(4_000)
@@ -123,9 +139,12 @@
     {
       name: 'takes over while a partition of accepted jobs is away, and stops nothing that it does not know yet',
       play: async (cell) => {
-        void cell.submit(ID, [{ count: 4, estimatedRunMs: 4_000 }])
+        start(cell.submit(ID, [{ count: 4, estimatedRunMs: 4_000 }]))
         await clock.tickAsync(500)
-        for (const { store } of cell.nodes.values()) store.fault = (_call, partition) => partition.startsWith('jobs-') ? 'refused' : undefined
+        for (const { store } of cell.nodes.values()) {
+          store.fault = (_call, partition) =>
+            partition.startsWith('jobs-') ? 'refused' : undefined
+        }
         cell.killNode(cell.owner!.name)
         await clock.tickAsync(7_000)
         expect(await showSoon(cell, ID)).to.equal('completed')
@@ -148,7 +167,7 @@
       play: async (cell) => {
         await clock.tickAsync(1_000)
         const { name, cell: node } = cell.owner!
-        void node.resign()
+        start(node.resign())
         await clock.tickAsync(200)
         expect(cell.owner?.name).not.to.equal(name)
         expect(cell.owner).not.to.equal(undefined)
@@ -157,9 +176,9 @@
     {
       name: 'stops the tasks of a cancelled job',
       play: async (cell) => {
-        void cell.submit(ID, [{ count: 3, estimatedRunMs: 60_000 }])
+        start(cell.submit(ID, [{ count: 3, estimatedRunMs: 60_000 }]))
         await clock.tickAsync(500)
-        void cell.cancel(ID)
+        start(cell.cancel(ID))
         await clock.tickAsync(1_000)
         expect(await showSoon(cell, ID)).to.equal('cancelled')
         for (let index = 0; index < 3; index++) expect(cell.checker.countRunning(`${ID}.0.0.${index}`)).to.equal(0)
@@ -169,7 +188,7 @@
       name: 'shows a job as failed after as many failures of a task as its queue allows',
       options: { outlook: () => ({ how: 'failed', afterMs: 50 }), workers: 6 },
       play: async (cell) => {
-        void cell.submit(ID, [{}], { queue: toQueue('batch', { maxAttempts: 2 }) })
+        start(cell.submit(ID, [{}], { queue: toQueue('batch', { maxAttempts: 2 }) }))
         await clock.tickAsync(6_000)
         expect(await showSoon(cell, ID)).to.equal('failed')
         expect(cell.checker.starts).to.equal(2)
@@ -179,7 +198,7 @@
       name: 'starts a long-running task again however it ended',
       options: { outlook: (key, run) => run < 3 ? { how: 'done', afterMs: 300 } : undefined },
       play: async (cell) => {
-        void cell.submit(ID, [{ longRunning: true }])
+        start(cell.submit(ID, [{ longRunning: true }]))
         await clock.tickAsync(3_000)
         expect(cell.checker.starts).to.equal(3)
         expect(await showSoon(cell, ID)).to.equal('running')
@@ -190,9 +209,9 @@
       options: { workers: 2 },
       play: async (cell) => {
         const big = { demand: { cpuMillis: 16_000, memoryMb: 100, accelerators: 0 } }
-        void cell.submit(ID, [{ ...big, estimatedRunMs: 2_000 }])
+        start(cell.submit(ID, [{ ...big, estimatedRunMs: 2_000 }]))
         await clock.tickAsync(300)
-        void cell.submit('00000000000000a2', [{ ...big, count: 2, gang: true }])
+        start(cell.submit('00000000000000a2', [{ ...big, count: 2, gang: true }]))
         await clock.tickAsync(1_000)
         expect(cell.checker.starts).to.equal(1)
         await clock.tickAsync(4_000)
@@ -205,7 +224,7 @@
         await clock.tickAsync(1_000)
         cell.rows.compact()
         const other = [...cell.nodes.values()].find(({ cell: node }) => !node.isOwner)!
-        void cell.submit(ID, [{}], { node: other.name })
+        start(cell.submit(ID, [{}], { node: other.name }))
         await clock.tickAsync(100)
         cell.rows.compact()
         await clock.tickAsync(5_000)
--- a/packages/jobs/src/owner/AdviceDesk.ts
+++ b/packages/jobs/src/owner/AdviceDesk.ts
@@ -95,8 +95,11 @@
     const reserved = nodes.length > 1 ? Math.ceil(nodes.length * QUICK_SHARE) : 0
     const candidates = slow
       ? nodes.slice(reserved).filter(({ open, restUntil }) => open === 0 && restUntil <= now)
-      : nodes.filter(({ open, slow: slowOnes, restUntil }) => slowOnes === 0 && open < QUICK_PER_NODE && restUntil <= now)
-    return candidates.reduce<NodeState | undefined>((best, state) => best === undefined || state.open < best.open ? state : best, undefined)
+      : nodes.filter(({ open, slow: slowOnes, restUntil }) => slowOnes === 0 && open < QUICK_PER_NODE &&
+        restUntil <= now)
+    return candidates.reduce<NodeState | undefined>((best, state) => best === undefined || state.open < best.open
+      ? state
+      : best, undefined)
   }
 
   async #send (state: NodeState, question: Question): Promise<void> {
@@ -105,7 +108,11 @@
     state.open++
     state.slow += slow
     const sentAt = this.#cell.now()
-    const name: Pick<TaskKey, 'job' | 'occurrence' | 'step'> = { job: step.job.id, occurrence: step.occurrence, step: step.index }
+    const name: Pick<TaskKey, 'job' | 'occurrence' | 'step'> = {
+      job: step.job.id,
+      occurrence: step.occurrence,
+      step: step.index
+    }
     const outcome = await state.node.adviser.advise(name, workers, expectedMs * (QUICK_PER_NODE + 1) + ANSWER_SLACK_MS)
     state.open--
     state.slow -= slow
@@ -117,7 +124,13 @@
         step.advice.notBefore = now + RETRY_MS
         if (failure.reason !== 'overloaded') state.restUntil = now + REST_MS
         this.#cell.counters.count('advice_failed', { reason: failure.reason })
-        this.#cell.log.warn({ job: step.job.id, step: step.name, node: state.node.id, reason: failure.reason, waitedMs: Math.round(now - sentAt) }, 'advice failed')
+        this.#cell.log.warn({
+          job: step.job.id,
+          step: step.name,
+          node: state.node.id,
+          reason: failure.reason,
+          waitedMs: Math.round(now - sentAt)
+        }, 'advice failed')
       },
       // The ticket's time begins when the service answers, which is after the call was sent.
       Right: ({ tickets }) => step.advice.record(workers, tickets, Math.max(now - TRANSIT_MS, sentAt) + terms.validMs)
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -2,7 +2,8 @@
 import { sleep } from '@gypsumspring/protocol'
 import { JobRun, decodeProgress, encodeProgress, type Progress, type TaskRun } from '../book/index.ts'
 import {
-  CLOCK_DRIFT, INTAKE_READ_MS, LEASE_SLACK_MS, MAX_BYTES_PER_COMMIT, MAX_ROWS_PER_COMMIT, OWNER_ORPHAN_MS, OWNER_RENEW_MS,
+  CLOCK_DRIFT, INTAKE_READ_MS, LEASE_SLACK_MS, MAX_BYTES_PER_COMMIT, MAX_ROWS_PER_COMMIT, OWNER_ORPHAN_MS,
+  OWNER_RENEW_MS,
   TICK_MS, UNLISTED_GRACE_MS
 } from '../constants/index.ts'
 import type { Ownership } from '../ownership/index.ts'
@@ -10,7 +11,8 @@
   ConfigurationSource, Counters, DecisionLog, RecordStore, RowChanges, StoredRow, WorkerLinks, WorkerRegistry
 } from '../ports.ts'
 import {
-  CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, TAKEN_TABLE, decodeJob, encodeJob, listJobPartitions, toJobPartitions
+  CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, TAKEN_TABLE, decodeJob, encodeJob, listJobPartitions,
+  toJobPartitions
 } from '../records/index.ts'
 import type { Job, JobState, WorkerEntry } from '../types.ts'
 import { WorkerState } from '../workers/WorkerState.ts'
@@ -79,7 +81,8 @@
   #tick: ReturnType<typeof setInterval> | undefined
 
   /** @param onEnd called once when the ownership was lost */
-  constructor (parts: CellOwnerParts, ownership: Ownership, options: CellOwnerOptions, onEnd: (reason: string) => void) {
+  constructor (parts: CellOwnerParts, ownership: Ownership, options: CellOwnerOptions, onEnd: (reason: string) =>
+  void) {
     this.#parts = parts
     this.#options = options
     this.#ownership = ownership
@@ -114,7 +117,10 @@
     this.#recovered = true
     this.#tick = setInterval(() => this.#onTick(), TICK_MS)
     log.info({
-      token: this.token, jobs: this.cell.active.size, workers: this.cell.workers.size, tookMs: Math.round(performance.now() - this.#claimedAt)
+      token: this.token,
+      jobs: this.cell.active.size,
+      workers: this.cell.workers.size,
+      tookMs: Math.round(performance.now() - this.#claimedAt)
     }, 'cell recovered')
     for (const session of this.#sessions.values()) this.#run(session.run())
     this.#run(this.#watchRegistry(listed.version))
@@ -203,7 +209,10 @@
     return undefined
   }
 
-  /** Reads what earlier owners stored. Jobs that none of them took in are read later, since their partitions may be away. */
+  /**
+   * Reads what earlier owners stored. Jobs that none of them took in are read later, since their partitions may be
+   * away.
+   */
   async #readTaken (): Promise<boolean> {
     const { store } = this.#parts
     const [progressRows, jobRows] = await Promise.all([PROGRESS_TABLE, TAKEN_TABLE].map((table) =>
@@ -253,7 +262,12 @@
     const pool = this.cell.poolOf(run.job)
     const workers = [...this.cell.workers.values()].filter(({ entry }) => entry.pool === pool)
     for (const steps of run.occurrences.values()) {
-      for (const step of steps) if (!step.isDone && step.isReady()) this.#desk.ask(step, terms, listForAdvice(step, workers))
+      for (const step of steps) {
+        if (!step.isDone && step.isReady()) {
+          this.#desk.ask(step, terms, listForAdvice(step,
+            workers))
+        }
+      }
     }
   }
 
@@ -438,11 +452,15 @@
       if (this.cell.dirty.size === 0 && !this.#hasUnstoredEnds()) await this.#waitForWork()
       if (this.#stopped) return
       const batch = this.#takeBatch()
-      const removes = this.#forgotten.splice(0, MAX_FORGOTTEN_PER_COMMIT).flatMap((key) => [PROGRESS_TABLE, TAKEN_TABLE].map((table) => ({ table, key })))
+      const removes = this.#forgotten.splice(0, MAX_FORGOTTEN_PER_COMMIT).flatMap((key) => [PROGRESS_TABLE,
+        TAKEN_TABLE].map((table) => ({ table, key })))
       const sentAt = performance.now()
       const isOwner = await this.#ownership.commit(batch.puts, removes)
       const tookMs = Math.round(performance.now() - sentAt)
-      if (tookMs > SLOW_COMMIT_MS) this.#parts.log.warn({ tookMs, rows: batch.puts.length, isOwner }, 'the store is slow')
+      if (tookMs > SLOW_COMMIT_MS) {
+        this.#parts.log.warn({ tookMs, rows: batch.puts.length, isOwner },
+          'the store is slow')
+      }
       if (!isOwner) {
         this.#lose('another node has taken the cell over')
         return
@@ -512,7 +530,10 @@
     if (batch.ends.size > 0) for (const resolve of this.#flushWaiters.splice(0)) resolve()
   }
 
-  /** Removes the records of forgotten jobs that other nodes wrote. Repeated by nobody: a leftover is read and forgotten again. */
+  /**
+   * Removes the records of forgotten jobs that other nodes wrote. Repeated by nobody: a leftover is read and
+   * forgotten again.
+   */
   async #removeRecords (ids: Set<string>): Promise<void> {
     for (const id of ids) {
       this.#cancels.delete(id)
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -61,11 +61,15 @@
   #placeGang (step: StepRun, workers: readonly WorkerState[], now: number): TaskRun | undefined {
     if (step.tasks.some(({ status }) => status !== 'waiting')) return undefined
     const run = Math.max(...step.tasks.map((task) => task.run)) + 1
-    const racks = step.spec.sameRack ? [...new Set(workers.flatMap(({ entry }) => entry.labels)), undefined] : [undefined]
+    const racks = step.spec.sameRack
+      ? [...new Set(workers.flatMap(({ entry }) => entry.labels)),
+          undefined]
+      : [undefined]
     return racks.some((rack) => this.#tryGang(step, workers, run, now, rack)) ? undefined : step.tasks[0]
   }
 
-  #tryGang (step: StepRun, workers: readonly WorkerState[], run: number, now: number, rack: string | undefined): boolean {
+  #tryGang (step: StepRun, workers: readonly WorkerState[], run: number, now: number,
+    rack: string | undefined): boolean {
     const chosen: Array<[TaskRun, WorkerState]> = []
     for (const task of step.tasks) {
       const worker = this.#choose(task, workers, now, rack)
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -25,7 +25,8 @@
   readonly #paces = new Map<string, { percent: number, changedAt: number }>()
 
   constructor (
-    cell: Cell, trust: WorkerTrust, sessions: ReadonlyMap<string, WorkerSession>, onLostOwnership: (reason: string) => void
+    cell: Cell, trust: WorkerTrust, sessions: ReadonlyMap<string, WorkerSession>,
+    onLostOwnership: (reason: string) => void
   ) {
     this.#cell = cell
     this.#trust = trust
@@ -123,7 +124,8 @@
   #confirm (task: TaskRun): void {
     task.status = 'running'
     task.startedAt = this.#cell.now()
-    this.#cell.counters.recordDuration('task_wait', task.startedAt - Math.max(task.waitingSince, task.step.readyAt ?? 0))
+    this.#cell.counters.recordDuration('task_wait', task.startedAt - Math.max(task.waitingSince,
+      task.step.readyAt ?? 0))
     const { job } = task.step
     if (job.isOver || job.cancelled) this.stop(task, 'drop')
   }
@@ -151,7 +153,10 @@
     if (step.spec.gang) this.#stopGang(step.tasks)
   }
 
-  /** A gang of which a member is missing can't work; its other members are stopped before they give up by themselves. */
+  /**
+   * A gang of which a member is missing can't work; its other members are stopped before they give up by
+   * themselves.
+   */
   #stopGang (members: readonly TaskRun[]): void {
     for (const member of members) this.stop(member, 'wait')
   }
@@ -161,7 +166,8 @@
     if (task === undefined || task.run !== end.run || task.status === 'done') return
     // A run on a worker whose lease ended unseen was given up; its good end still counts while no other run began.
     if (task.worker !== worker.id && !(task.status === 'waiting' && end.how === 'done')) return
-    this.#cell.log.info({ ...logged(task), worker: worker.id, run: end.run, how: end.how, end: end.sequence }, 'run ended')
+    this.#cell.log.info({ ...logged(task), worker: worker.id, run: end.run, how: end.how, end: end.sequence },
+      'run ended')
     this.#cell.counters.count('runs_ended', { how: end.how })
     const { step } = task
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint
@@ -211,7 +217,8 @@
   }
 
   #handleVanished (worker: WorkerState, task: TaskRun): void {
-    this.#cell.log.info({ ...logged(task), worker: worker.id, run: task.run, was: task.status }, 'run is not on its worker')
+    this.#cell.log.info({ ...logged(task), worker: worker.id, run: task.run, was: task.status },
+      'run is not on its worker')
     this.#cell.putBack(task)
     if (task.step.spec.gang) this.#stopGang(task.step.tasks)
   }
@@ -249,7 +256,8 @@
     for (const task of fillers) {
       if (task.percent === wanted) continue
       this.#cell.counters.count('pace_changes')
-      this.#cell.log.info({ ...logged(task), worker: worker.id, percent: wanted, tails }, 'pace of a filling task changed')
+      this.#cell.log.info({ ...logged(task), worker: worker.id, percent: wanted, tails },
+        'pace of a filling task changed')
       this.#sessions.get(worker.id)?.pace({ key: task.key, run: task.run }, wanted).catch((error) => { throw error })
     }
   }
--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -84,7 +84,10 @@
     const record = { ...self, token: (previous.record?.token ?? 0) + 1, sequence: 0, released: false }
     const ownership = new Ownership(store, cell, record, previous.version, performance.now())
     const written = await ownership.#write({ ...record }, [], [], CLAIM_ROUNDS)
-    return written.chain((committed) => committed ? done(ownership) : notDone('conflict', 'another node took the cell over'))
+    return written.chain((committed) => committed
+      ? done(ownership)
+      : notDone('conflict',
+        'another node took the cell over'))
   }
 
   get token (): number {
@@ -188,7 +191,8 @@
     }
     const run = async () => {
       send().catch((error) => { throw error })
-      for (let waitMs = Math.max(COMMIT_REPEAT_MS, COMMIT_REPEAT_FACTOR * usual.ms); sent < copies.length; waitMs *= 2) {
+      for (let waitMs = Math.max(COMMIT_REPEAT_MS,
+        COMMIT_REPEAT_FACTOR * usual.ms); sent < copies.length; waitMs *= 2) {
         await sleep(waitMs)
         if (settled) return
         if (sent < copies.length) send().catch((error) => { throw error })
--- a/packages/jobs/src/placement/chooseWorker/index.ts
+++ b/packages/jobs/src/placement/chooseWorker/index.ts
@@ -88,6 +88,8 @@
   if (!spec.longRunning) cost += SLOWNESS_WEIGHT * (worker.slowness - 1)
   if (spec.preferredRack !== '' && !labels.includes(spec.preferredRack)) cost += OTHER_RACK_COST
   if (spec.targetLatencyMs > 0 && worker.fillCpuMillis > 0) cost += DISTURBANCE_COST
-  if (spec.fills) for (const { step: other } of worker.tasks) if (other.spec.targetLatencyMs > 0) cost += DISTURBANCE_COST
+  if (spec.fills) {
+    for (const { step: other } of worker.tasks) if (other.spec.targetLatencyMs > 0) cost += DISTURBANCE_COST
+  }
   return cost
 }
--- a/packages/jobs/src/placement/orderSteps/index.ts
+++ b/packages/jobs/src/placement/orderSteps/index.ts
@@ -35,7 +35,9 @@
   const dueAt = begin + objective
   const remaining = remainingChain(step)
   const expectedEnd = now + remaining
-  const standing = step.spec.longRunning || expectedEnd <= dueAt ? 0 : expectedEnd <= begin + LATE_FACTOR * objective ? 1 : 2
+  const standing = step.spec.longRunning || expectedEnd <= dueAt
+    ? 0
+    : expectedEnd <= begin + LATE_FACTOR * objective ? 1 : 2
   return { step, priority: queue.priority, standing, dueAt }
 }
 
--- a/packages/jobs/src/ports.ts
+++ b/packages/jobs/src/ports.ts
@@ -55,7 +55,12 @@
 /** Orders to one incarnation of a worker. */
 export interface WorkerLink {
   /** Renews the lease of all tasks and lists them; waits up to `waitMs` for an end that is new. */
-  look (options: { token: number, acknowledged: number, leaseUntil?: number, waitMs?: number }): Promise<Outcome<WorkerView>>
+  look (options: {
+    token: number,
+    acknowledged: number,
+    leaseUntil?: number,
+    waitMs?: number
+  }): Promise<Outcome<WorkerView>>
   start (order: StartOrder, token: number, leaseUntil: number): Promise<Outcome<StartResult>>
   stop (order: RunOrder, token: number): Promise<Outcome<void>>
   pace (order: RunOrder, percent: number, token: number): Promise<Outcome<void>>
@@ -73,7 +78,8 @@
 
 /** Asks the policy service which workers may run a step. */
 export interface Adviser {
-  advise (step: Pick<TaskKey, 'job' | 'occurrence' | 'step'>, workers: string[], timeoutMs: number): Promise<Outcome<Advice>>
+  advise (step: Pick<TaskKey, 'job' | 'occurrence' | 'step'>, workers: string[],
+    timeoutMs: number): Promise<Outcome<Advice>>
 }
 
 /** The workers as they are registered. */
@@ -81,7 +87,11 @@
   /** Reads all entries. */
   list (): Promise<Outcome<{ workers: WorkerEntry[], version: number }>>
   /** Reads the entries that changed and the ids that were removed. */
-  changes (after: number, waitMs: number): Promise<Outcome<{ workers: WorkerEntry[], removed: string[], version: number }>>
+  changes (after: number, waitMs: number): Promise<Outcome<{
+    workers: WorkerEntry[],
+    removed: string[],
+    version: number
+  }>>
 }
 
 export interface ConfigurationSource {
--- a/packages/jobs/src/standins/MemoryRecordStore.ts
+++ b/packages/jobs/src/standins/MemoryRecordStore.ts
@@ -28,10 +28,27 @@
     const { partition } = commit
     const current = commit.expected.map(({ table, key }) => this.rows.get(name(table, partition, key)) ??
       { table, partition, key, version: 0, value: undefined })
-    if (current.some(({ version }, index) => version !== commit.expected[index]!.version)) return { kind: 'conflict', rows: current }
+    if (current.some(({ version }, index) =>
+      version !== commit.expected[index]!.version)) return { kind: 'conflict', rows: current }
     this.version++
-    for (const { table, key, value } of commit.puts) this.#write({ table, partition, key, version: this.version, value })
-    for (const { table, key } of commit.removes) this.#write({ table, partition, key, version: this.version, value: undefined })
+    for (const { table, key, value } of commit.puts) {
+      this.#write({
+        table,
+        partition,
+        key,
+        version: this.version,
+        value
+      })
+    }
+    for (const { table, key } of commit.removes) {
+      this.#write({
+        table,
+        partition,
+        key,
+        version: this.version,
+        value: undefined
+      })
+    }
     for (const wake of [...this.#waiters]) wake()
     return { kind: 'committed', version: this.version }
   }
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -94,7 +94,7 @@
     const name = toName(key)
     this.#highestRun.set(name, Math.max(run, this.#highestRun.get(name) ?? 0))
     const known = this.runs.get(name)
-    if (known !== undefined && known.run <= run) setTimeout(() => { if (this.runs.get(name) === known) this.#end(known, 'stopped') }, STOP_MS)
+    if (known !== undefined && known.run <= run) { setTimeout(() => { if (this.runs.get(name) === known) this.#end(known, 'stopped') }, STOP_MS) }
   }
 
   async view (acknowledged: number, waitMs: number): Promise<WorkerView> {
@@ -103,7 +103,13 @@
       return sequence > acknowledged
     })
     if (this.ended.length === 0 && waitMs > 0) await this.#nextEnd(waitMs)
-    const running = [...this.runs.values()].map(({ key, run, checkpoint }) => ({ key, run, checkpoint, percent: 100, usage: 0 }))
+    const running = [...this.runs.values()].map(({ key, run, checkpoint }) => ({
+      key,
+      run,
+      checkpoint,
+      percent: 100,
+      usage: 0
+    }))
     return { clockMs: this.clockMs, running, ended: [...this.ended] }
   }
 
@@ -160,7 +166,11 @@
     return done({ workers: this.#listed(), version: this.#version })
   }
 
-  async changes (after: number, waitMs: number): Promise<Outcome<{ workers: WorkerEntry[], removed: string[], version: number }>> {
+  async changes (after: number, waitMs: number): Promise<Outcome<{
+    workers: WorkerEntry[],
+    removed: string[],
+    version: number
+  }>> {
     if (after >= this.#version) await sleep(Math.min(waitMs, 100))
     const changed = new Set(this.#changes.filter(({ version }) => version > after).map(({ id }) => id))
     const workers = this.#listed().filter(({ id }) => changed.has(id))
@@ -188,7 +198,10 @@
     this.#worker = worker
   }
 
-  look ({ token, acknowledged, leaseUntil, waitMs = 0 }: Parameters<WorkerLink['look']>[0]): Promise<Outcome<WorkerView>> {
+  look ({
+    token, acknowledged, leaseUntil,
+    waitMs = 0
+  }: Parameters<WorkerLink['look']>[0]): Promise<Outcome<WorkerView>> {
     return this.#call('look', token, async () => {
       this.#worker.extend(leaseUntil)
       return done(await this.#worker.view(acknowledged, waitMs))
@@ -220,9 +233,19 @@
       return await noAnswer()
     }
     if (!this.#worker.accepts(token)) {
-      return name === 'start' ? done({ kind: 'refused', reason: 'stale-token' } as Value) : notDone('stale-epoch', 'a higher token was seen')
+      return name === 'start'
+        ? done({ kind: 'refused', reason: 'stale-token' } as Value)
+        : notDone('stale-epoch',
+          'a higher token was seen')
+    }
+    if (fault === 'unhealthy') {
+      return name === 'start'
+        ? done({
+          kind: 'refused',
+          reason: 'unhealthy'
+        } as Value)
+        : notDone('unavailable', 'unhealthy')
     }
-    if (fault === 'unhealthy') return name === 'start' ? done({ kind: 'refused', reason: 'unhealthy' } as Value) : notDone('unavailable', 'unhealthy')
     const outcome = await act()
     await sleep(LATENCY_MS)
     return fault === 'lost' ? await noAnswer() : outcome
--- a/packages/jobs/src/standins/PromiseChecker.ts
+++ b/packages/jobs/src/standins/PromiseChecker.ts
@@ -8,7 +8,8 @@
 }
 
 /**
- * Watches what workers carry out and notes each broken promise: capacity exceeded, a task in two places, a start after a
+ * Watches what workers carry out and notes each broken promise: capacity exceeded, a task in two places, a start
+ * after a
  * good end, a start before its turn, too many attempts, or a start of a job that was cancelled long ago.
  */
 export class PromiseChecker {
@@ -40,7 +41,8 @@
     if (history.running.size > 0 && !step.speculative) this.violations.push(`${name}: run ${run} on ${worker.id} beside ${[...history.running.keys()]}`)
     if (history.doneKnown && !step.longRunning) this.violations.push(`${name}: run ${run} after a good end`)
     if (!step.longRunning && history.failures >= job.maxAttempts) this.violations.push(`${name}: run ${run} after ${history.failures} failures`)
-    if (job.cancelledAt !== undefined && performance.now() - job.cancelledAt > CANCEL_MS) this.violations.push(`${name}: started long after its job was cancelled`)
+    if (job.cancelledAt !== undefined &&
+      performance.now() - job.cancelledAt > CANCEL_MS) this.violations.push(`${name}: started long after its job was cancelled`)
     for (const earlier of step.after) {
       const { count } = job.spec.steps[earlier]!
       for (let index = 0; index < count; index++) {
@@ -53,7 +55,8 @@
     history.running.set(worker.id, run)
     this.#use(worker, step, 1)
     const used = this.#used.get(worker.id)!
-    if (used.cpuMillis > worker.capacity.cpuMillis || used.memoryMb > worker.capacity.memoryMb) this.violations.push(`${worker.id}: over capacity with ${name}`)
+    if (used.cpuMillis > worker.capacity.cpuMillis ||
+      used.memoryMb > worker.capacity.memoryMb) this.violations.push(`${worker.id}: over capacity with ${name}`)
   }
 
   ended (name: string, run: number, worker: string, how: RunEnd | 'lost'): void {
@@ -83,7 +86,14 @@
 
   #history (name: string): TaskHistory {
     let history = this.#tasks.get(name)
-    if (history === undefined) this.#tasks.set(name, history = { running: new Map(), doneRun: undefined, doneKnown: false, failures: 0 })
+    if (history === undefined) {
+      this.#tasks.set(name, history = {
+        running: new Map(),
+        doneRun: undefined,
+        doneKnown: false,
+        failures: 0
+      })
+    }
     return history
   }
 
--- a/packages/jobs/src/standins/startMemoryCell.ts
+++ b/packages/jobs/src/standins/startMemoryCell.ts
@@ -52,7 +52,15 @@
 
   addWorker (id: string, changes: Partial<WorkerEntry> = {}): MemoryWorker {
     const entry: WorkerEntry = {
-      id, pool: 'pool', address: `${id}:1`, failureDomain: 'a', draining: false, leavesInMs: undefined, capacity: { cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0 }, labels: ['a', 'r1'], ...changes
+      id,
+      pool: 'pool',
+      address: `${id}:1`,
+      failureDomain: 'a',
+      draining: false,
+      leavesInMs: undefined,
+      capacity: { cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0 },
+      labels: ['a', 'r1'],
+      ...changes
     }
     return this.workers.add(entry, this.#options.outlook ?? ((key) => this.#endWell(key.job, key.step)))
   }
@@ -89,7 +97,10 @@
   }
 
   /** Submits a job through a node that is up. */
-  async submit (id: string, steps: Array<Partial<Step>>, options: { node?: string, queue?: Queue } = {}): Promise<string> {
+  async submit (id: string, steps: Array<Partial<Step>>, options: {
+    node?: string,
+    queue?: Queue
+  } = {}): Promise<string> {
     const spec: JobSpec = { payload: id, steps: steps.map(toStep), occurrences: 0, firstRunAt: 0, intervalMs: 0 }
     const queue = options.queue ?? this.queues[0]!
     this.checker.expect(id, spec, queue.maxAttempts)
@@ -128,7 +139,8 @@
     const call = async (method: string, params: unknown): Promise<Outcome<never>> => {
       await sleep(LATENCY_MS)
       if (!isUp()) return await new Promise(() => {})
-      const handler = this.#handlers.get(address)?.[method as keyof CellHandlers] as ((params: unknown) => unknown) | undefined
+      const handler = this.#handlers.get(address)?.[method as keyof CellHandlers] as ((params: unknown) =>
+      unknown) | undefined
       if (handler === undefined) return notDone('unavailable', 'connection refused')
       const result = await handler(params)
       await sleep(LATENCY_MS)
@@ -152,7 +164,10 @@
     get (object, name) {
       const member = Reflect.get(object, name) as unknown
       if (typeof member !== 'function') return member
-      return (...args: unknown[]) => isUp() ? (member as (...values: unknown[]) => unknown).apply(object, args) : new Promise(() => {})
+      return (...args: unknown[]) => isUp()
+        ? (member as (...values: unknown[]) => unknown).apply(object,
+            args)
+        : new Promise(() => {})
     }
   })
 }
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -29,6 +29,9 @@
     platform: 'node',
     target: 'node20',
     sourcemap: true,
+    // The platform's program is started on small machines, where parsing costs a noticeable part of a restart.
+    minifySyntax: directory === 'platform',
+    minifyWhitespace: directory === 'platform',
     logLevel: 'warning',
     // CommonJS packages in the bundle call require for Node's own modules.
     banner: { js: "import { createRequire as createRequireOfBundle } from 'node:module'; const require = createRequireOfBundle(import.meta.url);" }
