Transfer the cell to a named successor in one write

Cause: a hand-over took the rest of a commit, a release and a claim, one after the other, while nothing was decided. The owner now names its successor in its last commit.

--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -2,7 +2,7 @@
 import { sleep } from '@gypsumspring/protocol'
 import { OWNER_SILENCE_MS } from '../constants/index.ts'
 import { CellOwner, type CellOwnerOptions } from '../owner/CellOwner.ts'
-import { Ownership, commitRepeatedly, readOwner, type OwnerRecord, type OwnerRow } from '../ownership/index.ts'
+import { Ownership, commitRepeatedly, readOwner, type OwnerRecord, type OwnerRow, type Transfer } from '../ownership/index.ts'
 import type {
   Advice, Adviser, ConfigurationSource, Counters, DecisionLog, RecordStore, WorkerLinks, WorkerRegistry
 } from '../ports.ts'
@@ -101,7 +101,10 @@
   readonly #startedAt = performance.now()
   /** Token of the last owner that said it has given the cell up. */
   #released = 0
-  #isSuccessor = false
+  /** The cell is being handed over. */
+  #isLeaving = false
+  /** An ownership that another node has transferred to this one. */
+  #transfer: Transfer | undefined
   #wake: (() => void) | undefined
 
   constructor (parts: CellNodeParts, options: CellNodeOptions) {
@@ -223,7 +226,7 @@
     const direct = this.#store.direct
     return {
       'cell.follow': (greeting) => this.#handleFollow(greeting),
-      'cell.released': ({ token, successor }) => this.#handleReleased(token, successor),
+      'cell.released': (message) => this.#handleReleased(message),
       'cell.accept': ({ job }) => {
         this.#owner?.accept(job)
         return { taken: this.#owner?.isRecovered === true }
@@ -291,6 +294,12 @@
 
   async #lead (): Promise<void> {
     while (!this.#stopped) {
+      const transfer = this.#transfer
+      if (transfer !== undefined) {
+        this.#transfer = undefined
+        await this.#own(Ownership.resume(this.#store, CELL_PARTITION, transfer), undefined, true)
+        continue
+      }
       const row = valueOf(await readOwner(this.#store, CELL_PARTITION))
       if (row === undefined) {
         await sleep(FOLLOW_INTERVAL_MS)
@@ -384,24 +393,21 @@
   }
 
   async #takeOver (previous: OwnerRow, predecessorEnded: boolean): Promise<void> {
-    // The others leave a released cell to the successor for a moment.
-    if (!this.#isSuccessor) {
-      await sleep(Math.random() * TAKEOVER_SPREAD_MS + (this.#released > 0
-        ? TAKEOVER_SPREAD_MS
-        : 0))
-    }
-    this.#isSuccessor = false
-    this.#released = 0
+    await sleep(Math.random() * TAKEOVER_SPREAD_MS)
     const { node, address } = this.#options
     const claim = await Ownership.claim(this.#store, CELL_PARTITION, previous, { node, address })
     const ownership = valueOf(claim)
     if (ownership === undefined) {
-      this.#parts.log.info({ previous: previous.record?.token ?? 0, reason: failureOf(claim)?.reason },
-        'takeover failed')
+      const reason = failureOf(claim)?.reason
+      this.#parts.log.info({ previous: previous.record?.token ?? 0, reason }, 'takeover failed')
       return
     }
-    this.#parts.log.info({ token: ownership.token, previous: previous.record?.node, predecessorEnded },
-      'took the cell over')
+    await this.#own(ownership, previous.record?.node, predecessorEnded)
+  }
+
+  /** Decides for the cell until the ownership is lost or given up. */
+  async #own (ownership: Ownership, previous: string | undefined, predecessorEnded: boolean): Promise<void> {
+    this.#parts.log.info({ token: ownership.token, previous, predecessorEnded }, 'took the cell over')
     this.#parts.counters.count('takeovers')
     this.#ownerPeer = undefined
     const ended = new Promise<void>((resolve) => { this.#ownerEnded = resolve })
@@ -415,7 +421,7 @@
         this.#ownerEnded?.()
       })
     this.#owner = owner
-    owner.addNode({ id: node, adviser: parts.adviser })
+    owner.addNode({ id: this.#options.node, adviser: parts.adviser })
     this.#run(owner.start())
     const sweep = setInterval(() => this.#sweepFollowers(), FOLLOW_INTERVAL_MS)
     const lag = watchLag((lagMs) => this.#standDown(owner, lagMs))
@@ -427,31 +433,37 @@
 
   /** Leaves the cell to a faster node, if there is one. */
   #standDown (owner: CellOwner, lagMs: number): void {
-    if (this.#owner !== owner || this.#followers.size === 0) return
+    if (this.#owner !== owner || this.#isLeaving || this.#followers.size === 0) return
     this.#parts.log.warn({ token: owner.token, lagMs: Math.round(lagMs) }, 'this node is too slow to own the cell')
     this.#parts.counters.count('stand_downs')
     this.#restUntil = performance.now() + STAND_DOWN_MS
     this.#run(this.#handOver(owner))
   }
 
-  /** Gives the cell up and tells the followers, of which the one that was started last is to take over. */
+  /** Transfers the cell to the follower that was started last, and tells the others. */
   async #handOver (owner: CellOwner): Promise<void> {
-    this.#owner = undefined
-    await owner.stop()
-    const candidates = [...this.#followers.values()].filter(({ resigned }) => !resigned)
+    if (this.#isLeaving) return
+    this.#isLeaving = true
+    const candidates = [...this.#followers].filter(([, { resigned, hasStore }]) => !resigned && hasStore)
     // Where nodes are restarted in turn, the one that was started last is not restarted again soon.
-    const successor = candidates.reduce<Follower | undefined>(
-      (best, follower) => best === undefined || follower.uptimeMs < best.uptimeMs ? follower : best, undefined)
-    for (const follower of this.#followers.values()) {
-      const message = { token: owner.token, successor: follower === successor }
+    candidates.sort(([, a], [, b]) => a.uptimeMs - b.uptimeMs)
+    const [node, successor] = candidates[0] ?? []
+    const followers = [...this.#followers.values()]
+    const token = owner.token
+    const transfer = await owner.stop(successor === undefined ? undefined : { node: node!, address: successor.peer.address })
+    this.#isLeaving = false
+    this.#owner = undefined
+    this.#parts.log.info({ token, successor: node, transferred: transfer !== undefined }, 'gave the cell up')
+    for (const follower of followers) {
+      const message = { token, transfer: follower === successor ? transfer ?? null : null }
       this.#run(follower.peer.call('cell.released', message, { timeoutMs: ASK_TIMEOUT_MS }))
     }
     this.#ownerEnded?.()
   }
 
-  #handleReleased (token: number, successor: boolean): CellResult<'cell.released'> {
+  #handleReleased ({ token, transfer }: CellParams<'cell.released'>): CellResult<'cell.released'> {
     this.#released = Math.max(this.#released, token)
-    this.#isSuccessor = successor
+    if (transfer !== null && !this.#resigned) this.#transfer = transfer
     this.#wake?.()
     return {}
   }
--- a/packages/jobs/src/node/messages.ts
+++ b/packages/jobs/src/node/messages.ts
@@ -1,5 +1,6 @@
 /** RPC methods between the nodes of a cell: params and results are checked by these schemas. */
 import { Type, type Static, type TSchema } from '@sinclair/typebox'
+import { OwnerRecord } from '../ownership/index.ts'
 import { Job } from '../types.ts'
 
 const Count = Type.Integer({ minimum: 0 })
@@ -45,8 +46,11 @@
     }),
     result: Type.Object({ isOwner: Type.Boolean(), token: Count, peers: Type.Array(Type.String()) })
   },
-  /** Tells a follower that the owner has given the cell up, and whether it is the one to take it over. */
-  'cell.released': { params: Type.Object({ token: Count, successor: Type.Boolean() }), result: Type.Object({}) },
+  /** Tells a follower that the owner has stopped; with `transfer` the follower is the owner now. */
+  'cell.released': { params: Type.Object({
+      token: Count, transfer: Type.Union([Type.Object({ record: OwnerRecord, version: Count }), Type.Null()])
+    }),
+    result: Type.Object({}) },
   /** Tells the owner of a job that was stored. */
   'cell.accept': { params: Type.Object({ job: Job }), result: Type.Object({ taken: Type.Boolean() }) },
   'cell.cancel': { params: Type.Object({ id: Type.String() }), result: Type.Object({ taken: Type.Boolean() }) },
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -6,7 +6,7 @@
   OWNER_RENEW_MS,
   TICK_MS, UNLISTED_GRACE_MS
 } from '../constants/index.ts'
-import type { Ownership } from '../ownership/index.ts'
+import type { Ownership, Transfer } from '../ownership/index.ts'
 import type {
   ConfigurationSource, Counters, DecisionLog, RecordStore, RowChanges, StoredRow, WorkerLinks, WorkerRegistry
 } from '../ports.ts'
@@ -77,6 +77,8 @@
   #wakeCommit: (() => void) | undefined
   #committing: Promise<void> | undefined
   #commitsEnded = false
+  /** The commit that is under way is the last one but the transfer. */
+  #leaving = false
   #flushWaiters: Array<() => void> = []
   #tick: ReturnType<typeof setInterval> | undefined
 
@@ -110,10 +112,11 @@
     const { log } = this.#parts
     this.#committing = this.#commitLoop().finally(() => { this.#commitsEnded = true })
     this.#run(this.#committing)
-    const listed = await this.#insist('workers', () => this.#parts.registry.list())
-    if (listed === undefined) return
+    const [listed, isRead] = await Promise.all([
+      this.#insist('workers', () => this.#parts.registry.list()), this.#readTaken()
+    ])
+    if (listed === undefined || !isRead) return
     for (const worker of listed.workers) this.#addWorker(worker)
-    if (!await this.#readTaken()) return
     this.#recovered = true
     this.#tick = setInterval(() => this.#onTick(), TICK_MS)
     log.info({
@@ -130,14 +133,17 @@
     this.#requestPlacing()
   }
 
-  /** Stops deciding, stores what is known, and lets others take over at once. */
-  async stop (): Promise<void> {
-    if (this.#stopped) return
-    this.#end()
+  /** Stops deciding, stores what is known, and transfers the cell, or gives it up when there is no successor. */
+  async stop (successor?: { node: string, address: string }): Promise<Transfer | undefined> {
+    if (this.#stopped) return undefined
     // Commits form a chain: the last one has to wait for the one that is under way.
+    this.#leaving = true
+    this.#wakeCommit?.()
     await Promise.race([this.#committing, sleep(STOP_WAIT_MS)])
+    this.#end()
     if (!this.#commitsEnded) this.#ownership.abandon()
-    if (!this.#ownership.isLost) await this.#ownership.release(this.#takeBatch().puts)
+    if (this.#ownership.isLost) return undefined
+    return await this.#ownership.transfer(this.#takeBatch().puts, successor)
   }
 
   /** Takes in a job that was stored. */
@@ -448,9 +454,9 @@
   }
 
   async #commitLoop (): Promise<void> {
-    while (!this.#stopped) {
+    while (!this.#stopped && !this.#leaving) {
       if (this.cell.dirty.size === 0 && !this.#hasUnstoredEnds()) await this.#waitForWork()
-      if (this.#stopped) return
+      if (this.#stopped || this.#leaving) return
       const batch = this.#takeBatch()
       const removes = this.#forgotten.splice(0, MAX_FORGOTTEN_PER_COMMIT).flatMap((key) => [PROGRESS_TABLE,
         TAKEN_TABLE].map((table) => ({ table, key })))
@@ -545,7 +551,7 @@
 }
 
 /** Longest wait for the commit that is under way when the owner stops, in ms; the store may be away. */
-const STOP_WAIT_MS = 1_500
+const STOP_WAIT_MS = 2_500
 
 /** Commits that take longer are logged, in ms; usual ones take 13 ms. */
 const SLOW_COMMIT_MS = 200
--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -8,6 +8,9 @@
 /** Times that an unanswered claim is sent again; the answer to a repeat tells whether the claim has succeeded. */
 const CLAIM_ROUNDS = 4
 
+/** Times that an unanswered transfer is sent again. */
+const TRANSFER_ROUNDS = 2
+
 export const CONTROL_TABLE = 'control'
 const OWNER_KEY = 'owner'
 
@@ -25,6 +28,12 @@
 })
 export type OwnerRecord = Static<typeof OwnerRecord>
 
+/** An ownership on its way from one node to another. */
+export interface Transfer {
+  record: OwnerRecord
+  version: number
+}
+
 export interface OwnerRow {
   version: number
   record: OwnerRecord | undefined
@@ -105,12 +114,24 @@
     return written.orDefault(false)
   }
 
-  /** Writes rows of the cell for the last time and gives it up, so that others need not wait. */
-  async release (puts: Commit['puts'] = []): Promise<boolean> {
-    const record = { ...this.#record, sequence: this.#record.sequence + 1, released: true }
-    const written = await this.#write(record, puts, [], 2)
+  /** Continues an ownership that its previous owner has transferred to this node. */
+  static resume (store: RecordStore, cell: string, { record, version }: Transfer): Ownership {
+    return new Ownership(store, cell, record, version, performance.now())
+  }
+
+  /**
+   * Writes rows of the cell for the last time and gives it to another node or, without one, up, so that nobody has to
+   * wait until the silence of this node is noticed.
+   *
+   * @returns what the other node needs to go on; undefined when the cell was given up or the write didn't succeed
+   */
+  async transfer (puts: Commit['puts'], successor?: { node: string, address: string }): Promise<Transfer | undefined> {
+    const record = successor === undefined
+      ? { ...this.#record, sequence: this.#record.sequence + 1, released: true }
+      : { ...successor, token: this.token + 1, sequence: 0, released: false }
+    const written = await this.#write(record, puts, [], TRANSFER_ROUNDS)
     this.#lost = true
-    return written.orDefault(false)
+    return written.orDefault(false) && successor !== undefined ? { record, version: this.#version } : undefined
   }
 
   /** Ends all attempts to write. */
