--- a/packages/jobs/src/book/JobRun.ts
+++ b/packages/jobs/src/book/JobRun.ts
@@ -106,8 +106,6 @@
   /** Steady time at which the owner learnt of the job. */
   readonly knownSince: number
   cancelled = false
-  /** The owner's own rows hold the job. */
-  isTaken = false
   started = false
 
   constructor (job: Job, now: number, wallNow: number) {
--- a/packages/jobs/src/book/progress.ts
+++ b/packages/jobs/src/book/progress.ts
@@ -1,10 +1,11 @@
 import { Type, type Static } from '@sinclair/typebox'
 import { Value } from '@sinclair/typebox/value'
-import type { JobState } from '../types.ts'
+import { Job, type JobState } from '../types.ts'
 import type { JobRun } from './JobRun.ts'
 
-/** What lasts of the work on a job: enough for another owner to go on. */
+/** What lasts of a job and the work on it: enough for another owner to go on. */
 export interface Progress {
+  job: Job
   state: JobState
   endedAt: number
   finishedOccurrences: number[]
@@ -38,12 +39,14 @@
   Type.Array(Type.Tuple([
     Count, Count, Count, Type.Integer({ minimum: 0, maximum: STATUSES.length - 1 }), Count, Count, Type.String(),
     Type.String()
-  ]))
+  ])),
+  Job
 ])
 type ProgressRow = Static<typeof ProgressRow>
 
 /**
- * Encodes the progress of a job. Tasks of finished steps are left out, and so are tasks that never ran.
+ * Encodes a job with its progress. Both are one row, since the rows of a commit are limited. Tasks of finished steps
+ * are left out, and so are tasks that never ran.
  *
  * @param run - The job in memory.
  * @returns The bytes of its row.
@@ -60,7 +63,8 @@
     }
   }
   const row: ProgressRow = [
-    STATES.indexOf(run.state), run.endedAt, run.isOver ? [] : [...run.finishedOccurrences], finishedSteps, tasks
+    STATES.indexOf(run.state), run.endedAt, run.isOver ? [] : [...run.finishedOccurrences], finishedSteps, tasks,
+    run.job
   ]
   return Buffer.from(JSON.stringify(row))
 }
@@ -92,8 +96,9 @@
     return undefined
   }
   if (!Value.Check(ProgressRow, row)) return undefined
-  const [state, endedAt, finishedOccurrences, finishedSteps, tasks] = row
+  const [state, endedAt, finishedOccurrences, finishedSteps, tasks, job] = row
   return {
+    job,
     state: STATES[state]!,
     endedAt,
     finishedOccurrences,
--- a/packages/jobs/src/constants/index.ts
+++ b/packages/jobs/src/constants/index.ts
@@ -50,7 +50,7 @@
 export const UNLISTED_GRACE_MS = 2_500
 
 /** Most rows in one transaction of the owner; the platform accepts 100. */
-export const MAX_ROWS_PER_COMMIT = 70
+export const MAX_ROWS_PER_COMMIT = 85
 
 /** Most bytes in one transaction of the owner; the platform accepts 1 MB, base64 included. */
 export const MAX_BYTES_PER_COMMIT = 500_000
--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -2,7 +2,9 @@
 import { sleep } from '@gypsumspring/protocol'
 import { OWNER_SILENCE_MS } from '../constants/index.ts'
 import { CellOwner, type CellOwnerOptions } from '../owner/CellOwner.ts'
-import { Ownership, commitRepeatedly, readOwner, type OwnerRecord, type OwnerRow, type Transfer } from '../ownership/index.ts'
+import {
+  Ownership, commitRepeatedly, readOwner, type OwnerRecord, type OwnerRow, type Transfer
+} from '../ownership/index.ts'
 import type {
   Advice, Adviser, ConfigurationSource, Counters, DecisionLog, RecordStore, WorkerLinks, WorkerRegistry
 } from '../ports.ts'
@@ -450,7 +452,12 @@
     const [node, successor] = candidates[0] ?? []
     const followers = [...this.#followers.values()]
     const token = owner.token
-    const transfer = await owner.stop(successor === undefined ? undefined : { node: node!, address: successor.peer.address })
+    const transfer = await owner.stop(successor === undefined
+      ? undefined
+      : {
+          node: node!,
+          address: successor.peer.address
+        })
     this.#isLeaving = false
     this.#owner = undefined
     this.#parts.log.info({ token, successor: node, transferred: transfer !== undefined }, 'gave the cell up')
--- a/packages/jobs/src/node/RelayedStore.ts
+++ b/packages/jobs/src/node/RelayedStore.ts
@@ -16,6 +16,9 @@
 const PATIENCE_MS = 250
 const PATIENCE_FACTOR = 4
 
+/** Longer times are those of an outage and not of a slow store, in ms. */
+const SLOWEST_MS = 1_000
+
 /** Weight of a new observation in the usual time of a call. */
 const USUAL_GAIN = 0.3
 
@@ -152,7 +155,7 @@
   #noteAnswer (sentAt: number): void {
     const now = performance.now()
     this.lastAnswerAt = now
-    this.#usualMs += USUAL_GAIN * (now - sentAt - this.#usualMs)
+    this.#usualMs += USUAL_GAIN * (Math.min(now - sentAt, SLOWEST_MS) - this.#usualMs)
   }
 
   async #relay<Method extends RelayMethod, Value> (
--- a/packages/jobs/src/node/messages.ts
+++ b/packages/jobs/src/node/messages.ts
@@ -47,10 +47,12 @@
     result: Type.Object({ isOwner: Type.Boolean(), token: Count, peers: Type.Array(Type.String()) })
   },
   /** Tells a follower that the owner has stopped; with `transfer` the follower is the owner now. */
-  'cell.released': { params: Type.Object({
+  'cell.released': {
+    params: Type.Object({
       token: Count, transfer: Type.Union([Type.Object({ record: OwnerRecord, version: Count }), Type.Null()])
     }),
-    result: Type.Object({}) },
+    result: Type.Object({})
+  },
   /** Tells the owner of a job that was stored. */
   'cell.accept': { params: Type.Object({ job: Job }), result: Type.Object({ taken: Type.Boolean() }) },
   'cell.cancel': { params: Type.Object({ id: Type.String() }), result: Type.Object({ taken: Type.Boolean() }) },
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -11,7 +11,7 @@
   ConfigurationSource, Counters, DecisionLog, RecordStore, RowChanges, StoredRow, WorkerLinks, WorkerRegistry
 } from '../ports.ts'
 import {
-  CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, TAKEN_TABLE, decodeJob, encodeJob, listJobPartitions,
+  CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, decodeJob, listJobPartitions,
   toJobPartitions
 } from '../records/index.ts'
 import type { Job, JobState, WorkerEntry } from '../types.ts'
@@ -220,35 +220,30 @@
    * away.
    */
   async #readTaken (): Promise<boolean> {
-    const { store } = this.#parts
-    const [progressRows, jobRows] = await Promise.all([PROGRESS_TABLE, TAKEN_TABLE].map((table) =>
-      this.#insist(table, () => store.read(table, CELL_PARTITION))))
-    if (this.#stopped || progressRows === undefined || jobRows === undefined) return false
-    const progress = new Map<string, Progress>()
-    for (const { key, value } of progressRows.rows) {
-      const decoded = value === undefined ? undefined : decodeProgress(value)
-      if (decoded !== undefined) progress.set(key, decoded)
+    const read = await this.#insist(PROGRESS_TABLE, () => this.#parts.store.read(PROGRESS_TABLE, CELL_PARTITION))
+    if (this.#stopped || read === undefined) return false
+    for (const { key, value } of read.rows) {
+      const progress = value === undefined ? undefined : decodeProgress(value)
+      if (progress !== undefined) this.#addJob(progress.job, progress)
       else this.#parts.log.warn({ job: key }, 'progress record can not be read')
     }
-    for (const row of jobRows.rows) this.#takeJobRow(row, progress.get(row.key))
     return true
   }
 
-  #takeJobRow ({ key, value }: StoredRow, progress?: Progress): void {
+  #takeJobRow ({ key, value }: StoredRow): void {
     if (value === undefined || this.cell.jobs.has(key)) return
     const job = decodeJob(value)
     if (job === undefined) {
       this.#parts.log.warn({ job: key }, 'job record can not be read')
       return
     }
-    this.#addJob(job, progress)
+    this.#addJob(job, undefined)
   }
 
   #addJob (job: Job, progress: Progress | undefined): void {
     const run = new JobRun(job, performance.now(), Date.now())
     this.cell.jobs.set(job.id, run)
     if (progress !== undefined) run.restore(progress, performance.now())
-    run.isTaken = progress !== undefined
     for (const task of run.tasks()) if (task.hasRun) this.#holdInherited(task)
     if (run.isOver) return
     this.cell.active.add(run)
@@ -458,8 +453,7 @@
       if (this.cell.dirty.size === 0 && !this.#hasUnstoredEnds()) await this.#waitForWork()
       if (this.#stopped || this.#leaving) return
       const batch = this.#takeBatch()
-      const removes = this.#forgotten.splice(0, MAX_FORGOTTEN_PER_COMMIT).flatMap((key) => [PROGRESS_TABLE,
-        TAKEN_TABLE].map((table) => ({ table, key })))
+      const removes = this.#forgotten.splice(0, MAX_FORGOTTEN_PER_COMMIT).map((key) => ({ table: PROGRESS_TABLE, key }))
       const sentAt = performance.now()
       const isOwner = await this.#ownership.commit(batch.puts, removes)
       const tookMs = Math.round(performance.now() - sentAt)
@@ -505,11 +499,6 @@
       const value = encodeProgress(job)
       bytes += value.length
       batch.puts.push({ table: PROGRESS_TABLE, key: job.id, value })
-      if (!job.isTaken) {
-        const jobBytes = encodeJob(job.job)
-        bytes += jobBytes.length
-        batch.puts.push({ table: TAKEN_TABLE, key: job.id, value: jobBytes })
-      }
       batch.states.push([job, job.state])
       for (const task of job.tasks()) {
         if (task.status === 'starting' && !task.ordered) batch.orders.push({ task, run: task.run })
@@ -525,10 +514,7 @@
   }
 
   #applyStored (batch: Batch): void {
-    for (const [job, state] of batch.states) {
-      job.shownState = state
-      job.isTaken = true
-    }
+    for (const [job, state] of batch.states) job.shownState = state
     for (const [worker, sequence] of batch.ends) worker.storedEnds = Math.max(worker.storedEnds, sequence)
     for (const { task, run } of batch.orders) {
       if (task.status === 'starting' && task.run === run && !task.ordered) this.#run(this.#tracker.start(task))
--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -230,12 +230,15 @@
 /** Weight of a new observation in the usual time of a write. */
 const USUAL_GAIN = 0.3
 
+/** Longer times are those of an outage and not of a slow store, in ms. */
+const SLOWEST_MS = 1_000
+
 /** Moving average of the time that answered writes took, in ms. One store serves all writers of a process. */
 class UsualTime {
   ms = 0
 
   record (durationMs: number): void {
-    this.ms += USUAL_GAIN * (durationMs - this.ms)
+    this.ms += USUAL_GAIN * (Math.min(durationMs, SLOWEST_MS) - this.ms)
   }
 }
 
--- a/packages/jobs/src/records/index.ts
+++ b/packages/jobs/src/records/index.ts
@@ -8,10 +8,7 @@
 /** Cancelled jobs. */
 export const CANCELS_TABLE = 'cancels'
 
-/** Jobs that the owner has taken in, beside their progress: a new owner needs no other partition to go on. */
-export const TAKEN_TABLE = 'taken'
-
-/** Progress of jobs, written by the owner of the cell only. */
+/** Jobs that the owner has taken in with their progress: a new owner needs no other partition to go on. */
 export const PROGRESS_TABLE = 'progress'
 
 /** Partition of the owner's rows. */
