Stop the tasks of a job that is cancelled during a recovery; give up calls sent into an outage

The test fails without the change. Ruled out: a lost cancel (it was logged by both nodes) and a stop that the worker ignored (none was sent).

--- a/packages/jobs/src/node/RelayedStore.ts
+++ b/packages/jobs/src/node/RelayedStore.ts
@@ -50,6 +50,8 @@
   /** Whether this node's own connection works; only a probe makes it so again. */
   #isDirect = true
   #usualMs = 0
+  /** Ends each direct call that is under way. */
+  readonly #hanging = new Set<() => void>()
   #turn = 0
   /** Steady time of the last answer of the store, in ms. */
   lastAnswerAt = 0
@@ -80,13 +82,14 @@
     const now = performance.now()
     if (now - this.lastAnswerAt < PROBE_AFTER_MS && this.#isDirect) return
     const outcome = await this.#direct.readRow(CONTROL_TABLE, CELL_PARTITION, '', { timeoutMs: PROBE_TIMEOUT_MS })
-    if (outcome.isRight()) this.#noteAnswer(now)
     if (isUnreachable(outcome)) {
       this.#isDirect = false
       return
     }
+    const wasSilent = !this.isAnswering
     this.lastAnswerAt = performance.now()
     this.#isDirect = true
+    if (wasSilent) this.#giveUpHanging()
   }
 
   async commit (commit: Commit): Promise<Outcome<CommitResult>> {
@@ -147,11 +150,20 @@
       if (outcome.isRight() && ownWaitMs === 0) this.#noteAnswer(sentAt)
       return outcome
     })
-    const outcome = await Promise.race([answered, overdue])
+    let giveUp = () => {}
+    const hanging = new Promise<Outcome<Value>>((resolve) => { giveUp = () => resolve(NO_ANSWER) })
+    this.#hanging.add(giveUp)
+    const outcome = await Promise.race([answered, overdue, hanging])
     clearTimeout(timer)
+    this.#hanging.delete(giveUp)
     return outcome
   }
 
+  /** Ends the calls that were sent into an outage; their connections take seconds to recover, new ones work at once. */
+  #giveUpHanging (): void {
+    for (const giveUp of [...this.#hanging]) giveUp()
+  }
+
   #noteAnswer (sentAt: number): void {
     const now = performance.now()
     this.lastAnswerAt = now
--- a/packages/jobs/src/node/test.ts
+++ b/packages/jobs/src/node/test.ts
@@ -184,6 +184,21 @@
         for (let index = 0; index < 3; index++) expect(cell.checker.countRunning(`${ID}.0.0.${index}`)).to.equal(0)
       }
     },
+    {
+      name: 'stops the tasks of a job that is cancelled while a new owner still reads what the old one stored',
+      options: { storeLatencyMs: 50 },
+      play: async (cell) => {
+        start(cell.submit(ID, [{ count: 3, estimatedRunMs: 60_000 }]))
+        await clock.tickAsync(1_000)
+        expect(cell.checker.countRunning(`${ID}.0.0.0`)).to.equal(1)
+        cell.killNode(cell.owner!.name)
+        while (cell.owner === undefined) await clock.tickAsync(5)
+        await cell.owner.cell.handlers()['cell.cancel']({ id: ID })
+        await clock.tickAsync(2_000)
+        expect(await showSoon(cell, ID)).to.equal('cancelled')
+        for (let index = 0; index < 3; index++) expect(cell.checker.countRunning(`${ID}.0.0.${index}`)).to.equal(0)
+      }
+    },
     {
       name: 'shows a job as failed after as many failures of a task as its queue allows',
       options: { outlook: () => ({ how: 'failed', afterMs: 50 }), workers: 6 },
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -198,6 +198,7 @@
   #end (): void {
     this.#stopped = true
     clearInterval(this.#tick)
+    this.#tracker.close()
     for (const session of this.#sessions.values()) session.close()
     this.#wakeCommit?.()
     for (const resolve of this.#flushWaiters.splice(0)) resolve()
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -22,6 +22,7 @@
   readonly #onLostOwnership: (reason: string) => void
   /** Runs that no job owns any more and that are being stopped. */
   readonly #strays = new Set<string>()
+  #closed = false
   readonly #paces = new Map<string, { percent: number, changedAt: number }>()
 
   constructor (
@@ -34,6 +35,11 @@
     this.#onLostOwnership = onLostOwnership
   }
 
+  /** Ends the repetition of orders; the next owner goes on from what workers report. */
+  close (): void {
+    this.#closed = true
+  }
+
   /** Takes in what a worker reports. `sentAt` is the steady time of the request. */
   receive (worker: WorkerState, view: WorkerView, sentAt: number): void {
     worker.adopted = true
@@ -53,7 +59,7 @@
   /** Sends the order of a stored start until the worker has answered. */
   async start (task: TaskRun): Promise<void> {
     const { run, worker: workerId } = task
-    const isCurrent = () => task.status === 'starting' && task.run === run && task.worker === workerId
+    const isCurrent = () => !this.#closed && task.status === 'starting' && task.run === run && task.worker === workerId
     task.ordered = true
     let uncertain = false
     while (isCurrent()) {
@@ -108,11 +114,10 @@
 
   async #sendStop (task: TaskRun): Promise<void> {
     const { run, worker: workerId, key } = task
-    while (task.status === 'stopping' && task.run === run) {
-      const session = this.#sessions.get(workerId!)
-      if (session === undefined) return
-      const outcome = await session.stop({ key, run })
-      if (outcome.isRight()) {
+    while (!this.#closed && task.status === 'stopping' && task.run === run) {
+      // While an owner recovers, it may know the task before it knows the worker.
+      const outcome = await this.#sessions.get(workerId!)?.stop({ key, run })
+      if (outcome?.isRight() === true) {
         task.startedAt = this.#cell.now()
         return
       }
--- a/packages/jobs/src/standins/startMemoryCell.ts
+++ b/packages/jobs/src/standins/startMemoryCell.ts
@@ -15,6 +15,8 @@
   outlook?: Outlook
   /** Tickets of the policy service. Default: it allows all workers. */
   adviser?: Adviser
+  /** Time of a call to the store, in ms. Default: 5. */
+  storeLatencyMs?: number
   /** Receives the log lines. Default: they are dropped. */
   log?: DecisionLog
 }
@@ -66,7 +68,7 @@
   }
 
   startNode (name: string): MemoryNode {
-    const store = new MemoryRecordStore(this.rows)
+    const store = new MemoryRecordStore(this.rows, { latencyMs: this.#options.storeLatencyMs })
     const isUp = () => this.nodes.get(name) === node && node.up
     const cell = new CellNode({
       store: gate(store, isUp),
