--- /dev/null
+++ b/packages/jobs/src/placement/test.ts
@@ -0,0 +1,160 @@
+import { expect } from 'chai'
+import { JobRun, type StepRun, type TaskRun } from '../book/index.ts'
+import { toQueue, toStep } from '../standins/index.ts'
+import type { Queue, Step, WorkerEntry } from '../types.ts'
+import { WorkerState } from '../workers/WorkerState.ts'
+import { chooseWorker } from './chooseWorker/index.ts'
+import { orderSteps } from './orderSteps/index.ts'
+import { paceFillers } from './paceFillers/index.ts'
+
+const NOW = 10_000
+
+function makeStep (changes: Partial<Step> = {}, queue: Partial<Queue> = {}, knownSince = NOW): StepRun {
+  const spec = { payload: '', steps: [toStep(changes)], occurrences: 0, firstRunAt: 0, intervalMs: 0 }
+  const job = new JobRun({ id: 'a', queue: toQueue('batch', queue), acceptedAt: 0, spec }, knownSince, 0)
+  return job.open(0, NOW)[0]!
+}
+
+function makeWorker (id: string, changes: Partial<WorkerEntry> = {}, state: Partial<WorkerState> = {}): WorkerState {
+  const entry: WorkerEntry = {
+    id,
+    pool: 'pool',
+    address: '',
+    failureDomain: 'a',
+    draining: false,
+    leavesInMs: undefined,
+    capacity: { cpuMillis: 8000, memoryMb: 8000, accelerators: 1 },
+    labels: ['small', 'r1'],
+    ...changes
+  }
+  return Object.assign(new WorkerState(entry, 0), { reachable: true, adopted: true }, state)
+}
+
+function occupy (worker: WorkerState, changes: Partial<Step>): WorkerState {
+  worker.add(makeStep(changes).tasks[0]!)
+  return worker
+}
+
+const demand = (cpuMillis: number, memoryMb = 100, accelerators = 0) => ({ cpuMillis, memoryMb, accelerators })
+
+describe('chooseWorker', () => {
+  const cases: Array<{
+    name: string,
+    step?: Partial<Step>,
+    workers: () => WorkerState[],
+    prepare?: (task: TaskRun) => void,
+    chosen: string | undefined
+  }> = [
+    {
+      name: 'leaves least room, so that large tasks still find some',
+      workers: () => [makeWorker('empty'), occupy(makeWorker('half'), { demand: demand(4000, 4000) })],
+      chosen: 'half'
+    },
+    {
+      name: 'does not exceed the processors of a worker',
+      step: { demand: demand(5000) },
+      workers: () => [occupy(makeWorker('half'), { demand: demand(4000) })],
+      chosen: undefined
+    },
+    {
+      name: 'does not exceed the accelerators of a worker',
+      step: { demand: demand(1000, 100, 2) },
+      workers: () => [makeWorker('one')],
+      chosen: undefined
+    },
+    {
+      name: 'counts memory of filling tasks, but not their processors',
+      step: { demand: demand(7000) },
+      workers: () => [occupy(makeWorker('filled'), { demand: demand(6000), fills: true })],
+      chosen: 'filled'
+    },
+    {
+      name: 'avoids draining, unlisted and unreachable workers and those that were not asked yet',
+      workers: () => [
+        makeWorker('draining', { draining: true }), makeWorker('unlisted', {}, { unlistedSince: 1 }),
+        makeWorker('silent', {}, { reachable: false }), makeWorker('new', {}, { adopted: false })
+      ],
+      chosen: undefined
+    },
+    {
+      name: 'keeps to a required label',
+      step: { requiredLabel: 'large' },
+      workers: () => [makeWorker('small'), makeWorker('large', { labels: ['large', 'r1'] })],
+      chosen: 'large'
+    },
+    {
+      name: 'prefers the rack of the data to a fuller worker',
+      step: { preferredRack: 'r2' },
+      workers: () => [occupy(makeWorker('full'), { demand: demand(4000, 4000) }), makeWorker('near',
+        { labels: ['small', 'r2'] })],
+      chosen: 'near'
+    },
+    {
+      name: 'keeps to the largest number of tasks of a step on one worker',
+      step: { count: 2, maxPerWorker: 1 },
+      workers: () => [makeWorker('first'), makeWorker('second')],
+      prepare: (task) => {
+        const other = task.step.tasks[1]!
+        other.status = 'running'
+        other.worker = 'first'
+      },
+      chosen: 'second'
+    },
+    {
+      name: 'does not go back to a worker where the task failed',
+      workers: () => [makeWorker('first')],
+      prepare: (task) => { task.failedOn.add('first') },
+      chosen: undefined
+    },
+    {
+      name: 'puts filling tasks where most processors are left over',
+      step: { fills: true, demand: demand(2000) },
+      workers: () => [occupy(makeWorker('half'), { demand: demand(4000) }), makeWorker('empty')],
+      chosen: 'empty'
+    }
+  ]
+  for (const { name, step, workers, prepare, chosen } of cases) {
+    it(name, () => {
+      const task = makeStep(step).tasks[0]!
+      prepare?.(task)
+      expect(chooseWorker(task, workers(), { now: NOW })?.id).to.equal(chosen)
+    })
+  }
+
+  it('needs a ticket that is still valid where a policy limits the workers', () => {
+    const task = makeStep({}, { advice: { decisionMs: 10, perWorkerMs: 1, validMs: 2000 } }).tasks[0]!
+    const workers = [makeWorker('first'), makeWorker('second')]
+    expect(chooseWorker(task, workers, { now: NOW })).to.equal(undefined)
+    task.step.advice.record(['first', 'second'], [['second', 'ticket']], NOW + 100)
+    expect(chooseWorker(task, workers, { now: NOW })?.id).to.equal('second')
+    expect(chooseWorker(task, workers, { now: NOW + 200 })).to.equal(undefined)
+    expect(chooseWorker(task, workers, { now: NOW + 200, ignoreTickets: true })?.id).to.equal('second')
+  })
+})
+
+describe('orderSteps', () => {
+  it('serves urgent queues first, then jobs that can still meet their objective, by when it ends', () => {
+    const lost = makeStep({}, { name: 'lost' }, NOW - 60_000)
+    const late = makeStep({}, { name: 'late' }, NOW - 3_000)
+    const early = makeStep({}, { name: 'early' }, NOW - 500)
+    const recent = makeStep({}, { name: 'recent' }, NOW)
+    const background = makeStep({}, { name: 'background', priority: 2 }, NOW - 1_000)
+    const ordered = orderSteps([background, lost, recent, late, early], NOW)
+    expect(ordered.map(({ step }) => step.job.job.queue.name)).to.deep.equal(['early', 'recent', 'late', 'lost',
+      'background'])
+  })
+})
+
+describe('paceFillers', () => {
+  const cases = [
+    { name: 'lowers the pace near the target', pace: 100, tailMs: 180, expected: 50 },
+    { name: 'lowers it further above the target', pace: 100, tailMs: 300, expected: 25 },
+    { name: 'stops filling tasks that are slow already', pace: 25, tailMs: 300, expected: 0 },
+    { name: 'keeps the pace while the tail is close to the limit', pace: 50, tailMs: 150, expected: 50 },
+    { name: 'raises the pace in steps when the tail is short', pace: 50, tailMs: 50, expected: 70 },
+    { name: 'does not exceed the full pace', pace: 95, tailMs: 50, expected: 100 }
+  ]
+  for (const { name, pace, tailMs, expected } of cases) {
+    it(name, () => { expect(paceFillers(pace, [{ tailMs, targetMs: 200 }])).to.equal(expected) })
+  }
+})
