Play seeded histories of jobs and overlapping faults against the checker of promises

Each history has node and worker losses, silent workers, lost and late orders, and a store that refuses, is silent, loses answers or carries writes out late.

--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -63,7 +63,7 @@
 /** A follower that was silent for this time is no longer used for advice or as a relay, in ms. */
 const FOLLOWER_SILENCE_MS = 1_500
 
-/** Largest random wait before a takeover, in ms, so that rarely two nodes try at once. */
+/** Largest wait before a takeover, in ms, so that rarely two nodes try at once. */
 const TAKEOVER_SPREAD_MS = 120
 
 /** Time between two looks at whether the store answers, in ms. */
@@ -395,7 +395,7 @@
   }
 
   async #takeOver (previous: OwnerRow, predecessorEnded: boolean): Promise<void> {
-    await sleep(Math.random() * TAKEOVER_SPREAD_MS)
+    await sleep(spreadOf(`${this.#options.node} ${previous.version}`) * TAKEOVER_SPREAD_MS)
     const { node, address } = this.#options
     const claim = await Ownership.claim(this.#store, CELL_PARTITION, previous, { node, address })
     const ownership = valueOf(claim)
@@ -540,6 +540,13 @@
   }, LAG_INTERVAL_MS)
 }
 
+/** A share from 0 to 1 that differs by node and takeover and is the same in each run of a test. */
+function spreadOf (name: string): number {
+  let hash = 0
+  for (let position = 0; position < name.length; position++) hash = (hash * 31 + name.charCodeAt(position)) >>> 0
+  return (hash % 997) / 997
+}
+
 /** Time between two looks at whether a write is still worth waiting for, in ms. */
 const WATCH_INTERVAL_MS = 50
 
--- /dev/null
+++ b/packages/jobs/src/node/history.test.ts
@@ -0,0 +1,168 @@
+import { install, type Clock } from '@sinonjs/fake-timers'
+import { expect } from 'chai'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { MemoryCell, type MemoryWorker, type OrderFault, type StoreFault } from '../standins/index.ts'
+import type { Step } from '../types.ts'
+
+/** Seeds of the run in CI; SEEDS=from-to runs others. */
+const [FROM = 1, TO = 25] = (process.env.SEEDS ?? '1-25').split('-').map(Number)
+
+const DAY_MS = 30_000
+const EVENT_MS = 350
+/** After the last fault: leases of lost workers end, and everything that can be done is done. */
+const REST_MS = 45_000
+
+class Randomness {
+  readonly #generator
+
+  constructor (seed: number) {
+    this.#generator = xoroshiro128plus(seed)
+  }
+
+  below (limit: number): number {
+    return (this.#generator.next() >>> 0) % limit
+  }
+
+  pick<Value> (values: readonly Value[]): Value {
+    return values[this.below(values.length)]!
+  }
+
+  chance (share: number): boolean {
+    return this.below(1000) < share * 1000
+  }
+}
+
+/** Plays jobs and overlapping faults on a cell. */
+class History {
+  readonly cell: MemoryCell
+  readonly accepted = new Set<string>()
+  readonly cancelled = new Set<string>()
+  readonly #random: Randomness
+  #jobs = 0
+  #workers = 8
+
+  constructor (seed: number) {
+    this.#random = new Randomness(seed)
+    this.cell = new MemoryCell({ nodes: 3, workers: 8, outlook: (key) => this.#outlook(key) })
+  }
+
+  async step (): Promise<void> {
+    const events = [
+      () => this.#submit(), () => this.#submit(), () => this.#submit(), () => this.#cancel(), () =>
+        this.#restartNode(), () => this.#replaceWorker(), () => this.#silenceWorker(), () => this.#disturbOrders(), () => this.#disturbStore(), () => this.cell.rows.compact()
+    ]
+    this.#random.pick(events)()
+  }
+
+  heal (): void {
+    for (const { store } of this.cell.nodes.values()) store.fault = () => undefined
+    for (const worker of this.cell.workers.workers.values()) worker.fault = () => undefined
+  }
+
+  #outlook (key: { job: string, step: number }) {
+    const runMs = 200 + this.#random.below(2_500)
+    return this.#random.chance(0.06)
+      ? {
+          how: 'failed' as const,
+          afterMs: runMs
+        }
+      : this.cell.isLongRunning(key.job, key.step) ? undefined : { how: 'done' as const, afterMs: runMs }
+  }
+
+  #submit (): void {
+    const id = (++this.#jobs).toString(16).padStart(16, '0')
+    const count = 1 + this.#random.below(5)
+    const cpuMillis = 1000 + this.#random.below(6) * 1000
+    const first: Partial<Step> = {
+      count,
+      demand: { cpuMillis, memoryMb: 500, accelerators: 0 },
+      gang: this.#random.chance(0.15)
+    }
+    const steps = this.#random.chance(0.4) ? [first, { count: 1 + this.#random.below(3), after: [0] }] : [first]
+    // A node that doesn't answer makes its caller submit again elsewhere.
+    this.cell.submit(id, steps).then((kind) => {
+      if (kind === 'accepted') this.accepted.add(id)
+    }, (error) => { throw error })
+  }
+
+  #cancel (): void {
+    if (!this.#random.chance(0.3) || this.accepted.size === 0) return
+    const id = this.#random.pick([...this.accepted])
+    this.cell.cancel(id).then((found) => { if (found) this.cancelled.add(id) }, (error) => { throw error })
+  }
+
+  #restartNode (): void {
+    const { name, up } = this.#random.pick([...this.cell.nodes.values()])
+    if (!up) return
+    this.cell.killNode(name)
+    setTimeout(() => this.cell.startNode(name), 200 + this.#random.below(2_500))
+  }
+
+  #replaceWorker (): void {
+    const worker = this.#pickWorker()
+    if (worker === undefined) return
+    worker.crash()
+    setTimeout(() => this.cell.workers.unlist(worker.entry.id), 1_000)
+    this.cell.addWorker(`w${this.#workers++}`)
+  }
+
+  #silenceWorker (): void {
+    this.#disturb(this.#pickWorker(), () => 'silent')
+  }
+
+  #disturbOrders (): void {
+    this.#disturb(this.#pickWorker(), (call) => call !== 'look' && this.#random.chance(0.5)
+      ? this.#random.pick(['lost', 'late', 'silent'] as const)
+      : undefined)
+  }
+
+  #disturb (worker: MemoryWorker | undefined, fault: (call: string) => OrderFault): void {
+    if (worker === undefined) return
+    worker.fault = fault
+    setTimeout(() => { worker.fault = () => undefined }, 1_000 + this.#random.below(8_000))
+  }
+
+  #disturbStore (): void {
+    const kind = this.#random.pick<StoreFault>(['refused', 'silent', 'lost', 'late'])
+    const share = this.#random.pick([0.3, 1])
+    const nodes = this.#random.chance(0.4)
+      ? [...this.cell.nodes.values()]
+      : [this.#random.pick([...this.cell.nodes.values()])]
+    for (const { store } of nodes) {
+      store.fault = () => this.#random.chance(share) ? kind : undefined
+      setTimeout(() => { store.fault = () => undefined }, 500 + this.#random.below(5_000))
+    }
+  }
+
+  #pickWorker (): MemoryWorker | undefined {
+    return this.#random.pick([...this.cell.workers.workers.values()].filter(({ alive }) => alive))
+  }
+}
+
+describe('a cell under overlapping faults', () => {
+  let clock: Clock
+  beforeEach(() => { clock = install() })
+  afterEach(() => clock.uninstall())
+
+  for (let seed = FROM; seed <= TO; seed++) {
+    it(`keeps its promises and finishes every accepted job (seed ${seed})`, async () => {
+      const history = new History(seed)
+      const { cell } = history
+      for (let now = 0; now < DAY_MS; now += EVENT_MS) {
+        await history.step()
+        await clock.tickAsync(EVENT_MS)
+      }
+      history.heal()
+      await clock.tickAsync(REST_MS)
+      expect(cell.checker.violations).to.deep.equal([])
+      const shown = [...history.accepted].map(async (id) => [id, await cell.show(id)] as const)
+      await clock.tickAsync(2_000)
+      const unfinished = (await Promise.all(shown)).filter(([, state]) => state === undefined ||
+        state === 'queued' || state === 'running')
+      expect(unfinished).to.deep.equal([])
+      const stopped = cell.stop()
+      await clock.tickAsync(5_000)
+      await stopped
+    })
+  }
+})
--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -185,6 +185,7 @@
  * @returns The first answer that tells what was written, else the last failure; `unknown` when any copy was.
  */
 export async function commitRepeatedly (store: RecordStore, copies: readonly Commit[]): Promise<Outcome<CommitResult>> {
+  const usual = usualTimeOf(store)
   let settled = false
   let open = 0
   let sent = 0
@@ -233,7 +234,7 @@
 /** Longer times are those of an outage and not of a slow store, in ms. */
 const SLOWEST_MS = 1_000
 
-/** Moving average of the time that answered writes took, in ms. One store serves all writers of a process. */
+/** Moving average of the time that answered writes to one store took, in ms. */
 class UsualTime {
   ms = 0
 
@@ -242,4 +243,10 @@
   }
 }
 
-const usual = new UsualTime()
+const usualTimes = new WeakMap<RecordStore, UsualTime>()
+
+function usualTimeOf (store: RecordStore): UsualTime {
+  const known = usualTimes.get(store) ?? new UsualTime()
+  usualTimes.set(store, known)
+  return known
+}
--- a/packages/jobs/src/standins/PromiseChecker.ts
+++ b/packages/jobs/src/standins/PromiseChecker.ts
@@ -69,6 +69,12 @@
     if (spec !== undefined) this.#use({ id: worker } as WorkerEntry, spec, -1)
   }
 
+  /** Tasks that work together with a task; 1 for a task that is in no gang. */
+  gangSize ({ job, step }: { job: string, step: number }): number {
+    const spec = this.#jobs.get(job)?.spec.steps[step]
+    return spec?.gang === true ? spec.count : 1
+  }
+
   /** An end was removed from a worker's list because its owner knows it. */
   acknowledged (name: string, run: number): void {
     const history = this.#history(name)
