--- a/packages/jobs/src/node/history.test.ts
+++ b/packages/jobs/src/node/history.test.ts
@@ -48,8 +48,16 @@
 
   async step (): Promise<void> {
     const events = [
-      () => this.#submit(), () => this.#submit(), () => this.#submit(), () => this.#cancel(), () =>
-        this.#restartNode(), () => this.#replaceWorker(), () => this.#silenceWorker(), () => this.#disturbOrders(), () => this.#disturbStore(), () => this.cell.rows.compact()
+      () => this.#submit(),
+      () => this.#submit(),
+      () => this.#submit(),
+      () => this.#cancel(),
+      () => this.#restartNode(),
+      () => this.#replaceWorker(),
+      () => this.#silenceWorker(),
+      () => this.#disturbOrders(),
+      () => this.#disturbStore(),
+      () => this.cell.rows.compact()
     ]
     this.#random.pick(events)()
   }
