--- a/packages/jobs/src/book/progress.ts
+++ b/packages/jobs/src/book/progress.ts
@@ -5,7 +5,8 @@
 
 /** What lasts of a job and the work on it: enough for another owner to go on. */
 export interface Progress {
-  job: Job
+  /** Absent once the job is over: only its state can still be asked for. */
+  job: Job | undefined
   state: JobState
   endedAt: number
   finishedOccurrences: number[]
@@ -40,13 +41,14 @@
     Count, Count, Count, Type.Integer({ minimum: 0, maximum: STATUSES.length - 1 }), Count, Count, Type.String(),
     Type.String()
   ])),
-  Job
+  Type.Union([Job, Type.Null()])
 ])
 type ProgressRow = Static<typeof ProgressRow>
 
 /**
  * Encodes a job with its progress. Both are one row, since the rows of a commit are limited. Tasks of finished steps
- * are left out, and so are tasks that never ran.
+ * are left out, and so are tasks that never ran. A job that is over is left out too, since each new owner reads all
+ * rows.
  *
  * @param run - The job in memory.
  * @returns The bytes of its row.
@@ -64,7 +66,7 @@
   }
   const row: ProgressRow = [
     STATES.indexOf(run.state), run.endedAt, run.isOver ? [] : [...run.finishedOccurrences], finishedSteps, tasks,
-    run.job
+    run.isOver ? null : run.job
   ]
   return Buffer.from(JSON.stringify(row))
 }
@@ -98,7 +100,7 @@
   if (!Value.Check(ProgressRow, row)) return undefined
   const [state, endedAt, finishedOccurrences, finishedSteps, tasks, job] = row
   return {
-    job,
+    job: job ?? undefined,
     state: STATES[state]!,
     endedAt,
     finishedOccurrences,
--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -35,6 +35,10 @@
   address: string
   /** RPC addresses of nodes that may be up, for the time before the owner is known. */
   seeds: string[]
+  /** Processors of this node's machine; a fraction on small ones. */
+  processors: number
+  /** Speed of its link, in Mbit/s. */
+  linkMbps: number
 }
 
 export type Acceptance =
@@ -73,6 +77,7 @@
 const ASK_TIMEOUT_MS = 800
 
 interface Follower {
+  weakness: number
   /** Age of its process, in ms. */
   uptimeMs: number
   /** It reaches the store without help. */
@@ -326,7 +331,8 @@
         address,
         uptimeMs: performance.now() - this.#startedAt,
         resigned: this.#resigned,
-        hasStore: this.#store.isDirect
+        hasStore: this.#store.isDirect,
+        weakness: weaknessOf(this.#options)
       }
       const answer = await peer.call('cell.follow', greeting, { timeoutMs: FOLLOW_TIMEOUT_MS })
       const result = valueOf(answer)
@@ -395,7 +401,7 @@
   }
 
   async #takeOver (previous: OwnerRow, predecessorEnded: boolean): Promise<void> {
-    await sleep(spreadOf(`${this.#options.node} ${previous.version}`) * TAKEOVER_SPREAD_MS)
+    await sleep(spreadOf(`${this.#options.node} ${previous.version}`) * TAKEOVER_SPREAD_MS + weaknessOf(this.#options) * WEAK_DELAY_MS)
     const { node, address } = this.#options
     const claim = await Ownership.claim(this.#store, CELL_PARTITION, previous, { node, address })
     const ownership = valueOf(claim)
@@ -448,7 +454,7 @@
     this.#isLeaving = true
     const candidates = [...this.#followers].filter(([, { resigned, hasStore }]) => !resigned && hasStore)
     // Where nodes are restarted in turn, the one that was started last is not restarted again soon.
-    candidates.sort(([, a], [, b]) => a.uptimeMs - b.uptimeMs)
+    candidates.sort(([, a], [, b]) => a.weakness - b.weakness || a.uptimeMs - b.uptimeMs)
     const [node, successor] = candidates[0] ?? []
     const followers = [...this.#followers.values()]
     const token = owner.token
@@ -477,13 +483,14 @@
 
   #handleFollow ({
     node, address, uptimeMs, resigned,
-    hasStore
+    hasStore,
+    weakness
   }: CellParams<'cell.follow'>): CellResult<'cell.follow'> {
     const owner = this.#owner
     if (owner === undefined) return { isOwner: false, token: 0, peers: [] }
     const peer = this.#peer(address)
     const known = this.#followers.get(node)
-    this.#followers.set(node, { peer, seenAt: performance.now(), uptimeMs, resigned, hasStore })
+    this.#followers.set(node, { peer, seenAt: performance.now(), uptimeMs, resigned, hasStore, weakness })
     if (known?.peer !== peer) owner.addNode({ id: node, adviser: new RemoteAdviser(peer) })
     const peers = [...this.#followers.values()].filter((follower) => follower.hasStore).map((follower) =>
       follower.peer.address)
@@ -540,6 +547,18 @@
   }, LAG_INTERVAL_MS)
 }
 
+/** Processors and link, in Mbit/s, that suffice for the owner of a cell of some hundred workers. */
+const ENOUGH_PROCESSORS = 0.6
+const ENOUGH_LINK_MBPS = 50
+
+/** Longest wait of a weak node before a takeover, in ms; stronger ones have taken over by then, if there are any. */
+const WEAK_DELAY_MS = 500
+
+/** How far a node falls short of what an owner needs, from 0 to 1. */
+function weaknessOf ({ processors, linkMbps }: { processors: number, linkMbps: number }): number {
+  return 1 - Math.min(1, processors / ENOUGH_PROCESSORS, linkMbps / ENOUGH_LINK_MBPS)
+}
+
 /** A share from 0 to 1 that differs by node and takeover and is the same in each run of a test. */
 function spreadOf (name: string): number {
   let hash = 0
--- a/packages/jobs/src/node/messages.ts
+++ b/packages/jobs/src/node/messages.ts
@@ -42,7 +42,8 @@
       address: Type.String(),
       uptimeMs: Type.Number(),
       resigned: Type.Boolean(),
-      hasStore: Type.Boolean()
+      hasStore: Type.Boolean(),
+      weakness: Type.Number()
     }),
     result: Type.Object({ isOwner: Type.Boolean(), token: Count, peers: Type.Array(Type.String()) })
   },
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -225,7 +225,7 @@
     if (this.#stopped || read === undefined) return false
     for (const { key, value } of read.rows) {
       const progress = value === undefined ? undefined : decodeProgress(value)
-      if (progress !== undefined) this.#addJob(progress.job, progress)
+      if (progress !== undefined) this.#addJob(progress.job ?? endedJob(key), progress)
       else this.#parts.log.warn({ job: key }, 'progress record can not be read')
     }
     return true
@@ -552,6 +552,12 @@
 /** Ended jobs whose rows are removed with one commit. */
 const MAX_FORGOTTEN_PER_COMMIT = 10
 
+/** Stands for a job that is over; its steps are not kept. */
+function endedJob (id: string): Job {
+  const queue = { name: '', pool: '', priority: 0, maxAttempts: 1, stretch: 1, targetLatencyMs: 0 }
+  return { id, queue, acceptedAt: 0, spec: { payload: '', steps: [], occurrences: 0, firstRunAt: 0, intervalMs: 0 } }
+}
+
 function unknownEntry (id: string): WorkerEntry {
   return {
     id,
--- a/packages/jobs/src/standins/startMemoryCell.ts
+++ b/packages/jobs/src/standins/startMemoryCell.ts
@@ -79,7 +79,16 @@
       connect: (address) => this.#connect(address, isUp),
       log: this.#options.log ?? NO_LOG,
       counters: NO_COUNTERS
-    }, { node: name, address: name, seeds: [], leaseLimitMs: 6_000, stopTimeoutMs: 900, keepEndedMs: 120_000 })
+    }, {
+      node: name,
+      address: name,
+      seeds: [],
+      leaseLimitMs: 6_000,
+      stopTimeoutMs: 900,
+      keepEndedMs: 120_000,
+      processors: 1,
+      linkMbps: 1000
+    })
     const node: MemoryNode = { name, cell, store, up: true }
     this.nodes.set(name, node)
     this.#handlers.set(name, cell.handlers())
