--- a/packages/jobs/src/node/test.ts
+++ b/packages/jobs/src/node/test.ts
@@ -65,6 +65,27 @@
         expect(cell.checker.starts).to.equal(4)
       }
     },
+    {
+      name: 'shows the state of ended jobs after a takeover, from rows that no longer hold the job',
+      play: async (cell) => {
+        start(cell.submit(ID, [{ count: 3 }]))
+        await clock.tickAsync(3_000)
+        const row = cell.rows.rows.get(`progress/cell/${ID}`)
+        expect(row?.value?.length).to.be.lessThan(100)
+        cell.killNode(cell.owner!.name)
+        await clock.tickAsync(3_000)
+        expect(await showSoon(cell, ID)).to.equal('completed')
+        expect(cell.checker.starts).to.equal(3)
+      }
+    },
+    {
+      name: 'leaves a cell to nodes with a stronger processor and link',
+      options: { nodes: 3, weakNodes: ['n0', 'n1'] },
+      play: async (cell) => {
+        await clock.tickAsync(1_000)
+        expect(cell.owner?.name).to.equal('n2')
+      }
+    },
     {
       name: 'waits for the lease of a worker that is lost before its tasks run elsewhere',
       play: async (cell) => {
--- a/packages/jobs/src/standins/startMemoryCell.ts
+++ b/packages/jobs/src/standins/startMemoryCell.ts
@@ -15,6 +15,8 @@
   outlook?: Outlook
   /** Tickets of the policy service. Default: it allows all workers. */
   adviser?: Adviser
+  /** Nodes on small machines with a thin link. Default: none. */
+  weakNodes?: string[]
   /** Time of a call to the store, in ms. Default: 5. */
   storeLatencyMs?: number
   /** Receives the log lines. Default: they are dropped. */
@@ -86,8 +88,12 @@
       leaseLimitMs: 6_000,
       stopTimeoutMs: 900,
       keepEndedMs: 120_000,
-      processors: 1,
-      linkMbps: 1000
+      ...this.#options.weakNodes?.includes(name) === true
+        ? { processors: 0.3, linkMbps: 7 }
+        : {
+            processors: 1,
+            linkMbps: 1000
+          }
     })
     const node: MemoryNode = { name, cell, store, up: true }
     this.nodes.set(name, node)
