--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -15,6 +15,8 @@
 import type { Job, JobState } from '../types.ts'
 import type { CellMethod, CellParams, CellResult } from './messages.ts'
 import { RelayedStore, fromRelayed, toRelayed, toWireRow, type Peer } from './RelayedStore.ts'
+import { chooseTakeoverDelay, computeWeakness } from './takeoverDelay/index.ts'
+import { watchLag } from './watchLag/index.ts'
 
 export interface CellNodeParts {
   /** The store as this node reaches it. */
@@ -67,9 +69,6 @@
 /** A follower that was silent for this time is no longer used for advice or as a relay, in ms. */
 const FOLLOWER_SILENCE_MS = 1_500
 
-/** Largest wait before a takeover, in ms, so that rarely two nodes try at once. */
-const TAKEOVER_SPREAD_MS = 120
-
 /** Time between two looks at whether the store answers, in ms. */
 const PROBE_INTERVAL_MS = 150
 
@@ -332,7 +331,7 @@
         uptimeMs: performance.now() - this.#startedAt,
         resigned: this.#resigned,
         hasStore: this.#store.isDirect,
-        weakness: weaknessOf(this.#options)
+        weakness: computeWeakness(this.#options)
       }
       const answer = await peer.call('cell.follow', greeting, { timeoutMs: FOLLOW_TIMEOUT_MS })
       const result = valueOf(answer)
@@ -401,7 +400,7 @@
   }
 
   async #takeOver (previous: OwnerRow, predecessorEnded: boolean): Promise<void> {
-    await sleep(spreadOf(`${this.#options.node} ${previous.version}`) * TAKEOVER_SPREAD_MS + weaknessOf(this.#options) * WEAK_DELAY_MS)
+    await sleep(chooseTakeoverDelay(this.#options, previous.version))
     const { node, address } = this.#options
     const claim = await Ownership.claim(this.#store, CELL_PARTITION, previous, { node, address })
     const ownership = valueOf(claim)
@@ -523,49 +522,9 @@
   }
 }
 
-/** Time between two readings of the lag of timers, in ms. */
-const LAG_INTERVAL_MS = 100
-
-/** Average lag at which a node is too slow to own a cell, in ms; a quick task waits for several turns of the loop. */
-const LAG_LIMIT_MS = 60
-
-/** Weight of a new reading of the lag. */
-const LAG_GAIN = 0.1
-
 /** Time for which a slow node doesn't take the cell over again, in ms. */
 const STAND_DOWN_MS = 8_000
 
-/** Calls back when timers of this process fire late for about a second, as they do on a machine that turned slow. */
-function watchLag (onSlow: (lagMs: number) => void): ReturnType<typeof setInterval> {
-  let expectedAt = performance.now() + LAG_INTERVAL_MS
-  let averageMs = 0
-  return setInterval(() => {
-    const now = performance.now()
-    averageMs += LAG_GAIN * (Math.min(Math.max(0, now - expectedAt), LAG_INTERVAL_MS * 2) - averageMs)
-    expectedAt = now + LAG_INTERVAL_MS
-    if (averageMs > LAG_LIMIT_MS) onSlow(averageMs)
-  }, LAG_INTERVAL_MS)
-}
-
-/** Processors and link, in Mbit/s, that suffice for the owner of a cell of some hundred workers. */
-const ENOUGH_PROCESSORS = 0.6
-const ENOUGH_LINK_MBPS = 50
-
-/** Longest wait of a weak node before a takeover, in ms; stronger ones have taken over by then, if there are any. */
-const WEAK_DELAY_MS = 500
-
-/** How far a node falls short of what an owner needs, from 0 to 1. */
-function weaknessOf ({ processors, linkMbps }: { processors: number, linkMbps: number }): number {
-  return 1 - Math.min(1, processors / ENOUGH_PROCESSORS, linkMbps / ENOUGH_LINK_MBPS)
-}
-
-/** A share from 0 to 1 that differs by node and takeover and is the same in each run of a test. */
-function spreadOf (name: string): number {
-  let hash = 0
-  for (let position = 0; position < name.length; position++) hash = (hash * 31 + name.charCodeAt(position)) >>> 0
-  return (hash % 997) / 997
-}
-
 /** Time between two looks at whether a write is still worth waiting for, in ms. */
 const WATCH_INTERVAL_MS = 50
 
--- /dev/null
+++ b/packages/jobs/src/node/watchLag/index.ts
@@ -0,0 +1,25 @@
+/** Time between two readings of the lag of timers, in ms. */
+const LAG_INTERVAL_MS = 100
+
+/** Average lag at which a node is too slow to own a cell, in ms; a quick task waits for several turns of the loop. */
+const LAG_LIMIT_MS = 60
+
+/** Weight of a new reading of the lag. */
+const LAG_GAIN = 0.1
+
+/**
+ * Calls back while timers of this process fire late for about a second, as they do on a machine that turned slow.
+ *
+ * @param onSlow - Receives the average lag, in ms.
+ * @returns The timer, to be cleared by the caller.
+ */
+export function watchLag (onSlow: (lagMs: number) => void): ReturnType<typeof setInterval> {
+  let expectedAt = performance.now() + LAG_INTERVAL_MS
+  let averageMs = 0
+  return setInterval(() => {
+    const now = performance.now()
+    averageMs += LAG_GAIN * (Math.min(Math.max(0, now - expectedAt), LAG_INTERVAL_MS * 2) - averageMs)
+    expectedAt = now + LAG_INTERVAL_MS
+    if (averageMs > LAG_LIMIT_MS) onSlow(averageMs)
+  }, LAG_INTERVAL_MS)
+}
--- a/packages/jobs/src/records/index.ts
+++ b/packages/jobs/src/records/index.ts
@@ -1,5 +1,6 @@
 import { Value } from '@sinclair/typebox/value'
 import { JOB_PARTITIONS } from '../constants/index.ts'
+import { hashText } from '../hashText/index.ts'
 import { Job } from '../types.ts'
 
 /** Accepted jobs, each written once by the node that accepted it. */
@@ -24,8 +25,7 @@
  * @returns Some of `listJobPartitions()`, in the order in which they are tried.
  */
 export function toJobPartitions (id: string): string[] {
-  let hash = 0
-  for (let position = 0; position < id.length; position++) hash = (hash * 31 + id.charCodeAt(position)) >>> 0
+  const hash = hashText(id)
   return Array.from({ length: PARTITIONS_PER_JOB }, (_, index) => `jobs-${(hash + index * PARTITION_STRIDE) % JOB_PARTITIONS}`)
 }
 
