--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -76,6 +76,7 @@
 const ASK_TIMEOUT_MS = 800
 
 interface Follower {
+  /** How far its machine falls short of what an owner needs, from 0 to 1. */
   weakness: number
   /** Age of its process, in ms. */
   uptimeMs: number
@@ -252,21 +253,13 @@
       }),
       'cell.advise': async ({ workers, timeoutMs, ...step }) =>
         toRelayed(await this.#parts.adviser.advise(step, workers, timeoutMs), (advice) => advice),
-      'cell.store.commit': async ({ puts, ...commit }) => toRelayed(
-        await direct.commit({
-          ...commit,
-          puts: puts.map(({ value, ...row }) => ({
-            ...row,
-            value: Buffer.from(value,
-              'base64')
-          }))
-        }),
-        (result) => result.kind === 'conflict'
-          ? {
-              kind: 'conflict' as const,
-              rows: result.rows.map(toWireRow)
-            }
-          : result),
+      'cell.store.commit': async ({ puts, ...commit }) => {
+        const decoded = puts.map(({ value, ...row }) => ({ ...row, value: Buffer.from(value, 'base64') }))
+        const outcome = await direct.commit({ ...commit, puts: decoded })
+        return toRelayed(outcome, (result) => result.kind === 'conflict'
+          ? { kind: 'conflict' as const, rows: result.rows.map(toWireRow) }
+          : result)
+      },
       'cell.store.read': async ({ table, partition }) => toRelayed(await direct.read(table, partition), toWireChanges),
       'cell.store.readRow': async ({ table, partition, key }) =>
         toRelayed(await direct.readRow(table, partition, key), (row) => row === undefined ? null : toWireRow(row)),
--- a/packages/jobs/src/owner/AdviceDesk.ts
+++ b/packages/jobs/src/owner/AdviceDesk.ts
@@ -97,9 +97,7 @@
       ? nodes.slice(reserved).filter(({ open, restUntil }) => open === 0 && restUntil <= now)
       : nodes.filter(({ open, slow: slowOnes, restUntil }) => slowOnes === 0 && open < QUICK_PER_NODE &&
         restUntil <= now)
-    return candidates.reduce<NodeState | undefined>((best, state) => best === undefined || state.open < best.open
-      ? state
-      : best, undefined)
+    return candidates.sort((a, b) => a.open - b.open)[0]
   }
 
   async #send (state: NodeState, question: Question): Promise<void> {
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -80,6 +80,8 @@
   /** The commit that is under way is the last one but the transfer. */
   #leaving = false
   #flushWaiters: Array<() => void> = []
+  /** Ended jobs whose rows are to be removed. */
+  readonly #forgotten: string[] = []
   #tick: ReturnType<typeof setInterval> | undefined
 
   /** @param onEnd called once when the ownership was lost */
@@ -436,9 +438,6 @@
     }
   }
 
-  /** Ended jobs whose rows are to be removed. */
-  #forgotten: string[] = []
-
   #nextFlush (): Promise<void> {
     return new Promise((resolve) => {
       const timer = setTimeout(resolve, STORED_WAIT_MS)
@@ -459,8 +458,7 @@
       const isOwner = await this.#ownership.commit(batch.puts, removes)
       const tookMs = Math.round(performance.now() - sentAt)
       if (tookMs > SLOW_COMMIT_MS) {
-        this.#parts.log.warn({ tookMs, rows: batch.puts.length, isOwner },
-          'the store is slow')
+        this.#parts.log.warn({ tookMs, rows: batch.puts.length, isOwner }, 'the store is slow')
       }
       if (!isOwner) {
         this.#lose('another node has taken the cell over')
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -171,8 +171,8 @@
     if (task === undefined || task.run !== end.run || task.status === 'done') return
     // A run on a worker whose lease ended unseen was given up; its good end still counts while no other run began.
     if (task.worker !== worker.id && !(task.status === 'waiting' && end.how === 'done')) return
-    this.#cell.log.info({ ...logged(task), worker: worker.id, run: end.run, how: end.how, end: end.sequence },
-      'run ended')
+    const { run, how, sequence } = end
+    this.#cell.log.info({ ...logged(task), worker: worker.id, run, how, end: sequence }, 'run ended')
     this.#cell.counters.count('runs_ended', { how: end.how })
     const { step } = task
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint
@@ -222,8 +222,8 @@
   }
 
   #handleVanished (worker: WorkerState, task: TaskRun): void {
-    this.#cell.log.info({ ...logged(task), worker: worker.id, run: task.run, was: task.status },
-      'run is not on its worker')
+    const { run, status } = task
+    this.#cell.log.info({ ...logged(task), worker: worker.id, run, was: status }, 'run is not on its worker')
     this.#cell.putBack(task)
     if (task.step.spec.gang) this.#stopGang(task.step.tasks)
   }
@@ -261,8 +261,8 @@
     for (const task of fillers) {
       if (task.percent === wanted) continue
       this.#cell.counters.count('pace_changes')
-      this.#cell.log.info({ ...logged(task), worker: worker.id, percent: wanted, tails },
-        'pace of a filling task changed')
+      const { id } = worker
+      this.#cell.log.info({ ...logged(task), worker: id, percent: wanted, tails }, 'pace of a filling task changed')
       this.#sessions.get(worker.id)?.pace({ key: task.key, run: task.run }, wanted).catch((error) => { throw error })
     }
   }
--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -93,10 +93,8 @@
     const record = { ...self, token: (previous.record?.token ?? 0) + 1, sequence: 0, released: false }
     const ownership = new Ownership(store, cell, record, previous.version, performance.now())
     const written = await ownership.#write({ ...record }, [], [], CLAIM_ROUNDS)
-    return written.chain((committed) => committed
-      ? done(ownership)
-      : notDone('conflict',
-        'another node took the cell over'))
+    const lost = notDone('conflict', 'another node took the cell over')
+    return written.chain((committed) => committed ? done(ownership) : lost)
   }
 
   get token (): number {
