--- a/packages/standins/src/quickstart.ts
+++ b/packages/standins/src/quickstart.ts
@@ -2,6 +2,7 @@
 /** Starts a cell for each example deployment, runs its jobs and requests, prints what happened, and stops it again. */
 import type { ShardStatus, TaskStatus, Workload } from '@gypsumspring/protocol'
 import { callControl } from './callControl/index.ts'
+import { runJobs } from './runJobs/index.ts'
 import { startCell, type Cell, type CommandOutput } from './startCell/index.ts'
 
 interface Deployment {
@@ -42,6 +43,10 @@
 const JOB_TIMEOUT_MS = 60_000
 
 for (const deployment of DEPLOYMENTS) await runDeployment(deployment)
+print('== jobs: a cell of 3 nodes and 4 workers in this process')
+for (const problem of await runJobs(print)) check(false, problem)
+// The killed node of the last cell still has timers.
+process.exit(0)
 
 async function runDeployment (deployment: Deployment): Promise<void> {
   const { name, cpuMillis, memoryMb } = deployment
--- /dev/null
+++ b/packages/standins/src/runJobs/test.ts
@@ -0,0 +1,8 @@
+import { expect } from 'chai'
+import { runJobs } from './index.ts'
+
+describe('runJobs', () => {
+  it('finishes its jobs although the owner of the cell is killed', async () => {
+    expect(await runJobs(() => {})).to.deep.equal([])
+  })
+})
