Give the cells of each test process a network that no other process comes to

Networks were counted up from the pid, and test processes have pids that follow each other, so the second cell of one took the network of the next one's first. Ruled out: daemons left by an earlier run (none was alive).

--- a/packages/standins/src/startCell/index.ts
+++ b/packages/standins/src/startCell/index.ts
@@ -60,7 +60,7 @@
   readonly manifest: Manifest
   readonly #directory: string
   readonly #options: CellOptions
-  readonly #network: number
+  readonly #network: string
 
   constructor (parts: {
     platform: StartedProcess,
@@ -69,7 +69,7 @@
     manifest: Manifest,
     directory: string,
     options: CellOptions,
-    network: number
+    network: string
   }) {
     this.platform = parts.platform
     this.workers = parts.workers
@@ -93,7 +93,7 @@
     const domains = listFailureDomains(this.manifest)
     const failureDomain = domains[index % domains.length] as string
     const id = `vm-${index}`
-    const host = `127.${this.#network}.1.${index + 1}`
+    const host = `127.${this.#network}.${index + 1}`
     await callControl(this.platformUrl, 'machines', {
       machines: [{ id, kind: 'entry', failureDomain, rack: `${id}-rack`, address: `${host}:${ENTRY_RPC_PORT}`, state: 'live' }]
     })
@@ -170,8 +170,15 @@
   }
 }
 
-/** Cells started by this process use networks of their own, so that several can run side by side. */
-let nextNetwork = 1 + process.pid % 200
+/**
+ * Cells have networks of their own, so that several can run side by side. The second octet is of the process, the third
+ * of the cell: test processes have pids that follow each other, and must not come to the network of the next one.
+ */
+let nextCell = 1
+
+function chooseNetwork (): string {
+  return `${1 + process.pid % 250}.${nextCell++}`
+}
 
 /**
  * Starts a cell of separate processes on loopback.
@@ -213,7 +220,7 @@
     manifest: replaceAddresses(parsed, endpoints.ready['runners'] as Array<{ address: string }>),
     directory: await mkdtemp(path.join(tmpdir(), 'gypsumspring-')),
     options,
-    network: nextNetwork++
+    network: chooseNetwork()
   })
   const count = options.entryVms ?? 8
   await Promise.all(Array.from({ length: count }, (_value, index) => cell.startVm(index)))
