Use one class for the waits of the stand-ins, and remove parts that nothing reads

The wait for a change stood twice in the stand-ins. WorkerTrust.lastSuccessAt, QueueConfiguration.guardedPools and a parameter of RunTracker were written and never read. MemoryCell.stop now also ends nodes that were killed, whose timers outlived the test of the quickstart.

--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -49,7 +49,7 @@
       this.#handleEnd(worker, end)
     }
     const present = new Set<TaskRun>()
-    for (const running of view.running) this.#handleRunning(worker, running, sentAt, present)
+    for (const running of view.running) this.#handleRunning(worker, running, present)
     for (const task of [...worker.tasks]) {
       if (!present.has(task) && isSettledBefore(task, sentAt)) this.#handleVanished(worker, task)
     }
@@ -209,7 +209,7 @@
     worker.slowness += SLOWNESS_GAIN * (ratio - worker.slowness)
   }
 
-  #handleRunning (worker: WorkerState, running: RunningTask, sentAt: number, present: Set<TaskRun>): void {
+  #handleRunning (worker: WorkerState, running: RunningTask, present: Set<TaskRun>): void {
     const task = this.#cell.find(running.key)
     if (task === undefined || task.worker !== worker.id || task.run !== running.run || !task.hasRun) {
       this.#stopStray(worker, running)
--- a/packages/jobs/src/owner/WorkerTrust.ts
+++ b/packages/jobs/src/owner/WorkerTrust.ts
@@ -15,7 +15,6 @@
   /** Failures that stood against the worker when its rest ended; the next task there is a trial. */
   onTrial: boolean
   trial: TaskRun | undefined
-  lastSuccessAt: number
 }
 
 /** Finds workers that fail what they start from few outcomes, and keeps tasks away from them for a time. */
@@ -30,7 +29,6 @@
       record.failedJobs.clear()
       record.onTrial = false
       record.restMs = REST_MS
-      record.lastSuccessAt = now
       return
     }
     record.failedJobs.add(task.step.job.id)
@@ -65,7 +63,7 @@
     const known = this.#records.get(worker)
     if (known !== undefined) return known
     const record: Record = {
-      failedJobs: new Set(), restUntil: 0, restMs: REST_MS, onTrial: false, trial: undefined, lastSuccessAt: 0
+      failedJobs: new Set(), restUntil: 0, restMs: REST_MS, onTrial: false, trial: undefined
     }
     this.#records.set(worker, record)
     return record
--- a/packages/jobs/src/standins/MemoryRecordStore.ts
+++ b/packages/jobs/src/standins/MemoryRecordStore.ts
@@ -1,5 +1,6 @@
 import { done, notDone, sleep, unknownEffect, type Outcome } from '@gypsumspring/protocol'
 import type { Commit, CommitResult, RecordStore, RowChanges, StoredRow } from '../ports.ts'
+import { Waiters } from './Waiters.ts'
 
 /** What becomes of one call: `lost` is carried out without an answer, `late` is carried out after `lateMs`. */
 export type StoreFault = 'refused' | 'silent' | 'lost' | 'late' | undefined
@@ -22,7 +23,7 @@
   version = 0
   /** Oldest version from which changes can still be read. */
   oldest = 0
-  #waiters = new Set<() => void>()
+  readonly changed = new Waiters()
 
   apply (commit: Commit): CommitResult {
     const { partition } = commit
@@ -49,7 +50,7 @@
         value: undefined
       })
     }
-    for (const wake of [...this.#waiters]) wake()
+    this.changed.wake()
     return { kind: 'committed', version: this.version }
   }
 
@@ -59,19 +60,6 @@
     this.history = []
   }
 
-  /** Resolves with the next change, or after a time. */
-  changed (waitMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      const finish = () => {
-        clearTimeout(timer)
-        this.#waiters.delete(finish)
-        resolve()
-      }
-      const timer = setTimeout(finish, waitMs)
-      this.#waiters.add(finish)
-    })
-  }
-
   #write (row: StoredRow): void {
     const key = name(row.table, row.partition, row.key)
     if (row.value === undefined) this.rows.delete(key)
@@ -116,7 +104,7 @@
 
   async changes (table: string, after: number, waitMs: number): Promise<Outcome<RowChanges>> {
     const find = () => this.#shared.history.filter((row) => row.table === table && row.version > after)
-    if (waitMs > 0 && find().length === 0) await this.#shared.changed(waitMs)
+    if (waitMs > 0 && find().length === 0) await this.#shared.changed.next(waitMs)
     return await this.#answer('', () => after < this.#shared.oldest
       ? notDone('not-found', 'the history does not reach back')
       : done({ rows: find(), version: this.#shared.version }))
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -2,6 +2,7 @@
 import type { StartResult, WorkerLink, WorkerLinks, WorkerRegistry } from '../ports.ts'
 import type { EndedRun, RunEnd, RunOrder, StartOrder, TaskKey, WorkerEntry, WorkerView } from '../types.ts'
 import { PromiseChecker } from './PromiseChecker.ts'
+import { Waiters } from './Waiters.ts'
 
 /** What becomes of one order: `late` is carried out after `LATE_MS` and never answered. */
 export type OrderFault = 'silent' | 'lost' | 'late' | 'unhealthy' | undefined
@@ -76,7 +77,7 @@
   #token = 0
   #leaseUntil = 0
   #leaseTimer: ReturnType<typeof setTimeout> | undefined
-  #waiters = new Set<() => void>()
+  readonly #ends = new Waiters()
   alive = true
   /** Decides what becomes of each call. */
   fault: (call: 'look' | 'start' | 'stop' | 'pace') => OrderFault = () => undefined
@@ -154,7 +155,7 @@
       if (sequence <= acknowledged && sequence > this.#lapsedUpTo) this.#checker.acknowledged(toName(key), run)
       return sequence > acknowledged
     })
-    if (this.ended.length === 0 && waitMs > 0) await this.#nextEnd(waitMs)
+    if (this.ended.length === 0 && waitMs > 0) await this.#ends.next(waitMs)
     const running = [...this.runs.values()].map(({ key, run, checkpoint }) => ({
       key,
       run,
@@ -165,25 +166,13 @@
     return { clockMs: this.clockMs, running, ended: [...this.ended] }
   }
 
-  #nextEnd (waitMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      const finish = () => {
-        clearTimeout(timer)
-        this.#waiters.delete(finish)
-        resolve()
-      }
-      const timer = setTimeout(finish, waitMs)
-      this.#waiters.add(finish)
-    })
-  }
-
   #end (run: Run, how: RunEnd): void {
     const name = toName(run.key)
     clearTimeout(run.endsBy)
     if (!this.runs.delete(name)) return
     this.#checker.ended(name, run.run, this.entry.id, how)
     this.ended.push({ sequence: ++this.#sequence, key: run.key, run: run.run, how, checkpoint: run.checkpoint })
-    for (const wake of [...this.#waiters]) wake()
+    this.#ends.wake()
     this.#gangs.leave(run)
   }
 }
--- a/packages/jobs/src/standins/startMemoryCell.ts
+++ b/packages/jobs/src/standins/startMemoryCell.ts
@@ -43,6 +43,8 @@
   readonly queues: Queue[] = [toQueue('batch')]
   readonly #options: Options
   readonly #handlers = new Map<string, CellHandlers>()
+  /** All nodes that were ever started. */
+  readonly #started: MemoryNode[] = []
 
   constructor (options: Options = {}) {
     this.#options = options
@@ -77,7 +79,7 @@
       registry: () => this.workers,
       links: { open: (entry) => gate(this.workers.open(entry), isUp) },
       adviser: this.#options.adviser ?? new GenerousAdviser(),
-      configuration: { current: () => ({ version: 1, queues: this.queues, guardedPools: new Set() }) },
+      configuration: { current: () => ({ version: 1, queues: this.queues }) },
       connect: (address) => this.#connect(address, isUp),
       log: this.#options.log ?? NO_LOG,
       counters: NO_COUNTERS
@@ -97,6 +99,7 @@
     })
     const node: MemoryNode = { name, cell, store, up: true }
     this.nodes.set(name, node)
+    this.#started.push(node)
     this.#handlers.set(name, cell.handlers())
     cell.start()
     return node
@@ -140,7 +143,12 @@
   }
 
   async stop (): Promise<void> {
-    await Promise.all([...this.nodes.values()].filter(({ up }) => up).map(({ cell }) => cell.stop()))
+    const stopped = this.#started.map(async ({ cell, up }) => {
+      const ended = cell.stop()
+      // Calls of a killed node are never answered, so only its timers can be ended.
+      if (up) await ended
+    })
+    await Promise.all(stopped)
   }
 
   isLongRunning (job: string, step: number): boolean {
--- a/packages/jobs/src/types.ts
+++ b/packages/jobs/src/types.ts
@@ -97,8 +97,6 @@
 export interface QueueConfiguration {
   version: number
   queues: readonly Queue[]
-  /** Pools whose workers refuse what exceeds their capacity. */
-  guardedPools: ReadonlySet<string>
 }
 
 /** A worker as it is registered. */
