--- a/packages/jobs/src/node/test.ts
+++ b/packages/jobs/src/node/test.ts
@@ -113,6 +113,35 @@
         expect(cell.checker.starts).to.equal(12)
       }
     },
+    {
+      name: 'stops a run whose start was refused after a copy without an answer, since the copy may be carried out late',
+      options: { workers: 2 },
+      play: async (cell) => {
+        let calls = 0
+        for (const worker of cell.workers.workers.values()) {
+          worker.fault = (call) => call === 'start' ? ([undefined, 'late', 'unhealthy'] as const)[++calls] : undefined
+        }
+        start(cell.submit(ID, [{ estimatedRunMs: 6_000 }]))
+        await clock.tickAsync(12_000)
+        expect(calls).to.equal(3)
+        expect(cell.checker.starts).to.equal(1)
+        expect(await showSoon(cell, ID)).to.equal('completed')
+      }
+    },
+    {
+      name: 'lets workers drop ends only when the jobs of all of them are stored',
+      options: { storeLatencyMs: 300, outlook: () => ({ how: 'done', afterMs: 8_000 - performance.now() }) },
+      play: async (cell) => {
+        const demand = { cpuMillis: 100, memoryMb: 50, accelerators: 0 }
+        for (let index = 0; index < 300; index++) start(cell.submit(`00000000000${10_000 + index}`, [{ demand, estimatedRunMs: 8_000 }]))
+        await clock.tickAsync(6_000)
+        expect(cell.checker.starts).to.equal(300)
+        while (performance.now() < 8_700) await clock.tickAsync(10)
+        cell.killNode(cell.owner!.name)
+        await clock.tickAsync(8_000)
+        expect(cell.checker.starts).to.equal(300)
+      }
+    },
     {
       name: 'loses nothing when answers of the store are lost or writes are carried out late',
       play: async (cell) => {
