Keep the progress record of an ended job until the rows of its acceptance are gone

Cause: the record of a forgotten job was removed before the rows in the partitions of accepted jobs, and nobody repeated a removal that failed. The next owner read such a row as a new job and ran it again.

--- a/packages/jobs/src/node/test.ts
+++ b/packages/jobs/src/node/test.ts
@@ -78,6 +78,24 @@
         expect(cell.checker.starts).to.equal(3)
       }
     },
+    {
+      name: 'does not run an ended job again that was forgotten while a partition of accepted jobs was away',
+      play: async (cell) => {
+        start(cell.submit(ID, [{}]))
+        await clock.tickAsync(100_000)
+        for (const { store } of cell.nodes.values()) {
+          store.fault = (call, partition) => call === 'commit' && partition.startsWith('jobs-') ? 'refused' : undefined
+        }
+        await clock.tickAsync(40_000)
+        cell.killNode(cell.owner!.name)
+        await clock.tickAsync(3_000)
+        expect(cell.checker.starts).to.equal(1)
+        for (const { store } of cell.nodes.values()) store.fault = () => undefined
+        await clock.tickAsync(10_000)
+        expect([...cell.rows.rows.keys()].filter((name) => name.endsWith(ID))).to.deep.equal([])
+        expect(cell.checker.starts).to.equal(1)
+      }
+    },
     {
       name: 'leaves a cell to nodes with a stronger processor and link',
       options: { nodes: 3, weakNodes: ['n0', 'n1'] },
--- /dev/null
+++ b/packages/jobs/src/owner/Intake.ts
@@ -0,0 +1,55 @@
+import { failureOf, sleep, valueOf } from '@gypsumspring/protocol'
+import { INTAKE_READ_MS } from '../constants/index.ts'
+import type { Counters, RecordStore, StoredRow } from '../ports.ts'
+import { listJobPartitions } from '../records/index.ts'
+import { readUntilDone } from './readUntilDone.ts'
+
+/** Reads a table that other nodes write: all its rows at first, then those of which no notification arrived. */
+export class Intake {
+  readonly #store: RecordStore
+  readonly #table: string
+  readonly #take: (row: StoredRow) => void
+  readonly #ended: AbortSignal
+  readonly #counters: Counters
+  #complete = false
+
+  constructor (
+    store: RecordStore, table: string, take: (row: StoredRow) => void, ended: AbortSignal, counters: Counters
+  ) {
+    this.#store = store
+    this.#table = table
+    this.#take = take
+    this.#ended = ended
+    this.#counters = counters
+  }
+
+  /** Whether all rows were read that were there when the owner began. */
+  get isComplete (): boolean {
+    return this.#complete
+  }
+
+  async run (): Promise<void> {
+    let version = await this.#readAll()
+    this.#complete = !this.#ended.aborted
+    while (!this.#ended.aborted) {
+      await sleep(INTAKE_READ_MS)
+      const outcome = await this.#store.changes(this.#table, version, 0)
+      const changes = valueOf(outcome)
+      if (changes !== undefined) {
+        version = changes.version
+        for (const row of changes.rows) if (row.value !== undefined) this.#take(row)
+      } else if (failureOf(outcome)?.reason === 'not-found') version = await this.#readAll()
+    }
+  }
+
+  /** @returns the version from which changes are to be read */
+  async #readAll (): Promise<number> {
+    const versions = await Promise.all(listJobPartitions().map(async (partition) => {
+      const read = await readUntilDone(() => this.#store.read(this.#table, partition), this.#table, this.#ended,
+        this.#counters)
+      for (const row of read?.rows ?? []) this.#take(row)
+      return read?.version ?? 0
+    }))
+    return Math.min(...versions)
+  }
+}
