--- a/packages/jobs/src/book/JobRun.ts
+++ b/packages/jobs/src/book/JobRun.ts
@@ -106,6 +106,7 @@
   /** Steady time at which the owner learnt of the job. */
   readonly knownSince: number
   cancelled = false
+  /** A run of one of its tasks was confirmed. */
   started = false
 
   constructor (job: Job, now: number, wallNow: number) {
@@ -162,7 +163,8 @@
     this.state = progress.state
     this.shownState = progress.state
     this.endedAt = progress.endedAt
-    this.started = progress.state !== 'queued'
+    this.started = progress.finishedSteps.length > 0 || progress.finishedOccurrences.length > 0 ||
+      progress.tasks.some(({ status, run }) => status === 'done' || run > 1)
     for (const occurrence of progress.finishedOccurrences) this.finishedOccurrences.add(occurrence)
     if (this.isOver) return
     for (const [occurrence, index] of progress.finishedSteps) {
--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -221,9 +221,9 @@
     return outcome.map(() => true)
   }
 
-  /** Jobs of a queue of which no task has started; undefined while no owner can be asked. */
+  /** Jobs of a queue of which no task has started; undefined while no owner can tell. */
   async countPending (queue: string): Promise<number | undefined> {
-    if (this.#owner !== undefined) return this.#owner.isRecovered ? this.#owner.countPending(queue) : undefined
+    if (this.#owner !== undefined) return this.#owner.countPending(queue)
     const answer = await this.#ownerPeer?.call('cell.pending', { queue }, { timeoutMs: ASK_TIMEOUT_MS })
     return answer?.map(({ pending }) => pending ?? undefined).orDefault(undefined)
   }
@@ -246,11 +246,7 @@
         const known = this.#owner?.isRecovered === true
         return { known, state: this.#owner?.stateOf(id) ?? null }
       },
-      'cell.pending': ({ queue }) => ({
-        pending: this.#owner?.isRecovered === true
-          ? this.#owner.countPending(queue)
-          : null
-      }),
+      'cell.pending': ({ queue }) => ({ pending: this.#owner?.countPending(queue) ?? null }),
       'cell.advise': async ({ workers, timeoutMs, ...step }) =>
         toRelayed(await this.#parts.adviser.advise(step, workers, timeoutMs), (advice) => advice),
       'cell.store.commit': async ({ puts, ...commit }) => {
--- a/packages/jobs/src/node/test.ts
+++ b/packages/jobs/src/node/test.ts
@@ -1,6 +1,6 @@
 import { install, type Clock } from '@sinonjs/fake-timers'
 import { expect } from 'chai'
-import { MemoryCell, toQueue } from '../standins/index.ts'
+import { MemoryCell, toQueue, type StoreFault } from '../standins/index.ts'
 
 const ID = '00000000000000a1'
 
@@ -96,6 +96,40 @@
         expect(cell.checker.starts).to.equal(1)
       }
     },
+    {
+      name: 'counts a job as waiting until a worker has confirmed a start',
+      options: { workers: 1 },
+      play: async (cell) => {
+        const worker = [...cell.workers.workers.values()][0]!
+        worker.fault = (call) => call === 'start' ? 'silent' : undefined
+        start(cell.submit(ID, [{ estimatedRunMs: 10_000 }]))
+        await clock.tickAsync(1_000)
+        expect(await cell.owner!.cell.countPending('batch')).to.equal(1)
+        worker.fault = () => undefined
+        await clock.tickAsync(1_500)
+        expect(await cell.owner!.cell.countPending('batch')).to.equal(0)
+        cell.killNode(cell.owner!.name)
+        await clock.tickAsync(3_000)
+        expect(await cell.owner!.cell.countPending('batch')).to.equal(0)
+      }
+    },
+    {
+      name: 'tells no number of waiting jobs before all accepted jobs were read',
+      play: async (cell) => {
+        const silence = (fault: (partition: string) => StoreFault) => {
+          for (const { store } of cell.nodes.values()) store.fault = (_call, partition) => fault(partition)
+        }
+        cell.killNode(cell.owner!.name)
+        start(cell.submit(ID, [{ demand: { cpuMillis: 99_000, memoryMb: 1, accelerators: 0 } }]))
+        await clock.tickAsync(100)
+        silence((partition) => partition.startsWith('jobs-') ? 'refused' : undefined)
+        await clock.tickAsync(3_000)
+        expect(await cell.owner!.cell.countPending('batch')).to.equal(undefined)
+        silence(() => undefined)
+        await clock.tickAsync(1_000)
+        expect(await cell.owner!.cell.countPending('batch')).to.equal(1)
+      }
+    },
     {
       name: 'leaves a cell to nodes with a stronger processor and link',
       options: { nodes: 3, weakNodes: ['n0', 'n1'] },
--- a/packages/jobs/src/owner/Cell.ts
+++ b/packages/jobs/src/owner/Cell.ts
@@ -70,7 +70,6 @@
     worker.add(task)
     const { job } = task.step
     if (job.state === 'queued') job.state = 'running'
-    job.started = true
     const waitedMs = Math.round(this.now() - Math.max(task.waitingSince, task.step.readyAt ?? 0))
     this.log.info({ job: job.id, task: `${task.step.name}.${task.index}`, run, worker: worker.id, waitedMs }, 'task placed')
     this.touch(job)
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -179,8 +179,9 @@
     return this.cell.jobs.get(id)?.shownState
   }
 
-  /** Accepted jobs of a queue of which no task has started. */
-  countPending (queue: string): number {
+  /** Accepted jobs of a queue of which no task has started; undefined while some of them were not read yet. */
+  countPending (queue: string): number | undefined {
+    if (!this.#jobs.isComplete) return undefined
     let count = 0
     for (const job of this.cell.active) if (!job.started && job.job.queue.name === queue) count++
     return count
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -132,6 +132,7 @@
     this.#cell.counters.recordDuration('task_wait', task.startedAt - Math.max(task.waitingSince,
       task.step.readyAt ?? 0))
     const { job } = task.step
+    job.started = true
     if (job.isOver || job.cancelled) this.stop(task, 'drop')
   }
 
@@ -175,6 +176,7 @@
     this.#cell.log.info({ ...logged(task), worker: worker.id, run, how, end: sequence }, 'run ended')
     this.#cell.counters.count('runs_ended', { how: end.how })
     const { step } = task
+    step.job.started = true
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint
     if (end.how === 'done' && !step.spec.longRunning) {
       this.#recordSpeed(worker, task)
