Move serving callers and the followers of an owner out of CellNode

JobService serves callers, Followers keeps who follows the owner, RemoteAdviser asks for advice through another node. Their behaviour is unchanged.

--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,5 +1,6 @@
 export * from './constants/index.ts'
 export * from './node/CellNode.ts'
+export type { Acceptance, JobService } from './node/JobService.ts'
 export { cellMethods } from './node/messages.ts'
 export type { Peer } from './node/RelayedStore.ts'
 export type * from './ports.ts'
--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -1,20 +1,16 @@
-import { done, failureOf, unknownEffect, valueOf, type Outcome } from '@gypsumspring/protocol'
-import { sleep } from '@gypsumspring/protocol'
+import { failureOf, sleep, valueOf } from '@gypsumspring/protocol'
 import { OWNER_SILENCE_MS } from '../constants/index.ts'
 import { CellOwner, type CellOwnerOptions } from '../owner/CellOwner.ts'
-import {
-  Ownership, commitRepeatedly, readOwner, type OwnerRecord, type OwnerRow, type Transfer
-} from '../ownership/index.ts'
+import { Ownership, readOwner, type OwnerRecord, type OwnerRow, type Transfer } from '../ownership/index.ts'
 import type {
-  Advice, Adviser, ConfigurationSource, Counters, DecisionLog, RecordStore, WorkerLinks, WorkerRegistry
+  Adviser, ConfigurationSource, Counters, DecisionLog, RecordStore, WorkerLinks, WorkerRegistry
 } from '../ports.ts'
-import {
-  CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, encodeJob, toJobPartitions
-} from '../records/index.ts'
-import { decodeProgress } from '../book/index.ts'
-import type { Job, JobState } from '../types.ts'
+import { CELL_PARTITION } from '../records/index.ts'
+import { Followers } from './Followers.ts'
+import { JobService } from './JobService.ts'
 import type { CellMethod, CellParams, CellResult } from './messages.ts'
-import { RelayedStore, fromRelayed, toRelayed, toWireRow, type Peer } from './RelayedStore.ts'
+import { RelayedStore, toRelayed, toWireRow, type Peer } from './RelayedStore.ts'
+import { RemoteAdviser } from './RemoteAdviser.ts'
 import { chooseTakeoverDelay, computeWeakness } from './takeoverDelay/index.ts'
 import { watchLag } from './watchLag/index.ts'
 
@@ -43,13 +39,6 @@
   linkMbps: number
 }
 
-export type Acceptance =
-  | { kind: 'accepted' }
-  /** Not stored, and never will be. */
-  | { kind: 'refused', reason: string }
-  /** May have been stored. */
-  | { kind: 'uncertain', reason: string }
-
 export type CellHandlers = {
   [Method in CellMethod]: (params: CellParams<Method>) => Promise<CellResult<Method>> | CellResult<Method>
 }
@@ -66,34 +55,20 @@
 /** An owner whose port refuses connections is replaced when its record has not changed for this time, in ms. */
 const REFUSED_SILENCE_MS = 550
 
-/** A follower that was silent for this time is no longer used for advice or as a relay, in ms. */
-const FOLLOWER_SILENCE_MS = 1_500
-
 /** Time between two looks at whether the store answers, in ms. */
 const PROBE_INTERVAL_MS = 150
 
 /** Longest wait for the owner's answer to a question of a caller, in ms. */
 const ASK_TIMEOUT_MS = 800
 
-interface Follower {
-  /** How far its machine falls short of what an owner needs, from 0 to 1. */
-  weakness: number
-  /** Age of its process, in ms. */
-  uptimeMs: number
-  /** It reaches the store without help. */
-  hasStore: boolean
-  /** It is about to stop. */
-  resigned: boolean
-  peer: Peer & { close (): void }
-  seenAt: number
-}
-
-/** One node of a cell: follows the owner or is the owner, and serves callers. */
+/** One node of a cell: follows the owner or is the owner. */
 export class CellNode {
   readonly #parts: CellNodeParts
   readonly #options: CellNodeOptions
   readonly #store: RelayedStore
-  readonly #followers = new Map<string, Follower>()
+  /** Serves callers. */
+  readonly jobs: JobService
+  readonly #followers = new Followers()
   readonly #known = new Map<string, Peer & { close (): void }>()
   #owner: CellOwner | undefined
   #ownerPeer: (Peer & { close (): void }) | undefined
@@ -118,6 +93,8 @@
     this.#parts = parts
     this.#options = options
     this.#store = new RelayedStore(parts.store, () => this.#relayPeers(), parts.counters)
+    const owner = { local: () => this.#owner, peer: () => this.#ownerPeer }
+    this.jobs = new JobService(this.#store, owner, parts.counters)
     for (const address of options.seeds) if (address !== options.address) this.#helpers.push(this.#peer(address))
   }
 
@@ -126,11 +103,6 @@
     return this.#store
   }
 
-  /** Whether jobs can be accepted here: the store has answered a short while ago. */
-  get canAccept (): boolean {
-    return this.#store.isAnswering
-  }
-
   get isOwner (): boolean {
     return this.#owner !== undefined
   }
@@ -153,81 +125,6 @@
     for (const peer of this.#known.values()) peer.close()
   }
 
-  /** Stores a job. `deadlineMs` is how long the caller waits. */
-  async accept (job: Job, deadlineMs: number): Promise<Acceptance> {
-    const giveUpAt = performance.now() + deadlineMs
-    const key = { table: JOBS_TABLE, key: job.id }
-    const commits = toJobPartitions(job.id).map((partition) => (
-      { partition, expected: [{ ...key, version: 0 }], puts: [{ ...key, value: encodeJob(job) }], removes: [] }))
-    let uncertain = false
-    let reason = 'unavailable'
-    while (performance.now() < giveUpAt) {
-      if (!this.canAccept) return uncertain ? { kind: 'uncertain', reason } : { kind: 'refused', reason: 'unavailable' }
-      const outcome = await this.#whileAnswering(commitRepeatedly(this.#store, commits), giveUpAt)
-      const result = valueOf(outcome)
-      if (result !== undefined) {
-        this.#run(this.#notifyOwner('cell.accept', { job }, (owner) => owner.accept(job)))
-        return { kind: 'accepted' }
-      }
-      outcome.ifLeft((failure) => {
-        uncertain ||= failure.certainty === 'unknown'
-        reason = failure.reason
-      })
-      this.#parts.counters.count('store_retries', { what: 'accept' })
-      await sleep(ACCEPT_RETRY_MS)
-    }
-    return uncertain ? { kind: 'uncertain', reason } : { kind: 'refused', reason }
-  }
-
-  /** The outcome of a write, or `unknown` as soon as waiting for it has no use any more. */
-  async #whileAnswering<Value> (write: Promise<Outcome<Value>>, giveUpAt: number): Promise<Outcome<Value>> {
-    let settled: Outcome<Value> | undefined
-    this.#run(write.then((outcome) => { settled = outcome }))
-    const watch = async (): Promise<Outcome<Value>> => {
-      while (this.canAccept && performance.now() < giveUpAt) await sleep(WATCH_INTERVAL_MS)
-      return settled ?? unknownEffect('timeout', 'the store does not answer')
-    }
-    return await Promise.race([write, watch()])
-  }
-
-  /** State to show for a job; undefined when no such job was accepted. */
-  async show (id: string): Promise<Outcome<JobState | undefined>> {
-    const answer = await this.#askOwner(id)
-    if (answer !== undefined) return done(answer)
-    const progress = await this.#store.readRow(PROGRESS_TABLE, CELL_PARTITION, id)
-    if (progress.isLeft()) return progress as Outcome<never>
-    const value = progress.unsafeCoerce()?.value
-    const known = value === undefined ? undefined : decodeProgress(value)
-    if (known !== undefined) return done(known.state)
-    const stored = await this.#isStored(id)
-    return stored.map((found) => found ? 'queued' : undefined)
-  }
-
-  /** Whether a job was accepted, by the rows of the nodes that accepted it. */
-  async #isStored (id: string): Promise<Outcome<boolean>> {
-    const rows = await Promise.all(toJobPartitions(id).map((partition) => this.#store.readRow(JOBS_TABLE,
-      partition, id)))
-    if (rows.some((row) => valueOf(row) !== undefined)) return done(true)
-    return (rows.find((row) => row.isLeft()) as Outcome<never> | undefined) ?? done(false)
-  }
-
-  /** Stores that a job is cancelled. The result tells whether there is such a job. */
-  async cancel (id: string): Promise<Outcome<boolean>> {
-    const found = await this.#askOwner(id) !== undefined ? done(true) : await this.#isStored(id)
-    if (found.isLeft() || found.extract() === false) return found
-    const outcome = await commitRepeatedly(this.#store, toJobPartitions(id).map((partition) => (
-      { partition, expected: [], puts: [{ table: CANCELS_TABLE, key: id, value: Buffer.from('{}') }], removes: [] })))
-    if (outcome.isRight()) this.#run(this.#notifyOwner('cell.cancel', { id }, (owner) => owner.cancel(id)))
-    return outcome.map(() => true)
-  }
-
-  /** Jobs of a queue of which no task has started; undefined while no owner can tell. */
-  async countPending (queue: string): Promise<number | undefined> {
-    if (this.#owner !== undefined) return this.#owner.countPending(queue)
-    const answer = await this.#ownerPeer?.call('cell.pending', { queue }, { timeoutMs: ASK_TIMEOUT_MS })
-    return answer?.map(({ pending }) => pending ?? undefined).orDefault(undefined)
-  }
-
   /** What this node answers to others. */
   handlers (): CellHandlers {
     const direct = this.#store.direct
@@ -276,7 +173,7 @@
 
   #relayPeers (): Peer[] {
     if (this.#owner === undefined) return this.#helpers
-    return [...this.#followers.values()].filter(({ hasStore }) => hasStore).map(({ peer }) => peer)
+    return this.#followers.listWithStore().map(({ peer }) => peer)
   }
 
   /** Keeps `canAccept` up to date on a node that has nothing else to ask the store. */
@@ -440,21 +337,15 @@
   async #handOver (owner: CellOwner): Promise<void> {
     if (this.#isLeaving) return
     this.#isLeaving = true
-    const candidates = [...this.#followers].filter(([, { resigned, hasStore }]) => !resigned && hasStore)
-    // Where nodes are restarted in turn, the one that was started last is not restarted again soon.
-    candidates.sort(([, a], [, b]) => a.weakness - b.weakness || a.uptimeMs - b.uptimeMs)
-    const [node, successor] = candidates[0] ?? []
-    const followers = [...this.#followers.values()]
+    const successor = this.#followers.chooseSuccessor()
+    const followers = this.#followers.list()
     const token = owner.token
     const transfer = await owner.stop(successor === undefined
       ? undefined
-      : {
-          node: node!,
-          address: successor.peer.address
-        })
+      : { node: successor.node, address: successor.peer.address })
     this.#isLeaving = false
     this.#owner = undefined
-    this.#parts.log.info({ token, successor: node, transferred: transfer !== undefined }, 'gave the cell up')
+    this.#parts.log.info({ token, successor: successor?.node, transferred: transfer !== undefined }, 'gave the cell up')
     for (const follower of followers) {
       const message = { token, transfer: follower === successor ? transfer ?? null : null }
       this.#run(follower.peer.call('cell.released', message, { timeoutMs: ASK_TIMEOUT_MS }))
@@ -469,72 +360,26 @@
     return {}
   }
 
-  #handleFollow ({
-    node, address, uptimeMs, resigned,
-    hasStore,
-    weakness
-  }: CellParams<'cell.follow'>): CellResult<'cell.follow'> {
+  #handleFollow (greeting: CellParams<'cell.follow'>): CellResult<'cell.follow'> {
     const owner = this.#owner
     if (owner === undefined) return { isOwner: false, token: 0, peers: [] }
-    const peer = this.#peer(address)
-    const known = this.#followers.get(node)
-    this.#followers.set(node, { peer, seenAt: performance.now(), uptimeMs, resigned, hasStore, weakness })
-    if (known?.peer !== peer) owner.addNode({ id: node, adviser: new RemoteAdviser(peer) })
-    const peers = [...this.#followers.values()].filter((follower) => follower.hasStore).map((follower) =>
-      follower.peer.address)
+    const peer = this.#peer(greeting.address)
+    if (this.#followers.greet(greeting, peer)) owner.addNode({ id: greeting.node, adviser: new RemoteAdviser(peer) })
+    const peers = this.#followers.listWithStore().map((follower) => follower.peer.address)
     return { isOwner: true, token: owner.token, peers }
   }
 
   #sweepFollowers (): void {
-    for (const [node, { seenAt }] of this.#followers) {
-      if (performance.now() - seenAt < FOLLOWER_SILENCE_MS) continue
-      this.#followers.delete(node)
+    for (const node of this.#followers.sweep()) {
       this.#owner?.removeNode(node)
       this.#parts.log.info({ node }, 'node is silent')
     }
   }
-
-  /** Asks the owner for a job's state. Undefined when it can't tell. */
-  async #askOwner (id: string): Promise<JobState | undefined> {
-    if (this.#owner !== undefined) return this.#owner.isRecovered ? this.#owner.stateOf(id) : undefined
-    const answer = await this.#ownerPeer?.call('cell.show', { id }, { timeoutMs: ASK_TIMEOUT_MS })
-    const result = (answer === undefined ? undefined : valueOf(answer))
-    return result?.known === true ? (result.state as JobState | null) ?? undefined : undefined
-  }
-
-  /** Tells the owner what was stored. A lost message costs time only: the owner reads the tables at intervals. */
-  async #notifyOwner<Method extends 'cell.accept' | 'cell.cancel'> (
-    method: Method, params: CellParams<Method>, local: (owner: CellOwner) => void
-  ): Promise<void> {
-    if (this.#owner !== undefined) local(this.#owner)
-    else await this.#ownerPeer?.call(method, params, { timeoutMs: ASK_TIMEOUT_MS })
-  }
 }
 
 /** Time for which a slow node doesn't take the cell over again, in ms. */
 const STAND_DOWN_MS = 8_000
 
-/** Time between two looks at whether a write is still worth waiting for, in ms. */
-const WATCH_INTERVAL_MS = 50
-
-/** Wait before a job that could not be stored is written again, in ms. */
-const ACCEPT_RETRY_MS = 60
-
-/** Asks for advice through another node. */
-class RemoteAdviser implements Adviser {
-  readonly #peer: Peer
-
-  constructor (peer: Peer) {
-    this.#peer = peer
-  }
-
-  async advise (step: Parameters<Adviser['advise']>[0], workers: string[],
-    timeoutMs: number): ReturnType<Adviser['advise']> {
-    const answer = await this.#peer.call('cell.advise', { ...step, workers, timeoutMs }, { timeoutMs: timeoutMs + 200 })
-    return answer.chain((result) => fromRelayed(result as { ok: Advice } | { failure: unknown }))
-  }
-}
-
 function toWireChanges ({ rows, version }: { rows: Parameters<typeof toWireRow>[0][], version: number }) {
   return { rows: rows.map(toWireRow), version }
 }
--- a/packages/jobs/src/node/test.ts
+++ b/packages/jobs/src/node/test.ts
@@ -104,13 +104,13 @@
         worker.fault = (call) => call === 'start' ? 'silent' : undefined
         start(cell.submit(ID, [{ estimatedRunMs: 10_000 }]))
         await clock.tickAsync(1_000)
-        expect(await cell.owner!.cell.countPending('batch')).to.equal(1)
+        expect(await cell.owner!.cell.jobs.countPending('batch')).to.equal(1)
         worker.fault = () => undefined
         await clock.tickAsync(1_500)
-        expect(await cell.owner!.cell.countPending('batch')).to.equal(0)
+        expect(await cell.owner!.cell.jobs.countPending('batch')).to.equal(0)
         cell.killNode(cell.owner!.name)
         await clock.tickAsync(3_000)
-        expect(await cell.owner!.cell.countPending('batch')).to.equal(0)
+        expect(await cell.owner!.cell.jobs.countPending('batch')).to.equal(0)
       }
     },
     {
@@ -124,10 +124,10 @@
         await clock.tickAsync(100)
         silence((partition) => partition.startsWith('jobs-') ? 'refused' : undefined)
         await clock.tickAsync(3_000)
-        expect(await cell.owner!.cell.countPending('batch')).to.equal(undefined)
+        expect(await cell.owner!.cell.jobs.countPending('batch')).to.equal(undefined)
         silence(() => undefined)
         await clock.tickAsync(1_000)
-        expect(await cell.owner!.cell.countPending('batch')).to.equal(1)
+        expect(await cell.owner!.cell.jobs.countPending('batch')).to.equal(1)
       }
     },
     {
--- a/packages/jobs/src/standins/startMemoryCell.ts
+++ b/packages/jobs/src/standins/startMemoryCell.ts
@@ -127,19 +127,19 @@
     this.#specs.set(id, spec)
     const node = this.#pick(options.node)
     const job: Job = { id, queue, acceptedAt: Date.now(), spec }
-    return (await node.cell.accept(job, 3_000)).kind
+    return (await node.cell.jobs.accept(job, 3_000)).kind
   }
 
   /** Cancels a job through a node that is up; whether there was such a job. */
   async cancel (id: string): Promise<boolean> {
-    const found = await this.#pick().cell.cancel(id)
+    const found = await this.#pick().cell.jobs.cancel(id)
     const isCancelled = found.orDefault(false)
     if (isCancelled) this.checker.cancelled(id)
     return isCancelled
   }
 
   async show (id: string): Promise<string | undefined> {
-    return (await this.#pick().cell.show(id)).orDefault(undefined)
+    return (await this.#pick().cell.jobs.show(id)).orDefault(undefined)
   }
 
   async stop (): Promise<void> {
