--- a/packages/jobs/src/node/history.test.ts
+++ b/packages/jobs/src/node/history.test.ts
@@ -1,7 +1,6 @@
 import { install, type Clock } from '@sinonjs/fake-timers'
 import { expect } from 'chai'
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
-import { MemoryCell, type MemoryWorker, type OrderFault, type StoreFault } from '../standins/index.ts'
+import { MemoryCell, Randomness, type MemoryWorker, type OrderFault, type StoreFault } from '../standins/index.ts'
 import type { Step } from '../types.ts'
 
 /** Seeds of the run in CI; SEEDS=from-to runs others. */
@@ -12,26 +11,6 @@
 /** After the last fault: leases of lost workers end, and everything that can be done is done. */
 const REST_MS = 45_000
 
-class Randomness {
-  readonly #generator
-
-  constructor (seed: number) {
-    this.#generator = xoroshiro128plus(seed)
-  }
-
-  below (limit: number): number {
-    return (this.#generator.next() >>> 0) % limit
-  }
-
-  pick<Value> (values: readonly Value[]): Value {
-    return values[this.below(values.length)]!
-  }
-
-  chance (share: number): boolean {
-    return this.below(1000) < share * 1000
-  }
-}
-
 /** Plays jobs and overlapping faults on a cell. */
 class History {
   readonly cell: MemoryCell
--- a/packages/jobs/src/standins/PromiseChecker.ts
+++ b/packages/jobs/src/standins/PromiseChecker.ts
@@ -81,6 +81,17 @@
     if (history.doneRun === run) history.doneKnown = true
   }
 
+  /** Whether a task of the job was ever started. */
+  hasStarted (id: string): boolean {
+    return [...this.#tasks.keys()].some((name) => name.startsWith(`${id}.`))
+  }
+
+  /** Whether a task of the job has failed as often as its queue allows. */
+  hasFailed (id: string): boolean {
+    const limit = this.#jobs.get(id)?.maxAttempts ?? Infinity
+    return [...this.#tasks].some(([name, { failures }]) => name.startsWith(`${id}.`) && failures >= limit)
+  }
+
   isDone (name: string): boolean {
     return this.#history(name).doneRun !== undefined
   }
--- a/packages/jobs/src/standins/index.ts
+++ b/packages/jobs/src/standins/index.ts
@@ -1,4 +1,5 @@
 export * from './MemoryRecordStore.ts'
 export * from './MemoryWorkers.ts'
 export * from './PromiseChecker.ts'
+export * from './Randomness.ts'
 export * from './startMemoryCell.ts'
--- a/packages/standins/src/linkProxy/index.ts
+++ b/packages/standins/src/linkProxy/index.ts
@@ -67,6 +67,12 @@
   }
 }
 
+/** Resets a connection. Node leaves a socket open for good whose reset fails, as it does while its end is being sent. */
+function breakOff (socket: Socket): void {
+  if (socket.writableEnded) socket.destroy()
+  else socket.resetAndDestroy()
+}
+
 interface Link {
   sockets: [Socket, Socket]
   toTarget: Flow
@@ -134,7 +140,7 @@
     for (const { sockets, toTarget, toClient } of this.#links) {
       toTarget.stop()
       toClient.stop()
-      for (const socket of sockets) socket.resetAndDestroy()
+      for (const socket of sockets) breakOff(socket)
     }
   }
 
@@ -175,7 +181,7 @@
     this.#links.add(link)
     this.#applyCut(link)
     for (const [socket, other] of [[client, target], [target, client]] as const) {
-      socket.on('error', () => other.resetAndDestroy())
+      socket.on('error', () => breakOff(other))
       socket.on('close', () => {
         if (client.destroyed && target.destroyed) this.#links.delete(link)
       })
