--- a/packages/standins/src/linkProxy/index.ts
+++ b/packages/standins/src/linkProxy/index.ts
@@ -67,7 +67,9 @@
   }
 }
 
-/** Resets a connection. Node leaves a socket open for good whose reset fails, as it does while its end is being sent. */
+/**
+ * Resets a connection. Node leaves a socket open for good whose reset fails, as it does while its end is being sent.
+ */
 function breakOff (socket: Socket): void {
   if (socket.writableEnded) socket.destroy()
   else socket.resetAndDestroy()
