--- a/packages/jobs/src/owner/AdviceDesk.ts
+++ b/packages/jobs/src/owner/AdviceDesk.ts
@@ -1,7 +1,9 @@
 import type { AdviceTerms, TaskKey } from '../types.ts'
-import { MAX_ADVICE_WORKERS, SLOW_ADVICE_MS } from '../constants/index.ts'
-import type { Adviser } from '../ports.ts'
+import { SLOW_ADVICE_MS } from '../constants/index.ts'
+import { listForAdvice } from '../placement/listForAdvice/index.ts'
+import type { Advice, Adviser } from '../ports.ts'
 import type { StepRun } from '../book/index.ts'
+import type { WorkerState } from '../workers/WorkerState.ts'
 import type { Cell } from './Cell.ts'
 
 /** A node that can ask for advice; each has its own queue at the policy service. */
@@ -38,6 +40,12 @@
 /** Time that a node without answer isn't used, in ms. */
 const REST_MS = 1_000
 
+/** Share of the workers that the policy is taken to allow before the first answer of a queue. */
+const INITIAL_SHARE = 0.5
+
+/** Weight of a new answer in that share. */
+const SHARE_GAIN = 0.1
+
 /** Time after a failed call before the step asks again, in ms. */
 const RETRY_MS = 100
 
@@ -48,6 +56,8 @@
 export class AdviceDesk {
   readonly #cell: Cell
   readonly #nodes = new Map<string, NodeState>()
+  /** Share of the named workers that the policy allowed, by queue, as a moving average. */
+  readonly #allowedShares = new Map<string, number>()
   #waiting: Question[] = []
 
   constructor (cell: Cell) {
@@ -65,10 +75,12 @@
     this.#nodes.delete(id)
   }
 
-  /** Asks which of the workers may run a step, unless that is being asked already. */
-  ask (step: StepRun, terms: AdviceTerms, workers: string[]): void {
-    if (step.advice.pending || step.advice.notBefore > this.#cell.now() || workers.length === 0) return
-    const named = workers.slice(0, MAX_ADVICE_WORKERS)
+  /** Asks which of the workers may run a step of a queue with a policy, unless that is being asked already. */
+  ask (step: StepRun, workers: readonly WorkerState[]): void {
+    const { advice: terms, name } = step.job.job.queue
+    if (terms === undefined || step.advice.pending || step.advice.notBefore > this.#cell.now()) return
+    const named = listForAdvice(step, workers, this.#allowedShares.get(name) ?? INITIAL_SHARE)
+    if (named.length === 0) return
     step.advice.pending = true
     this.#waiting.push({ step, terms, workers: named, expectedMs: terms.decisionMs + terms.perWorkerMs * named.length })
     this.#dispatch()
@@ -131,12 +143,25 @@
         }, 'advice failed')
       },
       // The ticket's time begins when the service answers, which is after the call was sent.
-      Right: ({ tickets }) => step.advice.record(workers, tickets, Math.max(now - TRANSIT_MS, sentAt) + terms.validMs)
+      Right: ({ tickets }) => {
+        this.#recordShare(step, workers, tickets)
+        step.advice.record(workers, tickets, Math.max(now - TRANSIT_MS, sentAt) + terms.validMs)
+      }
     })
     this.#cell.changed()
     this.#dispatch()
   }
 
+  /** Counts the workers of which it wasn't known whether the policy allows them. */
+  #recordShare (step: StepRun, workers: readonly string[], tickets: Advice['tickets']): void {
+    const unknown = new Set(workers.filter((worker) => step.advice.isGood(worker) === undefined))
+    if (unknown.size === 0) return
+    const { name } = step.job.job.queue
+    const share = tickets.filter(([worker]) => unknown.has(worker)).length / unknown.size
+    const known = this.#allowedShares.get(name) ?? share
+    this.#allowedShares.set(name, known + SHARE_GAIN * (share - known))
+  }
+
   /** Starts waiting calls that a rested node can take now. */
   tick (): void {
     if (this.#waiting.length > 0) this.#dispatch()
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -15,7 +15,7 @@
 import { Evacuation } from './Evacuation.ts'
 import { GroupCommit } from './GroupCommit.ts'
 import { Intake } from './Intake.ts'
-import { Placer, listForAdvice } from './Placer.ts'
+import { Placer } from './Placer.ts'
 import { RunTracker } from './RunTracker.ts'
 import { WorkerRoster } from './WorkerRoster.ts'
 import { chooseLease, type WorkerSession } from './WorkerSession.ts'
@@ -262,13 +262,12 @@
 
   /** Asks for advice before the first placing, since a step without advice has no worker. */
   #askAhead (run: JobRun): void {
-    const terms = run.job.queue.advice
-    if (terms === undefined || !this.#recovered) return
+    if (run.job.queue.advice === undefined || !this.#recovered) return
     const pool = this.cell.poolOf(run.job)
     const workers = [...this.cell.workers.values()].filter(({ entry }) => entry.pool === pool)
     for (const steps of run.occurrences.values()) {
       for (const step of steps) {
-        if (!step.isDone && step.isReady()) this.#desk.ask(step, terms, listForAdvice(step, workers))
+        if (!step.isDone && step.isReady()) this.#desk.ask(step, workers)
       }
     }
   }
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -1,6 +1,7 @@
 import { TICKET_MARGIN_MS } from '../constants/index.ts'
 import type { StepRun, TaskRun } from '../book/index.ts'
 import { chooseWorker } from '../placement/chooseWorker/index.ts'
+import { couldRun } from '../placement/couldRun/index.ts'
 import { orderSteps } from '../placement/orderSteps/index.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 import type { AdviceDesk } from './AdviceDesk.ts'
@@ -107,8 +108,7 @@
 
   #handleBlocked (task: TaskRun, workers: readonly WorkerState[], now: number): void {
     const { step } = task
-    const terms = step.job.job.queue.advice
-    if (terms !== undefined && !step.advice.pending) this.#askForAdvice(task, workers, now)
+    if (step.job.job.queue.advice !== undefined && !step.advice.pending) this.#askForAdvice(task, workers, now)
     if (now - task.waitingSince < RESERVE_AFTER_MS || this.#reserved.size >= workers.length * RESERVED_SHARE) return
     const candidate = findReservation(step, workers, this.#reserved)
     if (candidate !== undefined) this.#reserved.add(candidate)
@@ -122,32 +122,13 @@
       isHealthy: (worker) => this.#trust.mayStart(worker.id, task),
       isReserved: (worker) => this.#reserved.has(worker)
     })
-    if (possible !== undefined) this.#desk.ask(step, step.job.job.queue.advice!, listForAdvice(step, workers))
+    if (possible !== undefined) this.#desk.ask(step, workers)
   }
 }
 
 /** Time after which a task may go back to a worker where it failed, in ms. */
 const RETRY_SAME_WORKER_MS = 2_000
 
-/** Workers worth naming in a call for advice: not known to be excluded, and those with most room first. */
-export function listForAdvice (step: StepRun, workers: readonly WorkerState[]): string[] {
-  return workers
-    .filter((worker) => worker.acceptsTasks && step.advice.isGood(worker.id) !== false && couldRun(step, worker))
-    .sort((a, b) => freeShare(b) - freeShare(a))
-    .map(({ id }) => id)
-}
-
-function freeShare ({ entry, usedCpuMillis }: WorkerState): number {
-  return 1 - usedCpuMillis / entry.capacity.cpuMillis
-}
-
-function couldRun (step: StepRun, { entry }: WorkerState): boolean {
-  const { demand, fills, requiredLabel } = step.spec
-  return demand.memoryMb <= entry.capacity.memoryMb && demand.accelerators <= entry.capacity.accelerators &&
-    (fills || demand.cpuMillis <= entry.capacity.cpuMillis) &&
-    (requiredLabel === '' || entry.labels.includes(requiredLabel))
-}
-
 /** The worker that will have room for a task of the step first: the one with most processors free of those allowed. */
 function findReservation (
   step: StepRun, workers: readonly WorkerState[], reserved: ReadonlySet<WorkerState>
--- a/packages/jobs/src/placement/test.ts
+++ b/packages/jobs/src/placement/test.ts
@@ -4,6 +4,7 @@
 import type { Queue, Step, WorkerEntry } from '../types.ts'
 import { WorkerState } from '../workers/WorkerState.ts'
 import { chooseWorker } from './chooseWorker/index.ts'
+import { listForAdvice } from './listForAdvice/index.ts'
 import { orderSteps } from './orderSteps/index.ts'
 import { paceFillers } from './paceFillers/index.ts'
 
@@ -132,6 +133,39 @@
   })
 })
 
+describe('listForAdvice', () => {
+  const empty = Array.from({ length: 100 }, (_, index) => makeWorker(`w${index}`))
+  const cases = [
+    {
+      name: 'names no more workers than are likely to have room, since each one takes time',
+      step: makeStep({ count: 20, demand: demand(4000) }),
+      share: 0.5,
+      length: 40
+    },
+    { name: 'names a few at least', step: makeStep({ count: 1, demand: demand(4000) }), share: 0.5, length: 12 },
+    { name: 'names more where few are allowed', step: makeStep({ count: 12, demand: demand(8000) }), share: 0.3, length: 80 },
+    {
+      name: 'names all for a gang on one rack',
+      step: makeStep({ count: 2, demand: demand(8000), gang: true, sameRack: true }),
+      share: 1,
+      length: 100
+    }
+  ]
+  for (const { name, step, share, length } of cases) {
+    it(name, () => { expect(listForAdvice(step, empty, share)).to.have.length(Math.min(length, 100)) })
+  }
+
+  it('names allowed workers with room first, and excluded ones never', () => {
+    const workers = [
+      makeWorker('unknown'), makeWorker('excluded'), makeWorker('allowed'),
+      occupy(makeWorker('full'), { demand: demand(8000) })
+    ]
+    const step = makeStep()
+    step.advice.record(['excluded', 'allowed'], [['allowed', 'ticket']], NOW)
+    expect(listForAdvice(step, workers, 0.5)).to.deep.equal(['allowed', 'unknown', 'full'])
+  })
+})
+
 describe('orderSteps', () => {
   it('serves urgent queues first, then jobs that can still meet their objective, by when it ends', () => {
     const lost = makeStep({}, { name: 'lost' }, NOW - 60_000)
