Rest after a round of placing, and leave full workers out of it

Each event asks for a round, and a round with many waiting steps looks at all 350 workers for each of them, for advice and for reservations. A round is now followed by a rest of three times its length, and looks only at workers with room for the smallest waiting task.

--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -45,6 +45,12 @@
 /** Longest wait for the commit that is under way when the owner stops, in ms; the store may be away. */
 const STOP_WAIT_MS = 2_500
 
+/**
+ * Rest after a round of placing, as a multiple of its time. While many steps wait each event asks for a round; without
+ * a rest they took all processor time, and orders and answers of workers waited.
+ */
+const PLACING_REST_FACTOR = 3
+
 /** Decides for a cell: takes jobs in, places tasks, and follows them to their end. Lives as long as its ownership. */
 export class CellOwner {
   readonly cell: Cell
@@ -66,6 +72,8 @@
   readonly #onEnd: (reason: string) => void
   #recovered = false
   #placing = false
+  /** Steady time before which no round of placing starts, in ms. */
+  #restUntil = 0
   #committing: Promise<void> | undefined
   #commitsEnded = false
   #tick: ReturnType<typeof setInterval> | undefined
@@ -290,10 +298,17 @@
   #requestPlacing (): void {
     if (this.#placing || !this.#recovered || this.#isEnded) return
     this.#placing = true
-    setImmediate(() => {
+    const place = () => {
       this.#placing = false
-      if (!this.#isEnded) this.#placer.run()
-    })
+      if (this.#isEnded) return
+      const startedAt = performance.now()
+      this.#placer.run()
+      const endedAt = performance.now()
+      this.#restUntil = endedAt + PLACING_REST_FACTOR * (endedAt - startedAt)
+    }
+    const restMs = this.#restUntil - performance.now()
+    if (restMs > 1) setTimeout(place, restMs)
+    else setImmediate(place)
   }
 
   #onTick (): void {
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -3,6 +3,7 @@
 import { chooseWorker } from '../placement/chooseWorker/index.ts'
 import { couldRun } from '../placement/couldRun/index.ts'
 import { orderSteps } from '../placement/orderSteps/index.ts'
+import type { Step } from '../types.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 import type { AdviceDesk } from './AdviceDesk.ts'
 import { readySteps, type Cell } from './Cell.ts'
@@ -38,10 +39,14 @@
     }
     this.#reserved.clear()
     const ordered = orderSteps([...readySteps(this.#cell)], now)
+    const least = findLeastDemand(ordered.map(({ step }) => step))
+    const open = new Map([...pools].map(([pool, workers]) => [pool, workers.filter((worker) =>
+      worker.acceptsTasks && worker.hasRoom(least))]))
     for (const { step } of ordered) {
-      const workers = pools.get(this.#cell.poolOf(step.job.job)) ?? []
-      const blocked = step.spec.gang ? this.#placeGang(step, workers, now) : this.#placeTasks(step, workers, now)
-      if (blocked !== undefined) this.#handleBlocked(blocked, workers, now)
+      const pool = this.#cell.poolOf(step.job.job)
+      const candidates = open.get(pool) ?? []
+      const blocked = step.spec.gang ? this.#placeGang(step, candidates, now) : this.#placeTasks(step, candidates, now)
+      if (blocked !== undefined) this.#handleBlocked(blocked, pools.get(pool) ?? [], candidates, now)
     }
   }
 
@@ -106,17 +111,21 @@
     return this.#choose(task, workers, now, rack)
   }
 
-  #handleBlocked (task: TaskRun, workers: readonly WorkerState[], now: number): void {
+  #handleBlocked (
+    task: TaskRun, workers: readonly WorkerState[], candidates: readonly WorkerState[], now: number
+  ): void {
     const { step } = task
-    if (step.job.job.queue.advice !== undefined && !step.advice.pending) this.#askForAdvice(task, workers, now)
+    if (step.job.job.queue.advice !== undefined && !step.advice.pending) this.#askForAdvice(task, workers, candidates, now)
     if (now - task.waitingSince < RESERVE_AFTER_MS || this.#reserved.size >= workers.length * RESERVED_SHARE) return
     const candidate = findReservation(step, workers, this.#reserved)
     if (candidate !== undefined) this.#reserved.add(candidate)
   }
 
-  #askForAdvice (task: TaskRun, workers: readonly WorkerState[], now: number): void {
+  #askForAdvice (
+    task: TaskRun, workers: readonly WorkerState[], candidates: readonly WorkerState[], now: number
+  ): void {
     const { step } = task
-    const possible = chooseWorker(task, workers, {
+    const possible = chooseWorker(task, candidates, {
       now,
       ignoreTickets: true,
       isHealthy: (worker) => this.#trust.mayStart(worker.id, task),
@@ -126,6 +135,18 @@
   }
 }
 
+/** What every waiting task needs at least: most workers of a full cell are left out of a round by it. */
+function findLeastDemand (steps: readonly StepRun[]): Pick<Step, 'demand' | 'fills'> {
+  const least = { cpuMillis: Infinity, memoryMb: Infinity, accelerators: Infinity }
+  for (const { spec: { demand, fills } } of steps) {
+    least.cpuMillis = Math.min(least.cpuMillis, fills ? 0 : demand.cpuMillis)
+    least.memoryMb = Math.min(least.memoryMb, demand.memoryMb)
+    least.accelerators = Math.min(least.accelerators, demand.accelerators)
+  }
+  // Processors count for what doesn't fill; with a demand of 0 every worker has enough.
+  return { demand: least, fills: least.cpuMillis === 0 }
+}
+
 /** Time after which a task may go back to a worker where it failed, in ms. */
 const RETRY_SAME_WORKER_MS = 2_000
 
--- a/packages/jobs/src/placement/listForAdvice/index.ts
+++ b/packages/jobs/src/placement/listForAdvice/index.ts
@@ -4,10 +4,10 @@
 import { couldRun } from '../couldRun/index.ts'
 
 /** Room that is asked for, as a multiple of what the waiting tasks take: other steps take some of it meanwhile. */
-const ROOM_FACTOR = 2
+const ROOM_FACTOR = 3
 
-/** Least number of workers that are named; the first call of a queue has no share of allowed workers to go by. */
-const MIN_WORKERS = 12
+/** Least number of workers that are named: a call that has to be repeated costs more than a few names. */
+const MIN_WORKERS = 30
 
 /**
  * Lists the workers that are worth naming in a call for advice. Each one adds to the time of the call, so no more are
--- a/packages/jobs/src/placement/test.ts
+++ b/packages/jobs/src/placement/test.ts
@@ -140,10 +140,10 @@
       name: 'names no more workers than are likely to have room, since each one takes time',
       step: makeStep({ count: 20, demand: demand(4000) }),
       share: 0.5,
-      length: 40
+      length: 60
     },
-    { name: 'names a few at least', step: makeStep({ count: 1, demand: demand(4000) }), share: 0.5, length: 12 },
-    { name: 'names more where few are allowed', step: makeStep({ count: 12, demand: demand(8000) }), share: 0.3, length: 80 },
+    { name: 'names a few at least', step: makeStep({ count: 1, demand: demand(4000) }), share: 0.5, length: 30 },
+    { name: 'names more where few are allowed', step: makeStep({ count: 8, demand: demand(8000) }), share: 0.3, length: 80 },
     {
       name: 'names all for a gang on one rack',
       step: makeStep({ count: 2, demand: demand(8000), gang: true, sameRack: true }),
