Add gypsumctl trace, which tells the story of a job from the log files of all processes

It shows the job's lines in order of time with those of its workers, the owner of the cell and the store meanwhile, and the longest gap.

--- a/packages/cli/src/gypsumctl.ts
+++ b/packages/cli/src/gypsumctl.ts
@@ -7,6 +7,7 @@
 import { readManifestFile } from './commands/readManifestFile.ts'
 import { showDiff } from './commands/showDiff.ts'
 import { showStatus } from './commands/showStatus.ts'
+import { showTrace } from './commands/showTrace.ts'
 import { OperatorClient, type Refusal } from './operatorClient/index.ts'
 import { exitCodes, finish, type CommandResult } from './output/index.ts'
 
@@ -64,6 +65,9 @@
   .action(async (task: string, options: Options) =>
     print(await connect(options).explain(task), ({ lines }) => lines))
 
+cli.command('trace <job> <...logs>', 'tell the story of a job from the log files of all processes; - reads standard input')
+  .action(async (job: string, logs: string[]) => finish(await showTrace(job, logs)))
+
 cli.command('cancel <workload>', 'cancel a workload; its tasks are stopped')
   .option('--scope <scope>', 'scope of the workload, when several declare its name')
   .option('--wait-ms <ms>', `longest wait until it is in force everywhere (default ${DEFAULT_WAIT_MS})`)
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -115,7 +115,8 @@
     task: TaskRun, workers: readonly WorkerState[], candidates: readonly WorkerState[], now: number
   ): void {
     const { step } = task
-    if (step.job.job.queue.advice !== undefined && !step.advice.pending) this.#askForAdvice(task, workers, candidates, now)
+    const { advice } = step.job.job.queue
+    if (advice !== undefined && !step.advice.pending) this.#askForAdvice(task, workers, candidates, now)
     if (now - task.waitingSince < RESERVE_AFTER_MS || this.#reserved.size >= workers.length * RESERVED_SHARE) return
     const candidate = findReservation(step, workers, this.#reserved)
     if (candidate !== undefined) this.#reserved.add(candidate)
