Log placed tasks and good ends once for each step

Cause: on the grown sites the owner left out up to 2,400 lines a second, since each task had a line when it was placed and one when it ended (about 1,000 a second at 46 steps of 10 tasks a second). The runs of a step that are placed in one round are one line now, and the end of a step is one line; other ends keep a line each.

--- a/packages/cli/src/traceJob/index.ts
+++ b/packages/cli/src/traceJob/index.ts
@@ -38,7 +38,7 @@
   const [first] = own
   const last = own.at(-1)
   if (first === undefined || last === undefined) return []
-  const workers = new Set(own.flatMap(({ fields }) => typeof fields.worker === 'string' ? [fields.worker] : []))
+  const workers = new Set(own.flatMap(({ fields }) => listWorkers(fields)))
   const story = parsed.filter((line) => line.time >= first.time && line.time <= last.time && (
     isAbout(line, id) || CELL_MESSAGES.has(line.msg) ||
     (WORKER_MESSAGES.has(line.msg) && workers.has(String(line.fields.worker)))))
@@ -58,6 +58,12 @@
   }
 }
 
+/** A line names one worker, or one for each of the runs that it tells of. */
+function listWorkers ({ worker, runs }: Record<string, unknown>): string[] {
+  const listed = Array.isArray(runs) ? runs.map((run: { worker?: unknown }) => run.worker) : []
+  return [worker, ...listed].filter((name) => typeof name === 'string')
+}
+
 function isAbout ({ fields }: LogLine, id: string): boolean {
   return fields.job === id || (typeof fields.path === 'string' && fields.path.endsWith(`/${id}`))
 }
--- a/packages/cli/src/traceJob/test.ts
+++ b/packages/cli/src/traceJob/test.ts
@@ -10,8 +10,8 @@
   const log = [
     line(2_400, 'node-2', 'run ended', { job: ID, worker: 'w1', how: 'done' }),
     `  1.0000 node-1 ${line(1_000, 'node-1', 'job accepted', { job: ID })}`,
-    line(1_050, 'node-1', 'task placed', { job: ID, worker: 'w1', run: 1 }),
-    line(1_060, 'node-1', 'task placed', { job: 'ffffffffffffffff', worker: 'w2', run: 1 }),
+    line(1_050, 'node-1', 'tasks placed', { job: ID, runs: [{ task: 0, run: 1, worker: 'w1' }] }),
+    line(1_060, 'node-1', 'tasks placed', { job: 'ffffffffffffffff', worker: 'w2', run: 1 }),
     line(1_500, 'node-1', 'worker reachability changed', { worker: 'w2', reachable: false }),
     line(1_600, 'node-1', 'worker reachability changed', { worker: 'w1', reachable: false }),
     line(2_000, 'node-2', 'took the cell over', { token: 2 }),
@@ -22,11 +22,11 @@
   it('tells what happened to the job, its workers and the owner meanwhile, in order of time', () => {
     expect(traceJob(ID, log)).to.deep.equal([
       '   0.000 s  node-1  job accepted',
-      '   0.050 s  node-1  task placed  worker=w1  run=1',
+      '   0.050 s  node-1  tasks placed  runs=[{"task":0,"run":1,"worker":"w1"}]',
       '   0.600 s  node-1  worker reachability changed  worker=w1  reachable=false',
       '   1.000 s  node-2  took the cell over  token=2',
       '   1.400 s  node-2  run ended  worker=w1  how=done',
-      "longest gap: 1.350 s from 0.050 s, between 'task placed' and 'run ended'"
+      "longest gap: 1.350 s from 0.050 s, between 'tasks placed' and 'run ended'"
     ])
   })
 
--- a/packages/jobs/src/owner/Cell.ts
+++ b/packages/jobs/src/owner/Cell.ts
@@ -70,8 +70,6 @@
     worker.add(task)
     const { job } = task.step
     if (job.state === 'queued') job.state = 'running'
-    const waitedMs = Math.round(this.now() - Math.max(task.waitingSince, task.step.readyAt ?? 0))
-    this.log.info({ job: job.id, task: `${task.step.name}.${task.index}`, run, worker: worker.id, waitedMs }, 'task placed')
     this.touch(job)
   }
 
@@ -94,7 +92,11 @@
       step.done++
     }
     const { job } = step
-    if (step.isDone) job.settleOccurrence(step.occurrence)
+    if (step.isDone) {
+      const tookMs = Math.round(this.now() - (step.readyAt ?? job.knownSince))
+      this.log.info({ job: job.id, step: step.name, tasks: step.tasks.length, lastTask: task.index, tookMs }, 'step done')
+      job.settleOccurrence(step.occurrence)
+    }
     if (job.state === 'completed') this.endJob(job, 'completed', 'all tasks have ended')
     this.touch(job)
     this.changed()
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -21,6 +21,8 @@
   readonly #desk: AdviceDesk
   readonly #trust: WorkerTrust
   readonly #reserved = new Set<WorkerState>()
+  /** Tasks of the step at hand that were placed in this round. */
+  readonly #placed: TaskRun[] = []
 
   constructor (cell: Cell, desk: AdviceDesk, trust: WorkerTrust) {
     this.#cell = cell
@@ -46,6 +48,7 @@
       const pool = this.#cell.poolOf(step.job.job)
       const candidates = open.get(pool) ?? []
       const blocked = step.spec.gang ? this.#placeGang(step, candidates, now) : this.#placeTasks(step, candidates, now)
+      this.#logPlaced(step, now)
       if (blocked !== undefined) this.#handleBlocked(blocked, pools.get(pool) ?? [], candidates, now)
     }
   }
@@ -90,7 +93,19 @@
     return true
   }
 
+  /** One line for a step and round: a line for each task would exceed what can be written under load. */
+  #logPlaced (step: StepRun, now: number): void {
+    const placed = this.#placed.splice(0)
+    const [first] = placed
+    if (first === undefined) return
+    const waitedMs = Math.round(now - Math.max(first.waitingSince, step.readyAt ?? 0))
+    const runs = placed.map(({ index, run, worker }) => ({ task: index, run, worker }))
+    const left = step.tasks.filter(({ status }) => status === 'waiting').length
+    this.#cell.log.info({ job: step.job.id, step: step.name, runs, left, waitedMs }, 'tasks placed')
+  }
+
   #assign (task: TaskRun, worker: WorkerState, run: number): void {
+    this.#placed.push(task)
     this.#cell.assign(task, worker, run)
     this.#trust.start(worker.id, task)
   }
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -173,7 +173,8 @@
     // A run on a worker whose lease ended unseen was given up; its good end still counts while no other run began.
     if (task.worker !== worker.id && !(task.status === 'waiting' && end.how === 'done')) return
     const { run, how, sequence } = end
-    this.#cell.log.info({ ...logged(task), worker: worker.id, run, how, end: sequence }, 'run ended')
+    // Good ends are told once for each step: a line for each one would exceed what can be written under load.
+    if (how !== 'done') this.#cell.log.info({ ...logged(task), worker: worker.id, run, how, end: sequence }, 'run ended')
     this.#cell.counters.count('runs_ended', { how: end.how })
     const { step } = task
     step.job.started = true
