Repeat the first start without an answer at once

With 5% of orders late, six of ten jobs of 16 tasks meet one; their aim is 1.5 to 3 s. Orders now time out after 200 ms (99 of 100 are answered in 19 ms), the first repeat is sent at once, and with the lease that was already given if the worker is in doubt.

--- a/packages/jobs/src/constants/index.ts
+++ b/packages/jobs/src/constants/index.ts
@@ -34,8 +34,11 @@
 /** Longest time that one look at a worker waits for an end, in ms. It bounds how old the view of a quiet worker is. */
 export const LOOK_WAIT_MS = 500
 
-/** Longest wait for the answer to an order, in ms. Workers answer in about 4 ms; a repeat is harmless. */
-export const ORDER_TIMEOUT_MS = 400
+/**
+ * Longest wait for the answer to an order, in ms. Workers answer in 4 ms, 99 of 100 in 19 ms under load; a repeat is
+ * harmless.
+ */
+export const ORDER_TIMEOUT_MS = 200
 
 /** Time between repeats of an order or look without answer, in ms. */
 export const ORDER_RETRY_MS = 150
--- a/packages/jobs/src/node/test.ts
+++ b/packages/jobs/src/node/test.ts
@@ -194,6 +194,18 @@
         expect(cell.checker.starts).to.equal(300)
       }
     },
+    {
+      name: 'repeats a start without an answer soon, while its worker answers looks',
+      options: { workers: 1 },
+      play: async (cell) => {
+        let calls = 0
+        const worker = [...cell.workers.workers.values()][0]!
+        worker.fault = (call) => call === 'start' && calls++ === 0 ? 'late' : undefined
+        start(cell.submit(ID, [{ estimatedRunMs: 10_000 }]))
+        await clock.tickAsync(350)
+        expect(cell.checker.starts).to.equal(1)
+      }
+    },
     {
       name: 'loses nothing when answers of the store are lost or writes are carried out late',
       play: async (cell) => {
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -71,9 +71,11 @@
       if (!isCurrent()) return
       const result = valueOf(outcome)
       if (result === undefined) {
-        uncertain ||= failureOf(outcome)?.certainty === 'unknown'
+        const isFirstDoubt: boolean = !uncertain && failureOf(outcome)?.certainty === 'unknown'
+        uncertain ||= isFirstDoubt
         this.#cell.counters.count('order_retries', { order: 'start' })
-        await sleep(ORDER_RETRY_MS)
+        // The first order without an answer is repeated at once: it was most likely lost on its own.
+        if (!isFirstDoubt) await sleep(ORDER_RETRY_MS)
         continue
       }
       if (result.kind === 'started') this.#confirm(task)
--- a/packages/jobs/src/owner/WorkerSession.ts
+++ b/packages/jobs/src/owner/WorkerSession.ts
@@ -28,6 +28,8 @@
   readonly #owner: SessionOwner
   /** Last reading of the worker's clock and the steady time of its arrival, in ms. */
   #clock: { workerMs: number, at: number } | undefined
+  /** End of the last lease that was given, on the worker's clock. */
+  #leaseUntil: number | undefined
   #closed = false
 
   constructor (state: WorkerState, link: WorkerLink, owner: SessionOwner) {
@@ -55,8 +57,8 @@
   }
 
   async start (order: StartOrder): Promise<Outcome<StartResult>> {
-    // An order to a worker that doesn't answer would move the time at which its tasks count as lost.
-    const leaseUntil = this.state.reachable ? this.#extendLease() : undefined
+    // A longer lease on a worker that doesn't answer would move the time at which its tasks count as lost.
+    const leaseUntil = this.state.reachable ? this.#extendLease() : this.#lastLease()
     if (leaseUntil === undefined) return notDone('unavailable', 'no lease can be given on the worker')
     const outcome = await this.#link.start(order, this.#owner.token, leaseUntil)
     if (isGone(outcome)) this.#owner.gone(this.state)
@@ -87,7 +89,15 @@
     const { leaseMs } = this.#owner
     const endsBy = now + leaseMs * (1 + CLOCK_DRIFT) + LEASE_SLACK_MS
     this.state.leaseEndsBy = Math.max(this.state.leaseEndsBy, endsBy)
-    return Math.floor(this.#clock.workerMs + (now - this.#clock.at) + leaseMs)
+    this.#leaseUntil = Math.floor(this.#clock.workerMs + (now - this.#clock.at) + leaseMs)
+    return this.#leaseUntil
+  }
+
+  /** End of the last lease that was given; undefined when it is over. */
+  #lastLease (): number | undefined {
+    if (this.#clock === undefined || this.#leaseUntil === undefined) return undefined
+    const workerNow = this.#clock.workerMs + (performance.now() - this.#clock.at)
+    return this.#leaseUntil > workerNow ? this.#leaseUntil : undefined
   }
 
   #markUnreachable (): void {
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -1,3 +1,4 @@
+import { ORDER_TIMEOUT_MS } from '../constants/index.ts'
 import { done, notDone, sleep, unknownEffect, type Outcome } from '@gypsumspring/protocol'
 import type { StartResult, WorkerLink, WorkerLinks, WorkerRegistry } from '../ports.ts'
 import type { EndedRun, RunEnd, RunOrder, StartOrder, TaskKey, WorkerEntry, WorkerView } from '../types.ts'
@@ -8,7 +9,7 @@
 export type OrderFault = 'silent' | 'lost' | 'late' | 'unhealthy' | undefined
 
 const LATE_MS = 3_000
-const TIMEOUT_MS = 400
+const LOOK_TIMEOUT_MS = 400
 const LATENCY_MS = 2
 
 /** How a run ends, and after which time in ms; undefined for a run that goes on. */
@@ -270,6 +271,7 @@
   ): Promise<Outcome<Value>> {
     await sleep(LATENCY_MS)
     const fault = this.#worker.alive ? this.#worker.fault(name) : 'silent'
+    const noAnswer = () => timeOut(name === 'look' ? LOOK_TIMEOUT_MS : ORDER_TIMEOUT_MS)
     if (fault === 'silent') return await noAnswer()
     if (fault === 'late') {
       setTimeout(() => { if (this.#worker.alive && this.#worker.accepts(token)) act() }, LATE_MS)
@@ -295,8 +297,8 @@
   }
 }
 
-async function noAnswer (): Promise<Outcome<never>> {
-  await sleep(TIMEOUT_MS)
+async function timeOut (waitMs: number): Promise<Outcome<never>> {
+  await sleep(waitMs)
   return unknownEffect('timeout', 'no answer from the worker')
 }
 
