Store jobs of urgent queues first while many wait, and use the whole transaction

A commit now takes up to 98 rows, and the most urgent queues first. The new test fails with the order of arrival.

--- a/packages/jobs/src/constants/index.ts
+++ b/packages/jobs/src/constants/index.ts
@@ -52,8 +52,8 @@
 /** A registered worker that is no longer listed counts as gone after this time, in ms; entries may lapse for 2 s. */
 export const UNLISTED_GRACE_MS = 2_500
 
-/** Most rows in one transaction of the owner; the platform accepts 100. */
-export const MAX_ROWS_PER_COMMIT = 85
+/** Most rows in one transaction of the owner; the platform accepts 100 entries, and the owner's record takes two. */
+export const MAX_ROWS_PER_COMMIT = 98
 
 /** Most bytes in one transaction of the owner; the platform accepts 1 MB, base64 included. */
 export const MAX_BYTES_PER_COMMIT = 500_000
--- a/packages/jobs/src/node/test.ts
+++ b/packages/jobs/src/node/test.ts
@@ -19,6 +19,20 @@
     play: (cell: MemoryCell) => Promise<void>,
     options?: ConstructorParameters<typeof MemoryCell>[0]
   }> = [
+    {
+      name: 'stores jobs of urgent queues first while a slow store lets many wait',
+      options: { storeLatencyMs: 400, workers: 8 },
+      play: async (cell) => {
+        const demand = { cpuMillis: 100, memoryMb: 50, accelerators: 0 }
+        const queue = toQueue('batch', { priority: 2 })
+        for (let index = 0; index < 300; index++) start(cell.submit(`00000000000${10_000 + index}`, [{ demand }], { queue }))
+        await clock.tickAsync(500)
+        start(cell.submit(ID, [{ demand }]))
+        await clock.tickAsync(1_300)
+        expect(cell.checker.countRunning(`${ID}.0.0.0`)).to.equal(1)
+        expect(cell.checker.starts).to.be.lessThan(300)
+      }
+    },
     {
       name: 'runs the steps of a job in order and shows it as completed',
       play: async (cell) => {
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -61,7 +61,8 @@
       if (this.#cell.dirty.size === 0 && !this.#hasUnstoredEnds()) await this.#waitForWork()
       if (this.#isOver) return
       const batch = this.#takeBatch()
-      const removes = this.#forgotten.splice(0, MAX_FORGOTTEN_PER_COMMIT).map((key) => ({ table: PROGRESS_TABLE, key }))
+      const removable = Math.min(MAX_FORGOTTEN_PER_COMMIT, MAX_ROWS_PER_COMMIT - batch.puts.length)
+      const removes = this.#forgotten.splice(0, removable).map((key) => ({ table: PROGRESS_TABLE, key }))
       const sentAt = performance.now()
       const isOwner = await this.#ownership.commit(batch.puts, removes)
       const tookMs = Math.round(performance.now() - sentAt)
@@ -136,7 +137,7 @@
     const cell = this.#cell
     const batch: Batch = { puts: [], states: [], orders: [], ends: new Map() }
     let bytes = 0
-    for (const job of cell.dirty) {
+    for (const job of this.#orderDirty()) {
       if (batch.puts.length >= MAX_ROWS_PER_COMMIT || bytes > MAX_BYTES_PER_COMMIT) break
       cell.dirty.delete(job)
       const value = encodeProgress(job)
@@ -156,6 +157,13 @@
     return batch
   }
 
+  /** While a slow store lets more jobs wait than one commit takes, those of urgent queues go first. */
+  #orderDirty (): Iterable<JobRun> {
+    const { dirty } = this.#cell
+    if (dirty.size <= MAX_ROWS_PER_COMMIT) return [...dirty]
+    return [...dirty].sort((a, b) => a.job.queue.priority - b.job.queue.priority)
+  }
+
   #applyStored (batch: Batch): void {
     for (const [job, state] of batch.states) job.shownState = state
     for (const [worker, sequence] of batch.ends) worker.storedEnds = Math.max(worker.storedEnds, sequence)
