Repeat what hangs with the first answer after an outage, and send no order with an expired ticket

Calls sent into an outage were given up only if the probe was the first to be answered; the answer of any other call before it made the outage look over. The first answer of any call now ends the outage, and the ticket is looked at before an order is sent.

--- /dev/null
+++ b/packages/jobs/src/node/RelayedStore.test.ts
@@ -0,0 +1,30 @@
+import { install, type Clock } from '@sinonjs/fake-timers'
+import { expect } from 'chai'
+import { failureOf } from '@gypsumspring/protocol'
+import { MemoryRecordStore, MemoryRows } from '../standins/index.ts'
+import { RelayedStore } from './RelayedStore.ts'
+
+const NO_COUNTERS = { count: () => {}, recordDuration: () => {}, set: () => {} }
+
+describe('RelayedStore', () => {
+  let clock: Clock
+  beforeEach(() => { clock = install() })
+  afterEach(() => clock.uninstall())
+
+  it('gives up calls that were sent into an outage with the first answer of any call after it', async () => {
+    const direct = new MemoryRecordStore(new MemoryRows())
+    const store = new RelayedStore(direct, () => [], NO_COUNTERS)
+    await clock.tickAsync(2_000)
+    direct.fault = () => 'silent'
+    const commit = store.commit({ partition: 'cell', expected: [], puts: [], removes: [] })
+    await clock.tickAsync(500)
+    direct.fault = () => undefined
+    const read = store.readRow('control', 'cell', 'owner')
+    await clock.tickAsync(10)
+    expect((await read).isRight()).to.equal(true)
+    let outcome: Awaited<typeof commit> | undefined
+    commit.then((settled) => { outcome = settled }, () => {})
+    await clock.tickAsync(0)
+    expect(outcome === undefined ? undefined : failureOf(outcome)?.certainty).to.equal('unknown')
+  })
+})
--- a/packages/jobs/src/node/RelayedStore.ts
+++ b/packages/jobs/src/node/RelayedStore.ts
@@ -86,10 +86,8 @@
       this.#isDirect = false
       return
     }
-    const wasSilent = !this.isAnswering
-    this.lastAnswerAt = performance.now()
     this.#isDirect = true
-    if (wasSilent) this.#giveUpHanging()
+    this.#noteAnswer()
   }
 
   async commit (commit: Commit): Promise<Outcome<CommitResult>> {
@@ -121,7 +119,7 @@
     if (this.#isDirect || this.#peers().length === 0) {
       const outcome = await this.#callDirect(direct, method !== 'cell.store.commit', ownWaitMs)
       if (outcome !== undefined && !isUnreachable(outcome)) {
-        this.lastAnswerAt = performance.now()
+        this.#noteAnswer()
         return outcome
       }
       this.#isDirect = false
@@ -145,29 +143,34 @@
         if (mayGiveUp) resolve(undefined)
       }, patienceMs + ownWaitMs)
     })
+    let giveUp = () => {}
+    const hanging = new Promise<Outcome<Value>>((resolve) => { giveUp = () => resolve(NO_ANSWER) })
+    this.#hanging.add(giveUp)
     const answered = direct().then((outcome) => {
+      this.#hanging.delete(giveUp)
       // Late answers count too: they tell that the store is slow and not out of reach.
-      if (outcome.isRight() && ownWaitMs === 0) this.#noteAnswer(sentAt)
+      if (outcome.isRight() && ownWaitMs === 0) this.#noteDuration(performance.now() - sentAt)
       return outcome
     })
-    let giveUp = () => {}
-    const hanging = new Promise<Outcome<Value>>((resolve) => { giveUp = () => resolve(NO_ANSWER) })
-    this.#hanging.add(giveUp)
     const outcome = await Promise.race([answered, overdue, hanging])
     clearTimeout(timer)
     this.#hanging.delete(giveUp)
     return outcome
   }
 
-  /** Ends the calls that were sent into an outage; their connections take seconds to recover, new ones work at once. */
-  #giveUpHanging (): void {
-    for (const giveUp of [...this.#hanging]) giveUp()
+  /**
+   * Notes that the store answers. With the first answer after an outage, of whichever call, those that were sent into
+   * it are given up: their connections take seconds to recover, new ones work at once.
+   */
+  #noteAnswer (): void {
+    const wasSilent = !this.isAnswering
+    this.lastAnswerAt = performance.now()
+    if (wasSilent) for (const giveUp of [...this.#hanging]) giveUp()
   }
 
-  #noteAnswer (sentAt: number): void {
-    const now = performance.now()
-    this.lastAnswerAt = now
-    this.#usualMs += USUAL_GAIN * (Math.min(now - sentAt, SLOWEST_MS) - this.#usualMs)
+  #noteDuration (durationMs: number): void {
+    this.#noteAnswer()
+    this.#usualMs += USUAL_GAIN * (Math.min(durationMs, SLOWEST_MS) - this.#usualMs)
   }
 
   async #relay<Method extends RelayMethod, Value> (
@@ -183,7 +186,7 @@
       const answer = await peer.call(method, params, { timeoutMs })
       last = answer.chain((result) => fromRelayed(result as { ok: OkOf<Method> } | { failure: unknown })).map(decode)
       if (!isUnreachable(last)) {
-        this.lastAnswerAt = performance.now()
+        this.#noteAnswer()
         return last
       }
       this.#turn++
--- a/packages/jobs/src/node/test.ts
+++ b/packages/jobs/src/node/test.ts
@@ -1,6 +1,6 @@
 import { install, type Clock } from '@sinonjs/fake-timers'
 import { expect } from 'chai'
-import { MemoryCell, toQueue, type StoreFault } from '../standins/index.ts'
+import { MemoryCell, TICKET_MS, toQueue, type StoreFault } from '../standins/index.ts'
 
 const ID = '00000000000000a1'
 
@@ -194,6 +194,20 @@
         expect(await showSoon(cell, ID)).to.equal('completed')
       }
     },
+    {
+      name: 'sends no order with a ticket that has expired while the store was away',
+      play: async (cell) => {
+        const advice = { decisionMs: 20, perWorkerMs: 0, validMs: TICKET_MS }
+        start(cell.submit(ID, [{ count: 4 }], { queue: toQueue('batch', { advice }) }))
+        await clock.tickAsync(10)
+        for (const { store } of cell.nodes.values()) store.fault = () => 'silent'
+        await clock.tickAsync(3_500)
+        for (const { store } of cell.nodes.values()) store.fault = () => undefined
+        await clock.tickAsync(6_000)
+        expect(await showSoon(cell, ID)).to.equal('completed')
+        expect(cell.checker.expiredTickets).to.equal(0)
+      }
+    },
     {
       name: 'lets workers drop ends only when the jobs of all of them are stored',
       options: { storeLatencyMs: 300, outlook: () => ({ how: 'done', afterMs: 8_000 - performance.now() }) },
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -65,6 +65,11 @@
     while (isCurrent()) {
       const session = this.#sessions.get(workerId!)
       if (session === undefined) return
+      if (!this.#hasTicket(task)) {
+        this.#cell.counters.count('tickets_expired')
+        this.#takeBack(task, uncertain)
+        return
+      }
       const outcome = await session.start({
         key: task.key, run, payload: task.step.job.spec.payload, checkpoint: task.checkpoint, ticket: task.ticket
       })
@@ -155,12 +160,24 @@
       this.#confirm(task)
       return
     }
+    this.#takeBack(task, uncertain)
+  }
+
+  /** Gives up a start that was not carried out, or that may have been if it is uncertain. */
+  #takeBack (task: TaskRun, uncertain: boolean): void {
     const { step } = task
     if (uncertain) this.stop(task, 'wait')
     else this.#cell.putBack(task)
     if (step.spec.gang) this.#stopGang(step.tasks)
   }
 
+  /** Whether an order for the task would be accepted, with the newest ticket for its worker. */
+  #hasTicket (task: TaskRun): boolean {
+    if (task.step.job.job.queue.advice === undefined) return true
+    task.ticket = task.step.advice.ticket(task.worker!, this.#cell.now()) ?? ''
+    return task.ticket !== ''
+  }
+
   /**
    * A gang of which a member is missing can't work; its other members are stopped before they give up by
    * themselves.
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -129,6 +129,10 @@
     if (known?.run === order.run) return { kind: 'started' }
     if (order.run <= (this.#highestRun.get(name) ?? 0)) return { kind: 'refused', reason: 'old-run' }
     if (leaseUntil <= this.clockMs) return { kind: 'refused', reason: 'too-late' }
+    if (order.ticket !== '' && Number(order.ticket) < performance.now()) {
+      this.#checker.expiredTickets++
+      return { kind: 'refused', reason: 'no-ticket' }
+    }
     this.#highestRun.set(name, order.run)
     this.#checker.started(order, this.entry)
     const run: Run = { key: order.key, run: order.run, endsBy: undefined, checkpoint: order.checkpoint }
@@ -178,6 +182,11 @@
   }
 }
 
+/** A ticket that workers accept for a time, in ms. */
+export function toTicket (validMs: number): string {
+  return String(performance.now() + validMs)
+}
+
 /** Difference of a worker's clock to that of the process, in ms: nobody may assume that they agree. */
 const CLOCK_OFFSET_MS = 1_000_000
 
--- a/packages/jobs/src/standins/PromiseChecker.ts
+++ b/packages/jobs/src/standins/PromiseChecker.ts
@@ -18,6 +18,8 @@
   readonly #tasks = new Map<string, TaskHistory>()
   readonly #used = new Map<string, { cpuMillis: number, memoryMb: number }>()
   starts = 0
+  /** Starts that were refused since their ticket had expired. */
+  expiredTickets = 0
 
   expect (id: string, spec: JobSpec, maxAttempts: number): void {
     this.#jobs.set(id, { spec, maxAttempts, cancelledAt: undefined })
--- a/packages/jobs/src/standins/startMemoryCell.ts
+++ b/packages/jobs/src/standins/startMemoryCell.ts
@@ -4,7 +4,7 @@
 import type { Adviser, Counters, DecisionLog } from '../ports.ts'
 import type { Job, JobSpec, Queue, Step, WorkerEntry } from '../types.ts'
 import { MemoryRecordStore, MemoryRows } from './MemoryRecordStore.ts'
-import { MemoryWorkers, type MemoryWorker, type Outlook } from './MemoryWorkers.ts'
+import { MemoryWorkers, toTicket, type MemoryWorker, type Outlook } from './MemoryWorkers.ts'
 
 interface Options {
   /** Nodes of the cell. Default: 3. */
@@ -182,11 +182,14 @@
   }
 }
 
+/** Validity of tickets, in ms, as on the users' sites. */
+export const TICKET_MS = 2_000
+
 /** Allows every worker. */
 class GenerousAdviser implements Adviser {
   async advise (_step: unknown, workers: string[]): ReturnType<Adviser['advise']> {
     await sleep(20)
-    return done({ tickets: workers.map((worker): [string, string] => [worker, `ticket-${worker}`]) })
+    return done({ tickets: workers.map((worker): [string, string] => [worker, toTicket(TICKET_MS)]) })
   }
 }
 
