--- a/packages/jobs/src/node/test.ts
+++ b/packages/jobs/src/node/test.ts
@@ -127,6 +127,25 @@
         expect(await cell.owner!.cell.jobs.countPending('batch')).to.equal(0)
       }
     },
+    {
+      name: 'takes in jobs of the partitions that answer while five of them are away',
+      play: async (cell) => {
+        const partitions = [0, 1, 2, 3, 4].map((index) => `jobs-${index}`)
+        const ids = Array.from({ length: 16 }, (_, index) => `00000000000000c${index.toString(16)}`)
+        cell.killNode(cell.owner!.name)
+        const accepted = Promise.all(ids.map((id) => cell.submit(id, [{ estimatedRunMs: 100 }])))
+        await clock.tickAsync(200)
+        await accepted
+        for (const { store } of cell.nodes.values()) {
+          store.fault = (_call, partition) => partitions.includes(partition) ? 'silent' : undefined
+        }
+        await clock.tickAsync(4_000)
+        const stored = (id: string) => [...cell.rows.rows.values()].find(({ table, key }) => table === 'jobs' && key === id)
+        const reachable = ids.filter((id) => !partitions.includes(stored(id)!.partition))
+        for (const id of reachable) expect(await showSoon(cell, id), id).to.equal('completed')
+        expect(reachable).to.have.length.greaterThan(5)
+      }
+    },
     {
       name: 'tells no number of waiting jobs before all accepted jobs were read',
       play: async (cell) => {
--- a/packages/jobs/src/owner/Intake.ts
+++ b/packages/jobs/src/owner/Intake.ts
@@ -2,7 +2,12 @@
 import { INTAKE_READ_MS } from '../constants/index.ts'
 import type { Counters, RecordStore, StoredRow } from '../ports.ts'
 import { listJobPartitions } from '../records/index.ts'
-import { readUntilDone } from './readUntilDone.ts'
+
+/** Wait after a read that failed, in ms. */
+const READ_RETRY_MS = 100
+
+/** Partitions that are read at the same time: the workers' answers must not wait behind all rows of all jobs. */
+const READS_AT_ONCE = 4
 
 /** Reads a table that other nodes write: all its rows at first, then those of which no notification arrived. */
 export class Intake {
@@ -44,12 +49,24 @@
 
   /** @returns the version from which changes are to be read */
   async #readAll (): Promise<number> {
-    const versions = await Promise.all(listJobPartitions().map(async (partition) => {
-      const read = await readUntilDone(() => this.#store.read(this.#table, partition), this.#table, this.#ended,
-        this.#counters)
-      for (const row of read?.rows ?? []) this.#take(row)
-      return read?.version ?? 0
-    }))
+    const partitions = listJobPartitions()
+    const versions: number[] = []
+    const readNext = async (): Promise<void> => {
+      for (let partition = partitions.shift(); partition !== undefined; partition = partitions.shift()) {
+        const read = valueOf(await this.#store.read(this.#table, partition))
+        if (this.#ended.aborted) return
+        if (read === undefined) {
+          // The others must not wait for a partition that is away.
+          partitions.push(partition)
+          this.#counters.count('store_retries', { what: this.#table })
+          await sleep(READ_RETRY_MS)
+          continue
+        }
+        for (const row of read.rows) this.#take(row)
+        versions.push(read.version)
+      }
+    }
+    await Promise.all(Array.from({ length: READS_AT_ONCE }, readNext))
     return Math.min(...versions)
   }
 }
