Hand the cell over from a weak node to a clearly stronger one

Weak nodes wait half a second before a claim, but strong ones may notice the silence later than that. The owner now hands over with the first greeting of a node that is stronger by 0.2.

--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -316,7 +316,10 @@
     this.#owner = owner
     owner.addNode({ id: this.#options.node, adviser: parts.adviser })
     this.#run(owner.start())
-    const sweep = setInterval(() => this.#sweepFollowers(), FOLLOW_INTERVAL_MS)
+    const sweep = setInterval(() => {
+      this.#sweepFollowers()
+      this.#yieldToStronger(owner)
+    }, FOLLOW_INTERVAL_MS)
     const lag = watchLag((lagMs) => this.#standDown(owner, lagMs))
     await ended
     clearInterval(sweep)
@@ -324,6 +327,16 @@
     this.#followers.clear()
   }
 
+  /** Hands the cell to a clearly stronger node: over a thin link this one may not even finish to recover it. */
+  #yieldToStronger (owner: CellOwner): void {
+    if (this.#owner !== owner || this.#isLeaving) return
+    const successor = this.#followers.chooseSuccessor()
+    if (successor === undefined || computeWeakness(this.#options) - successor.weakness < CLEARLY_WEAKER) return
+    this.#parts.log.info({ token: owner.token, successor: successor.node, recovered: owner.isRecovered }, 'a stronger node follows')
+    this.#restUntil = performance.now() + STAND_DOWN_MS
+    this.#run(this.#handOver(owner))
+  }
+
   /** Leaves the cell to a faster node, if there is one. */
   #standDown (owner: CellOwner, lagMs: number): void {
     if (this.#owner !== owner || this.#isLeaving || this.#followers.size === 0) return
@@ -377,6 +390,9 @@
   }
 }
 
+/** Difference in weakness for which the cell is handed over; a handover costs about as much as a lost second. */
+const CLEARLY_WEAKER = 0.2
+
 /** Time for which a slow node doesn't take the cell over again, in ms. */
 const STAND_DOWN_MS = 8_000
 
--- a/packages/jobs/src/node/test.ts
+++ b/packages/jobs/src/node/test.ts
@@ -171,6 +171,19 @@
         expect(cell.owner?.name).to.equal('n2')
       }
     },
+    {
+      name: 'hands a cell that a weak node has taken over to a stronger one as soon as that follows',
+      options: { nodes: 3, weakNodes: ['n0', 'n1'] },
+      play: async (cell) => {
+        await clock.tickAsync(1_000)
+        cell.killNode('n2')
+        await clock.tickAsync(3_000)
+        expect(cell.owner?.name).to.be.oneOf(['n0', 'n1'])
+        cell.startNode('n2')
+        await clock.tickAsync(1_500)
+        expect(cell.owner?.name).to.equal('n2')
+      }
+    },
     {
       name: 'waits for the lease of a worker that is lost before its tasks run elsewhere',
       play: async (cell) => {
