--- a/packages/jobs/src/node/watchLag/index.ts
+++ b/packages/jobs/src/node/watchLag/index.ts
@@ -4,6 +4,12 @@
 /** Average lag at which a node is too slow to own a cell, in ms; a quick task waits for several turns of the loop. */
 const LAG_LIMIT_MS = 60
 
+/**
+ * Time at first in which readings don't count, in ms. A new owner opens connections to all workers, which delays timers
+ * on any machine: the next owner would do the same.
+ */
+export const WARM_UP_MS = 3_000
+
 /** Weight of a new reading of the lag. */
 const LAG_GAIN = 0.1
 
@@ -14,11 +20,13 @@
  * @returns The timer, to be cleared by the caller.
  */
 export function watchLag (onSlow: (lagMs: number) => void): ReturnType<typeof setInterval> {
+  const countsFrom = performance.now() + WARM_UP_MS
   let expectedAt = performance.now() + LAG_INTERVAL_MS
   let averageMs = 0
   return setInterval(() => {
     const now = performance.now()
-    averageMs += LAG_GAIN * (Math.min(Math.max(0, now - expectedAt), LAG_INTERVAL_MS * 2) - averageMs)
+    const lagMs = Math.min(Math.max(0, now - expectedAt), LAG_INTERVAL_MS * 2)
+    if (now >= countsFrom) averageMs += LAG_GAIN * (lagMs - averageMs)
     expectedAt = now + LAG_INTERVAL_MS
     if (averageMs > LAG_LIMIT_MS) onSlow(averageMs)
   }, LAG_INTERVAL_MS)
--- /dev/null
+++ b/packages/jobs/src/node/watchLag/test.ts
@@ -0,0 +1,31 @@
+import { install, type Clock } from '@sinonjs/fake-timers'
+import { expect } from 'chai'
+import { WARM_UP_MS, watchLag } from './index.ts'
+
+describe('watchLag', () => {
+  let clock: Clock
+  beforeEach(() => { clock = install() })
+  afterEach(() => clock.uninstall())
+
+  /** Lets timers fire late for a time. */
+  function delayTimers (durationMs: number): void {
+    const end = performance.now() + durationMs
+    while (performance.now() < end) clock.jump(250)
+  }
+
+  const cases = [
+    { name: 'calls back while timers fire late', prepare: () => clock.tick(WARM_UP_MS), isSlow: true },
+    { name: 'leaves out the time in which a new owner opens its connections', prepare: () => {}, isSlow: false }
+  ]
+  for (const { name, prepare, isSlow } of cases) {
+    it(name, () => {
+      let calls = 0
+      const timer = watchLag(() => { calls++ })
+      prepare()
+      delayTimers(2_500)
+      clock.tick(5_000)
+      clearInterval(timer)
+      expect(calls > 0).to.equal(isSlow)
+    })
+  }
+})
