Start nothing on a worker while it still runs what no job owns

The record of a job that is over lists no tasks, so the new owner saw its runs as belonging to nobody, stopped them again, and did not count their room. Ruled out: orders of the old owner after the handover; the runs were listed in the first look. A worker that lists such runs now gets no tasks until they are gone. The new test fails on the previous commit.

--- a/packages/jobs/src/node/test.ts
+++ b/packages/jobs/src/node/test.ts
@@ -373,6 +373,22 @@
         for (let index = 0; index < 3; index++) expect(cell.checker.countRunning(`${ID}.0.0.${index}`)).to.equal(0)
       }
     },
+    {
+      name: 'starts nothing where tasks of a cancelled job are still being stopped when the owner changes',
+      options: { workers: 1 },
+      play: async (cell) => {
+        const whole = { demand: { cpuMillis: 16_000, memoryMb: 100, accelerators: 0 }, estimatedRunMs: 60_000 }
+        start(cell.submit(ID, [whole]))
+        await clock.tickAsync(300)
+        start(cell.submit('00000000000000a2', [{ ...whole, estimatedRunMs: 500 }]))
+        await clock.tickAsync(300)
+        start(cell.cancel(ID))
+        await clock.tickAsync(60)
+        start(cell.owner!.cell.resign())
+        await clock.tickAsync(4_000)
+        expect(await showSoon(cell, '00000000000000a2')).to.equal('completed')
+      }
+    },
     {
       name: 'shows a job as failed after as many failures of a task as its queue allows',
       options: { outlook: () => ({ how: 'failed', afterMs: 50 }), workers: 6 },
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -14,7 +14,7 @@
 /** Least time between two changes of the pace on one worker, in ms; a change shows after about half a second. */
 const PACE_INTERVAL_MS = 500
 
-/** Compares what workers report with what the owner knows, and sends starts, stops and paces until they are settled. */
+/** Compares what workers report with what the owner knows, and sends orders until they are settled. */
 export class RunTracker {
   readonly #cell: Cell
   readonly #trust: WorkerTrust
@@ -50,6 +50,7 @@
     }
     const present = new Set<TaskRun>()
     for (const running of view.running) this.#handleRunning(worker, running, present)
+    this.#noteStrays(worker, present.size < view.running.length)
     for (const task of [...worker.tasks]) {
       if (!present.has(task) && isSettledBefore(task, sentAt)) this.#handleVanished(worker, task)
     }
@@ -243,6 +244,11 @@
     task.percent = running.percent
   }
 
+  #noteStrays (worker: WorkerState, hasStrays: boolean): void {
+    if (worker.hasStrays && !hasStrays) this.#cell.changed()
+    worker.hasStrays = hasStrays
+  }
+
   #handleVanished (worker: WorkerState, task: TaskRun): void {
     const { run, status } = task
     this.#cell.log.info({ ...logged(task), worker: worker.id, run, was: status }, 'run is not on its worker')
--- a/packages/jobs/src/workers/WorkerState.ts
+++ b/packages/jobs/src/workers/WorkerState.ts
@@ -24,6 +24,11 @@
   /** Position of the last end that was processed, and of the last that is stored. */
   processedEnds = 0
   storedEnds = 0
+  /**
+   * The last look listed runs that no job owns, such as those of a job that ended under an earlier owner. What they need
+   * is not known, so that there is no room for others until they are gone.
+   */
+  hasStrays = false
   /** Observed run time over estimate, as a moving average; 1 when unknown. */
   slowness = 1
 
@@ -37,7 +42,8 @@
   }
 
   get acceptsTasks (): boolean {
-    return this.adopted && this.reachable && !this.entry.draining && this.unlistedSince === undefined
+    return this.adopted && this.reachable && !this.hasStrays && !this.entry.draining &&
+      this.unlistedSince === undefined
   }
 
   add (task: TaskRun): void {
