--- a/packages/jobs/src/workers/WorkerState.ts
+++ b/packages/jobs/src/workers/WorkerState.ts
@@ -25,8 +25,8 @@
   processedEnds = 0
   storedEnds = 0
   /**
-   * The last look listed runs that no job owns, such as those of a job that ended under an earlier owner. What they need
-   * is not known, so that there is no room for others until they are gone.
+   * The last look listed runs that no job owns, such as those of a job that ended under an earlier owner. What they
+   * need is not known, so that there is no room for others until they are gone.
    */
   hasStrays = false
   /** Observed run time over estimate, as a moving average; 1 when unknown. */
