Use one piece of code where the same logic stood several times

- Waiters, so far a stand-in, also serves the waits of the group commit and of a follower, which each had one of their own.
- UsualTime is the moving average that the repeats of writes and the detours to the store each kept with the same constants.
- rethrow replaces three private methods and some thirty copies in line, those of the daemon included; ShardSupervisor had one of its own.
- parseJson replaces ten copies of parsing that ends in undefined.
- StepRun.countByWorker serves placement, reservations and advice: the last two went over all tasks of the step for each worker.
- The owner leaves the cell in one place, for a stronger node as for a slow machine; the limits of a placement stand once.

--- a/packages/adapters/src/_lib/readFailure.ts
+++ b/packages/adapters/src/_lib/readFailure.ts
@@ -1,5 +1,5 @@
 import { TypeCompiler, type TypeCheck } from '@sinclair/typebox/compiler'
-import { notDone, unknownEffect, type FailureReason, type Outcome } from '@gypsumspring/protocol'
+import { notDone, parseJson, unknownEffect, type FailureReason, type Outcome } from '@gypsumspring/protocol'
 import { FailureAnswer } from '../wire/index.ts'
 
 let check: TypeCheck<typeof FailureAnswer> | undefined
@@ -51,10 +51,6 @@
 function parseFailure (body: Uint8Array | undefined): FailureAnswer | undefined {
   if (body === undefined) return undefined
   check ??= TypeCompiler.Compile(FailureAnswer)
-  try {
-    const value: unknown = JSON.parse(Buffer.from(body).toString())
-    return check.Check(value) ? value : undefined
-  } catch {
-    return undefined
-  }
+  const value = parseJson(body)
+  return check.Check(value) ? value : undefined
 }
--- a/packages/adapters/src/requestJson/index.ts
+++ b/packages/adapters/src/requestJson/index.ts
@@ -1,4 +1,4 @@
-import { done, unknownEffect, type Outcome } from '@gypsumspring/protocol'
+import { done, parseJson, unknownEffect, type Outcome } from '@gypsumspring/protocol'
 import type { ConnectionPool } from '../_lib/ConnectionPool.ts'
 import { exchange, toReason, type ExchangeRequest } from '../_lib/exchange.ts'
 import { readBody } from '../_lib/readBody.ts'
@@ -33,17 +33,8 @@
   const answer = outcome.unsafeCoerce()
   try {
     const bytes = await readBody(answer.body, MAX_ANSWER_BYTES)
-    return done({ status: answer.status, body: parse(bytes) })
+    return done({ status: answer.status, body: bytes === undefined ? undefined : parseJson(bytes) })
   } catch (error) {
     return unknownEffect(toReason(error as Error), `the answer was cut off: ${(error as Error).message}`)
   }
 }
-
-function parse (bytes: Buffer | undefined): unknown {
-  if (bytes === undefined || bytes.length === 0) return undefined
-  try {
-    return JSON.parse(bytes.toString())
-  } catch {
-    return undefined
-  }
-}
--- a/packages/bench/src/measureCapacity/_lib/cell.ts
+++ b/packages/bench/src/measureCapacity/_lib/cell.ts
@@ -1,7 +1,7 @@
 import { mkdtemp, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import path from 'node:path'
-import type { Manifest, Workload } from '@gypsumspring/protocol'
+import { sleep, type Manifest, type Workload } from '@gypsumspring/protocol'
 import { callControl, startCell, type Cell } from '@gypsumspring/standins'
 
 export type CellOptions = Omit<Parameters<typeof startCell>[0], 'manifestFile'>
@@ -65,10 +65,6 @@
   }
 }
 
-export async function sleep (delayMs: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, delayMs))
-}
-
 /** Writes, reads and lists that the platform has answered so far. */
 export async function readStoreCounts (cell: Cell): Promise<{ writes: number, reads: number, lists: number }> {
   return (await callControl(cell.platformUrl, 'state')).counts
--- a/packages/bench/src/measureCapacity/_lib/measureConfiguration.ts
+++ b/packages/bench/src/measureCapacity/_lib/measureConfiguration.ts
@@ -1,6 +1,6 @@
-import type { Workload } from '@gypsumspring/protocol'
+import { sleep, type Workload } from '@gypsumspring/protocol'
 import type { Cell, StartedProcess } from '@gypsumspring/standins'
-import { makeManifest, putManifest, readStoreCounts, round, sleep, waitUntil, withCell } from './cell.ts'
+import { makeManifest, putManifest, readStoreCounts, round, waitUntil, withCell } from './cell.ts'
 import { measureMean } from './readUsage.ts'
 
 const IDLE_MS = 8000
--- a/packages/bench/src/measureCapacity/_lib/measureEntries.ts
+++ b/packages/bench/src/measureCapacity/_lib/measureEntries.ts
@@ -1,4 +1,5 @@
-import { putManifest, round, sleep, withCell } from './cell.ts'
+import { sleep } from '@gypsumspring/protocol'
+import { putManifest, round, withCell } from './cell.ts'
 import { measureMean } from './readUsage.ts'
 
 const IDLE_MS = 8000
--- a/packages/bench/src/measureCapacity/_lib/measureSchedulers.ts
+++ b/packages/bench/src/measureCapacity/_lib/measureSchedulers.ts
@@ -1,6 +1,6 @@
-import type { Workload } from '@gypsumspring/protocol'
+import { sleep, type Workload } from '@gypsumspring/protocol'
 import { callControl, type Cell, type EntryVm, type StartedProcess } from '@gypsumspring/standins'
-import { makeManifest, putManifest, readStoreCounts, round, sleep, waitUntil, withCell } from './cell.ts'
+import { makeManifest, putManifest, readStoreCounts, round, waitUntil, withCell } from './cell.ts'
 import { measureMean, readUsage, subtractUsage } from './readUsage.ts'
 
 const TASKS_PER_WORKER = 18
--- a/packages/bench/src/measureCapacity/_lib/measureVmList.ts
+++ b/packages/bench/src/measureCapacity/_lib/measureVmList.ts
@@ -1,5 +1,6 @@
+import { sleep } from '@gypsumspring/protocol'
 import { callControl, type Cell } from '@gypsumspring/standins'
-import { putManifest, round, sleep, withCell } from './cell.ts'
+import { putManifest, round, withCell } from './cell.ts'
 import { measureMean } from './readUsage.ts'
 
 const SETTLE_MS = 4000
--- a/packages/cli/src/traceJob/index.ts
+++ b/packages/cli/src/traceJob/index.ts
@@ -1,3 +1,4 @@
+import { parseJson } from '@gypsumspring/protocol'
 /** One line of a process's log, as far as it could be read. */
 interface LogLine {
   /** In ms since 1970, by the clock of the process that wrote it. */
@@ -46,16 +47,12 @@
 }
 
 function parseLine (text: string): LogLine | undefined {
-  try {
-    const value: unknown = JSON.parse(text.slice(text.indexOf('{')))
-    if (typeof value !== 'object' || value === null) return undefined
-    const { time, process, msg, ...fields } = value as Record<string, unknown>
-    return typeof time === 'number' && typeof process === 'string' && typeof msg === 'string'
-      ? { time, process, msg, fields }
-      : undefined
-  } catch {
-    return undefined
-  }
+  const value = parseJson(text.slice(text.indexOf('{')))
+  if (typeof value !== 'object' || value === null) return undefined
+  const { time, process, msg, ...fields } = value as Record<string, unknown>
+  return typeof time === 'number' && typeof process === 'string' && typeof msg === 'string'
+    ? { time, process, msg, fields }
+    : undefined
 }
 
 /** A line names one worker, or one for each of the runs that it tells of. */
--- a/packages/daemon/src/entry/inventoryWatch/index.ts
+++ b/packages/daemon/src/entry/inventoryWatch/index.ts
@@ -1,3 +1,4 @@
+import { rethrow } from '@gypsumspring/protocol'
 import type { Inventory } from '@gypsumspring/adapters'
 import type { Metrics } from '../../metrics/index.ts'
 
@@ -24,7 +25,7 @@
   }
 
   start (): void {
-    this.#poll().catch((error: unknown) => process.nextTick(() => { throw error }))
+    this.#poll().catch(rethrow)
   }
 
   close (): void {
--- a/packages/daemon/src/entry/once/index.ts
+++ b/packages/daemon/src/entry/once/index.ts
@@ -1,3 +1,4 @@
+import { rethrow } from '@gypsumspring/protocol'
 import { randomUUID } from 'node:crypto'
 import type { ObjectStore, Row, Table } from '@gypsumspring/adapters'
 import type { OnceState, RpcParams } from '@gypsumspring/protocol'
@@ -244,7 +245,7 @@
 
   #startJob (job: () => Promise<boolean>): void {
     const run = async () => { if (!await job()) this.#backlog.add(job) }
-    run().catch((error: unknown) => process.nextTick(() => { throw error }))
+    run().catch(rethrow)
   }
 }
 
--- a/packages/daemon/src/entry/routeTask/index.ts
+++ b/packages/daemon/src/entry/routeTask/index.ts
@@ -1,3 +1,4 @@
+import { rethrow } from '@gypsumspring/protocol'
 import type { RunnerClient, RunnerResponse } from '@gypsumspring/adapters'
 import type {
   CallerRequest, EndpointRouter, ExchangeResult, RouteAction, RunnerNode, SlotUse
@@ -207,7 +208,7 @@
   #send (id: string, runner: string, pending: Pending): void {
     const exchange: Exchange = { controller: new AbortController() }
     pending.exchanges.set(runner, exchange)
-    this.#exchange(id, runner, pending, exchange).catch((error: unknown) => process.nextTick(() => { throw error }))
+    this.#exchange(id, runner, pending, exchange).catch(rethrow)
   }
 
   async #exchange (id: string, runner: string, pending: Pending, exchange: Exchange): Promise<void> {
--- a/packages/daemon/src/mailbox/index.ts
+++ b/packages/daemon/src/mailbox/index.ts
@@ -1,3 +1,4 @@
+import { rethrow } from '@gypsumspring/protocol'
 import fastq, { type queueAsPromised } from 'fastq'
 
 /**
@@ -13,9 +14,7 @@
 
   /** Adds a message. A handler that throws breaks an invariant and stops the process. */
   post (message: Message): void {
-    this.#queue.push(message).catch((error: unknown) => {
-      process.nextTick(() => { throw error })
-    })
+    this.#queue.push(message).catch(rethrow)
   }
 
   /** Number of messages that wait. */
--- a/packages/daemon/src/scheduler/ShardSupervisor.ts
+++ b/packages/daemon/src/scheduler/ShardSupervisor.ts
@@ -9,7 +9,7 @@
 import { Lease, type Ownership } from '../lease/index.ts'
 import { describeShard, explainTask } from './shardOwner/describeShard.ts'
 import { ShardOwner, type ShardConfiguration } from './shardOwner/index.ts'
-import { sleep } from '@gypsumspring/protocol'
+import { rethrow, sleep } from '@gypsumspring/protocol'
 
 export interface SupervisorOptions {
   createPlacer: () => Placer
@@ -47,7 +47,7 @@
   }
 
   start (): void {
-    this.#readInventory().catch(fail)
+    this.#readInventory().catch(rethrow)
     this.#unsubscribe = this.#context.configuration.subscribe((configuration) => this.#configure(configuration))
   }
 
@@ -84,7 +84,7 @@
       Right: (machines) => { if (machines.length > 0) this.#follow(machines) },
       Left: ({ reason }) => metrics.count('inventory_failed', { reason })
     })
-    this.#inventoryTimer = setTimeout(() => { this.#readInventory().catch(fail) }, settings.inventoryMs)
+    this.#inventoryTimer = setTimeout(() => { this.#readInventory().catch(rethrow) }, settings.inventoryMs)
   }
 
   #follow (machines: Machine[]): void {
@@ -117,7 +117,7 @@
       table: platform.table,
       terms: settings,
       rank: () => this.#rank(),
-      onGained: (ownership) => { this.#takeOver(slot, ownership).catch(fail) },
+      onGained: (ownership) => { this.#takeOver(slot, ownership).catch(rethrow) },
       onLost: () => this.#discard(slot),
       log: this.#log,
       metrics
@@ -222,7 +222,3 @@
   }
   return byScope
 }
-
-function fail (error: unknown): void {
-  process.nextTick(() => { throw error })
-}
--- a/packages/daemon/src/scheduler/shardOwner/index.ts
+++ b/packages/daemon/src/scheduler/shardOwner/index.ts
@@ -1,3 +1,4 @@
+import { rethrow } from '@gypsumspring/protocol'
 import {
   computeLossTime, type GroupDefinition, type JournalRecord, type LeaseRight, type PlacementDecision
 } from '@gypsumspring/core'
@@ -184,7 +185,7 @@
   #append (records: JournalRecord[], then: (result: AppendResult) => void): void {
     this.#journal.append(records).then((result) => {
       if (!this.#closed) then(result)
-    }).catch((error: unknown) => process.nextTick(() => { throw error }))
+    }).catch(rethrow)
   }
 
   #markDirty (group: Group): void {
--- a/packages/daemon/src/scheduler/workerSession/index.ts
+++ b/packages/daemon/src/scheduler/workerSession/index.ts
@@ -1,3 +1,4 @@
+import { rethrow } from '@gypsumspring/protocol'
 import type { AttemptReport, AttemptStart, WorkerClient, WorkerSession as Session } from '@gypsumspring/adapters'
 import { computeLossTime, type AttemptId } from '@gypsumspring/core'
 import type { Failure, Outcome } from '@gypsumspring/protocol'
@@ -101,7 +102,7 @@
     call().then(() => {
       this.#busy = false
       this.#pump()
-    }).catch((error: unknown) => process.nextTick(() => { throw error }))
+    }).catch(rethrow)
   }
 
   /** Time until something may be due, in ms. */
--- a/packages/jobs/src/book/JobRun.ts
+++ b/packages/jobs/src/book/JobRun.ts
@@ -79,11 +79,13 @@
     return `${this.job.id}.${this.occurrence}.${this.index}`
   }
 
-  /** Tasks of the step that each worker holds. */
-  countOn (worker: string): number {
-    let count = 0
-    for (const task of this.tasks) if (task.hasRun && task.worker === worker) count++
-    return count
+  /** Tasks of the step on each worker that holds some. */
+  countByWorker (): Map<string, number> {
+    const counts = new Map<string, number>()
+    for (const { hasRun, worker } of this.tasks) {
+      if (hasRun && worker !== undefined) counts.set(worker, (counts.get(worker) ?? 0) + 1)
+    }
+    return counts
   }
 
   /** Whether all earlier steps that it waits for are done. */
--- a/packages/jobs/src/book/progress.ts
+++ b/packages/jobs/src/book/progress.ts
@@ -1,3 +1,4 @@
+import { parseJson } from '@gypsumspring/protocol'
 import { Type, type Static } from '@sinclair/typebox'
 import { Value } from '@sinclair/typebox/value'
 import { Job, type JobState } from '../types.ts'
@@ -91,12 +92,7 @@
  * @returns The progress, or undefined when the bytes are not a progress record.
  */
 export function decodeProgress (bytes: Uint8Array): Progress | undefined {
-  let row: unknown
-  try {
-    row = JSON.parse(Buffer.from(bytes).toString())
-  } catch {
-    return undefined
-  }
+  const row = parseJson(bytes)
   if (!Value.Check(ProgressRow, row)) return undefined
   const [state, endedAt, finishedOccurrences, finishedSteps, tasks, job] = row
   return {
--- a/packages/jobs/src/constants/index.ts
+++ b/packages/jobs/src/constants/index.ts
@@ -40,6 +40,9 @@
  */
 export const ORDER_TIMEOUT_MS = 200
 
+/** Longest wait for the answer to a message between nodes that a caller or a handover waits for, in ms. */
+export const ASK_TIMEOUT_MS = 800
+
 /** Time between repeats of an order or look without answer, in ms. */
 export const ORDER_RETRY_MS = 150
 
--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -1,11 +1,12 @@
-import { failureOf, sleep, valueOf } from '@gypsumspring/protocol'
-import { OWNER_SILENCE_MS } from '../constants/index.ts'
+import { failureOf, rethrow, sleep, valueOf } from '@gypsumspring/protocol'
+import { ASK_TIMEOUT_MS, OWNER_SILENCE_MS } from '../constants/index.ts'
 import { CellOwner, type CellOwnerOptions } from '../owner/CellOwner.ts'
 import { Ownership, readOwner, type OwnerRecord, type OwnerRow, type Transfer } from '../ownership/index.ts'
 import type {
   Adviser, ConfigurationSource, Counters, DecisionLog, RecordStore, WorkerLinks, WorkerRegistry
 } from '../ports.ts'
 import { CELL_PARTITION } from '../records/index.ts'
+import { Waiters } from '../waiters/Waiters.ts'
 import { Followers } from './Followers.ts'
 import { JobService } from './JobService.ts'
 import type { CellMethod, CellParams, CellResult } from './messages.ts'
@@ -58,9 +59,6 @@
 /** Time between two looks at whether the store answers, in ms. */
 const PROBE_INTERVAL_MS = 150
 
-/** Longest wait for the owner's answer to a question of a caller, in ms. */
-const ASK_TIMEOUT_MS = 800
-
 /** One node of a cell: follows the owner or is the owner. */
 export class CellNode {
   readonly #parts: CellNodeParts
@@ -87,7 +85,8 @@
   #isLeaving = false
   /** An ownership that another node has transferred to this one. */
   #transfer: Transfer | undefined
-  #wake: (() => void) | undefined
+  /** Wakes the follower when an owner says that it has given the cell up. */
+  readonly #releases = new Waiters()
 
   constructor (parts: CellNodeParts, options: CellNodeOptions) {
     this.#parts = parts
@@ -108,8 +107,8 @@
   }
 
   start (): void {
-    this.#run(this.#lead())
-    this.#run(this.#probeStore())
+    this.#lead().catch(rethrow)
+    this.#probeStore().catch(rethrow)
   }
 
   /** Gives the cell up for good, so that another node can take it over; callers are still served. */
@@ -161,10 +160,6 @@
     }
   }
 
-  #run (task: Promise<unknown>): void {
-    task.catch((error) => { process.nextTick(() => { throw error }) })
-  }
-
   #peer (address: string): Peer & { close (): void } {
     let peer = this.#known.get(address)
     if (peer === undefined) this.#known.set(address, peer = this.#parts.connect(address))
@@ -230,23 +225,11 @@
       this.#setOwnerPeer(peer, record.token)
       const others = result.peers.filter((other) => other !== address)
       this.#helpers = [peer, ...others.map((other) => this.#peer(other))]
-      await this.#releasedOrAfter(FOLLOW_INTERVAL_MS)
+      await this.#releases.next(FOLLOW_INTERVAL_MS)
       if (this.#released >= record.token) return
     }
   }
 
-  /** Waits, but no longer than until the owner says that it has given the cell up. */
-  async #releasedOrAfter (delayMs: number): Promise<void> {
-    await new Promise<void>((resolve) => {
-      const timer = setTimeout(resolve, delayMs)
-      this.#wake = () => {
-        clearTimeout(timer)
-        resolve()
-      }
-    })
-    this.#wake = undefined
-  }
-
   /**
    * Watches the record of an owner that is out of reach for this node. An owner that renews its record is left alone.
    *
@@ -315,12 +298,13 @@
       })
     this.#owner = owner
     owner.addNode({ id: this.#options.node, adviser: parts.adviser })
-    this.#run(owner.start())
+    owner.start().catch(rethrow)
+    const mayRetire = () => this.#owner === owner && !this.#isLeaving
     const sweep = setInterval(() => {
       this.#sweepFollowers()
-      this.#yieldToStronger(owner)
+      if (mayRetire()) this.#yieldToStronger(owner)
     }, FOLLOW_INTERVAL_MS)
-    const lag = watchLag((lagMs) => this.#standDown(owner, lagMs))
+    const lag = watchLag((lagMs) => { if (mayRetire()) this.#standDown(owner, lagMs) })
     await ended
     clearInterval(sweep)
     clearInterval(lag)
@@ -329,21 +313,24 @@
 
   /** Hands the cell to a clearly stronger node: over a thin link this one may not even finish to recover it. */
   #yieldToStronger (owner: CellOwner): void {
-    if (this.#owner !== owner || this.#isLeaving) return
     const successor = this.#followers.chooseSuccessor()
     if (successor === undefined || computeWeakness(this.#options) - successor.weakness < CLEARLY_WEAKER) return
     this.#parts.log.info({ token: owner.token, successor: successor.node, recovered: owner.isRecovered }, 'a stronger node follows')
-    this.#restUntil = performance.now() + STAND_DOWN_MS
-    this.#run(this.#handOver(owner))
+    this.#retire(owner)
   }
 
   /** Leaves the cell to a faster node, if there is one. */
   #standDown (owner: CellOwner, lagMs: number): void {
-    if (this.#owner !== owner || this.#isLeaving || this.#followers.size === 0) return
+    if (this.#followers.size === 0) return
     this.#parts.log.warn({ token: owner.token, lagMs: Math.round(lagMs) }, 'this node is too slow to own the cell')
     this.#parts.counters.count('stand_downs')
+    this.#retire(owner)
+  }
+
+  /** Hands the cell over and leaves it to others for a while. */
+  #retire (owner: CellOwner): void {
     this.#restUntil = performance.now() + STAND_DOWN_MS
-    this.#run(this.#handOver(owner))
+    this.#handOver(owner).catch(rethrow)
   }
 
   /** Transfers the cell to the follower that was started last, and tells the others. */
@@ -361,7 +348,7 @@
     this.#parts.log.info({ token, successor: successor?.node, transferred: transfer !== undefined }, 'gave the cell up')
     for (const follower of followers) {
       const message = { token, transfer: follower === successor ? transfer ?? null : null }
-      this.#run(follower.peer.call('cell.released', message, { timeoutMs: ASK_TIMEOUT_MS }))
+      follower.peer.call('cell.released', message, { timeoutMs: ASK_TIMEOUT_MS }).catch(rethrow)
     }
     this.#ownerEnded?.()
   }
@@ -369,7 +356,7 @@
   #handleReleased ({ token, transfer }: CellParams<'cell.released'>): CellResult<'cell.released'> {
     this.#released = Math.max(this.#released, token)
     if (transfer !== null && !this.#resigned) this.#transfer = transfer
-    this.#wake?.()
+    this.#releases.wake()
     return {}
   }
 
--- a/packages/jobs/src/node/JobService.ts
+++ b/packages/jobs/src/node/JobService.ts
@@ -1,5 +1,6 @@
-import { done, sleep, unknownEffect, valueOf, type Outcome } from '@gypsumspring/protocol'
+import { done, rethrow, sleep, unknownEffect, valueOf, type Outcome } from '@gypsumspring/protocol'
 import { decodeProgress } from '../book/index.ts'
+import { ASK_TIMEOUT_MS } from '../constants/index.ts'
 import type { CellOwner } from '../owner/CellOwner.ts'
 import { commitRepeatedly } from '../ownership/index.ts'
 import type { Counters } from '../ports.ts'
@@ -10,9 +11,6 @@
 import type { CellParams } from './messages.ts'
 import type { Peer, RelayedStore } from './RelayedStore.ts'
 
-/** Longest wait for the owner's answer to a question of a caller, in ms. */
-const ASK_TIMEOUT_MS = 800
-
 /** Time between two looks at whether a write is still worth waiting for, in ms. */
 const WATCH_INTERVAL_MS = 50
 
@@ -62,7 +60,7 @@
       const outcome = await this.#whileAnswering(commitRepeatedly(this.#store, commits), giveUpAt)
       const result = valueOf(outcome)
       if (result !== undefined) {
-        this.#run(this.#notifyOwner('cell.accept', { job }, (owner) => owner.accept(job)))
+        this.#notifyOwner('cell.accept', { job }, (owner) => owner.accept(job)).catch(rethrow)
         return { kind: 'accepted' }
       }
       outcome.ifLeft((failure) => {
@@ -78,7 +76,7 @@
   /** The outcome of a write, or `unknown` as soon as waiting for it has no use any more. */
   async #whileAnswering<Value> (write: Promise<Outcome<Value>>, giveUpAt: number): Promise<Outcome<Value>> {
     let settled: Outcome<Value> | undefined
-    this.#run(write.then((outcome) => { settled = outcome }))
+    write.then((outcome) => { settled = outcome }).catch(rethrow)
     const watch = async (): Promise<Outcome<Value>> => {
       while (this.canAccept && performance.now() < giveUpAt) await sleep(WATCH_INTERVAL_MS)
       return settled ?? unknownEffect('timeout', 'the store does not answer')
@@ -113,7 +111,7 @@
     if (found.isLeft() || found.extract() === false) return found
     const outcome = await commitRepeatedly(this.#store, toJobPartitions(id).map((partition) => (
       { partition, expected: [], puts: [{ table: CANCELS_TABLE, key: id, value: Buffer.from('{}') }], removes: [] })))
-    if (outcome.isRight()) this.#run(this.#notifyOwner('cell.cancel', { id }, (owner) => owner.cancel(id)))
+    if (outcome.isRight()) this.#notifyOwner('cell.cancel', { id }, (owner) => owner.cancel(id)).catch(rethrow)
     return outcome.map(() => true)
   }
 
@@ -142,8 +140,4 @@
     if (owner !== undefined) local(owner)
     else await this.#owner.peer()?.call(method, params, { timeoutMs: ASK_TIMEOUT_MS })
   }
-
-  #run (task: Promise<unknown>): void {
-    task.catch((error) => { process.nextTick(() => { throw error }) })
-  }
 }
--- a/packages/jobs/src/node/RelayedStore.ts
+++ b/packages/jobs/src/node/RelayedStore.ts
@@ -2,6 +2,7 @@
 import type { Commit, CommitResult, Counters, RecordStore, RowChanges, StoredRow } from '../ports.ts'
 import { CONTROL_TABLE } from '../ownership/index.ts'
 import { CELL_PARTITION } from '../records/index.ts'
+import { UsualTime } from '../usualTime/UsualTime.ts'
 import type { CellMethod, CellParams, CellResult } from './messages.ts'
 
 /** Calls methods of another node. */
@@ -16,12 +17,6 @@
 const PATIENCE_MS = 250
 const PATIENCE_FACTOR = 4
 
-/** Longer times are those of an outage and not of a slow store, in ms. */
-const SLOWEST_MS = 1_000
-
-/** Weight of a new observation in the usual time of a call. */
-const USUAL_GAIN = 0.3
-
 /** Longest wait for a peer's answer, in ms. */
 const RELAY_TIMEOUT_MS = 600
 
@@ -49,7 +44,7 @@
   readonly #counters: Counters
   /** Whether this node's own connection works; only a probe makes it so again. */
   #isDirect = true
-  #usualMs = 0
+  readonly #usual = new UsualTime()
   /** Ends each direct call that is under way. */
   readonly #hanging = new Set<() => void>()
   #turn = 0
@@ -134,7 +129,7 @@
     direct: () => Promise<Outcome<Value>>, mayGiveUp: boolean, ownWaitMs: number
   ): Promise<Outcome<Value> | undefined> {
     const sentAt = performance.now()
-    const patienceMs = Math.max(PATIENCE_MS, PATIENCE_FACTOR * this.#usualMs)
+    const patienceMs = Math.max(PATIENCE_MS, PATIENCE_FACTOR * this.#usual.ms)
     let timer: ReturnType<typeof setTimeout> | undefined
     const overdue = new Promise<undefined>((resolve) => {
       timer = setTimeout(() => {
@@ -149,7 +144,10 @@
     const answered = direct().then((outcome) => {
       this.#hanging.delete(giveUp)
       // Late answers count too: they tell that the store is slow and not out of reach.
-      if (outcome.isRight() && ownWaitMs === 0) this.#noteDuration(performance.now() - sentAt)
+      if (outcome.isRight() && ownWaitMs === 0) {
+        this.#noteAnswer()
+        this.#usual.record(performance.now() - sentAt)
+      }
       return outcome
     })
     const outcome = await Promise.race([answered, overdue, hanging])
@@ -168,16 +166,11 @@
     if (wasSilent) for (const giveUp of [...this.#hanging]) giveUp()
   }
 
-  #noteDuration (durationMs: number): void {
-    this.#noteAnswer()
-    this.#usualMs += USUAL_GAIN * (Math.min(durationMs, SLOWEST_MS) - this.#usualMs)
-  }
-
   async #relay<Method extends RelayMethod, Value> (
     method: Method, params: CellParams<Method>, decode: (ok: OkOf<Method>) => Value, ownWaitMs: number
   ): Promise<Outcome<Value>> {
     const peers = this.#peers()
-    const timeoutMs = RELAY_TIMEOUT_MS + PATIENCE_FACTOR * this.#usualMs + ownWaitMs
+    const timeoutMs = RELAY_TIMEOUT_MS + PATIENCE_FACTOR * this.#usual.ms + ownWaitMs
     let last: Outcome<Value> = notDone('unavailable', 'the store is out of reach, and no other node is known')
     for (let attempt = 0; attempt < Math.min(PEERS_PER_CALL, peers.length); attempt++) {
       // A peer that has helped is asked again.
--- a/packages/jobs/src/owner/AdviceDesk.ts
+++ b/packages/jobs/src/owner/AdviceDesk.ts
@@ -1,3 +1,4 @@
+import { rethrow } from '@gypsumspring/protocol'
 import type { AdviceTerms, TaskKey } from '../types.ts'
 import { SLOW_ADVICE_MS } from '../constants/index.ts'
 import { listForAdvice } from '../placement/listForAdvice/index.ts'
@@ -96,7 +97,7 @@
     this.#waiting = this.#waiting.filter((question) => {
       const state = this.#chooseNode(question.expectedMs > SLOW_ADVICE_MS)
       if (state === undefined) return true
-      this.#send(state, question).catch((error) => { throw error })
+      this.#send(state, question).catch(rethrow)
       return false
     })
   }
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -1,4 +1,4 @@
-import { sleep } from '@gypsumspring/protocol'
+import { rethrow, sleep } from '@gypsumspring/protocol'
 import { JobRun, decodeProgress, type Progress } from '../book/index.ts'
 import { CLOCK_DRIFT, LEASE_SLACK_MS, OWNER_ORPHAN_MS, TICK_MS } from '../constants/index.ts'
 import type { Ownership, Transfer } from '../ownership/index.ts'
@@ -100,7 +100,7 @@
     this.#tracker = new RunTracker(cell, trust, sessions, (reason) => this.#lose(reason))
     this.#evacuation = new Evacuation(cell, this.#tracker, options.stopTimeoutMs)
     this.#commits = new GroupCommit(cell, ownership, {
-      order: (task) => this.#run(this.#tracker.start(task)),
+      order: (task) => this.#tracker.start(task).catch(rethrow),
       lost: () => this.#lose('another node has taken the cell over')
     }, ended)
     this.#roster = new WorkerRoster({ ...parts, cell, tracker: this.#tracker, trust, sessions, ended }, {
@@ -131,7 +131,7 @@
   async start (): Promise<void> {
     const { log, registry, counters } = this.#parts
     this.#committing = this.#commits.run().finally(() => { this.#commitsEnded = true })
-    this.#run(this.#committing)
+    this.#committing.catch(rethrow)
     const [listed, isRead] = await Promise.all([
       readUntilDone(() => registry.list(), 'workers', this.#ended.signal, counters), this.#readTaken()
     ])
@@ -145,10 +145,10 @@
       workers: this.cell.workers.size,
       tookMs: Math.round(performance.now() - this.#claimedAt)
     }, 'cell recovered')
-    this.#run(this.#roster.run(listed.version))
-    this.#run(this.#cancels.run())
-    this.#run(this.#jobs.run())
-    this.#run(this.#cleanup.run())
+    this.#roster.run(listed.version).catch(rethrow)
+    this.#cancels.run().catch(rethrow)
+    this.#jobs.run().catch(rethrow)
+    this.#cleanup.run().catch(rethrow)
     for (const job of this.cell.active) this.#askAhead(job)
     this.#requestPlacing()
   }
@@ -207,10 +207,6 @@
     return this.#ended.signal.aborted
   }
 
-  #run (task: Promise<void>): void {
-    task.catch((error) => { process.nextTick(() => { throw error }) })
-  }
-
   #lose (reason: string): void {
     if (this.#isEnded) return
     this.#end()
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -4,6 +4,7 @@
 import { PROGRESS_TABLE } from '../records/index.ts'
 import type { JobState } from '../types.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
+import { Waiters } from '../waiters/Waiters.ts'
 import type { Cell } from './Cell.ts'
 
 /** Commits that take longer are logged, in ms; usual ones take 13 ms. */
@@ -39,8 +40,8 @@
   readonly #ended: AbortSignal
   /** Ended jobs whose rows are to be removed. */
   readonly #forgotten: string[] = []
-  #storedWaiters: Array<() => void> = []
-  #wake: (() => void) | undefined
+  readonly #work = new Waiters()
+  readonly #stored = new Waiters()
   /** The commit that is under way is the last one. */
   #closing = false
 
@@ -51,7 +52,7 @@
     this.#ended = ended
     ended.addEventListener('abort', () => {
       this.wake()
-      this.#releaseWaiters()
+      this.#stored.wake()
     })
   }
 
@@ -80,7 +81,7 @@
 
   /** There may be something to store. */
   wake (): void {
-    this.#wake?.()
+    this.#work.wake()
   }
 
   /** Ends `run` with the commit that is under way: commits form a chain. */
@@ -101,13 +102,7 @@
 
   /** Resolves when the ends received so far are stored, or after a short wait. */
   stored (): Promise<void> {
-    return new Promise((resolve) => {
-      const timer = setTimeout(resolve, STORED_WAIT_MS)
-      this.#storedWaiters.push(() => {
-        clearTimeout(timer)
-        resolve()
-      })
-    })
+    return this.#stored.next(STORED_WAIT_MS)
   }
 
   get #isOver (): boolean {
@@ -121,14 +116,7 @@
 
   /** Waits until there is something to store, or the ownership has to be renewed. */
   async #waitForWork (): Promise<void> {
-    await new Promise<void>((resolve) => {
-      const timer = setTimeout(resolve, OWNER_RENEW_MS)
-      this.#wake = () => {
-        clearTimeout(timer)
-        resolve()
-      }
-    })
-    this.#wake = undefined
+    await this.#work.next(OWNER_RENEW_MS)
     // Lets the events of this turn of the loop join the commit.
     await new Promise((resolve) => setImmediate(resolve))
   }
@@ -160,7 +148,7 @@
   /** While a slow store lets more jobs wait than one commit takes, those of urgent queues go first. */
   #orderDirty (): Iterable<JobRun> {
     const { dirty } = this.#cell
-    if (dirty.size <= MAX_ROWS_PER_COMMIT) return [...dirty]
+    if (dirty.size <= MAX_ROWS_PER_COMMIT) return dirty
     return [...dirty].sort((a, b) => a.job.queue.priority - b.job.queue.priority)
   }
 
@@ -170,10 +158,6 @@
     for (const { task, run } of batch.orders) {
       if (task.status === 'starting' && task.run === run && !task.ordered) this.#hooks.order(task)
     }
-    if (batch.ends.size > 0) this.#releaseWaiters()
-  }
-
-  #releaseWaiters (): void {
-    for (const resolve of this.#storedWaiters.splice(0)) resolve()
+    if (batch.ends.size > 0) this.#stored.wake()
   }
 }
--- a/packages/jobs/src/owner/Intake.ts
+++ b/packages/jobs/src/owner/Intake.ts
@@ -2,9 +2,7 @@
 import { INTAKE_READ_MS } from '../constants/index.ts'
 import type { Counters, RecordStore, StoredRow } from '../ports.ts'
 import { listJobPartitions } from '../records/index.ts'
-
-/** Wait after a read that failed, in ms. */
-const READ_RETRY_MS = 100
+import { READ_RETRY_MS } from './readUntilDone.ts'
 
 /** Partitions that are read at the same time: the workers' answers must not wait behind all rows of all jobs. */
 const READS_AT_ONCE = 4
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -112,13 +112,18 @@
 
   #choose (task: TaskRun, workers: readonly WorkerState[], now: number, rack?: string): WorkerState | undefined {
     return chooseWorker(task, workers, {
-      now: now + TICKET_MARGIN_MS,
-      rack,
-      isHealthy: (worker) => this.#trust.mayStart(worker.id, task),
-      isReserved: (worker) => this.#reserved.has(worker)
+      ...this.#limits(task), now: now + TICKET_MARGIN_MS, rack
     }) ?? this.#chooseAgain(task, workers, now, rack)
   }
 
+  /** Workers that a task doesn't get though they have room for it. */
+  #limits (task: TaskRun) {
+    return {
+      isHealthy: (worker: WorkerState) => this.#trust.mayStart(worker.id, task),
+      isReserved: (worker: WorkerState) => this.#reserved.has(worker)
+    }
+  }
+
   /** A task that has failed on every worker with room may go back to one of them. */
   #chooseAgain (task: TaskRun, workers: readonly WorkerState[], now: number, rack?: string): WorkerState | undefined {
     if (task.failedOn.size === 0 || now - task.waitingSince < RETRY_SAME_WORKER_MS) return undefined
@@ -141,12 +146,7 @@
     task: TaskRun, workers: readonly WorkerState[], candidates: readonly WorkerState[], now: number
   ): void {
     const { step } = task
-    const possible = chooseWorker(task, candidates, {
-      now,
-      ignoreTickets: true,
-      isHealthy: (worker) => this.#trust.mayStart(worker.id, task),
-      isReserved: (worker) => this.#reserved.has(worker)
-    })
+    const possible = chooseWorker(task, candidates, { ...this.#limits(task), now, ignoreTickets: true })
     if (possible !== undefined) this.#desk.ask(step, workers)
   }
 }
@@ -170,11 +170,12 @@
 function findReservation (
   step: StepRun, workers: readonly WorkerState[], reserved: ReadonlySet<WorkerState>
 ): WorkerState | undefined {
+  const counts = step.countByWorker()
   let best: WorkerState | undefined
   for (const worker of workers) {
     if (!worker.acceptsTasks || reserved.has(worker) || !couldRun(step, worker)) continue
     if (step.job.job.queue.advice !== undefined && step.advice.isGood(worker.id) !== true) continue
-    if (step.spec.maxPerWorker > 0 && step.countOn(worker.id) >= step.spec.maxPerWorker) continue
+    if (step.spec.maxPerWorker > 0 && (counts.get(worker.id) ?? 0) >= step.spec.maxPerWorker) continue
     if (worker.hasRoom(step.spec)) continue
     if (best === undefined || freeCpu(worker) > freeCpu(best)) best = worker
   }
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -1,4 +1,4 @@
-import { failureOf, sleep, valueOf } from '@gypsumspring/protocol'
+import { failureOf, rethrow, sleep, valueOf } from '@gypsumspring/protocol'
 import { ORDER_RETRY_MS } from '../constants/index.ts'
 import type { JobRun, TaskRun } from '../book/index.ts'
 import { paceFillers } from '../placement/paceFillers/index.ts'
@@ -105,7 +105,7 @@
     task.afterStop = then
     // Counts from the confirmation of the stop for the comparison with later looks.
     task.startedAt = Infinity
-    this.#sendStop(task).catch((error) => { throw error })
+    this.#sendStop(task).catch(rethrow)
   }
 
   stopJob (job: JobRun): void {
@@ -265,7 +265,7 @@
       await this.#sessions.get(worker.id)?.stop({ key, run })
       this.#strays.delete(name)
     }
-    stop().catch((error) => { throw error })
+    stop().catch(rethrow)
   }
 
   /** Slows filling tasks down while a serving task beside them misses its target. */
@@ -291,7 +291,7 @@
       this.#cell.counters.count('pace_changes')
       const { id } = worker
       this.#cell.log.info({ ...logged(task), worker: id, percent: wanted, tails }, 'pace of a filling task changed')
-      this.#sessions.get(worker.id)?.pace({ key: task.key, run: task.run }, wanted).catch((error) => { throw error })
+      this.#sessions.get(worker.id)?.pace({ key: task.key, run: task.run }, wanted).catch(rethrow)
     }
   }
 }
--- a/packages/jobs/src/owner/WorkerRoster.ts
+++ b/packages/jobs/src/owner/WorkerRoster.ts
@@ -1,4 +1,4 @@
-import { failureOf, sleep, valueOf } from '@gypsumspring/protocol'
+import { failureOf, rethrow, sleep, valueOf } from '@gypsumspring/protocol'
 import type { TaskRun } from '../book/index.ts'
 import { UNLISTED_GRACE_MS } from '../constants/index.ts'
 import type { WorkerLinks, WorkerRegistry } from '../ports.ts'
@@ -87,7 +87,7 @@
     })
     sessions.set(entry.id, session)
     this.#update(worker, entry)
-    if (this.#started) session.run().catch((error) => { throw error })
+    if (this.#started) session.run().catch(rethrow)
   }
 
   /** Counts a run of an earlier owner on its worker, which may no longer be registered. */
--- a/packages/jobs/src/owner/WorkerSession.ts
+++ b/packages/jobs/src/owner/WorkerSession.ts
@@ -1,5 +1,4 @@
-import { failureOf, notDone, valueOf, type Outcome } from '@gypsumspring/protocol'
-import { sleep } from '@gypsumspring/protocol'
+import { failureOf, notDone, sleep, valueOf, type Outcome } from '@gypsumspring/protocol'
 import { CLOCK_DRIFT, LEASE_SLACK_MS, LOOK_WAIT_MS, ORDER_RETRY_MS, TASK_LEASE_MS } from '../constants/index.ts'
 import type { StartResult, WorkerLink } from '../ports.ts'
 import type { RunOrder, StartOrder, WorkerView } from '../types.ts'
--- a/packages/jobs/src/owner/readUntilDone.ts
+++ b/packages/jobs/src/owner/readUntilDone.ts
@@ -2,7 +2,7 @@
 import type { Counters } from '../ports.ts'
 
 /** Wait before a read that failed is repeated, in ms. */
-const READ_RETRY_MS = 100
+export const READ_RETRY_MS = 100
 
 /** Repeats a read until it succeeds; undefined when the owner has ended before. */
 export async function readUntilDone<Value> (
--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -1,9 +1,9 @@
 import { Type, type Static } from '@sinclair/typebox'
 import { Value } from '@sinclair/typebox/value'
-import { done, failureOf, notDone, valueOf, type Outcome } from '@gypsumspring/protocol'
-import { sleep } from '@gypsumspring/protocol'
+import { done, failureOf, notDone, parseJson, rethrow, sleep, valueOf, type Outcome } from '@gypsumspring/protocol'
 import { COMMIT_COPIES, COMMIT_REPEAT_FACTOR, COMMIT_REPEAT_MS } from '../constants/index.ts'
 import type { Commit, CommitResult, RecordStore, RowAddress, StoredRow } from '../ports.ts'
+import { UsualTime } from '../usualTime/UsualTime.ts'
 
 /** Times that an unanswered claim is sent again; the answer to a repeat tells whether the claim has succeeded. */
 const CLAIM_ROUNDS = 4
@@ -56,13 +56,8 @@
 }
 
 function decode (value: Uint8Array | undefined): OwnerRecord | undefined {
-  if (value === undefined) return undefined
-  try {
-    const record: unknown = JSON.parse(Buffer.from(value).toString())
-    return Value.Check(OwnerRecord, record) ? record : undefined
-  } catch {
-    return undefined
-  }
+  const record = value === undefined ? undefined : parseJson(value)
+  return Value.Check(OwnerRecord, record) ? record : undefined
 }
 
 /**
@@ -210,15 +205,15 @@
       else if (open === 0) settle(uncertain ?? outcome)
     }
     const run = async () => {
-      send().catch((error) => { throw error })
+      send().catch(rethrow)
       for (let waitMs = Math.max(COMMIT_REPEAT_MS,
         COMMIT_REPEAT_FACTOR * usual.ms); sent < copies.length; waitMs *= 2) {
         await sleep(waitMs)
         if (settled) return
-        if (sent < copies.length) send().catch((error) => { throw error })
+        if (sent < copies.length) send().catch(rethrow)
       }
     }
-    run().catch((error) => { throw error })
+    run().catch(rethrow)
   })
 }
 
@@ -226,21 +221,7 @@
   return failureOf(outcome)?.certainty === 'unknown'
 }
 
-/** Weight of a new observation in the usual time of a write. */
-const USUAL_GAIN = 0.3
-
-/** Longer times are those of an outage and not of a slow store, in ms. */
-const SLOWEST_MS = 1_000
-
-/** Moving average of the time that answered writes to one store took, in ms. */
-class UsualTime {
-  ms = 0
-
-  record (durationMs: number): void {
-    this.ms += USUAL_GAIN * (Math.min(durationMs, SLOWEST_MS) - this.ms)
-  }
-}
-
+/** Times of the writes to each store. */
 const usualTimes = new WeakMap<RecordStore, UsualTime>()
 
 function usualTimeOf (store: RecordStore): UsualTime {
--- a/packages/jobs/src/placement/chooseWorker/index.ts
+++ b/packages/jobs/src/placement/chooseWorker/index.ts
@@ -37,7 +37,7 @@
   task: TaskRun, workers: Iterable<WorkerState>, options: Options
 ): WorkerState | undefined {
   const { step } = task
-  const counts = step.spec.maxPerWorker > 0 ? countByWorker(step) : undefined
+  const counts = step.spec.maxPerWorker > 0 ? step.countByWorker() : undefined
   let best: WorkerState | undefined
   let bestCost = Infinity
   for (const worker of workers) {
@@ -71,14 +71,6 @@
   return worker.entry.capacity.cpuMillis - worker.usedCpuMillis - worker.fillCpuMillis
 }
 
-function countByWorker (step: StepRun): Map<string, number> {
-  const counts = new Map<string, number>()
-  for (const { hasRun, worker } of step.tasks) {
-    if (hasRun && worker !== undefined) counts.set(worker, (counts.get(worker) ?? 0) + 1)
-  }
-  return counts
-}
-
 function computeCost (step: StepRun, worker: WorkerState): number {
   const { spec } = step
   const { capacity, labels } = worker.entry
--- a/packages/jobs/src/placement/listForAdvice/index.ts
+++ b/packages/jobs/src/placement/listForAdvice/index.ts
@@ -20,11 +20,12 @@
  * the room has to be on the same rack.
  */
 export function listForAdvice (step: StepRun, workers: readonly WorkerState[], allowedShare: number): string[] {
+  const counts = step.countByWorker()
   const candidates: Array<{ id: string, room: number, free: number }> = []
   for (const worker of workers) {
     const allowed = step.advice.isGood(worker.id)
     if (!worker.acceptsTasks || allowed === false || !couldRun(step, worker)) continue
-    const room = countRoom(step, worker) * (allowed === true ? 1 : allowedShare)
+    const room = countRoom(step, worker, counts.get(worker.id) ?? 0) * (allowed === true ? 1 : allowedShare)
     candidates.push({ id: worker.id, room, free: 1 - worker.usedCpuMillis / worker.entry.capacity.cpuMillis })
   }
   candidates.sort((a, b) => b.room - a.room || b.free - a.free)
@@ -40,12 +41,12 @@
   return count
 }
 
-/** Tasks of the step that the worker has room for now. */
-function countRoom (step: StepRun, worker: WorkerState): number {
+/** Tasks of the step that the worker has room for now, beside those of the step that it holds. */
+function countRoom (step: StepRun, worker: WorkerState, held: number): number {
   const { demand, fills, maxPerWorker } = step.spec
   const { capacity } = worker.entry
   const limits = [
-    maxPerWorker > 0 ? maxPerWorker - step.countOn(worker.id) : Infinity,
+    maxPerWorker > 0 ? maxPerWorker - held : Infinity,
     fills ? Infinity : divide(capacity.cpuMillis - worker.usedCpuMillis, demand.cpuMillis),
     divide(capacity.memoryMb - worker.usedMemoryMb, demand.memoryMb),
     divide(capacity.accelerators - worker.usedAccelerators, demand.accelerators),
--- a/packages/jobs/src/records/index.ts
+++ b/packages/jobs/src/records/index.ts
@@ -1,3 +1,4 @@
+import { parseJson } from '@gypsumspring/protocol'
 import { Value } from '@sinclair/typebox/value'
 import { JOB_PARTITIONS } from '../constants/index.ts'
 import { hashText } from '../hashText/index.ts'
@@ -47,10 +48,6 @@
  * @returns The job, or undefined when the bytes are no job.
  */
 export function decodeJob (bytes: Uint8Array): Job | undefined {
-  try {
-    const value: unknown = JSON.parse(Buffer.from(bytes).toString())
-    return Value.Check(Job, value) ? value : undefined
-  } catch {
-    return undefined
-  }
+  const value = parseJson(bytes)
+  return Value.Check(Job, value) ? value : undefined
 }
--- a/packages/jobs/src/standins/MemoryRecordStore.ts
+++ b/packages/jobs/src/standins/MemoryRecordStore.ts
@@ -1,6 +1,6 @@
 import { done, notDone, sleep, unknownEffect, type Outcome } from '@gypsumspring/protocol'
 import type { Commit, CommitResult, RecordStore, RowChanges, StoredRow } from '../ports.ts'
-import { Waiters } from './Waiters.ts'
+import { Waiters } from '../waiters/Waiters.ts'
 
 /** What becomes of one call: `lost` is carried out without an answer, `late` is carried out after `lateMs`. */
 export type StoreFault = 'refused' | 'silent' | 'lost' | 'late' | undefined
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -3,7 +3,7 @@
 import type { StartResult, WorkerLink, WorkerLinks, WorkerRegistry } from '../ports.ts'
 import type { EndedRun, RunEnd, RunOrder, StartOrder, TaskKey, WorkerEntry, WorkerView } from '../types.ts'
 import { PromiseChecker } from './PromiseChecker.ts'
-import { Waiters } from './Waiters.ts'
+import { Waiters } from '../waiters/Waiters.ts'
 
 /** What becomes of one order: `late` is carried out after `LATE_MS` and never answered. */
 export type OrderFault = 'silent' | 'lost' | 'late' | 'unhealthy' | undefined
--- a/packages/standins/src/startProcess/index.ts
+++ b/packages/standins/src/startProcess/index.ts
@@ -1,3 +1,4 @@
+import { parseJson } from '@gypsumspring/protocol'
 import { spawn, type ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
 import { createInterface } from 'node:readline'
@@ -122,10 +123,6 @@
 }
 
 function parseLine (line: string): Record<string, any> | undefined {
-  try {
-    const value: unknown = JSON.parse(line)
-    return typeof value === 'object' && value !== null ? value as Record<string, any> : undefined
-  } catch {
-    return undefined
-  }
+  const value = parseJson(line)
+  return typeof value === 'object' && value !== null ? value as Record<string, any> : undefined
 }
