Renew the tickets of steps that wait for room before they expire

Cause: a step asked the policy service again only when one of its workers had room.

A step that finds no room renews the tickets of its allowed workers before they expire, on nodes that have no other call to make; half of the nodes for slow calls stay free of such calls.

--- a/packages/jobs/src/model/AdviceState.ts
+++ b/packages/jobs/src/model/AdviceState.ts
@@ -8,16 +8,26 @@
 export class AdviceState {
   readonly #tickets = new Map<string, Ticket>()
   readonly #allowed = new Map<string, boolean>()
+  #allowedCount = 0
   /** A request for advice is waiting or in flight. */
   pending = false
   /** Monotonic time before which advice is not requested again, in ms; set after a failed call. */
   notBefore = 0
+  /** Monotonic time at which the newest tickets expire, in ms; 0 before the first answer. */
+  validUntil = 0
+
+  /** Number of workers that the policy is known to allow. */
+  get allowedCount (): number {
+    return this.#allowedCount
+  }
 
   /** Records an answer: of the workers named in the request, those without a ticket are not allowed. */
   record (named: readonly string[], tickets: ReadonlyArray<readonly [string, string]>, until: number): void {
     const granted = new Map(tickets)
+    this.validUntil = until
     for (const worker of named) {
       const ticket = granted.get(worker)
+      if (ticket !== undefined && this.#allowed.get(worker) !== true) this.#allowedCount++
       this.#allowed.set(worker, ticket !== undefined)
       if (ticket !== undefined) this.#tickets.set(worker, { value: ticket, until })
     }
--- a/packages/jobs/src/owner/AdviceDispatcher.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.ts
@@ -1,6 +1,6 @@
 import { throwUncaught } from '@gypsumspring/protocol'
 import type { AdviceTiming, TaskKey } from '../types.ts'
-import { SLOW_ADVICE_MS } from '../constants/index.ts'
+import { MAX_ADVICE_WORKERS, SLOW_ADVICE_MS, TICKET_MARGIN_MS } from '../constants/index.ts'
 import { selectAdviceCandidates } from '../placement/selectAdviceCandidates/index.ts'
 import type { Advice, Adviser } from '../ports.ts'
 import type { StepInstance } from '../model/index.ts'
@@ -20,6 +20,8 @@
   workers: string[]
   /** Expected duration of the call, in ms. */
   expectedMs: number
+  /** The tickets are for workers that have no room yet, so the call may wait for others. */
+  ahead: boolean
 }
 
 interface NodeState {
@@ -35,6 +37,9 @@
 /** Share of the nodes that make no slow calls, so that fast calls never queue behind slow ones. */
 const RESERVED_NODE_SHARE = 0.3
 
+/** Share of the nodes open to slow calls that stay free of calls made ahead of room, for steps that can start at once. */
+const AHEAD_FREE_SHARE = 0.5
+
 /** Most fast calls in flight on one node; more would only wait in the queue of the service. */
 const MAX_FAST_CALLS_PER_NODE = 2
 
@@ -85,9 +90,28 @@
     if (timing === undefined || step.advice.pending || step.advice.notBefore > this.#cell.now()) return
     const named = selectAdviceCandidates(step, workers, this.#allowedShares.get(name) ?? INITIAL_ALLOWED_SHARE)
     if (named.length === 0) return
-    step.advice.pending = true
-    const expectedMs = timing.decisionMs + timing.perWorkerMs * named.length
-    this.#queue.push({ step, timing, workers: named, expectedMs })
+    this.#enqueue({ step, timing, workers: named, expectedMs: expectDuration(timing, named.length), ahead: false })
+  }
+
+  /**
+   * Renews the tickets of a step that waits for room before they expire, so that the step can start as soon as one of
+   * its workers has room. Does nothing for fast calls, which cost little time once there is room.
+   */
+  renew (step: StepInstance, workers: readonly WorkerState[]): void {
+    const { advice: timing } = step.job.definition.queue
+    const now = this.#cell.now()
+    if (timing === undefined || step.advice.pending || step.advice.notBefore > now) return
+    const expectedMs = expectDuration(timing, step.advice.allowedCount)
+    if (expectedMs <= SLOW_ADVICE_MS || step.advice.validUntil > now + expectedMs + TICKET_MARGIN_MS) return
+    const named = workers.filter(({ id, acceptsTasks }) => acceptsTasks && step.advice.isAllowed(id) === true)
+      .slice(0, MAX_ADVICE_WORKERS).map(({ id }) => id)
+    if (named.length === 0 || this.#chooseNode({ expectedMs, ahead: true }) === undefined) return
+    this.#enqueue({ step, timing, workers: named, expectedMs, ahead: true })
+  }
+
+  #enqueue (request: AdviceRequest): void {
+    request.step.advice.pending = true
+    this.#queue.push(request)
     this.#dispatch()
   }
 
@@ -97,16 +121,18 @@
       if (unneeded) request.step.advice.pending = false
       return !unneeded
     })
-    this.#queue.sort((a, b) => a.step.job.definition.queue.priority - b.step.job.definition.queue.priority)
+    this.#queue.sort((a, b) => Number(a.ahead) - Number(b.ahead) ||
+      a.step.job.definition.queue.priority - b.step.job.definition.queue.priority)
     this.#queue = this.#queue.filter((request) => {
-      const state = this.#chooseNode(request.expectedMs > SLOW_ADVICE_MS)
+      const state = this.#chooseNode(request)
       if (state === undefined) return true
       this.#send(state, request).catch(throwUncaught)
       return false
     })
   }
 
-  #chooseNode (isSlow: boolean): NodeState | undefined {
+  #chooseNode ({ expectedMs, ahead }: Pick<AdviceRequest, 'expectedMs' | 'ahead'>): NodeState | undefined {
+    const isSlow = expectedMs > SLOW_ADVICE_MS
     const now = this.#cell.now()
     const nodes = [...this.#nodes.values()]
     const reserved = nodes.length > 1 ? Math.ceil(nodes.length * RESERVED_NODE_SHARE) : 0
@@ -114,6 +140,7 @@
       ? nodes.slice(reserved).filter(({ openCalls, pausedUntil }) => openCalls === 0 && pausedUntil <= now)
       : nodes.filter(({ openCalls, slowCalls, pausedUntil }) => slowCalls === 0 &&
         openCalls < MAX_FAST_CALLS_PER_NODE && pausedUntil <= now)
+    if (ahead && candidates.length <= AHEAD_FREE_SHARE * (nodes.length - reserved)) return undefined
     return candidates.sort((a, b) => a.openCalls - b.openCalls)[0]
   }
 
@@ -177,5 +204,9 @@
   }
 }
 
+function expectDuration (timing: AdviceTiming, workers: number): number {
+  return timing.decisionMs + timing.perWorkerMs * workers
+}
+
 /** Longest transit time assumed for an answer, in ms. */
 const MAX_TRANSIT_MS = 50
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -150,13 +150,14 @@
     if (candidate !== undefined) this.#reserved.add(candidate)
   }
 
-  /** Requests advice only if some worker could take the task now, apart from tickets. */
+  /** Requests advice if some worker could take the task now, apart from tickets, and otherwise renews its tickets. */
   #requestAdvice (
     task: TaskInstance, workers: readonly WorkerState[], candidates: readonly WorkerState[], now: number
   ): void {
     const { step } = task
     const possible = chooseWorker(task, candidates, { ...this.#workerChecks(task), now, ignoreTickets: true })
     if (possible !== undefined) this.#advice.request(step, workers)
+    else this.#advice.renew(step, workers)
   }
 }
 
