Let tasks go to workers with recent failures after a wait

Cause: the last attempt of a task waited for a worker without failures since its last success, and an open breaker kept all tasks away for up to 20 s. Ruled out: missing tickets (the workers had room and the step asked for advice), reservations (none at that time).

A task that only workers with recent failures could take goes to one of them after 2 s, at most one task a second for each such worker, so that a worker that fails at once does not use up the attempts of a queue.

--- a/packages/jobs/src/model/TrackedJob.ts
+++ b/packages/jobs/src/model/TrackedJob.ts
@@ -30,6 +30,8 @@
   waitingSince: number
   /** Workers on which a run of the task has failed or was overdue, or which refused it as `unhealthy` or `invalid`. */
   readonly failedOn = new Set<string>()
+  /** Monotonic time since which only workers with recent failures could take the task, in ms; undefined otherwise. */
+  heldBackSince: number | undefined
   /**
    * The run was stored by an earlier owner. The first poll of the worker fences that owner's orders, so its report
    * shows whether the run exists.
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -118,7 +118,7 @@
   ): WorkerState | undefined {
     return chooseWorker(task, workers, {
       ...this.#workerChecks(task), now: now + TICKET_MARGIN_MS, rack
-    }) ?? this.#chooseFailedWorker(task, workers, now, rack)
+    }) ?? this.#chooseFailedWorker(task, workers, now, rack) ?? this.#chooseSuspectWorker(task, workers, now, rack)
   }
 
   /** Checks that keep a task off workers that have room for it. */
@@ -138,6 +138,25 @@
     return this.#chooseWorker(task, workers, now, rack)
   }
 
+  /**
+   * After a wait, lets a task go to a worker with recent failures when all workers that could take it have some. The
+   * failures may be the fault of the task's own job, and no other task may come that would show the workers as healthy.
+   */
+  #chooseSuspectWorker (
+    task: TaskInstance, workers: readonly WorkerState[], now: number, rack?: string
+  ): WorkerState | undefined {
+    const worker = chooseWorker(task, workers, {
+      ...this.#workerChecks(task),
+      isHealthy: ({ id }) => this.#breaker.mayProbe(id),
+      now: now + TICKET_MARGIN_MS,
+      rack
+    })
+    task.heldBackSince = worker === undefined ? undefined : task.heldBackSince ?? now
+    if (task.heldBackSince === undefined) return undefined
+    const since = task.failures > 0 ? task.waitingSince : task.heldBackSince
+    return now - since >= RETRY_SAME_WORKER_MS ? worker : undefined
+  }
+
   /** Requests advice for a step whose task found no worker, and reserves a worker when the task has waited long. */
   #handleBlocked (
     task: TaskInstance, workers: readonly WorkerState[], candidates: readonly WorkerState[], now: number
@@ -155,7 +174,12 @@
     task: TaskInstance, workers: readonly WorkerState[], candidates: readonly WorkerState[], now: number
   ): void {
     const { step } = task
-    const possible = chooseWorker(task, candidates, { ...this.#workerChecks(task), now, ignoreTickets: true })
+    const possible = chooseWorker(task, candidates, {
+      ...this.#workerChecks(task),
+      isHealthy: ({ id }) => this.#breaker.mayStart(id, task) || this.#breaker.mayProbe(id),
+      now,
+      ignoreTickets: true
+    })
     if (possible !== undefined) this.#advice.request(step, workers)
     else this.#advice.renew(step, workers)
   }
@@ -173,7 +197,7 @@
   return { demand: minimum, fills: minimum.cpuMillis === 0 }
 }
 
-/** Time after which a task may go back to a worker where it failed, in ms. */
+/** Time after which a task may go back to a worker where it failed, or to one with recent failures, in ms. */
 const RETRY_SAME_WORKER_MS = 2_000
 
 /** Chooses the worker expected to have room for a task of the step first: the allowed one with the most free CPU. */
--- a/packages/jobs/src/owner/WorkerCircuitBreaker.ts
+++ b/packages/jobs/src/owner/WorkerCircuitBreaker.ts
@@ -9,6 +9,9 @@
 /** Longest cooldown, in ms. */
 const MAX_COOLDOWN_MS = 20_000
 
+/** Least time between two starts on a worker of tasks that have no healthier worker to go to, in ms. */
+const PROBE_INTERVAL_MS = 1_000
+
 interface BreakerState {
   /** Jobs whose tasks failed since the last success. */
   failedJobs: Set<string>
@@ -19,6 +22,8 @@
   /** No task has succeeded since the breaker opened. After the cooldown one task at a time starts as a probe. */
   tripped: boolean
   probe: TaskInstance | undefined
+  /** Monotonic time of the last assignment since a task first failed on the worker, in ms. */
+  lastStartAt: number
 }
 
 /** Circuit breaker for each worker: keeps tasks away for a time from workers on which tasks of several jobs failed. */
@@ -49,7 +54,18 @@
   /** Records that a task was assigned to a worker. It becomes the probe if the breaker has not closed again. */
   recordStart (worker: string, task: TaskInstance): void {
     const state = this.#states.get(worker)
-    if (state?.tripped === true) state.probe = task
+    if (state === undefined) return
+    state.lastStartAt = performance.now()
+    if (state.tripped) state.probe = task
+  }
+
+  /**
+   * Whether a worker may get a task that has no healthier one to go to. Such tasks arrive slowly, so that a worker that
+   * fails at once does not use up the attempts of all waiting tasks.
+   */
+  mayProbe (worker: string): boolean {
+    const lastStartAt = this.#states.get(worker)?.lastStartAt ?? -Infinity
+    return performance.now() - lastStartAt >= PROBE_INTERVAL_MS
   }
 
   /**
@@ -73,7 +89,12 @@
     const existing = this.#states.get(worker)
     if (existing !== undefined) return existing
     const state: BreakerState = {
-      failedJobs: new Set(), openUntil: 0, cooldownMs: INITIAL_COOLDOWN_MS, tripped: false, probe: undefined
+      failedJobs: new Set(),
+      openUntil: 0,
+      cooldownMs: INITIAL_COOLDOWN_MS,
+      tripped: false,
+      probe: undefined,
+      lastStartAt: -Infinity
     }
     this.#states.set(worker, state)
     return state
