Keep sending a commit while single answers are lost

Cause: a commit was sent three times at most. One lost answer also made a node call the store through other nodes, though its connection worked.

Copies go on, with doubling delays while the store answers nothing (it is slow or down) and with equal ones once a later copy was answered before an earlier one, which shows that answers are lost. A node counts its connection as broken only if nothing was answered on it since the call was sent, and probes the store again before a lost probe has timed out.

--- /dev/null
+++ b/packages/jobs/src/commitHedged/test.ts
@@ -0,0 +1,81 @@
+import { install, type Clock } from '@sinonjs/fake-timers'
+import { expect } from 'chai'
+import { MemoryRecordStore, MemoryRows, type StoreFault } from '../standins/index.ts'
+import type { Commit } from '../ports.ts'
+import { commitHedged } from './index.ts'
+
+const commit: Commit = { partition: 'p0', expected: [{ table: 't', key: 'k', version: 0 }], puts: [], removes: [] }
+const elsewhere: Commit = { ...commit, partition: 'p1' }
+
+describe('commitHedged', () => {
+  let clock: Clock
+  beforeEach(() => { clock = install() })
+  afterEach(() => clock.uninstall())
+
+  const cases: Array<{
+    name: string,
+    /** Faults of the first calls, or of all calls. */
+    faults: StoreFault[] | StoreFault,
+    commits?: Commit[],
+    withinMs: number,
+    expected: { isRight: boolean, calls: number }
+  }> = [
+    {
+      name: 'sends one copy while the store answers',
+      faults: [],
+      withinMs: 50,
+      expected: { isRight: true, calls: 1 }
+    },
+    {
+      // Three lost answers in a row made a commit wait for the timeout of the first copy, up to 3 s.
+      name: 'goes on sending copies after three lost answers',
+      faults: ['lost', 'late', 'lost'],
+      withinMs: 1_000,
+      expected: { isRight: true, calls: 4 }
+    },
+    {
+      name: 'sends few copies to a store that answers nothing',
+      faults: 'silent',
+      withinMs: 4_000,
+      expected: { isRight: false, calls: 5 }
+    },
+    {
+      name: 'tries the next partition at once when one is out of service',
+      faults: ['refused'],
+      commits: [commit, elsewhere],
+      withinMs: 20,
+      expected: { isRight: true, calls: 2 }
+    },
+    {
+      name: 'gives up when all partitions are out of service',
+      faults: 'refused',
+      commits: [commit, elsewhere],
+      withinMs: 20,
+      expected: { isRight: false, calls: 2 }
+    }
+  ]
+  for (const { name, faults, commits = [commit], withinMs, expected } of cases) {
+    it(name, async () => {
+      const store = new MemoryRecordStore(new MemoryRows())
+      let calls = 0
+      store.fault = () => Array.isArray(faults) ? faults[calls++] : (calls++, faults)
+      let isRight: boolean | undefined
+      commitHedged(store, commits).then((outcome) => { isRight = outcome.isRight() }, () => {})
+      await clock.tickAsync(withinMs)
+      expect({ isRight, calls }).to.deep.equal(expected)
+    })
+  }
+
+  it('sends copies without growing delays once answers were found to be lost', async () => {
+    const store = new MemoryRecordStore(new MemoryRows())
+    const faults: StoreFault[] = ['lost', undefined, 'lost', 'lost', 'lost', 'lost', 'lost', undefined]
+    store.fault = () => faults.shift()
+    const first = commitHedged(store, [commit])
+    await clock.tickAsync(100)
+    expect((await first).isRight()).to.equal(true)
+    let isRight: boolean | undefined
+    commitHedged(store, [commit]).then((outcome) => { isRight = outcome.isRight() }, () => {})
+    await clock.tickAsync(400)
+    expect(isRight).to.equal(true)
+  })
+})
--- a/packages/jobs/src/constants/index.ts
+++ b/packages/jobs/src/constants/index.ts
@@ -67,14 +67,8 @@
 /** Maximum bytes in one commit of the owner; the platform accepts 1 MB including base64 encoding. */
 export const MAX_BYTES_PER_COMMIT = 500_000
 
-/** Minimum delay before an unanswered commit is sent again, in ms; a commit takes about 13 ms. */
-export const MIN_COMMIT_RESEND_MS = 150
-
-/** A commit is sent again after this multiple of the average latency, since resending adds load to a slow store. */
-export const COMMIT_RESEND_FACTOR = 4
-
-/** Maximum number of copies of one commit in flight at the same time. */
-export const MAX_COMMIT_COPIES = 3
+/** Delay before a commit whose copies have all failed is tried again, in ms. */
+export const COMMIT_RETRY_MS = 150
 
 /** Advice calls expected to take longer than this, in ms, are not sent from the nodes reserved for fast calls. */
 export const SLOW_ADVICE_MS = 150
--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -64,6 +64,9 @@
 /** Interval of the store probes, in ms. */
 const PROBE_INTERVAL_MS = 150
 
+/** Time after which another probe is sent although one is not answered yet, in ms; its answer may be lost. */
+const PROBE_PATIENCE_MS = 100
+
 /**
  * One node of a cell. At most one node at a time owns the cell and schedules its jobs; the others send it heartbeats
  * and take over when it fails.
@@ -185,7 +188,7 @@
   /** Probes the store at intervals, so that `JobService.canAccept` is current even when no other calls are made. */
   async #probeStore (): Promise<void> {
     while (!this.#stopped) {
-      await this.#store.probe()
+      await Promise.race([this.#store.probe(), sleep(PROBE_PATIENCE_MS)])
       await sleep(PROBE_INTERVAL_MS)
     }
   }
--- a/packages/jobs/src/node/FailoverStore.ts
+++ b/packages/jobs/src/node/FailoverStore.ts
@@ -32,6 +32,9 @@
 /** Longest wait for the answer to a probe, in ms; a slow store takes 200 ms. */
 const PROBE_TIMEOUT_MS = 700
 
+/** Most direct attempts at one read while the store answers other calls. */
+const MAX_DIRECT_ATTEMPTS = 3
+
 /** Most peers that are tried for one call. */
 const MAX_PEERS_PER_CALL = 2
 
@@ -54,6 +57,8 @@
   #peerIndex = 0
   /** Monotonic time of the last answer of the store, in ms. */
   lastAnswerAt = 0
+  /** Monotonic time of the last answer over this node's own connection, in ms. */
+  #lastDirectAnswerAt = 0
 
   constructor (direct: RecordStore, peers: () => Peer[], metrics: MetricsRecorder) {
     this.#direct = direct
@@ -81,12 +86,10 @@
     const now = performance.now()
     if (now - this.lastAnswerAt < PROBE_AFTER_MS && this.#isDirectlyReachable) return
     const outcome = await this.#direct.readRow(CONTROL_TABLE, CELL_PARTITION, '', { timeoutMs: PROBE_TIMEOUT_MS })
-    if (isUnreachable(outcome)) {
-      this.#isDirectlyReachable = false
-      return
-    }
-    this.#isDirectlyReachable = true
-    this.#recordAnswer()
+    if (!isUnreachable(outcome)) {
+      this.#isDirectlyReachable = true
+      this.#recordDirectAnswer()
+    } else if (this.#lastDirectAnswerAt < now) this.#isDirectlyReachable = false
   }
 
   async commit (commit: Commit): Promise<Outcome<CommitResult>> {
@@ -116,16 +119,20 @@
     direct: () => Promise<Outcome<Value>>, method: Method, params: CellParams<Method>,
     decode: (ok: RelayedValue<Method>) => Value, longPollMs = 0
   ): Promise<Outcome<Value>> {
-    if (this.#isDirectlyReachable || this.#peers().length === 0) {
-      const outcome = await this.#callDirect(direct, method !== 'cell.store.commit', longPollMs)
+    const isCommit = method === 'cell.store.commit'
+    let attempts = 0
+    const mayTry = () => this.#isDirectlyReachable || (attempts === 0 && this.#peers().length === 0)
+    while (attempts < MAX_DIRECT_ATTEMPTS && mayTry()) {
+      attempts++
+      const outcome = await this.#callDirect(direct, !isCommit, longPollMs)
       if (outcome !== undefined && !isUnreachable(outcome)) {
-        this.#recordAnswer()
+        this.#recordDirectAnswer()
         return outcome
       }
-      this.#isDirectlyReachable = false
-      // The commit may have been applied, so only the caller can decide whether to repeat it.
       const failed = outcome ?? NO_ANSWER
-      if (failureOf(failed)?.certainty === 'unknown' && method === 'cell.store.commit') return failed
+      // The commit may have been applied, so only the caller can decide whether to repeat it.
+      if (failureOf(failed)?.certainty === 'unknown' && isCommit) return failed
+      if (outcome !== undefined) this.#isDirectlyReachable = false
     }
     return await this.#relay(method, params, decode, longPollMs)
   }
@@ -142,8 +149,8 @@
     let timer: ReturnType<typeof setTimeout> | undefined
     const overdue = new Promise<undefined>((resolve) => {
       timer = setTimeout(() => {
-        // Later calls, including further copies of this one, are relayed.
-        this.#isDirectlyReachable = false
+        // Later calls, including further copies of this one, are relayed unless only this answer was lost.
+        if (this.#lastDirectAnswerAt < sentAt) this.#isDirectlyReachable = false
         if (mayAbandon) resolve(undefined)
       }, overdueAfterMs + longPollMs)
     })
@@ -154,7 +161,7 @@
       this.#pendingDirectCalls.delete(abandon)
       // Late answers count too: they show that the store is slow but reachable.
       if (outcome.isRight() && longPollMs === 0) {
-        this.#recordAnswer()
+        this.#recordDirectAnswer()
         this.#averageLatency.record(performance.now() - sentAt)
       }
       return outcome
@@ -165,6 +172,11 @@
     return outcome
   }
 
+  #recordDirectAnswer (): void {
+    this.#lastDirectAnswerAt = performance.now()
+    this.#recordAnswer()
+  }
+
   /**
    * Records that the store has answered. The first answer after an outage, to any call, abandons the direct calls that
    * were sent during the outage: their connections take seconds to recover, while new ones work at once.
--- a/packages/jobs/src/node/JobService.ts
+++ b/packages/jobs/src/node/JobService.ts
@@ -2,7 +2,7 @@
 import { decodeProgress } from '../model/index.ts'
 import { PEER_CALL_TIMEOUT_MS } from '../constants/index.ts'
 import type { CellOwner } from '../owner/CellOwner.ts'
-import { commitHedged } from '../ownership/index.ts'
+import { commitHedged } from '../commitHedged/index.ts'
 import type { MetricsRecorder } from '../ports.ts'
 import {
   CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, encodeJob, toJobPartitions
--- a/packages/jobs/src/owner/AdviceDispatcher.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.ts
@@ -37,7 +37,7 @@
 /** Share of the nodes that make no slow calls, so that fast calls never queue behind slow ones. */
 const RESERVED_NODE_SHARE = 0.3
 
-/** Share of the nodes open to slow calls that stay free of calls made ahead of room, for steps that can start at once. */
+/** Share of the nodes for slow calls that make none ahead of room, so that steps that can start at once find a node. */
 const AHEAD_FREE_SHARE = 0.5
 
 /** Most fast calls in flight on one node; more would only wait in the queue of the service. */
--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -1,9 +1,9 @@
 import { Type, type Static } from '@sinclair/typebox'
 import { Value } from '@sinclair/typebox/value'
-import { done, failureOf, notDone, parseJson, throwUncaught, sleep, valueOf, type Outcome } from '@gypsumspring/protocol'
-import { MAX_COMMIT_COPIES, COMMIT_RESEND_FACTOR, MIN_COMMIT_RESEND_MS } from '../constants/index.ts'
+import { done, notDone, parseJson, sleep, valueOf, type Outcome } from '@gypsumspring/protocol'
+import { COMMIT_RETRY_MS } from '../constants/index.ts'
+import { commitHedged } from '../commitHedged/index.ts'
 import type { Commit, CommitResult, RecordStore, RowAddress, StoredRow } from '../ports.ts'
-import { LatencyAverage } from '../latencyAverage/LatencyAverage.ts'
 
 /** Most attempts at a claim; the answer to a repeat tells whether an earlier attempt has succeeded. */
 const CLAIM_ATTEMPTS = 4
@@ -150,10 +150,10 @@
     let outcome: Outcome<CommitResult> = notDone('closed', 'the ownership was lost')
     for (let attempt = 0; attempt < attempts && !this.#lost; attempt++) {
       const sentAt = performance.now()
-      outcome = await commitHedged(this.#store, Array.from({ length: MAX_COMMIT_COPIES }, () => commit))
+      outcome = await commitHedged(this.#store, [commit])
       const result = valueOf(outcome)
       if (result !== undefined) return done(this.#applyResult(result, record, value, sentAt))
-      await sleep(MIN_COMMIT_RESEND_MS)
+      await sleep(COMMIT_RETRY_MS)
     }
     return outcome.map(() => false)
   }
@@ -173,65 +173,3 @@
     return true
   }
 }
-
-/**
- * Sends copies of a commit one after the other, with growing delays, until one is answered (request hedging). When a
- * copy fails and the next one is for another partition, that one is sent at once. Use it only for commits that may be
- * applied more than once or of which at most one can succeed.
- *
- * @param store - The store.
- * @param copies - The copies, in the order in which they are sent.
- * @returns The first result, else the last failure; a failure with certainty `unknown` takes precedence.
- */
-export async function commitHedged (store: RecordStore, copies: readonly Commit[]): Promise<Outcome<CommitResult>> {
-  const averageLatency = getWriteLatency(store)
-  let settled = false
-  let pending = 0
-  let sent = 0
-  let uncertain: Outcome<CommitResult> | undefined
-  return await new Promise((resolve) => {
-    const settle = (outcome: Outcome<CommitResult>) => {
-      settled = true
-      resolve(outcome)
-    }
-    const send = async () => {
-      const copy = copies[sent++]!
-      pending++
-      const sentAt = performance.now()
-      const outcome = await store.commit(copy)
-      pending--
-      if (outcome.isRight()) averageLatency.record(performance.now() - sentAt)
-      if (settled) return
-      if (outcome.isRight()) {
-        settle(outcome)
-        return
-      }
-      if (isUncertain(outcome)) uncertain = outcome
-      if (sent < copies.length && copies[sent]!.partition !== copy.partition) await send()
-      else if (pending === 0) settle(uncertain ?? outcome)
-    }
-    const run = async () => {
-      send().catch(throwUncaught)
-      for (let waitMs = Math.max(MIN_COMMIT_RESEND_MS,
-        COMMIT_RESEND_FACTOR * averageLatency.ms); sent < copies.length; waitMs *= 2) {
-        await sleep(waitMs)
-        if (settled) return
-        if (sent < copies.length) send().catch(throwUncaught)
-      }
-    }
-    run().catch(throwUncaught)
-  })
-}
-
-function isUncertain (outcome: Outcome<unknown>): boolean {
-  return failureOf(outcome)?.certainty === 'unknown'
-}
-
-/** Average latency of a write to each store. */
-const writeLatencies = new WeakMap<RecordStore, LatencyAverage>()
-
-function getWriteLatency (store: RecordStore): LatencyAverage {
-  const known = writeLatencies.get(store) ?? new LatencyAverage()
-  writeLatencies.set(store, known)
-  return known
-}
