Poll a worker again only when its own ends are stored

Cause: a worker was polled again after any commit that stored ends, though its own were often in the next one. It then returned the same ends at once.

--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -115,7 +115,7 @@
       token: ownership.token,
       leaseMs: chooseLeaseMs(options.leaseLimitMs),
       mayRenewLeases: () => performance.now() - ownership.confirmedAt < STORE_OUTAGE_GRACE_MS,
-      waitUntilStored: () => this.#commits.waitUntilStored(),
+      waitUntilStored: (worker) => this.#commits.waitUntilStored(worker),
       onFenced: () => this.#handleOwnershipLost('a worker has accepted a higher fencing token'),
       inheritedLeaseEnd: () => this.#inheritedLeaseEnd()
     })
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -104,9 +104,17 @@
     this.#pendingRemovals.push(id)
   }
 
-  /** Resolves with the next commit that stores ended runs, or after `STORED_WAIT_MS`. */
-  waitUntilStored (): Promise<void> {
-    return this.#storedWaiters.wait(STORED_WAIT_MS)
+  /**
+   * Resolves when the ended runs reported by a worker are stored, or after `STORED_WAIT_MS`. Polling the worker earlier
+   * would only return the same ends again.
+   */
+  async waitUntilStored (worker: WorkerState): Promise<void> {
+    const deadline = performance.now() + STORED_WAIT_MS
+    while (worker.storedEndSequence < worker.processedEndSequence && !this.#signal.aborted) {
+      const remainingMs = deadline - performance.now()
+      if (remainingMs <= 0) return
+      await this.#storedWaiters.wait(remainingMs)
+    }
   }
 
   get #isOver (): boolean {
