--- /dev/null
+++ b/packages/jobs/src/loadPatterns/scarceAccelerators.test.ts
@@ -0,0 +1,41 @@
+import { expect } from 'chai'
+import { done, sleep } from '@gypsumspring/protocol'
+import type { Adviser } from '../ports.ts'
+import { createQueue, createTicket, TICKET_VALID_MS } from '../standins/index.ts'
+import { describeCells, submitInBackground } from './describeCells.ts'
+
+/** Time that the policy service takes for a call, in ms. */
+const ADVICE_MS = 600
+
+/** Leaves no room for another task on a worker. */
+const WHOLE_WORKER = { cpuMillis: 31_000, memoryMb: 81_000, accelerators: 8 }
+const capacity = { cpuMillis: 64_000, memoryMb: 131_072, accelerators: 8 }
+const advice = { decisionMs: ADVICE_MS, perWorkerMs: 0, validMs: TICKET_VALID_MS }
+const matching = createQueue('matching', { priority: 1, stretch: 2.2, targetLatencyMs: 1_000, advice })
+
+class SlowAdviser implements Adviser {
+  async advise (_step: unknown, workers: string[]): ReturnType<Adviser['advise']> {
+    await sleep(ADVICE_MS)
+    return done({ tickets: workers.map((worker): [string, string] => [worker, createTicket(TICKET_VALID_MS)]) })
+  }
+}
+
+const options = { nodes: 6, workers: 1, capacity, createAdviser: () => new SlowAdviser() }
+const FIRST = '00000000000000a1'
+const SECOND = '00000000000000b2'
+
+describeCells('Few workers with accelerators and a slow policy service', [
+  {
+    // The step asked for new tickets only when a worker had room, which then stood idle for the time of the call.
+    name: 'start the next task as soon as the worker is free',
+    options,
+    run: async (cell, clock) => {
+      submitInBackground(cell, FIRST, [{ demand: WHOLE_WORKER, estimatedRunMs: 4_000 }], matching)
+      await clock.tickAsync(ADVICE_MS + 200)
+      expect(cell.checker.countRunning(`${FIRST}.0.0.0`)).to.equal(1)
+      submitInBackground(cell, SECOND, [{ demand: WHOLE_WORKER, estimatedRunMs: 4_000 }], matching)
+      await clock.tickAsync(4_000)
+      expect(cell.checker.countRunning(`${SECOND}.0.0.0`)).to.equal(1)
+    }
+  }
+])
--- a/packages/jobs/src/standins/MemoryCell.ts
+++ b/packages/jobs/src/standins/MemoryCell.ts
@@ -9,12 +9,14 @@
 interface Options {
   /** Nodes of the cell. Default: 3. */
   nodes?: number
-  /** Workers, each with 16 processors and 32 GB. Default: 4. */
+  /** Number of workers. Default: 4. */
   workers?: number
+  /** Capacity of each worker. Default: 16 processors and 32 GB. */
+  capacity?: WorkerEntry['capacity']
   /** Decides how runs end. Default: they succeed after their estimated run time. */
   planRunEnd?: PlanRunEnd
-  /** Policy service. Default: one that allows all workers. */
-  adviser?: Adviser
+  /** Creates a node's client of the policy service. Default: the service allows all workers. */
+  createAdviser?: () => Adviser
   /** Names of nodes on small machines with a slow network link. Default: none. */
   weakNodes?: string[]
   /** Latency of a call to the store, in ms. Default: 5. */
@@ -68,7 +70,7 @@
       failureDomain: 'a',
       draining: false,
       leavesInMs: undefined,
-      capacity: { cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0 },
+      capacity: this.#options.capacity ?? { cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0 },
       labels: ['a', 'r1'],
       ...changes
     }
@@ -82,7 +84,7 @@
       store: blockCallsWhenDown(store, isUp),
       registry: () => this.workers,
       connector: { open: (entry) => blockCallsWhenDown(this.workers.open(entry), isUp) },
-      adviser: this.#options.adviser ?? new AllowAllAdviser(),
+      adviser: this.#options.createAdviser?.() ?? new AllowAllAdviser(),
       configuration: { current: () => ({ version: 1, queues: this.queues }) },
       connect: (address) => this.#connect(address, isUp),
       log: this.#options.log ?? NO_LOG,
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -17,7 +17,8 @@
 /** Delay of a `late` call, in ms. */
 const LATE_MS = 3_000
 
-const POLL_TIMEOUT_MS = 400
+/** Time that a poll may take beyond its `waitMs` before it times out, in ms. */
+const POLL_TIMEOUT_MARGIN_MS = 250
 
 /** Network latency in each direction, in ms. */
 const LATENCY_MS = 2
@@ -280,7 +281,7 @@
     return this.#call('poll', token, async () => {
       this.#worker.extendLease(leaseUntil)
       return done(await this.#worker.report(acknowledged, waitMs))
-    })
+    }, waitMs + POLL_TIMEOUT_MARGIN_MS)
   }
 
   async start (order: StartOrder, token: number, leaseUntil: number): Promise<Outcome<StartResult>> {
@@ -298,11 +299,12 @@
   close (): void {}
 
   async #call<Value> (
-    name: 'poll' | 'start' | 'stop' | 'pace', token: number, act: () => Outcome<Value> | Promise<Outcome<Value>>
+    name: 'poll' | 'start' | 'stop' | 'pace', token: number, act: () => Outcome<Value> | Promise<Outcome<Value>>,
+    timeoutMs = ORDER_TIMEOUT_MS
   ): Promise<Outcome<Value>> {
     await sleep(LATENCY_MS)
     const fault = this.#worker.alive ? this.#worker.fault(name) : 'silent'
-    const noAnswer = () => timeOut(name === 'poll' ? POLL_TIMEOUT_MS : ORDER_TIMEOUT_MS)
+    const noAnswer = () => timeOut(timeoutMs)
     if (fault === 'silent') return await noAnswer()
     if (fault === 'late') {
       setTimeout(() => { if (this.#worker.alive && this.#worker.acceptsToken(token)) act() }, LATE_MS)
