Add gypsumctl phases, which shows how long jobs spent in each phase

Where the time of late jobs goes was found by reading traces of single jobs. The command reads the logs of all processes and prints, by queue and period, how long jobs were accepted, waited, ran, and spent otherwise.

--- a/packages/cli/src/gypsumctl.ts
+++ b/packages/cli/src/gypsumctl.ts
@@ -6,8 +6,8 @@
 import { applyManifest, DEFAULT_WAIT_MS, waitUntilInForce } from './commands/applyManifest.ts'
 import { readManifestFile } from './commands/readManifestFile.ts'
 import { showDiff } from './commands/showDiff.ts'
+import { showPhases, showTrace } from './commands/showLogs.ts'
 import { showStatus } from './commands/showStatus.ts'
-import { showTrace } from './commands/showTrace.ts'
 import { OperatorClient, type CommandFailure } from './operatorClient/index.ts'
 import { exitCodes, writeResult, type CommandResult } from './output/index.ts'
 
@@ -20,6 +20,7 @@
   json?: boolean
   tasks?: boolean
   watch?: boolean
+  period?: number
 }
 
 /** Refresh interval of `status --watch`, in ms. */
@@ -66,6 +67,10 @@
 cli.command('trace <job> <...logs>', 'show the timeline of a job from the log files of all processes; use - for standard input')
   .action(async (job: string, logs: string[]) => writeResult(await showTrace(job, logs)))
 
+cli.command('phases <...logs>', 'show how long jobs spent in each phase, from the log files of all processes')
+  .option('--period <s>', 'divide the jobs by the time of their end into periods of this length, in s')
+  .action(async (logs: string[], { period }: Options) => writeResult(await showPhases(logs, period)))
+
 cli.command('cancel <workload>', 'cancel a workload; its tasks are stopped')
   .option('--scope <scope>', 'scope of the workload, if several scopes declare the same name')
   .option('--wait-ms <ms>', `longest wait until it is in force everywhere (default ${DEFAULT_WAIT_MS})`)
--- a/packages/cli/src/traceJob/index.ts
+++ b/packages/cli/src/traceJob/index.ts
@@ -1,13 +1,4 @@
-import { parseJson } from '@gypsumspring/protocol'
-
-/** A parsed line of a process's log. */
-interface LogLine {
-  /** Unix time in ms, by the clock of the process that wrote the line. */
-  time: number
-  process: string
-  msg: string
-  fields: Record<string, unknown>
-}
+import { parseLogLine, type LogLine } from '../_lib/parseLogLine/index.ts'
 
 /** Messages about the whole cell that may explain a gap in the timeline of any job. */
 const CELL_MESSAGES: ReadonlySet<string> = new Set([
@@ -36,7 +27,7 @@
  * traceJob('5f318347285e22fd', readFileSync('node-1.log', 'utf8').split('\n'))
  */
 export function traceJob (id: string, lines: readonly string[]): string[] {
-  const logLines = lines.flatMap((line) => parseLine(line) ?? []).sort((a, b) => a.time - b.time)
+  const logLines = lines.flatMap((line) => parseLogLine(line) ?? []).sort((a, b) => a.time - b.time)
   const jobLines = logLines.filter((line) => isLineOfJob(line, id))
   const [first] = jobLines
   const last = jobLines.at(-1)
@@ -48,15 +39,6 @@
   return [...timeline.map((line) => formatLine(line, first.time, id)), ...describeLongestGap(jobLines, first.time)]
 }
 
-function parseLine (text: string): LogLine | undefined {
-  const value = parseJson(text.slice(text.indexOf('{')))
-  if (typeof value !== 'object' || value === null) return undefined
-  const { time, process, msg, ...fields } = value as Record<string, unknown>
-  return typeof time === 'number' && typeof process === 'string' && typeof msg === 'string'
-    ? { time, process, msg, fields }
-    : undefined
-}
-
 /** Returns the workers named by a line: its own `worker` field and that of each entry in `runs`. */
 function listWorkers ({ worker, runs }: Record<string, unknown>): string[] {
   const workersOfRuns = Array.isArray(runs) ? runs.map((run: { worker?: unknown }) => run.worker) : []
