Ask refused callers to come back after half of the outage so far

Cause: a refused request always got Retry-After 1.

The delay grows with the time since the store last answered, so that callers come back at most half an outage late and need fewer attempts.

--- a/packages/jobs/src/node/FailoverStore.ts
+++ b/packages/jobs/src/node/FailoverStore.ts
@@ -73,7 +73,12 @@
 
   /** Whether the store has answered recently, directly or through a peer; if not, callers need not wait for it. */
   get isAnswering (): boolean {
-    return performance.now() - this.lastAnswerAt < STORE_UNREACHABLE_AFTER_MS
+    return this.silentMs < STORE_UNREACHABLE_AFTER_MS
+  }
+
+  /** Time since the last answer of the store, in ms. */
+  get silentMs (): number {
+    return performance.now() - this.lastAnswerAt
   }
 
   /** Whether this node reaches the store over its own connection. */
--- a/packages/jobs/src/node/JobService.ts
+++ b/packages/jobs/src/node/JobService.ts
@@ -8,6 +8,7 @@
   CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, encodeJob, toJobPartitions
 } from '../records/index.ts'
 import type { Job, JobState } from '../types.ts'
+import { chooseRetryAfter } from './chooseRetryAfter/index.ts'
 import type { CellParams } from './messages.ts'
 import type { Peer, FailoverStore } from './FailoverStore.ts'
 
@@ -53,6 +54,11 @@
     return this.#store.isAnswering
   }
 
+  /** When callers whose requests were refused should come back, in whole seconds. */
+  get retryAfterS (): number {
+    return chooseRetryAfter(this.#store.silentMs)
+  }
+
   /**
    * Stores a job.
    *
