Take over from an unreachable owner sooner

The owner renews its record every 0.2 s when it has nothing to store, a heartbeat fails after 0.25 s, and the record must be unchanged for 0.45 s, or 0.3 s when the owner's address refuses connections; longer by four average calls while the store is slow.

--- a/packages/jobs/src/constants/index.ts
+++ b/packages/jobs/src/constants/index.ts
@@ -83,11 +83,14 @@
 export const OVERDUE_FACTOR = 3
 export const OVERDUE_EXTRA_MS = 2_000
 
-/** An unreachable owner is replaced once its record in the store has not changed for this time, in ms. */
-export const OWNER_TAKEOVER_MS = 700
+/**
+ * An unreachable owner is replaced once its record in the store has not changed for this time, in ms; longer than
+ * `OWNER_RENEW_MS` and two commits, each of which takes 13 ms.
+ */
+export const OWNER_TAKEOVER_MS = 450
 
-/** Interval between renewals of the owner's record, in ms. */
-export const OWNER_RENEW_MS = 500
+/** Interval between renewals of the owner's record when there is nothing else to store, in ms. */
+export const OWNER_RENEW_MS = 200
 
 /** Minimum unclaimed CPU that a worker must have for a filler task, as a share of the task's CPU demand. */
 export const MIN_FILLER_CPU_SHARE = 0.5
--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -50,16 +50,19 @@
 const HEARTBEAT_INTERVAL_MS = 250
 
 /** Interval at which a follower reads the record of an unreachable owner, in ms. */
-const OWNER_POLL_INTERVAL_MS = 140
+const OWNER_POLL_INTERVAL_MS = 100
 
-/** Longest wait for the answer to a heartbeat, in ms. */
-const HEARTBEAT_TIMEOUT_MS = 400
+/** Longest wait for the answer to a heartbeat, in ms; the owner's event loop may lag by 60 ms. */
+const HEARTBEAT_TIMEOUT_MS = 250
 
 /**
  * An owner that refuses connections or no longer owns the cell is replaced when its record has not changed for this
  * time, in ms.
  */
-const REFUSED_OWNER_TIMEOUT_MS = 550
+const REFUSED_OWNER_TIMEOUT_MS = 300
+
+/** Number of average store calls that the renewal of the owner's record may take longer than usual. */
+const COMMIT_LATENCY_FACTOR = 4
 
 /** Interval of the store probes, in ms. */
 const PROBE_INTERVAL_MS = 150
@@ -261,7 +264,8 @@
       if (lastVersion !== undefined && current.version !== lastVersion) return false
       if (lastVersion === undefined) unchangedSince = performance.now()
       lastVersion = current.version
-      if (performance.now() - unchangedSince > unchangedLimitMs) {
+      // While the store is slow, the owner can't renew its record as often.
+      if (performance.now() - unchangedSince > unchangedLimitMs + COMMIT_LATENCY_FACTOR * this.#store.latencyMs) {
         if (!this.#mayTakeOver()) return false
         await this.#takeOver(current, false)
         return true
--- a/packages/jobs/src/node/FailoverStore.ts
+++ b/packages/jobs/src/node/FailoverStore.ts
@@ -81,6 +81,11 @@
     return performance.now() - this.lastAnswerAt
   }
 
+  /** Average latency of calls to the store, in ms. */
+  get latencyMs (): number {
+    return this.#averageLatency.ms
+  }
+
   /** Whether this node reaches the store over its own connection. */
   get isDirectlyReachable (): boolean {
     return this.#isDirectlyReachable
