Stop less urgent tasks for jobs that can still end in time

Cause: half of the jobs of the queue with the most accelerators need a whole worker. Tasks of a less urgent queue that take one accelerator each kept them out, although those save their progress and have an objective of four times their run time.

A task that has waited for room for 0.15 s, and whose job can still end in time, gets a worker on which tasks of less urgent queues that save their progress are stopped, as little of their work as possible. The worker is kept for it until they are gone. Long-running tasks, gangs, tasks that end within 0.6 s and tasks that were stopped twice are left alone.

Placer lost the choice of reservations to a module of its own.

--- a/packages/jobs/src/loadPatterns/scarceAccelerators.test.ts
+++ b/packages/jobs/src/loadPatterns/scarceAccelerators.test.ts
@@ -7,11 +7,13 @@
 /** Time that the policy service takes for a call, in ms. */
 const ADVICE_MS = 600
 
-/** Leaves no room for another task on a worker. */
+/** A gang of accelerators takes a whole worker; tasks of the other kind share it. */
 const WHOLE_WORKER = { cpuMillis: 31_000, memoryMb: 81_000, accelerators: 8 }
+const ONE_ACCELERATOR = { cpuMillis: 5_600, memoryMb: 11_000, accelerators: 1 }
 const capacity = { cpuMillis: 64_000, memoryMb: 131_072, accelerators: 8 }
 const advice = { decisionMs: ADVICE_MS, perWorkerMs: 0, validMs: TICKET_VALID_MS }
 const matching = createQueue('matching', { priority: 1, stretch: 2.2, targetLatencyMs: 1_000, advice })
+const scoring = createQueue('scoring', { priority: 2, stretch: 4, targetLatencyMs: 3_000 })
 
 class SlowAdviser implements Adviser {
   async advise (_step: unknown, workers: string[]): ReturnType<Adviser['advise']> {
@@ -37,5 +39,32 @@
       await clock.tickAsync(4_000)
       expect(cell.checker.countRunning(`${SECOND}.0.0.0`)).to.equal(1)
     }
+  },
+  {
+    // Tasks of a less urgent kind that took one accelerator each kept out a job that needs all of a worker.
+    name: 'stop less urgent tasks that save their progress for a job that needs the whole worker',
+    options,
+    run: async (cell, clock) => {
+      submitInBackground(cell, FIRST, [
+        { count: 4, demand: ONE_ACCELERATOR, estimatedRunMs: 6_000, savesProgress: true }
+      ], scoring)
+      await clock.tickAsync(500)
+      submitInBackground(cell, SECOND, [{ demand: WHOLE_WORKER, estimatedRunMs: 2_000 }], matching)
+      await clock.tickAsync(ADVICE_MS + 1_000)
+      expect(cell.checker.countRunning(`${SECOND}.0.0.0`)).to.equal(1)
+      await clock.tickAsync(10_000)
+      expect(cell.checker.isDone(`${FIRST}.0.0.3`)).to.equal(true)
+    }
+  },
+  {
+    name: 'leave tasks alone whose work would be lost',
+    options,
+    run: async (cell, clock) => {
+      submitInBackground(cell, FIRST, [{ count: 4, demand: ONE_ACCELERATOR, estimatedRunMs: 4_000 }], scoring)
+      await clock.tickAsync(500)
+      submitInBackground(cell, SECOND, [{ demand: WHOLE_WORKER, estimatedRunMs: 2_000 }], matching)
+      await clock.tickAsync(ADVICE_MS + 1_000)
+      expect(cell.checker.countRunning(`${FIRST}.0.0.0`)).to.equal(1)
+    }
   }
 ])
--- a/packages/jobs/src/model/TrackedJob.ts
+++ b/packages/jobs/src/model/TrackedJob.ts
@@ -30,6 +30,8 @@
   waitingSince: number
   /** Workers on which a run of the task has failed or was overdue, or which refused it as `unhealthy` or `invalid`. */
   readonly failedOn = new Set<string>()
+  /** How often a run was stopped to make room for a more urgent task. */
+  preemptions = 0
   /** Monotonic time since which only workers with recent failures could take the task, in ms; undefined otherwise. */
   heldBackSince: number | undefined
   /**
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -103,7 +103,7 @@
     const breaker = new WorkerCircuitBreaker()
     const sessions = new Map<string, WorkerSession>()
     this.#advice = new AdviceDispatcher(cell)
-    this.#placer = new Placer(cell, this.#advice, breaker)
+    this.#placer = new Placer(cell, this.#advice, breaker, (task) => this.#tracker.stop(task, 'wait'))
     this.#tracker = new RunTracker(cell, breaker, sessions, (reason) => this.#handleOwnershipLost(reason))
     this.#rescheduler = new Rescheduler(cell, this.#tracker, options.stopTimeoutMs)
     this.#commits = new GroupCommit(cell, ownership, {
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -1,12 +1,13 @@
 import { TICKET_MARGIN_MS } from '../constants/index.ts'
 import type { StepInstance, TaskInstance } from '../model/index.ts'
 import { chooseWorker } from '../placement/chooseWorker/index.ts'
-import { fitsWhenEmpty } from '../placement/fitsWhenEmpty/index.ts'
+import { chooseReservation } from '../placement/chooseReservation/index.ts'
 import { orderSteps } from '../placement/orderSteps/index.ts'
 import type { Step } from '../types.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 import type { AdviceDispatcher } from './AdviceDispatcher.ts'
 import { readySteps, type Cell } from './Cell.ts'
+import { Preemptor } from './Preemptor.ts'
 import type { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
 
 /** Time that a task waits for room before a worker is reserved for it, in ms. */
@@ -20,12 +21,17 @@
   readonly #cell: Cell
   readonly #advice: AdviceDispatcher
   readonly #breaker: WorkerCircuitBreaker
+  readonly #preemptor: Preemptor
   /** Workers that get no more tasks in this round, so that they become free for a task that waits for room. */
   readonly #reserved = new Set<WorkerState>()
   /** Tasks of the current step that were placed in this round. */
   readonly #placedTasks: TaskInstance[] = []
 
-  constructor (cell: Cell, advice: AdviceDispatcher, breaker: WorkerCircuitBreaker) {
+  /** @param preempt stops the run of a task, which then waits for another run */
+  constructor (
+    cell: Cell, advice: AdviceDispatcher, breaker: WorkerCircuitBreaker, preempt: (task: TaskInstance) => void
+  ) {
+    this.#preemptor = new Preemptor(cell, preempt)
     this.#cell = cell
     this.#advice = advice
     this.#breaker = breaker
@@ -45,12 +51,15 @@
     const minimumDemand = findMinimumDemand(ordered.map(({ step }) => step))
     const candidatesByPool = new Map([...pools].map(([pool, workers]) => [pool, workers.filter((worker) =>
       worker.acceptsTasks && worker.hasRoom(minimumDemand))]))
-    for (const { step } of ordered) {
+    for (const { step, lateness } of ordered) {
       const pool = this.#cell.poolOf(step.job.definition)
       const candidates = candidatesByPool.get(pool) ?? []
       const blocked = step.spec.gang ? this.#placeGang(step, candidates, now) : this.#placeTasks(step, candidates, now)
       this.#logPlaced(step, now)
-      if (blocked !== undefined) this.#handleBlocked(blocked, pools.get(pool) ?? [], candidates, now)
+      if (blocked === undefined) continue
+      const workers = pools.get(pool) ?? []
+      this.#handleBlocked(blocked, workers, candidates, now)
+      if (lateness === 0) this.#preemptor.makeRoom(blocked, workers, this.#workerChecks(blocked), now)
     }
   }
 
@@ -110,6 +119,7 @@
   #assign (task: TaskInstance, worker: WorkerState, run: number): void {
     this.#placedTasks.push(task)
     this.#cell.assign(task, worker, run)
+    this.#preemptor.recordStart(task, worker)
     this.#breaker.recordStart(worker.id, task)
   }
 
@@ -125,7 +135,7 @@
   #workerChecks (task: TaskInstance) {
     return {
       isHealthy: (worker: WorkerState) => this.#breaker.mayStart(worker.id, task),
-      isReserved: (worker: WorkerState) => this.#reserved.has(worker)
+      isReserved: (worker: WorkerState) => this.#reserved.has(worker) || this.#preemptor.isClaimed(worker, task.step)
     }
   }
 
@@ -165,7 +175,7 @@
     const { advice } = step.job.definition.queue
     if (advice !== undefined && !step.advice.pending) this.#requestAdvice(task, workers, candidates, now)
     if (now - task.waitingSince < RESERVE_AFTER_MS || this.#reserved.size >= workers.length * MAX_RESERVED_SHARE) return
-    const candidate = findReservation(step, workers, this.#reserved)
+    const candidate = chooseReservation(step, workers, this.#reserved)
     if (candidate !== undefined) this.#reserved.add(candidate)
   }
 
@@ -200,26 +210,6 @@
 /** Time after which a task may go back to a worker where it failed, or to one with recent failures, in ms. */
 const RETRY_SAME_WORKER_MS = 2_000
 
-/** Chooses the worker expected to have room for a task of the step first: the allowed one with the most free CPU. */
-function findReservation (
-  step: StepInstance, workers: readonly WorkerState[], reserved: ReadonlySet<WorkerState>
-): WorkerState | undefined {
-  const counts = step.countByWorker()
-  let best: WorkerState | undefined
-  for (const worker of workers) {
-    if (!worker.acceptsTasks || reserved.has(worker) || !fitsWhenEmpty(step, worker)) continue
-    if (step.job.definition.queue.advice !== undefined && step.advice.isAllowed(worker.id) !== true) continue
-    if (step.spec.maxPerWorker > 0 && (counts.get(worker.id) ?? 0) >= step.spec.maxPerWorker) continue
-    if (worker.hasRoom(step.spec)) continue
-    if (best === undefined || freeCpu(worker) > freeCpu(best)) best = worker
-  }
-  return best
-}
-
-function freeCpu ({ entry, usedCpuMillis }: WorkerState): number {
-  return entry.capacity.cpuMillis - usedCpuMillis
-}
-
 /** Takes up the resources of a gang member on a worker while workers for the other members are sought. */
 function holdResources (task: TaskInstance, worker: WorkerState): void {
   task.status = 'starting'
--- /dev/null
+++ b/packages/jobs/src/owner/Preemptor.ts
@@ -0,0 +1,63 @@
+import type { StepInstance, TaskInstance } from '../model/index.ts'
+import { choosePreemption } from '../placement/choosePreemption/index.ts'
+import { mayRunWithRoom } from '../placement/chooseWorker/index.ts'
+import type { WorkerState } from '../workers/WorkerState.ts'
+import type { Cell } from './Cell.ts'
+
+/** Time for which a worker is kept for a task that others are stopped for, in ms: a stop takes up to 0.9 s to show. */
+const CLAIM_MS = 1_300
+
+/** Time that a task waits for room before others are stopped for it, in ms: most room comes from runs that end. */
+const PREEMPT_AFTER_MS = 150
+
+/** Conditions of a placement round that a worker has to meet for a task. */
+interface WorkerChecks {
+  isHealthy: (worker: WorkerState) => boolean
+  isReserved: (worker: WorkerState) => boolean
+}
+
+/** Stops less urgent tasks to make room for tasks that can still end in time, and keeps the workers free for these. */
+export class Preemptor {
+  readonly #cell: Cell
+  readonly #stop: (task: TaskInstance) => void
+
+  /** @param stop stops the run of a task, which then waits for another run */
+  constructor (cell: Cell, stop: (task: TaskInstance) => void) {
+    this.#cell = cell
+    this.#stop = stop
+  }
+
+  /** Whether a worker is kept for a task of another step. */
+  isClaimed ({ claim }: WorkerState, step: StepInstance): boolean {
+    return claim !== undefined && claim.step !== step && claim.until > this.#cell.now()
+  }
+
+  /** Ends the claim of a task that has started. */
+  recordStart ({ step }: TaskInstance, worker: WorkerState): void {
+    if (worker.claim?.step === step) worker.claim = undefined
+  }
+
+  /** Stops less urgent tasks on one of the workers for which a blocked task has a ticket. */
+  makeRoom (task: TaskInstance, workers: readonly WorkerState[], checks: WorkerChecks, now: number): void {
+    const { step } = task
+    if (step.spec.gang || step.spec.longRunning) return
+    if (now - Math.max(task.waitingSince, step.readyAt ?? 0) < PREEMPT_AFTER_MS) return
+    if (workers.some(({ claim }) => claim !== undefined && claim.step === step && claim.until > now)) return
+    const possible = workers.filter((worker) => mayRunWithRoom(task, worker, { ...checks, now: now + CLAIM_MS }))
+    const preemption = choosePreemption(task, possible, now)
+    if (preemption === undefined) return
+    preemption.worker.claim = { step, until: now + CLAIM_MS }
+    this.#stopAll(preemption.victims, task, preemption.worker)
+  }
+
+  #stopAll (victims: readonly TaskInstance[], task: TaskInstance, worker: WorkerState): void {
+    if (victims.length === 0) return
+    const stopped = victims.map(({ step, index }) => `${step.name}.${index}`)
+    this.#cell.log.info({ job: task.step.job.id, worker: worker.id, stopped }, 'stopping less urgent tasks')
+    this.#cell.metrics.count('preemptions', {}, victims.length)
+    for (const victim of victims) {
+      victim.preemptions++
+      this.#stop(victim)
+    }
+  }
+}
--- a/packages/jobs/src/placement/chooseWorker/index.ts
+++ b/packages/jobs/src/placement/chooseWorker/index.ts
@@ -59,10 +59,26 @@
 
 function mayRun (
   task: TaskInstance, worker: WorkerState, counts: Map<string, number> | undefined, options: Options
+): boolean {
+  return worker.hasRoom(task.step.spec) && mayRunWithRoom(task, worker, options, counts)
+}
+
+/**
+ * Tells whether a worker could run a task if it had room for it.
+ *
+ * @param task - The task.
+ * @param worker - The worker.
+ * @param options - Restrictions beyond the state of the worker.
+ * @param counts - Number of the step's tasks on each worker, if it is known and limited.
+ * @returns Whether everything but the free resources allows the task to start there.
+ */
+export function mayRunWithRoom (
+  task: TaskInstance, worker: WorkerState, options: Options,
+  counts = task.step.spec.maxPerWorker > 0 ? task.step.countByWorker() : undefined
 ): boolean {
   const { step } = task
   const { spec } = step
-  if (!worker.acceptsTasks || !worker.hasRoom(spec) || task.failedOn.has(worker.id)) return false
+  if (!worker.acceptsTasks || task.failedOn.has(worker.id)) return false
   if (spec.requiredLabel !== '' && !worker.entry.labels.includes(spec.requiredLabel)) return false
   if (options.rack !== undefined && !worker.entry.labels.includes(options.rack)) return false
   if (counts !== undefined && (counts.get(worker.id) ?? 0) >= spec.maxPerWorker) return false
--- a/packages/jobs/src/placement/test.ts
+++ b/packages/jobs/src/placement/test.ts
@@ -1,36 +1,13 @@
 import { expect } from 'chai'
-import { TrackedJob, type StepInstance, type TaskInstance } from '../model/index.ts'
-import { createQueue, createStep } from '../standins/index.ts'
-import type { Queue, Step, WorkerEntry } from '../types.ts'
-import { WorkerState } from '../workers/WorkerState.ts'
+import type { TaskInstance } from '../model/index.ts'
+import type { Step } from '../types.ts'
+import type { WorkerState } from '../workers/WorkerState.ts'
+import { makeStep, makeWorker, NOW } from './_test/makeState.ts'
 import { chooseWorker } from './chooseWorker/index.ts'
 import { selectAdviceCandidates } from './selectAdviceCandidates/index.ts'
 import { orderSteps } from './orderSteps/index.ts'
 import { computeFillerPace } from './computeFillerPace/index.ts'
 
-const NOW = 10_000
-
-function makeStep (changes: Partial<Step> = {}, queue: Partial<Queue> = {}, acceptedAt = NOW): StepInstance {
-  const spec = { payload: '', steps: [createStep(changes)], occurrences: 0, firstRunAt: 0, intervalMs: 0 }
-  const job = new TrackedJob({ id: 'a', queue: createQueue('batch', queue), acceptedAt: 0, spec }, acceptedAt, 0)
-  return job.openOccurrence(0, NOW)[0]!
-}
-
-function makeWorker (id: string, changes: Partial<WorkerEntry> = {}, state: Partial<WorkerState> = {}): WorkerState {
-  const entry: WorkerEntry = {
-    id,
-    pool: 'pool',
-    address: '',
-    failureDomain: 'a',
-    draining: false,
-    leavesInMs: undefined,
-    capacity: { cpuMillis: 8000, memoryMb: 8000, accelerators: 1 },
-    labels: ['small', 'r1'],
-    ...changes
-  }
-  return Object.assign(new WorkerState(entry, 0), { reachable: true, hasAnswered: true }, state)
-}
-
 function occupy (worker: WorkerState, changes: Partial<Step>): WorkerState {
   worker.add(makeStep(changes).tasks[0]!)
   return worker
--- a/packages/jobs/src/workers/WorkerState.ts
+++ b/packages/jobs/src/workers/WorkerState.ts
@@ -1,4 +1,4 @@
-import type { TaskInstance } from '../model/index.ts'
+import type { StepInstance, TaskInstance } from '../model/index.ts'
 import type { WorkerEntry } from '../types.ts'
 
 /** The owner's view of one incarnation of a worker. */
@@ -33,6 +33,9 @@
   /** Moving average of observed over estimated run time; 1 when unknown. */
   slowdown = 1
 
+  /** Tasks are being stopped here for a task of this step; until the given monotonic time no others start, in ms. */
+  claim: { step: StepInstance, until: number } | undefined
+
   constructor (entry: WorkerEntry, leaseEndsBy: number) {
     this.entry = entry
     this.leaseEndsBy = leaseEndsBy
