Keep the tasks of a step in one failure domain

Cause: the tasks of each step were spread over all failure domains, so a domain that is cut off delayed nearly every job in flight, not a third.

A step that places its first tasks chooses the domain with most room, and other domains cost as much as a worker's whole capacity. It is a preference: tasks that don't fit there go elsewhere. Long-running steps are left out.

--- a/packages/jobs/src/model/TrackedJob.ts
+++ b/packages/jobs/src/model/TrackedJob.ts
@@ -72,6 +72,8 @@
   readonly tasks: TaskInstance[]
   readonly advice = new AdviceState()
   doneCount = 0
+  /** Failure domain that the tasks share as far as there is room; undefined before the first placement. */
+  failureDomain: string | undefined
   /** Monotonic time at which the step became ready to start; undefined before that. */
   readyAt: number | undefined
 
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -1,6 +1,7 @@
 import { TICKET_MARGIN_MS } from '../constants/index.ts'
 import type { StepInstance, TaskInstance } from '../model/index.ts'
-import { chooseWorker } from '../placement/chooseWorker/index.ts'
+import { chooseWorker, mayRunWithRoom } from '../placement/chooseWorker/index.ts'
+import { chooseFailureDomain } from '../placement/chooseFailureDomain/index.ts'
 import { chooseReservation } from '../placement/chooseReservation/index.ts'
 import { orderSteps } from '../placement/orderSteps/index.ts'
 import type { Step } from '../types.ts'
@@ -66,6 +67,7 @@
   /** Places the waiting tasks of a step. Returns one that found no worker, if any. */
   #placeTasks (step: StepInstance, workers: readonly WorkerState[], now: number): TaskInstance | undefined {
     let blocked: TaskInstance | undefined
+    this.#chooseFailureDomain(step, workers, now)
     for (const task of step.tasks) {
       if (task.status !== 'waiting') continue
       // Tasks of a step differ only in the workers on which they failed. Once one has found no worker, only tasks that
@@ -78,6 +80,15 @@
     return blocked
   }
 
+  /** Chooses the domain of a step that places its first tasks, or whose domain is out of reach. */
+  #chooseFailureDomain (step: StepInstance, workers: readonly WorkerState[], now: number): void {
+    if (step.spec.longRunning || step.tasks.length === 1) return
+    const task = step.tasks.find(({ status }) => status === 'waiting')
+    if (task === undefined || step.tasks.some(({ isAssigned }) => isAssigned)) return
+    const possible = workers.filter((worker) => mayRunWithRoom(task, worker, { ...this.#workerChecks(task), now }))
+    step.failureDomain = chooseFailureDomain(step, possible)
+  }
+
   /** Places all tasks of a gang or none. Returns one of them when there is no room for all. */
   #placeGang (step: StepInstance, workers: readonly WorkerState[], now: number): TaskInstance | undefined {
     if (step.tasks.some(({ status }) => status !== 'waiting')) return undefined
--- a/packages/jobs/src/placement/chooseWorker/index.ts
+++ b/packages/jobs/src/placement/chooseWorker/index.ts
@@ -21,6 +21,9 @@
 /** Weight of a worker's slowdown relative to free resources: a late task costs more than some fragmentation. */
 const SLOWDOWN_WEIGHT = 0.5
 
+/** Cost of another failure domain than the one that the tasks of the step share, in units of one worker's capacity. */
+const OTHER_DOMAIN_COST = 1
+
 /** Cost of interference between serving and filler tasks on the same worker, in units of one worker's capacity. */
 const INTERFERENCE_COST = 0.6
 
@@ -101,6 +104,7 @@
   const freeMemory = (capacity.memoryMb - worker.usedMemoryMb - spec.demand.memoryMb) / capacity.memoryMb
   let cost = spec.fills ? -freeCpu : Math.max(freeCpu, 0) + freeMemory
   if (!spec.longRunning) cost += SLOWDOWN_WEIGHT * (worker.slowdown - 1)
+  if (step.failureDomain !== undefined && step.failureDomain !== worker.entry.failureDomain) cost += OTHER_DOMAIN_COST
   if (spec.preferredRack !== '' && !labels.includes(spec.preferredRack)) cost += OTHER_RACK_COST
   if (spec.targetLatencyMs > 0 && worker.fillerCpuMillis > 0) cost += INTERFERENCE_COST
   if (spec.fills) {
--- a/packages/jobs/src/placement/selectAdviceCandidates/index.ts
+++ b/packages/jobs/src/placement/selectAdviceCandidates/index.ts
@@ -1,6 +1,7 @@
 import { MAX_ADVICE_WORKERS } from '../../constants/index.ts'
 import type { StepInstance } from '../../model/index.ts'
 import type { WorkerState } from '../../workers/WorkerState.ts'
+import { countRoom } from '../countRoom/index.ts'
 import { fitsWhenEmpty } from '../fitsWhenEmpty/index.ts'
 
 /** Capacity to ask for, as a multiple of the waiting tasks: other steps use some of it before the answer arrives. */
@@ -43,21 +44,3 @@
   while (count < candidates.length && (room < wanted || count < MIN_WORKERS)) room += candidates[count++]!.room
   return count
 }
-
-/** Number of additional tasks of the step that fit on the worker now; `held` of them are already there. */
-function countRoom (step: StepInstance, worker: WorkerState, held: number): number {
-  const { demand, fills, maxPerWorker } = step.spec
-  const { capacity } = worker.entry
-  const limits = [
-    maxPerWorker > 0 ? maxPerWorker - held : Infinity,
-    fills ? Infinity : countFits(capacity.cpuMillis - worker.usedCpuMillis, demand.cpuMillis),
-    countFits(capacity.memoryMb - worker.usedMemoryMb, demand.memoryMb),
-    countFits(capacity.accelerators - worker.usedAccelerators, demand.accelerators),
-    step.tasks.length
-  ]
-  return Math.max(0, Math.min(...limits))
-}
-
-function countFits (free: number, demand: number): number {
-  return demand > 0 ? Math.floor(free / demand) : Infinity
-}
--- a/packages/jobs/src/placement/test.ts
+++ b/packages/jobs/src/placement/test.ts
@@ -3,6 +3,7 @@
 import type { Step } from '../types.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 import { makeStep, makeWorker, NOW } from './_test/makeState.ts'
+import { chooseFailureDomain } from './chooseFailureDomain/index.ts'
 import { chooseWorker } from './chooseWorker/index.ts'
 import { selectAdviceCandidates } from './selectAdviceCandidates/index.ts'
 import { orderSteps } from './orderSteps/index.ts'
@@ -28,6 +29,14 @@
       workers: () => [makeWorker('empty'), occupy(makeWorker('half'), { demand: demand(4000, 4000) })],
       chosen: 'half'
     },
+    {
+      name: 'prefers the failure domain that the tasks of the step share',
+      prepare: ({ step }) => { step.failureDomain = 'b' },
+      workers: () => [
+        occupy(makeWorker('elsewhere'), { demand: demand(2000, 2000) }), makeWorker('shared', { failureDomain: 'b' })
+      ],
+      chosen: 'shared'
+    },
     {
       name: 'does not exceed the processors of a worker',
       step: { demand: demand(5000) },
@@ -166,6 +175,33 @@
   })
 })
 
+describe('chooseFailureDomain', () => {
+  const inDomain = (id: string, failureDomain: string) => makeWorker(id, { failureDomain })
+  const cases: Array<{ name: string, workers: () => WorkerState[], chosen: string | undefined }> = [
+    {
+      name: 'chooses the domain with most room',
+      workers: () => [inDomain('a0', 'a'), inDomain('b0', 'b'), inDomain('b1', 'b')],
+      chosen: 'b'
+    },
+    {
+      name: 'counts only room that is free',
+      workers: () => [inDomain('a0', 'a'), occupy(inDomain('b0', 'b'), { demand: demand(6000) })],
+      chosen: 'a'
+    },
+    {
+      name: 'chooses none when there is no room',
+      workers: () => [occupy(inDomain('a0', 'a'), { demand: demand(8000) })],
+      chosen: undefined
+    }
+  ]
+  for (const { name, workers, chosen } of cases) {
+    it(name, () => {
+      const step = makeStep({ count: 8, demand: demand(1000) })
+      expect(chooseFailureDomain(step, workers())).to.equal(chosen)
+    })
+  }
+})
+
 describe('computeFillerPace', () => {
   const cases = [
     { name: 'halves the pace near the target', pace: 100, tailMs: 180, expected: 50 },
