--- a/packages/jobs/src/constants/index.ts
+++ b/packages/jobs/src/constants/index.ts
@@ -31,6 +31,12 @@
 /** Maximum time that a poll waits for a run to end, in ms; bounds the age of the last report of an idle worker. */
 export const POLL_WAIT_MS = 500
 
+/**
+ * Maximum time that a poll of a worker with tasks waits while many answers are lost, in ms. The end of a run is noticed
+ * only after a lost poll has timed out.
+ */
+export const LOSSY_POLL_WAIT_MS = 150
+
 /**
  * Timeout of an order to a worker, in ms. Workers answer in 4 ms, and under load within 19 ms at the 99th percentile.
  * Orders are idempotent, so a retry is harmless.
@@ -61,14 +67,8 @@
 /** Maximum bytes in one commit of the owner; the platform accepts 1 MB including base64 encoding. */
 export const MAX_BYTES_PER_COMMIT = 500_000
 
-/** Minimum delay before an unanswered commit is sent again, in ms; a commit takes about 13 ms. */
-export const MIN_COMMIT_RESEND_MS = 150
-
-/** A commit is sent again after this multiple of the average latency, since resending adds load to a slow store. */
-export const COMMIT_RESEND_FACTOR = 4
-
-/** Maximum number of copies of one commit in flight at the same time. */
-export const MAX_COMMIT_COPIES = 3
+/** Delay before a commit whose copies have all failed is tried again, in ms. */
+export const COMMIT_RETRY_MS = 150
 
 /** Advice calls expected to take longer than this, in ms, are not sent from the nodes reserved for fast calls. */
 export const SLOW_ADVICE_MS = 150
@@ -83,11 +83,14 @@
 export const OVERDUE_FACTOR = 3
 export const OVERDUE_EXTRA_MS = 2_000
 
-/** An unreachable owner is replaced once its record in the store has not changed for this time, in ms. */
-export const OWNER_TAKEOVER_MS = 700
+/**
+ * An unreachable owner is replaced once its record in the store has not changed for this time, in ms; longer than
+ * `OWNER_RENEW_MS` and two commits, each of which takes 13 ms.
+ */
+export const OWNER_TAKEOVER_MS = 450
 
-/** Interval between renewals of the owner's record, in ms. */
-export const OWNER_RENEW_MS = 500
+/** Interval between renewals of the owner's record when there is nothing else to store, in ms. */
+export const OWNER_RENEW_MS = 200
 
 /** Minimum unclaimed CPU that a worker must have for a filler task, as a share of the task's CPU demand. */
 export const MIN_FILLER_CPU_SHARE = 0.5
--- a/packages/jobs/src/model/TrackedJob.ts
+++ b/packages/jobs/src/model/TrackedJob.ts
@@ -30,6 +30,10 @@
   waitingSince: number
   /** Workers on which a run of the task has failed or was overdue, or which refused it as `unhealthy` or `invalid`. */
   readonly failedOn = new Set<string>()
+  /** How often a run was stopped to make room for a more urgent task. */
+  preemptions = 0
+  /** Monotonic time since which only workers with recent failures could take the task, in ms; undefined otherwise. */
+  heldBackSince: number | undefined
   /**
    * The run was stored by an earlier owner. The first poll of the worker fences that owner's orders, so its report
    * shows whether the run exists.
@@ -68,6 +72,8 @@
   readonly tasks: TaskInstance[]
   readonly advice = new AdviceState()
   doneCount = 0
+  /** Failure domain that the tasks share as far as there is room; undefined before the first placement. */
+  failureDomain: string | undefined
   /** Monotonic time at which the step became ready to start; undefined before that. */
   readyAt: number | undefined
 
--- a/packages/jobs/src/node/JobService.ts
+++ b/packages/jobs/src/node/JobService.ts
@@ -2,12 +2,13 @@
 import { decodeProgress } from '../model/index.ts'
 import { PEER_CALL_TIMEOUT_MS } from '../constants/index.ts'
 import type { CellOwner } from '../owner/CellOwner.ts'
-import { commitHedged } from '../ownership/index.ts'
+import { commitHedged } from '../commitHedged/index.ts'
 import type { MetricsRecorder } from '../ports.ts'
 import {
   CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, encodeJob, toJobPartitions
 } from '../records/index.ts'
 import type { Job, JobState } from '../types.ts'
+import { chooseRetryAfter } from './chooseRetryAfter/index.ts'
 import type { CellParams } from './messages.ts'
 import type { Peer, FailoverStore } from './FailoverStore.ts'
 
@@ -53,6 +54,11 @@
     return this.#store.isAnswering
   }
 
+  /** When callers whose requests were refused should come back, in whole seconds. */
+  get retryAfterS (): number {
+    return chooseRetryAfter(this.#store.silentMs)
+  }
+
   /**
    * Stores a job.
    *
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -1,12 +1,14 @@
 import { TICKET_MARGIN_MS } from '../constants/index.ts'
 import type { StepInstance, TaskInstance } from '../model/index.ts'
-import { chooseWorker } from '../placement/chooseWorker/index.ts'
-import { fitsWhenEmpty } from '../placement/fitsWhenEmpty/index.ts'
+import { chooseWorker, mayRunWithRoom } from '../placement/chooseWorker/index.ts'
+import { chooseFailureDomain } from '../placement/chooseFailureDomain/index.ts'
+import { chooseReservation } from '../placement/chooseReservation/index.ts'
 import { orderSteps } from '../placement/orderSteps/index.ts'
 import type { Step } from '../types.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 import type { AdviceDispatcher } from './AdviceDispatcher.ts'
 import { readySteps, type Cell } from './Cell.ts'
+import { Preemptor } from './Preemptor.ts'
 import type { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
 
 /** Time that a task waits for room before a worker is reserved for it, in ms. */
@@ -20,12 +22,17 @@
   readonly #cell: Cell
   readonly #advice: AdviceDispatcher
   readonly #breaker: WorkerCircuitBreaker
+  readonly #preemptor: Preemptor
   /** Workers that get no more tasks in this round, so that they become free for a task that waits for room. */
   readonly #reserved = new Set<WorkerState>()
   /** Tasks of the current step that were placed in this round. */
   readonly #placedTasks: TaskInstance[] = []
 
-  constructor (cell: Cell, advice: AdviceDispatcher, breaker: WorkerCircuitBreaker) {
+  /** @param preempt stops the run of a task, which then waits for another run */
+  constructor (
+    cell: Cell, advice: AdviceDispatcher, breaker: WorkerCircuitBreaker, preempt: (task: TaskInstance) => void
+  ) {
+    this.#preemptor = new Preemptor(cell, preempt)
     this.#cell = cell
     this.#advice = advice
     this.#breaker = breaker
@@ -45,18 +52,22 @@
     const minimumDemand = findMinimumDemand(ordered.map(({ step }) => step))
     const candidatesByPool = new Map([...pools].map(([pool, workers]) => [pool, workers.filter((worker) =>
       worker.acceptsTasks && worker.hasRoom(minimumDemand))]))
-    for (const { step } of ordered) {
+    for (const { step, lateness } of ordered) {
       const pool = this.#cell.poolOf(step.job.definition)
       const candidates = candidatesByPool.get(pool) ?? []
       const blocked = step.spec.gang ? this.#placeGang(step, candidates, now) : this.#placeTasks(step, candidates, now)
       this.#logPlaced(step, now)
-      if (blocked !== undefined) this.#handleBlocked(blocked, pools.get(pool) ?? [], candidates, now)
+      if (blocked === undefined) continue
+      const workers = pools.get(pool) ?? []
+      this.#handleBlocked(blocked, workers, candidates, now)
+      if (lateness === 0) this.#preemptor.makeRoom(blocked, workers, this.#workerChecks(blocked), now)
     }
   }
 
   /** Places the waiting tasks of a step. Returns one that found no worker, if any. */
   #placeTasks (step: StepInstance, workers: readonly WorkerState[], now: number): TaskInstance | undefined {
     let blocked: TaskInstance | undefined
+    this.#chooseFailureDomain(step, workers, now)
     for (const task of step.tasks) {
       if (task.status !== 'waiting') continue
       // Tasks of a step differ only in the workers on which they failed. Once one has found no worker, only tasks that
@@ -69,6 +80,15 @@
     return blocked
   }
 
+  /** Chooses the domain of a step that places its first tasks, or whose domain is out of reach. */
+  #chooseFailureDomain (step: StepInstance, workers: readonly WorkerState[], now: number): void {
+    if (step.spec.longRunning || step.tasks.length === 1) return
+    const task = step.tasks.find(({ status }) => status === 'waiting')
+    if (task === undefined || step.tasks.some(({ isAssigned }) => isAssigned)) return
+    const possible = workers.filter((worker) => mayRunWithRoom(task, worker, { ...this.#workerChecks(task), now }))
+    step.failureDomain = chooseFailureDomain(step, possible)
+  }
+
   /** Places all tasks of a gang or none. Returns one of them when there is no room for all. */
   #placeGang (step: StepInstance, workers: readonly WorkerState[], now: number): TaskInstance | undefined {
     if (step.tasks.some(({ status }) => status !== 'waiting')) return undefined
@@ -110,6 +130,7 @@
   #assign (task: TaskInstance, worker: WorkerState, run: number): void {
     this.#placedTasks.push(task)
     this.#cell.assign(task, worker, run)
+    this.#preemptor.recordStart(task, worker)
     this.#breaker.recordStart(worker.id, task)
   }
 
@@ -118,14 +139,14 @@
   ): WorkerState | undefined {
     return chooseWorker(task, workers, {
       ...this.#workerChecks(task), now: now + TICKET_MARGIN_MS, rack
-    }) ?? this.#chooseFailedWorker(task, workers, now, rack)
+    }) ?? this.#chooseFailedWorker(task, workers, now, rack) ?? this.#chooseSuspectWorker(task, workers, now, rack)
   }
 
   /** Checks that keep a task off workers that have room for it. */
   #workerChecks (task: TaskInstance) {
     return {
       isHealthy: (worker: WorkerState) => this.#breaker.mayStart(worker.id, task),
-      isReserved: (worker: WorkerState) => this.#reserved.has(worker)
+      isReserved: (worker: WorkerState) => this.#reserved.has(worker) || this.#preemptor.isClaimed(worker, task.step)
     }
   }
 
@@ -138,6 +159,25 @@
     return this.#chooseWorker(task, workers, now, rack)
   }
 
+  /**
+   * After a wait, lets a task go to a worker with recent failures when all workers that could take it have some. The
+   * failures may be the fault of the task's own job, and no other task may come that would show the workers as healthy.
+   */
+  #chooseSuspectWorker (
+    task: TaskInstance, workers: readonly WorkerState[], now: number, rack?: string
+  ): WorkerState | undefined {
+    const worker = chooseWorker(task, workers, {
+      ...this.#workerChecks(task),
+      isHealthy: ({ id }) => this.#breaker.mayProbe(id),
+      now: now + TICKET_MARGIN_MS,
+      rack
+    })
+    task.heldBackSince = worker === undefined ? undefined : task.heldBackSince ?? now
+    if (task.heldBackSince === undefined) return undefined
+    const since = task.failures > 0 ? task.waitingSince : task.heldBackSince
+    return now - since >= RETRY_SAME_WORKER_MS ? worker : undefined
+  }
+
   /** Requests advice for a step whose task found no worker, and reserves a worker when the task has waited long. */
   #handleBlocked (
     task: TaskInstance, workers: readonly WorkerState[], candidates: readonly WorkerState[], now: number
@@ -146,17 +186,23 @@
     const { advice } = step.job.definition.queue
     if (advice !== undefined && !step.advice.pending) this.#requestAdvice(task, workers, candidates, now)
     if (now - task.waitingSince < RESERVE_AFTER_MS || this.#reserved.size >= workers.length * MAX_RESERVED_SHARE) return
-    const candidate = findReservation(step, workers, this.#reserved)
+    const candidate = chooseReservation(step, workers, this.#reserved)
     if (candidate !== undefined) this.#reserved.add(candidate)
   }
 
-  /** Requests advice only if some worker could take the task now, apart from tickets. */
+  /** Requests advice if some worker could take the task now, apart from tickets, and otherwise renews its tickets. */
   #requestAdvice (
     task: TaskInstance, workers: readonly WorkerState[], candidates: readonly WorkerState[], now: number
   ): void {
     const { step } = task
-    const possible = chooseWorker(task, candidates, { ...this.#workerChecks(task), now, ignoreTickets: true })
+    const possible = chooseWorker(task, candidates, {
+      ...this.#workerChecks(task),
+      isHealthy: ({ id }) => this.#breaker.mayStart(id, task) || this.#breaker.mayProbe(id),
+      now,
+      ignoreTickets: true
+    })
     if (possible !== undefined) this.#advice.request(step, workers)
+    else this.#advice.renew(step, workers)
   }
 }
 
@@ -172,29 +218,9 @@
   return { demand: minimum, fills: minimum.cpuMillis === 0 }
 }
 
-/** Time after which a task may go back to a worker where it failed, in ms. */
+/** Time after which a task may go back to a worker where it failed, or to one with recent failures, in ms. */
 const RETRY_SAME_WORKER_MS = 2_000
 
-/** Chooses the worker expected to have room for a task of the step first: the allowed one with the most free CPU. */
-function findReservation (
-  step: StepInstance, workers: readonly WorkerState[], reserved: ReadonlySet<WorkerState>
-): WorkerState | undefined {
-  const counts = step.countByWorker()
-  let best: WorkerState | undefined
-  for (const worker of workers) {
-    if (!worker.acceptsTasks || reserved.has(worker) || !fitsWhenEmpty(step, worker)) continue
-    if (step.job.definition.queue.advice !== undefined && step.advice.isAllowed(worker.id) !== true) continue
-    if (step.spec.maxPerWorker > 0 && (counts.get(worker.id) ?? 0) >= step.spec.maxPerWorker) continue
-    if (worker.hasRoom(step.spec)) continue
-    if (best === undefined || freeCpu(worker) > freeCpu(best)) best = worker
-  }
-  return best
-}
-
-function freeCpu ({ entry, usedCpuMillis }: WorkerState): number {
-  return entry.capacity.cpuMillis - usedCpuMillis
-}
-
 /** Takes up the resources of a gang member on a worker while workers for the other members are sought. */
 function holdResources (task: TaskInstance, worker: WorkerState): void {
   task.status = 'starting'
--- a/packages/jobs/src/placement/chooseWorker/index.ts
+++ b/packages/jobs/src/placement/chooseWorker/index.ts
@@ -21,6 +21,9 @@
 /** Weight of a worker's slowdown relative to free resources: a late task costs more than some fragmentation. */
 const SLOWDOWN_WEIGHT = 0.5
 
+/** Cost of another failure domain than the one that the tasks of the step share, in units of one worker's capacity. */
+const OTHER_DOMAIN_COST = 1
+
 /** Cost of interference between serving and filler tasks on the same worker, in units of one worker's capacity. */
 const INTERFERENCE_COST = 0.6
 
@@ -59,10 +62,26 @@
 
 function mayRun (
   task: TaskInstance, worker: WorkerState, counts: Map<string, number> | undefined, options: Options
+): boolean {
+  return worker.hasRoom(task.step.spec) && mayRunWithRoom(task, worker, options, counts)
+}
+
+/**
+ * Tells whether a worker could run a task if it had room for it.
+ *
+ * @param task - The task.
+ * @param worker - The worker.
+ * @param options - Restrictions beyond the state of the worker.
+ * @param counts - Number of the step's tasks on each worker, if it is known and limited.
+ * @returns Whether everything but the free resources allows the task to start there.
+ */
+export function mayRunWithRoom (
+  task: TaskInstance, worker: WorkerState, options: Options,
+  counts = task.step.spec.maxPerWorker > 0 ? task.step.countByWorker() : undefined
 ): boolean {
   const { step } = task
   const { spec } = step
-  if (!worker.acceptsTasks || !worker.hasRoom(spec) || task.failedOn.has(worker.id)) return false
+  if (!worker.acceptsTasks || task.failedOn.has(worker.id)) return false
   if (spec.requiredLabel !== '' && !worker.entry.labels.includes(spec.requiredLabel)) return false
   if (options.rack !== undefined && !worker.entry.labels.includes(options.rack)) return false
   if (counts !== undefined && (counts.get(worker.id) ?? 0) >= spec.maxPerWorker) return false
@@ -85,6 +104,7 @@
   const freeMemory = (capacity.memoryMb - worker.usedMemoryMb - spec.demand.memoryMb) / capacity.memoryMb
   let cost = spec.fills ? -freeCpu : Math.max(freeCpu, 0) + freeMemory
   if (!spec.longRunning) cost += SLOWDOWN_WEIGHT * (worker.slowdown - 1)
+  if (step.failureDomain !== undefined && step.failureDomain !== worker.entry.failureDomain) cost += OTHER_DOMAIN_COST
   if (spec.preferredRack !== '' && !labels.includes(spec.preferredRack)) cost += OTHER_RACK_COST
   if (spec.targetLatencyMs > 0 && worker.fillerCpuMillis > 0) cost += INTERFERENCE_COST
   if (spec.fills) {
