--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -1,29 +1,26 @@
 import { failureOf, throwUncaught, sleep, valueOf } from '@gypsumspring/protocol'
 import { ORDER_RETRY_MS } from '../constants/index.ts'
 import type { TrackedJob, TaskInstance } from '../model/index.ts'
-import { computeFillerPace } from '../placement/computeFillerPace/index.ts'
 import type { EndedRun, RunningTask, TaskKey, WorkerReport } from '../types.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 import type { Cell } from './Cell.ts'
+import { FillerPacer } from './FillerPacer.ts'
 import type { WorkerSession } from './WorkerSession.ts'
 import type { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
 
 /** Weight of a new observation in the moving average of a worker's slowdown. */
 const SLOWDOWN_SMOOTHING = 0.2
 
-/** Least time between two pace changes on one worker, in ms; a change takes about 500 ms to show in latencies. */
-const MIN_PACE_INTERVAL_MS = 500
-
 /** Reconciles the owner's task state with what workers report, and repeats start and stop orders until answered. */
 export class RunTracker {
   readonly #cell: Cell
   readonly #breaker: WorkerCircuitBreaker
   readonly #sessions: ReadonlyMap<string, WorkerSession>
   readonly #onOwnershipLost: (reason: string) => void
+  readonly #pacer: FillerPacer
   /** Unowned runs that are being stopped, as `WORKER TASK RUN`. */
   readonly #unownedRuns = new Set<string>()
   #closed = false
-  readonly #paceByWorker = new Map<string, { percent: number, changedAt: number }>()
 
   constructor (
     cell: Cell, breaker: WorkerCircuitBreaker, sessions: ReadonlyMap<string, WorkerSession>,
@@ -33,6 +30,7 @@
     this.#breaker = breaker
     this.#sessions = sessions
     this.#onOwnershipLost = onOwnershipLost
+    this.#pacer = new FillerPacer(cell, sessions)
   }
 
   /** Stops repeating orders; the next owner continues from what workers report. */
@@ -54,7 +52,7 @@
     for (const task of [...worker.tasks]) {
       if (!present.has(task) && isExpectedInReport(task, sentAt)) this.#handleMissingRun(worker, task)
     }
-    this.#adjustPace(worker, report.running)
+    this.#pacer.adjust(worker, report.running)
   }
 
   /** Sends the start order of a stored assignment, and repeats it until the worker answers. */
@@ -270,33 +268,6 @@
     }
     stop().catch(throwUncaught)
   }
-
-  /** Adjusts the pace of the filler tasks on a worker to the response times of the serving tasks beside them. */
-  #adjustPace (worker: WorkerState, running: readonly RunningTask[]): void {
-    const tails: Array<{ tailMs: number, targetMs: number }> = []
-    const fillers: TaskInstance[] = []
-    for (const { key, usage } of running) {
-      const task = this.#cell.findTask(key)
-      if (task === undefined || task.worker !== worker.id || task.status !== 'running') continue
-      const { fills, targetLatencyMs } = task.step.spec
-      if (targetLatencyMs > 0) tails.push({ tailMs: usage, targetMs: targetLatencyMs })
-      if (fills) fillers.push(task)
-    }
-    const pace = this.#paceByWorker.get(worker.id) ?? { percent: 100, changedAt: 0 }
-    const now = this.#cell.now()
-    if (now - pace.changedAt >= MIN_PACE_INTERVAL_MS) {
-      const percent = computeFillerPace(pace.percent, tails)
-      if (percent !== pace.percent) this.#paceByWorker.set(worker.id, { percent, changedAt: now })
-    }
-    const wanted = this.#paceByWorker.get(worker.id)?.percent ?? 100
-    for (const task of fillers) {
-      if (task.percent === wanted) continue
-      this.#cell.metrics.count('pace_changes')
-      const { id } = worker
-      this.#cell.log.info({ ...toLogFields(task), worker: id, percent: wanted, tails }, 'pace of filler task changed')
-      this.#sessions.get(worker.id)?.pace({ key: task.key, run: task.run }, wanted).catch(throwUncaught)
-    }
-  }
 }
 
 /** Whether a run, if it still exists, must be in the report that was requested at `sentAt`. */
