Add the benchmark scarcity: two kinds of jobs on a pool with accelerators

Policies for scarce accelerators can be tried on simulated time in seconds.

scripts/bench.js passed the names of benchmarks to the build script, which took them for the directory of a program and built nothing; on a fresh clone no benchmark could be run by name.

--- a/packages/bench/src/benchmarks.ts
+++ b/packages/bench/src/benchmarks.ts
@@ -3,6 +3,7 @@
 import { measurePlacement } from './measurePlacement/index.ts'
 import { measurePlacementMemory } from './measurePlacementMemory/index.ts'
 import { measureRouting } from './measureRouting/index.ts'
+import { measureScarcity } from './measureScarcity/index.ts'
 import { measureSlots } from './measureSlots/index.ts'
 
 /** Runs a benchmark and reports each case as a row of named figures. The unit of a figure is the suffix of its name. */
@@ -15,5 +16,6 @@
   'placement-memory': measurePlacementMemory,
   routing: measureRouting,
   slots: measureSlots,
+  scarcity: measureScarcity,
   capacity: measureCapacity
 }
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -16,7 +16,8 @@
   { directory: 'platform', entryPoints: ['main'], out: 'target' }
 ]
 
-const [onlyDirectory] = process.argv.slice(2)
+// The arguments of `scripts/bench.js`, which name benchmarks, are no directories of programs.
+const onlyDirectory = process.argv.slice(2).find((argument) => programs.some(({ directory }) => directory === argument))
 
 for (const { directory, entryPoints, out = `${directory}/dist` } of programs) {
   if (onlyDirectory !== undefined && onlyDirectory !== directory) continue
