Do less work for steps without room, and mistake no slow store for a lossy one

The domain is now chosen once a worker was found, workers with failures are looked for when there are any, and tasks to stop for at most four steps a round; - a copy of an acceptance that another partition answered first counted as a sign of lost answers, so that a slow store got up to 15 copies. Only copies for the same partition count now. The new test fails without this.

--- a/packages/jobs/src/commitHedged/index.ts
+++ b/packages/jobs/src/commitHedged/index.ts
@@ -57,7 +57,9 @@
       if (outcome.isRight()) condition.latency.record(performance.now() - sentAt)
       if (isSettled) return
       if (outcome.isRight()) {
-        if ([...unanswered].some((earlier) => earlier < copy)) condition.lostAnswerAt = performance.now()
+        // A partition executes its transactions in order, so that an earlier copy is answered first unless it was lost.
+        const isOvertaken = (earlier: number) => earlier < copy && (copy - earlier) % commits.length === 0
+        if ([...unanswered].some(isOvertaken)) condition.lostAnswerAt = performance.now()
         settle(outcome)
         return
       }
--- a/packages/jobs/src/commitHedged/test.ts
+++ b/packages/jobs/src/commitHedged/test.ts
@@ -78,4 +78,20 @@
     await clock.tickAsync(400)
     expect(isRight).to.equal(true)
   })
+
+  it('does not take the faster answer of another partition for a lost one', async () => {
+    const store = new MemoryRecordStore(new MemoryRows())
+    store.fault = (_call, partition) => partition === 'p0' ? 'silent' : undefined
+    const first = commitHedged(store, [commit, elsewhere])
+    await clock.tickAsync(200)
+    expect((await first).isRight()).to.equal(true)
+    let calls = 0
+    store.fault = () => {
+      calls++
+      return 'silent'
+    }
+    commitHedged(store, [commit]).catch(() => {})
+    await clock.tickAsync(1_400)
+    expect(calls).to.be.at.most(5)
+  })
 })
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -17,6 +17,9 @@
 /** Largest share of a pool's workers that may be reserved. */
 const MAX_RESERVED_SHARE = 0.15
 
+/** Most steps in one round for which others are looked at that could be stopped; the most urgent ones come first. */
+const MAX_PREEMPTION_ATTEMPTS = 4
+
 /** Assigns waiting tasks to workers. */
 export class Placer {
   readonly #cell: Cell
@@ -52,6 +55,7 @@
     const minimumDemand = findMinimumDemand(ordered.map(({ step }) => step))
     const candidatesByPool = new Map([...pools].map(([pool, workers]) => [pool, workers.filter((worker) =>
       worker.acceptsTasks && worker.hasRoom(minimumDemand))]))
+    let preemptionAttempts = 0
     for (const { step, lateness } of ordered) {
       const pool = this.#cell.poolOf(step.job.definition)
       const candidates = candidatesByPool.get(pool) ?? []
@@ -60,33 +64,38 @@
       if (blocked === undefined) continue
       const workers = pools.get(pool) ?? []
       this.#handleBlocked(blocked, workers, candidates, now)
-      if (lateness === 0) this.#preemptor.makeRoom(blocked, workers, this.#workerChecks(blocked), now)
+      if (lateness === 0 && preemptionAttempts < MAX_PREEMPTION_ATTEMPTS) {
+        if (this.#preemptor.makeRoom(blocked, workers, this.#workerChecks(blocked), now)) preemptionAttempts++
+      }
     }
   }
 
   /** Places the waiting tasks of a step. Returns one that found no worker, if any. */
   #placeTasks (step: StepInstance, workers: readonly WorkerState[], now: number): TaskInstance | undefined {
     let blocked: TaskInstance | undefined
-    this.#chooseFailureDomain(step, workers, now)
+    let isFirst = !step.spec.longRunning && step.tasks.length > 1 && !step.tasks.some(({ isAssigned }) => isAssigned)
     for (const task of step.tasks) {
       if (task.status !== 'waiting') continue
       // Tasks of a step differ only in the workers on which they failed. Once one has found no worker, only tasks that
       // failed on more workers are tried, since `#chooseFailedWorker` may find one of those workers for them.
       if (blocked !== undefined && task.failedOn.size <= blocked.failedOn.size) continue
-      const worker = this.#chooseWorker(task, workers, now)
+      let worker = this.#chooseWorker(task, workers, now)
+      if (worker !== undefined && isFirst) {
+        isFirst = false
+        this.#chooseFailureDomain(task, workers, now)
+        worker = this.#chooseWorker(task, workers, now) ?? worker
+      }
       if (worker === undefined) blocked = task
       else this.#assign(task, worker, task.run + 1)
     }
     return blocked
   }
 
-  /** Chooses the domain of a step that places its first tasks, or whose domain is out of reach. */
-  #chooseFailureDomain (step: StepInstance, workers: readonly WorkerState[], now: number): void {
-    if (step.spec.longRunning || step.tasks.length === 1) return
-    const task = step.tasks.find(({ status }) => status === 'waiting')
-    if (task === undefined || step.tasks.some(({ isAssigned }) => isAssigned)) return
-    const possible = workers.filter((worker) => mayRunWithRoom(task, worker, { ...this.#workerChecks(task), now }))
-    step.failureDomain = chooseFailureDomain(step, possible)
+  /** Chooses the failure domain that the tasks of a step share, from the workers that could take the first one now. */
+  #chooseFailureDomain (task: TaskInstance, workers: readonly WorkerState[], now: number): void {
+    const checks = { ...this.#workerChecks(task), now }
+    task.step.failureDomain = chooseFailureDomain(task.step, workers.filter((worker) =>
+      worker.hasRoom(task.step.spec) && mayRunWithRoom(task, worker, checks)))
   }
 
   /** Places all tasks of a gang or none. Returns one of them when there is no room for all. */
@@ -166,6 +175,7 @@
   #chooseSuspectWorker (
     task: TaskInstance, workers: readonly WorkerState[], now: number, rack?: string
   ): WorkerState | undefined {
+    if (!this.#breaker.hasSuspects) return undefined
     const worker = chooseWorker(task, workers, {
       ...this.#workerChecks(task),
       isHealthy: ({ id }) => this.#breaker.mayProbe(id),
--- a/packages/jobs/src/owner/Preemptor.ts
+++ b/packages/jobs/src/owner/Preemptor.ts
@@ -37,17 +37,23 @@
     if (worker.claim?.step === step) worker.claim = undefined
   }
 
-  /** Stops less urgent tasks on one of the workers for which a blocked task has a ticket. */
-  makeRoom (task: TaskInstance, workers: readonly WorkerState[], checks: WorkerChecks, now: number): void {
+  /**
+   * Stops less urgent tasks on one of the workers for which a blocked task has a ticket.
+   *
+   * @returns Whether the workers were looked at, which takes a time for each of them.
+   */
+  makeRoom (task: TaskInstance, workers: readonly WorkerState[], checks: WorkerChecks, now: number): boolean {
     const { step } = task
-    if (step.spec.gang || step.spec.longRunning) return
-    if (now - Math.max(task.waitingSince, step.readyAt ?? 0) < PREEMPT_AFTER_MS) return
-    if (workers.some(({ claim }) => claim !== undefined && claim.step === step && claim.until > now)) return
+    if (step.spec.gang || step.spec.longRunning) return false
+    if (now - Math.max(task.waitingSince, step.readyAt ?? 0) < PREEMPT_AFTER_MS) return false
+    if (workers.some(({ claim }) => claim !== undefined && claim.step === step && claim.until > now)) return false
     const possible = workers.filter((worker) => mayRunWithRoom(task, worker, { ...checks, now: now + CLAIM_MS }))
     const preemption = choosePreemption(task, possible, now)
-    if (preemption === undefined) return
-    preemption.worker.claim = { step, until: now + CLAIM_MS }
-    this.#stopAll(preemption.victims, task, preemption.worker)
+    if (preemption !== undefined) {
+      preemption.worker.claim = { step, until: now + CLAIM_MS }
+      this.#stopAll(preemption.victims, task, preemption.worker)
+    }
+    return true
   }
 
   #stopAll (victims: readonly TaskInstance[], task: TaskInstance, worker: WorkerState): void {
--- a/packages/jobs/src/owner/WorkerCircuitBreaker.ts
+++ b/packages/jobs/src/owner/WorkerCircuitBreaker.ts
@@ -81,6 +81,12 @@
     return !isLastAttempt || state.failedJobs.size === 0
   }
 
+  /** Whether tasks have failed on some worker since its last success. */
+  get hasSuspects (): boolean {
+    for (const { failedJobs } of this.#states.values()) if (failedJobs.size > 0) return true
+    return false
+  }
+
   remove (worker: string): void {
     this.#states.delete(worker)
   }
