--- a/packages/jobs/src/loadPatterns/describeCells.ts
+++ b/packages/jobs/src/loadPatterns/describeCells.ts
@@ -1,6 +1,7 @@
 import { install, type Clock } from '@sinonjs/fake-timers'
 import { expect } from 'chai'
 import { throwUncaught } from '@gypsumspring/protocol'
+import type { LogWriter } from '../ports.ts'
 import { MemoryCell } from '../standins/index.ts'
 import type { Queue, Step } from '../types.ts'
 
@@ -35,6 +36,16 @@
   })
 }
 
+/** Creates a log that records the monotonic time at which each job ends, in ms. */
+export function createEndLog (): LogWriter & { endedAt: Map<string, number> } {
+  const endedAt = new Map<string, number>()
+  return {
+    endedAt,
+    info: ({ job }, message) => { if (message === 'job ended') endedAt.set(String(job), performance.now()) },
+    warn: () => {}
+  }
+}
+
 /** Submits a job without waiting for the answer; the call proceeds as the clock is advanced. */
 export function submitInBackground (
   cell: MemoryCell, id: string, steps: Array<Partial<Step>>, queue?: Queue
