--- a/packages/jobs/src/node/FailoverStore.ts
+++ b/packages/jobs/src/node/FailoverStore.ts
@@ -135,6 +135,7 @@
     while (attempts < MAX_DIRECT_ATTEMPTS && mayTry()) {
       attempts++
       const outcome = await this.#callDirect(direct, !isCommit, longPollMs)
+      if (outcome === undefined) this.#metrics.count('store_calls_overdue', { method })
       if (outcome !== undefined && !isUnreachable(outcome)) {
         this.#recordDirectAnswer()
         return outcome
@@ -207,7 +208,7 @@
     for (let attempt = 0; attempt < Math.min(MAX_PEERS_PER_CALL, peers.length); attempt++) {
       // A peer that has relayed a call successfully is used for the next call too.
       const peer = peers[this.#peerIndex % peers.length]!
-      this.#metrics.count('store_calls_relayed')
+      this.#metrics.count('store_calls_relayed', { method })
       const answer = await peer.call(method, params, { timeoutMs })
       last = answer
         .chain((result) => decodeRelayed(result as { ok: RelayedValue<Method> } | { failure: unknown }))
