--- a/packages/standins/src/linkProxy/index.ts
+++ b/packages/standins/src/linkProxy/index.ts
@@ -17,20 +17,42 @@
  */
 const MAX_BUFFERED_BYTES = 1024 * 1024
 
+/** The same for a link with a limited rate, so that its connections take turns. */
+const MAX_BUFFERED_BYTES_AT_LIMITED_RATE = 64 * 1024
+
+/** One direction of the link, which all connections share. */
+class Channel {
+  delayMs = 0
+  /** Bytes per ms; without a limit, chunks only wait for the delay. */
+  rate = Infinity
+  /** When the last byte that was accepted so far has left, on the clock of `performance.now()`, in ms. */
+  #busyUntil = 0
+
+  get maxBufferedBytes (): number {
+    return this.rate === Infinity ? MAX_BUFFERED_BYTES : MAX_BUFFERED_BYTES_AT_LIMITED_RATE
+  }
+
+  /** Accepts a chunk for sending and returns when it arrives, on the clock of `performance.now()`, in ms. */
+  send (size: number): number {
+    this.#busyUntil = Math.max(this.#busyUntil, performance.now()) + size / this.rate
+    return this.#busyUntil + this.delayMs
+  }
+}
+
 /** Forwards one direction of a connection, with a delay; buffers while the direction is partitioned. */
 class Forwarder {
   readonly #from: Socket
   readonly #to: Socket
-  readonly #delayMs: () => number
+  readonly #channel: Channel
   #buffered: Chunk[] = []
   #bufferedBytes = 0
   #partitioned = false
   #timer: ReturnType<typeof setTimeout> | undefined
 
-  constructor (from: Socket, to: Socket, delayMs: () => number) {
+  constructor (from: Socket, to: Socket, channel: Channel) {
     this.#from = from
     this.#to = to
-    this.#delayMs = delayMs
+    this.#channel = channel
     from.on('data', (bytes) => this.#enqueue(bytes))
     from.on('end', () => this.#enqueue(undefined))
     to.on('drain', () => this.#flush())
@@ -48,9 +70,9 @@
   }
 
   #enqueue (bytes: Buffer | undefined): void {
-    this.#buffered.push({ dueAt: performance.now() + this.#delayMs(), bytes })
+    this.#buffered.push({ dueAt: this.#channel.send(bytes?.length ?? 0), bytes })
     this.#bufferedBytes += bytes?.length ?? 0
-    if (this.#bufferedBytes > MAX_BUFFERED_BYTES) this.#from.pause()
+    if (this.#bufferedBytes > this.#channel.maxBufferedBytes) this.#from.pause()
     this.#flush()
   }
 
@@ -68,7 +90,7 @@
       if (chunk.bytes === undefined) this.#to.end()
       else this.#to.write(chunk.bytes)
     }
-    if (this.#bufferedBytes <= MAX_BUFFERED_BYTES) this.#from.resume()
+    if (this.#bufferedBytes <= this.#channel.maxBufferedBytes) this.#from.resume()
   }
 }
 
@@ -98,7 +120,7 @@
   readonly #server: Server
   readonly #connections = new Set<Connection>()
   #partitioned = { 'to-target': false, 'to-client': false }
-  #delayMs = 0
+  readonly #channels = { 'to-target': new Channel(), 'to-client': new Channel() }
   #port = 0
 
   /** @param target - IP address and port of the process to forward to. */
@@ -142,7 +164,12 @@
 
   /** Sets the delay of each direction, in ms. */
   setDelay (delayMs: number): void {
-    this.#delayMs = delayMs
+    for (const channel of Object.values(this.#channels)) channel.delayMs = delayMs
+  }
+
+  /** Limits the bytes per second of each direction, for all connections together; `Infinity` ends the limit. */
+  setRate (bytesPerSecond: number): void {
+    for (const channel of Object.values(this.#channels)) channel.rate = bytesPerSecond / 1_000
   }
 
   /** Resets all connections. Buffered bytes are lost. */
@@ -182,11 +209,10 @@
   #accept (client: Socket): void {
     const target = connect({ ...this.#target, allowHalfOpen: true })
     for (const socket of [client, target]) socket.setNoDelay(true)
-    const delayMs = () => this.#delayMs
     const connection: Connection = {
       sockets: [client, target],
-      toTarget: new Forwarder(client, target, delayMs),
-      toClient: new Forwarder(target, client, delayMs)
+      toTarget: new Forwarder(client, target, this.#channels['to-target']),
+      toClient: new Forwarder(target, client, this.#channels['to-client'])
     }
     this.#connections.add(connection)
     this.#applyPartition(connection)
--- a/packages/standins/src/linkProxy/test.ts
+++ b/packages/standins/src/linkProxy/test.ts
@@ -71,6 +71,16 @@
     await slow.close()
   })
 
+  it('shares a limited rate between connections', async () => {
+    await server.objects.put('large', new Uint8Array(300_000))
+    const slow = connectPlatform({ platformUrl: `http://${link.address}`, storeTimeoutMs: 20_000 })
+    link.setRate(1_000_000)
+    const startedAt = performance.now()
+    await Promise.all([slow.objects.get('large'), slow.objects.get('large')])
+    expect(performance.now() - startedAt).to.be.greaterThan(500)
+    await slow.close()
+  })
+
   it('resets the connection of the client when the target is gone', async () => {
     await server.close()
     expect((await platform.table.read('a')).extract()).to.include({ certainty: 'unknown', reason: 'closed' })
