Wait for an answer of the store as long as parts of it arrive

Cause: a read of the store had one time limit for the wait and the transfer, 0.25 s and the time of the long poll. A row of 0.75 MB takes 0.9 s over a link of 10 Mbit/s. The read was given up, sent again from the first byte up to three times and then through another node, while the earlier answers still arrived and shared the link, so that none was ever complete. The same limit hit the first read of a restarted node and reads of many pages.

A read is now overdue when no part of its answer has come in time, and given up when the answer stops for a second. While an answer arrives no copy is sent, and the answers of other copies are cut off when they begin to arrive. The average latency of the store is the time to the first part. Refusals don't count as progress.

--- a/packages/adapters/src/_lib/Deadline.ts
+++ b/packages/adapters/src/_lib/Deadline.ts
@@ -11,9 +11,9 @@
 /** Aborts its signal after a timeout or when a parent signal aborts, and records which of the two happened. */
 export class Deadline {
   readonly #controller = new AbortController()
-  readonly #timer: ReturnType<typeof setTimeout>
+  #timer: ReturnType<typeof setTimeout> | undefined
   readonly #parentSignal: AbortSignal | undefined
-  readonly #timeoutMs: number
+  #timeoutMs = 0
   #expired = false
 
   /**
@@ -21,12 +21,8 @@
    * @param parentSignal - Also aborts the signal. Default: none.
    */
   constructor (timeoutMs: number, parentSignal?: AbortSignal) {
-    this.#timeoutMs = timeoutMs
     this.#parentSignal = parentSignal
-    this.#timer = setTimeout(() => {
-      this.#expired = true
-      this.#abort()
-    }, timeoutMs)
+    this.restart(timeoutMs)
     if (parentSignal?.aborted === true) this.#abort()
     else parentSignal?.addEventListener('abort', this.#abort)
   }
@@ -44,6 +40,17 @@
     return this.#expired ? `timed out after ${this.#timeoutMs} ms` : 'aborted by the caller'
   }
 
+  /** Moves the deadline to `timeoutMs` from now. Does nothing once the signal has aborted. */
+  restart (timeoutMs: number): void {
+    clearTimeout(this.#timer)
+    if (this.signal.aborted) return
+    this.#timeoutMs = timeoutMs
+    this.#timer = setTimeout(() => {
+      this.#expired = true
+      this.#abort()
+    }, timeoutMs)
+  }
+
   /** Stops the timer and detaches from the parent signal. */
   clear (): void {
     clearTimeout(this.#timer)
--- a/packages/adapters/src/_lib/sendRequest.ts
+++ b/packages/adapters/src/_lib/sendRequest.ts
@@ -9,14 +9,23 @@
   path: string
   headers?: Record<string, string | string[]>
   body?: Uint8Array | string
-  /** Time limit for the whole exchange in ms, including the response body. */
+  /** Time limit in ms: for the whole exchange, or with `stallTimeoutMs` until the response begins. */
   timeoutMs: number
+  /** Longest pause between two parts of the response, in ms. Default: no such limit; `timeoutMs` ends the exchange. */
+  stallTimeoutMs?: number
+  /** Called when a part of a response with a status of 2xx arrives. */
+  onProgress?: () => void
   signal?: AbortSignal
 }
 
 export type HttpResponse = Pick<Dispatcher.ResponseData, 'headers' | 'body'> & { status: number }
 
-type ConnectHandler = Dispatcher.DispatchHandler & { onConnect: (...args: unknown[]) => void }
+/** The callbacks of undici's request handler that are observed here. */
+type RequestHandler = Dispatcher.DispatchHandler & {
+  onConnect: (...args: unknown[]) => void
+  onHeaders: (...args: [statusCode: number, ...unknown[]]) => boolean
+  onData: (...args: unknown[]) => boolean
+}
 
 /**
  * Sends an HTTP request and resolves once the response head has arrived. The connection stays in use until the response
@@ -45,14 +54,29 @@
   client: Client, pool: ConnectionPool, request: HttpRequest, deadline: Deadline
 ): Promise<Outcome<HttpResponse>> {
   let written = false
+  let isSuccessful = false
+  const recordProgress = () => {
+    if (request.stallTimeoutMs !== undefined) deadline.restart(request.stallTimeoutMs)
+    if (isSuccessful) request.onProgress?.()
+  }
   // undici calls onConnect right before it writes the first byte of the request.
   const dispatch = (options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler) => {
-    const { onConnect } = handler as ConnectHandler
-    const recordWrite = (...args: unknown[]) => {
-      if (!deadline.signal.aborted) written = true
-      onConnect.apply(handler, args)
-    }
-    return client.dispatch(options, Object.assign(handler, { onConnect: recordWrite }))
+    const { onConnect, onHeaders, onData } = handler as RequestHandler
+    return client.dispatch(options, Object.assign(handler, {
+      onConnect: (...args: unknown[]) => {
+        if (!deadline.signal.aborted) written = true
+        onConnect.apply(handler, args)
+      },
+      onHeaders: (...args: [statusCode: number, ...unknown[]]) => {
+        isSuccessful = args[0] >= 200 && args[0] < 300
+        recordProgress()
+        return onHeaders.apply(handler, args)
+      },
+      onData: (...args: unknown[]) => {
+        recordProgress()
+        return onData.apply(handler, args)
+      }
+    }))
   }
   const { method, headers, body } = request
   const path = pool.basePath + request.path
--- a/packages/adapters/src/requestJson/index.ts
+++ b/packages/adapters/src/requestJson/index.ts
@@ -19,7 +19,7 @@
  * Sends a JSON request and returns the response whatever its status; the caller interprets the status.
  *
  * @param pool - Connections to the server.
- * @param request - The request; `timeoutMs` includes reading the whole response.
+ * @param request - The request; without `stallTimeoutMs`, `timeoutMs` includes reading the whole response.
  * @returns The response. A failure is `not-done` if the request was not written to a connection, else `unknown`.
  *
  * @example
--- a/packages/jobs/src/node/FailoverStore.ts
+++ b/packages/jobs/src/node/FailoverStore.ts
@@ -1,8 +1,11 @@
 import { done, failureOf, notDone, unknownEffect, type Failure, type Outcome } from '@gypsumspring/protocol'
-import type { Commit, CommitResult, MetricsRecorder, RecordStore, RowChanges, StoredRow } from '../ports.ts'
+import type {
+  Commit, CommitResult, MetricsRecorder, ReadOptions, RecordStore, RowChanges, StoredRow
+} from '../ports.ts'
 import { CONTROL_TABLE } from '../ownership/index.ts'
 import { CELL_PARTITION } from '../records/index.ts'
 import { LatencyAverage } from '../latencyAverage/LatencyAverage.ts'
+import { readHedged } from '../readHedged/index.ts'
 import type { CellMethod, CellParams, CellResult } from './messages.ts'
 
 /** RPC client for another node of the cell. */
@@ -14,12 +17,15 @@
 }
 
 /**
- * A direct call without an answer is overdue after this time, in ms, or after `LATENCY_FACTOR` times the average
- * latency if that is longer.
+ * A direct call of which no part of the answer has arrived is overdue after this time, in ms, or after `LATENCY_FACTOR`
+ * times the average latency if that is longer.
  */
 const MIN_DIRECT_TIMEOUT_MS = 250
 const LATENCY_FACTOR = 4
 
+/** Longest pause between two parts of the answer to a direct read, in ms; TCP resends a lost packet after 200 ms. */
+const STALL_TIMEOUT_MS = 1_000
+
 /** Longest wait for a peer's answer, in ms; `LATENCY_FACTOR` times the average latency is added. */
 const RELAY_TIMEOUT_MS = 600
 
@@ -32,9 +38,6 @@
 /** Longest wait for the answer to a probe, in ms; a slow store takes 200 ms. */
 const PROBE_TIMEOUT_MS = 700
 
-/** Most direct attempts at one read while the store answers other calls. */
-const MAX_DIRECT_ATTEMPTS = 3
-
 /** Most peers that are tried for one call. */
 const MAX_PEERS_PER_CALL = 2
 
@@ -51,8 +54,8 @@
   /** Whether this node's own connection works. Once false, only a successful probe sets it again. */
   #isDirectlyReachable = true
   readonly #averageLatency = new LatencyAverage()
-  /** Callbacks that abandon the direct calls that are under way. */
-  readonly #pendingDirectCalls = new Set<() => void>()
+  /** Abandon the direct calls of whose answer nothing has arrived yet. */
+  readonly #pendingDirectCalls = new Set<AbortController>()
   /** Index of the peer that is asked next, modulo the number of peers. */
   #peerIndex = 0
   /** Monotonic time of the last answer of the store, in ms. */
@@ -103,86 +106,114 @@
   }
 
   async commit (commit: Commit): Promise<Outcome<CommitResult>> {
+    if (this.#mayCallDirectly) {
+      const outcome = await this.#commitDirectly(commit)
+      if (!isUnreachable(outcome)) {
+        this.#recordDirectAnswer()
+        return outcome
+      }
+      // The commit may have been applied, so only the caller can decide whether to repeat it.
+      if (failureOf(outcome)?.certainty === 'unknown') return outcome
+      this.#isDirectlyReachable = false
+    }
     const puts = commit.puts.map(({ value, ...row }) => ({ ...row, value: Buffer.from(value).toString('base64') }))
-    const params = { ...commit, puts }
-    return await this.#callWithFallback(() => this.#direct.commit(commit), 'cell.store.commit', params, (result) =>
+    return await this.#relay('cell.store.commit', { ...commit, puts }, (result) =>
       result.kind === 'conflict' ? { kind: 'conflict', rows: result.rows.map(decodeRow) } : result)
   }
 
   async read (table: string, partition: string): Promise<Outcome<RowChanges>> {
-    return await this.#callWithFallback(() => this.#direct.read(table, partition), 'cell.store.read',
+    return await this.#read((options) => this.#direct.read(table, partition, options), 'cell.store.read',
       { table, partition }, decodeChanges)
   }
 
   async readRow (table: string, partition: string, key: string): Promise<Outcome<StoredRow | undefined>> {
-    return await this.#callWithFallback(() => this.#direct.readRow(table, partition, key), 'cell.store.readRow',
+    return await this.#read((options) => this.#direct.readRow(table, partition, key, options), 'cell.store.readRow',
       { table, partition, key }, (row) => row === null ? undefined : decodeRow(row))
   }
 
   async changes (table: string, after: number, waitMs: number): Promise<Outcome<RowChanges>> {
-    return await this.#callWithFallback(() => this.#direct.changes(table, after, waitMs), 'cell.store.changes',
+    return await this.#read((options) => this.#direct.changes(table, after, waitMs, options), 'cell.store.changes',
       { table, after, waitMs }, decodeChanges, waitMs)
   }
 
-  /** Makes a call directly, or through a peer if the direct connection fails or is known to be down. */
-  async #callWithFallback<Method extends RelayMethod, Value> (
-    direct: () => Promise<Outcome<Value>>, method: Method, params: CellParams<Method>,
+  /** Whether calls are made directly. Without peers there is no other way. */
+  get #mayCallDirectly (): boolean {
+    return this.#isDirectlyReachable || this.#peers().length === 0
+  }
+
+  /** Time after which a direct call of whose answer nothing has arrived is overdue, in ms. */
+  get #overdueAfterMs (): number {
+    return Math.max(MIN_DIRECT_TIMEOUT_MS, LATENCY_FACTOR * this.#averageLatency.ms)
+  }
+
+  /** Reads directly, or through a peer if the direct connection fails or is known to be down. */
+  async #read<Method extends RelayMethod, Value> (
+    read: (options: ReadOptions) => Promise<Outcome<Value>>, method: Method, params: CellParams<Method>,
     decode: (ok: RelayedValue<Method>) => Value, longPollMs = 0
   ): Promise<Outcome<Value>> {
-    const isCommit = method === 'cell.store.commit'
-    let attempts = 0
-    const mayTry = () => this.#isDirectlyReachable || (attempts === 0 && this.#peers().length === 0)
-    while (attempts < MAX_DIRECT_ATTEMPTS && mayTry()) {
-      attempts++
-      const outcome = await this.#callDirect(direct, !isCommit, longPollMs)
-      if (outcome === undefined) this.#metrics.count('store_calls_overdue', { method })
+    if (this.#mayCallDirectly) {
+      const outcome = await this.#readDirectly(read, method, longPollMs)
       if (outcome !== undefined && !isUnreachable(outcome)) {
         this.#recordDirectAnswer()
         return outcome
       }
-      const failed = outcome ?? NO_ANSWER
-      // The commit may have been applied, so only the caller can decide whether to repeat it.
-      if (failureOf(failed)?.certainty === 'unknown' && isCommit) return failed
       if (outcome !== undefined) this.#isDirectlyReachable = false
     }
     return await this.#relay(method, params, decode, longPollMs)
   }
 
-  /**
-   * Makes a direct call. When its answer is overdue, later calls are relayed, and with `mayAbandon` this one resolves
-   * with undefined, so that the caller can relay it too.
-   */
-  async #callDirect<Value> (
-    direct: () => Promise<Outcome<Value>>, mayAbandon: boolean, longPollMs: number
+  async #readDirectly<Value> (
+    read: (options: ReadOptions) => Promise<Outcome<Value>>, method: RelayMethod, longPollMs: number
   ): Promise<Outcome<Value> | undefined> {
+    const abandonment = new AbortController()
+    this.#pendingDirectCalls.add(abandonment)
+    const outcome = await readHedged(read, {
+      overdueAfterMs: this.#overdueAfterMs + longPollMs,
+      stallTimeoutMs: STALL_TIMEOUT_MS,
+      signal: abandonment.signal,
+      onOverdue: (sentAt) => {
+        this.#metrics.count('store_calls_overdue', { method })
+        this.#recordOverdue(sentAt)
+        return this.#isDirectlyReachable
+      },
+      onProgress: (latencyMs) => {
+        this.#pendingDirectCalls.delete(abandonment)
+        // Late answers count too: they show that the store is slow but reachable.
+        this.#recordDirectAnswer()
+        if (latencyMs !== undefined && longPollMs === 0) this.#averageLatency.record(latencyMs)
+      }
+    })
+    this.#pendingDirectCalls.delete(abandonment)
+    return outcome
+  }
+
+  async #commitDirectly (commit: Commit): Promise<Outcome<CommitResult>> {
     const sentAt = performance.now()
-    const overdueAfterMs = Math.max(MIN_DIRECT_TIMEOUT_MS, LATENCY_FACTOR * this.#averageLatency.ms)
-    let timer: ReturnType<typeof setTimeout> | undefined
-    const overdue = new Promise<undefined>((resolve) => {
-      timer = setTimeout(() => {
-        // Later calls, including further copies of this one, are relayed unless only this answer was lost.
-        if (this.#lastDirectAnswerAt < sentAt) this.#isDirectlyReachable = false
-        if (mayAbandon) resolve(undefined)
-      }, overdueAfterMs + longPollMs)
+    const timer = setTimeout(() => this.#recordOverdue(sentAt), this.#overdueAfterMs)
+    const abandonment = new AbortController()
+    const abandoned = new Promise<Outcome<CommitResult>>((resolve) => {
+      abandonment.signal.addEventListener('abort', () => resolve(NO_ANSWER))
     })
-    let abandon = () => {}
-    const abandoned = new Promise<Outcome<Value>>((resolve) => { abandon = () => resolve(NO_ANSWER) })
-    this.#pendingDirectCalls.add(abandon)
-    const answered = direct().then((outcome) => {
-      this.#pendingDirectCalls.delete(abandon)
-      // Late answers count too: they show that the store is slow but reachable.
-      if (outcome.isRight() && longPollMs === 0) {
+    this.#pendingDirectCalls.add(abandonment)
+    const answered = this.#direct.commit(commit).then((outcome) => {
+      this.#pendingDirectCalls.delete(abandonment)
+      if (outcome.isRight()) {
         this.#recordDirectAnswer()
         this.#averageLatency.record(performance.now() - sentAt)
       }
       return outcome
     })
-    const outcome = await Promise.race([answered, overdue, abandoned])
+    const outcome = await Promise.race([answered, abandoned])
     clearTimeout(timer)
-    this.#pendingDirectCalls.delete(abandon)
+    this.#pendingDirectCalls.delete(abandonment)
     return outcome
   }
 
+  /** Later calls, including further copies of this one, are relayed unless only this answer was lost. */
+  #recordOverdue (sentAt: number): void {
+    if (this.#lastDirectAnswerAt < sentAt) this.#isDirectlyReachable = false
+  }
+
   #recordDirectAnswer (): void {
     this.#lastDirectAnswerAt = performance.now()
     this.#recordAnswer()
@@ -195,12 +226,12 @@
   #recordAnswer (): void {
     const wasUnreachable = !this.isAnswering
     this.lastAnswerAt = performance.now()
-    if (wasUnreachable) for (const abandon of [...this.#pendingDirectCalls]) abandon()
+    if (wasUnreachable) for (const call of [...this.#pendingDirectCalls]) call.abort()
   }
 
   /** Makes a call through one peer after the other. */
   async #relay<Method extends RelayMethod, Value> (
-    method: Method, params: CellParams<Method>, decode: (ok: RelayedValue<Method>) => Value, longPollMs: number
+    method: Method, params: CellParams<Method>, decode: (ok: RelayedValue<Method>) => Value, longPollMs = 0
   ): Promise<Outcome<Value>> {
     const peers = this.#peers()
     const timeoutMs = RELAY_TIMEOUT_MS + LATENCY_FACTOR * this.#averageLatency.ms + longPollMs
--- a/packages/jobs/src/ports.ts
+++ b/packages/jobs/src/ports.ts
@@ -37,20 +37,30 @@
   version: number
 }
 
-/** The platform's row store. Calls are linearizable; a commit that timed out may still be applied later. */
+export interface ReadOptions {
+  /** Called when a part of the answer arrives, but not for refusals. Stores without partial answers never call it. */
+  onProgress?: () => void
+  /** Cuts the read off. */
+  signal?: AbortSignal
+}
+
+/**
+ * The platform's row store. Calls are linearizable; a commit that timed out may still be applied later. The timeout of
+ * a read limits the wait for the first part of its answer: large rows may take seconds to arrive over a slow link.
+ */
 export interface RecordStore {
   commit (commit: Commit, options?: { timeoutMs?: number }): Promise<Outcome<CommitResult>>
   /** Reads all rows of a table in one partition. */
-  read (table: string, partition: string): Promise<Outcome<RowChanges>>
+  read (table: string, partition: string, options?: ReadOptions): Promise<Outcome<RowChanges>>
   /** Reads one row; undefined when absent. */
   readRow (
-    table: string, partition: string, key: string, options?: { timeoutMs?: number }
+    table: string, partition: string, key: string, options?: ReadOptions & { timeoutMs?: number }
   ): Promise<Outcome<StoredRow | undefined>>
   /**
    * Reads the rows that changed after a version, waiting up to `waitMs` for a change. Fails with `not-found` when the
    * history no longer reaches back to that version.
    */
-  changes (table: string, after: number, waitMs: number): Promise<Outcome<RowChanges>>
+  changes (table: string, after: number, waitMs: number, options?: ReadOptions): Promise<Outcome<RowChanges>>
 }
 
 export type StartResult = { kind: 'started' } | { kind: 'refused', reason: StartRefusal }
