--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -10,7 +10,8 @@
 import { Followers } from './Followers.ts'
 import { JobService } from './JobService.ts'
 import type { CellMethod, CellParams, CellResult } from './messages.ts'
-import { FailoverStore, encodeRelayed, encodeRow, type Peer } from './FailoverStore.ts'
+import { FailoverStore, type Peer } from './FailoverStore.ts'
+import { createRelayHandlers, encodeRelayed } from './relayedCalls.ts'
 import { RemoteAdviser } from './RemoteAdviser.ts'
 import { chooseTakeoverDelay, computeWeakness } from './takeoverDelay/index.ts'
 import { watchEventLoopLag } from './watchEventLoopLag/index.ts'
@@ -142,7 +143,6 @@
 
   /** Handlers for RPC calls from other nodes. */
   handlers (): CellHandlers {
-    const direct = this.#store.direct
     return {
       'cell.follow': (heartbeat) => this.#handleFollow(heartbeat),
       'cell.released': (message) => this.#handleReleased(message),
@@ -161,19 +161,7 @@
       'cell.pending': ({ queue }) => ({ pending: this.#owner?.countPending(queue) ?? null }),
       'cell.advise': async ({ workers, timeoutMs, ...step }) =>
         encodeRelayed(await this.#dependencies.adviser.advise(step, workers, timeoutMs), (advice) => advice),
-      'cell.store.commit': async ({ puts, ...commit }) => {
-        const decoded = puts.map(({ value, ...row }) => ({ ...row, value: Buffer.from(value, 'base64') }))
-        const outcome = await direct.commit({ ...commit, puts: decoded })
-        return encodeRelayed(outcome, (result) => result.kind === 'conflict'
-          ? { kind: 'conflict' as const, rows: result.rows.map(encodeRow) }
-          : result)
-      },
-      'cell.store.read': async ({ table, partition }) =>
-        encodeRelayed(await direct.read(table, partition), encodeChanges),
-      'cell.store.readRow': async ({ table, partition, key }) =>
-        encodeRelayed(await direct.readRow(table, partition, key), (row) => row === undefined ? null : encodeRow(row)),
-      'cell.store.changes': async ({ table, after, waitMs }) =>
-        encodeRelayed(await direct.changes(table, after, waitMs), encodeChanges)
+      ...createRelayHandlers(this.#store.direct)
     }
   }
 
@@ -413,7 +401,3 @@
 
 /** Time for which a node does not take the cell over again after it was found too slow or too weak, in ms. */
 const TAKEOVER_PAUSE_MS = 8_000
-
-function encodeChanges ({ rows, version }: { rows: Parameters<typeof encodeRow>[0][], version: number }) {
-  return { rows: rows.map(encodeRow), version }
-}
--- a/packages/jobs/src/node/FailoverStore.ts
+++ b/packages/jobs/src/node/FailoverStore.ts
@@ -1,4 +1,4 @@
-import { done, failureOf, notDone, unknownEffect, type Failure, type Outcome } from '@gypsumspring/protocol'
+import { failureOf, notDone, unknownEffect, type Outcome } from '@gypsumspring/protocol'
 import type {
   Commit, CommitResult, MetricsRecorder, ReadOptions, RecordStore, RowChanges, StoredRow
 } from '../ports.ts'
@@ -7,6 +7,7 @@
 import { LatencyAverage } from '../latencyAverage/LatencyAverage.ts'
 import { readHedged } from '../readHedged/index.ts'
 import type { CellMethod, CellParams, CellResult } from './messages.ts'
+import { decodeChanges, decodeRelayed, decodeRow, type RelayMethod, type RelayedValue } from './relayedCalls.ts'
 
 /** RPC client for another node of the cell. */
 export interface Peer {
@@ -41,8 +42,6 @@
 /** Most peers that are tried for one call. */
 const MAX_PEERS_PER_CALL = 2
 
-type RelayMethod = 'cell.store.commit' | 'cell.store.read' | 'cell.store.readRow' | 'cell.store.changes'
-
 /**
  * Calls the store over this node's own connection and, while that fails, through other nodes, since the store may be
  * unreachable for some nodes only.
@@ -255,26 +254,6 @@
   }
 }
 
-/** Decoded type of a successful relayed call. */
-type RelayedValue<Method extends RelayMethod> =
-  Extract<CellResult<Method>, { ok: unknown }>['ok'] & RelayedValues[Method]
-
-/** A row as it is sent between nodes, with its value in base64. */
-interface WireRow { table: string, partition: string, key: string, version: number, value: string | null }
-interface RelayedValues {
-  'cell.store.commit': { kind: 'committed', version: number } | { kind: 'conflict', rows: WireRow[] }
-  'cell.store.read': { rows: WireRow[], version: number }
-  'cell.store.readRow': WireRow | null
-  'cell.store.changes': { rows: WireRow[], version: number }
-}
-
-/** Decodes the outcome of a relayed call. */
-export function decodeRelayed<Value> (result: { ok: Value } | { failure: unknown }): Outcome<Value> {
-  if ('ok' in result) return done(result.ok)
-  const { certainty, reason, message } = result.failure as Failure
-  return notDone(reason, message).mapLeft((failure) => ({ ...failure, certainty }))
-}
-
 const NO_ANSWER: Outcome<never> = unknownEffect('timeout', 'no answer from the store')
 
 /** Failure reasons after which the call may be made through another node. */
@@ -284,24 +263,3 @@
 function isUnreachable (outcome: Outcome<unknown>): boolean {
   return UNREACHABLE_REASONS.has(failureOf(outcome)?.reason ?? '')
 }
-
-function decodeRow ({ value, ...row }: WireRow): StoredRow {
-  return { ...row, value: value === null ? undefined : Buffer.from(value, 'base64') }
-}
-
-function decodeChanges ({ rows, version }: { rows: WireRow[], version: number }): RowChanges {
-  return { rows: rows.map(decodeRow), version }
-}
-
-/** Encodes a row for the answer to a relayed call. */
-export function encodeRow ({ value, ...row }: StoredRow): WireRow {
-  return { ...row, value: value === undefined ? null : Buffer.from(value).toString('base64') }
-}
-
-/** Encodes an outcome for the answer to a relayed call. */
-export function encodeRelayed<Value, Encoded> (outcome: Outcome<Value>, encode: (value: Value) => Encoded) {
-  return outcome.caseOf<{ ok: Encoded } | { failure: { certainty: string, reason: string, message: string } }>({
-    Left: ({ certainty, reason, message }) => ({ failure: { certainty, reason, message } }),
-    Right: (value) => ({ ok: encode(value) })
-  })
-}
--- a/packages/jobs/src/node/RemoteAdviser.ts
+++ b/packages/jobs/src/node/RemoteAdviser.ts
@@ -1,5 +1,6 @@
 import type { Advice, Adviser } from '../ports.ts'
-import { decodeRelayed, type Peer } from './FailoverStore.ts'
+import type { Peer } from './FailoverStore.ts'
+import { decodeRelayed } from './relayedCalls.ts'
 
 /** Time allowed for the RPC to the other node, on top of that for the advice, in ms. */
 const RPC_OVERHEAD_MS = 200
