Limit a commit of the owner to what its link transfers in 50 ms

An owner with a slow link and many changed jobs stored them late or never: copies of an unanswered commit follow after 60, 180, 420 and 900 ms, and all of them share the link.

The test failed before (commits of 503 kB on a link of 7 Mbit/s).

--- a/packages/jobs/src/constants/index.ts
+++ b/packages/jobs/src/constants/index.ts
@@ -67,6 +67,12 @@
 /** Maximum bytes in one commit of the owner; the platform accepts 1 MB including base64 encoding. */
 export const MAX_BYTES_PER_COMMIT = 500_000
 
+/**
+ * Longest time that the rows of one commit may take on the link of the owner's machine, in ms. Copies of an unanswered
+ * commit are sent from 60 ms on, and copies of a larger one would share the link with it until all of them time out.
+ */
+export const MAX_COMMIT_TRANSFER_MS = 50
+
 /** Delay before a commit whose copies have all failed is tried again, in ms. */
 export const COMMIT_RETRY_MS = 150
 
--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -38,8 +38,6 @@
   seeds: string[]
   /** Processors of this node's machine; may be a fraction. */
   processors: number
-  /** Bandwidth of the machine's network link, in Mbit/s. */
-  linkMbps: number
 }
 
 /** Handlers of the RPC methods that the nodes of a cell call on each other. */
--- a/packages/jobs/src/node/test.ts
+++ b/packages/jobs/src/node/test.ts
@@ -35,6 +35,26 @@
         expect(cell.checker.starts).to.be.lessThan(300)
       }
     },
+    {
+      name: 'divides the changes of many jobs into commits that a slow link can transfer',
+      options: { storeLatencyMs: 400, weakNodes: ['n0', 'n1', 'n2'] },
+      run: async (cell) => {
+        await clock.tickAsync(2_000)
+        const commitSizes: number[] = []
+        const { store } = cell.owner!
+        const commitDirectly = store.commit.bind(store)
+        store.commit = async (commit) => {
+          if (commit.partition === 'cell') commitSizes.push(sum(commit.puts.map(({ value }) => value.length)))
+          return await commitDirectly(commit)
+        }
+        const steps = Array.from({ length: 40 }, () => ({ demand: { cpuMillis: 1, memoryMb: 1, accelerators: 0 } }))
+        for (let index = 0; index < 90; index++) runInBackground(cell.submit(`00000000000${10_000 + index}`, steps))
+        await clock.tickAsync(5_000)
+        expect(sum(commitSizes)).to.be.greaterThan(200_000)
+        // 50 ms at 7 Mbit/s, and the row that crosses the limit.
+        expect(Math.max(...commitSizes)).to.be.lessThan(45_000)
+      }
+    },
     {
       name: 'runs the steps of a job in order and reports it as completed',
       run: async (cell) => {
@@ -461,3 +481,7 @@
     return await state
   }
 })
+
+function sum (values: number[]): number {
+  return values.reduce((total, value) => total + value, 0)
+}
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -39,6 +39,8 @@
   stopTimeoutMs: number
   /** Time for which the state of an ended job can be queried, in ms. */
   keepEndedMs: number
+  /** Bandwidth of this node's network link, in Mbit/s. */
+  linkMbps: number
   /** The previous owner has certainly ended and renews no task leases any more. */
   predecessorEnded: boolean
 }
@@ -109,7 +111,7 @@
     this.#commits = new GroupCommit(cell, ownership, {
       onStartStored: (task) => this.#tracker.start(task).catch(throwUncaught),
       onOwnershipLost: () => this.#handleOwnershipLost('another node has taken the cell over')
-    }, signal)
+    }, options.linkMbps, signal)
     const tracker = this.#tracker
     this.#workerManager = new WorkerManager({ ...dependencies, cell, tracker, breaker, sessions, signal }, {
       token: ownership.token,
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -1,5 +1,7 @@
 import { encodeProgress, type TrackedJob, type TaskInstance } from '../model/index.ts'
-import { MAX_BYTES_PER_COMMIT, MAX_ROWS_PER_COMMIT, OWNER_RENEW_MS } from '../constants/index.ts'
+import {
+  MAX_BYTES_PER_COMMIT, MAX_COMMIT_TRANSFER_MS, MAX_ROWS_PER_COMMIT, OWNER_RENEW_MS
+} from '../constants/index.ts'
 import type { Ownership } from '../ownership/index.ts'
 import { PROGRESS_TABLE } from '../records/index.ts'
 import type { JobState } from '../types.ts'
@@ -16,6 +18,12 @@
 /** Longest wait for ended runs to be stored before a worker is polled again, in ms; polls renew its task leases. */
 const STORED_WAIT_MS = 500
 
+/** Bytes that a link transfers in 1 ms, for each Mbit/s. */
+const BYTES_PER_MS_AND_MBPS = 125
+
+/** Bytes on the wire for each byte of a row, which is sent in base64. */
+const BASE64_EXPANSION = 4 / 3
+
 interface Batch {
   puts: Array<{ table: string, key: string, value: Uint8Array }>
   /** Jobs of the batch with the state that is written for them. */
@@ -39,6 +47,7 @@
   readonly #ownership: Ownership
   readonly #hooks: CommitHooks
   readonly #signal: AbortSignal
+  readonly #maxBytes: number
   /** Ids of ended jobs whose progress records are to be removed. */
   readonly #pendingRemovals: string[] = []
   readonly #workWaiters = new Notifier()
@@ -46,11 +55,14 @@
   /** Set by `close`: no commit follows the one in flight. */
   #closing = false
 
-  constructor (cell: Cell, ownership: Ownership, hooks: CommitHooks, signal: AbortSignal) {
+  /** @param linkMbps - Bandwidth of this node's network link, in Mbit/s; limits the size of a commit. */
+  constructor (cell: Cell, ownership: Ownership, hooks: CommitHooks, linkMbps: number, signal: AbortSignal) {
     this.#cell = cell
     this.#ownership = ownership
     this.#hooks = hooks
     this.#signal = signal
+    const transferableBytes = linkMbps * BYTES_PER_MS_AND_MBPS * MAX_COMMIT_TRANSFER_MS / BASE64_EXPANSION
+    this.#maxBytes = Math.min(MAX_BYTES_PER_COMMIT, transferableBytes)
     signal.addEventListener('abort', () => {
       this.wake()
       this.#storedWaiters.notifyAll()
@@ -140,7 +152,7 @@
     const batch: Batch = { puts: [], states: [], starts: [], endSequences: new Map() }
     let bytes = 0
     for (const job of this.#prioritizeDirtyJobs()) {
-      if (batch.puts.length >= MAX_ROWS_PER_COMMIT || bytes > MAX_BYTES_PER_COMMIT) break
+      if (batch.puts.length >= MAX_ROWS_PER_COMMIT || bytes > this.#maxBytes) break
       cell.dirty.delete(job)
       const value = encodeProgress(job)
       bytes += value.length
