--- a/packages/adapters/src/_lib/requestValidatedJson.ts
+++ b/packages/adapters/src/_lib/requestValidatedJson.ts
@@ -15,6 +15,8 @@
   /** Encoded as JSON. */
   body?: unknown
   timeoutMs: number
+  /** As for `sendRequest`. */
+  stallTimeoutMs?: number
 }
 
 const compiledSchemas = new WeakMap<TSchema, TypeCheck<TSchema>>()
@@ -24,7 +26,7 @@
  *
  * @param pool - Connections to the server.
  * @param schema - Schema of a successful response.
- * @param request - The request; `timeoutMs` includes reading the whole response.
+ * @param request - The request; without `stallTimeoutMs`, `timeoutMs` includes reading the whole response.
  * @returns The parsed body. The failure is `unknown` if the response is truncated, too large or does not match the
  * schema.
  *
--- a/packages/adapters/src/connectPlatform/test.ts
+++ b/packages/adapters/src/connectPlatform/test.ts
@@ -1,7 +1,7 @@
 import { connect, type Socket } from 'node:net'
 import { once } from 'node:events'
 import { expect } from 'chai'
-import { callControl, servePlatform, startProcess, type PlatformServer } from '@gypsumspring/standins'
+import { callControl, LinkProxy, servePlatform, startProcess, type PlatformServer } from '@gypsumspring/standins'
 import type { Failure } from '@gypsumspring/protocol'
 import { startRawServer, type RawResponse } from '../_lib/startRawServer.ts'
 import { MAX_RESPONSE_BYTES, MAX_REQUEST_BYTES, MAX_PLATFORM_CONNECTIONS } from '../constants/index.ts'
@@ -24,6 +24,29 @@
 
   afterEach(async () => { await platform.close() })
 
+  describe('a read whose transfer over a slow link takes longer than the timeout', () => {
+    const size = 400_000
+    const put = { checks: [], writes: [{ kind: 'put' as const, key: 'a', value: 'x'.repeat(size) }] }
+    const reads: Array<{ name: string, read: () => Promise<{ isRight: () => boolean }> }> = [
+      { name: 'an object', read: () => platform.objects.get('large') },
+      { name: 'a row', read: () => platform.table.read('a') },
+      { name: 'rows', read: () => platform.table.scan('') }
+    ]
+    for (const { name, read } of reads) {
+      it(`returns ${name}`, async () => {
+        const server = await servePlatform()
+        await server.objects.put('large', new Uint8Array(size))
+        await server.table.transact(put)
+        const link = new LinkProxy(new URL(server.url).host)
+        platform = connectPlatform({ platformUrl: `http://${await link.listen()}`, storeTimeoutMs: 250 })
+        link.setRate(800_000)
+        expect((await read()).isRight()).to.equal(true)
+        await link.close()
+        await server.close()
+      })
+    }
+  })
+
   describe('certainty of a failed table transaction', () => {
     const chunked = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
     const tooLarge = Buffer.concat([
--- a/packages/adapters/src/httpInventory/index.ts
+++ b/packages/adapters/src/httpInventory/index.ts
@@ -11,7 +11,7 @@
 
   /**
    * @param pool - Connections to the platform.
-   * @param timeoutMs - Timeout of a call, in ms.
+   * @param timeoutMs - Longest wait for the next part of the answer to a call, in ms.
    */
   constructor (pool: ConnectionPool, timeoutMs: number) {
     this.#pool = pool
@@ -19,7 +19,9 @@
   }
 
   async list (): Promise<Outcome<Machine[]>> {
-    const request = { method: 'GET' as const, path: '/v1/machines', timeoutMs: this.#timeoutMs }
-    return (await requestValidatedJson(this.#pool, MachinesResponse, request)).map(({ machines }) => machines)
+    const outcome = await requestValidatedJson(this.#pool, MachinesResponse, {
+      method: 'GET', path: '/v1/machines', timeoutMs: this.#timeoutMs, stallTimeoutMs: this.#timeoutMs
+    })
+    return outcome.map(({ machines }) => machines)
   }
 }
--- a/packages/adapters/src/httpObjectStore/index.ts
+++ b/packages/adapters/src/httpObjectStore/index.ts
@@ -14,7 +14,7 @@
 
   /**
    * @param pool - Connections to the platform.
-   * @param timeoutMs - Timeout of a call, in ms.
+   * @param timeoutMs - Timeout of a call, in ms; for reads, the longest wait for the next part of the answer.
    */
   constructor (pool: ConnectionPool, timeoutMs: number) {
     this.#pool = pool
@@ -45,7 +45,12 @@
     }
     const headers = body === undefined ? undefined : { 'content-type': 'application/octet-stream' }
     const outcome = await sendRequest(this.#pool, {
-      method, path: `/v1/objects/${encodedKey}`, headers, body, timeoutMs: this.#timeoutMs
+      method,
+      path: `/v1/objects/${encodedKey}`,
+      headers,
+      body,
+      timeoutMs: this.#timeoutMs,
+      ...method === 'GET' ? { stallTimeoutMs: this.#timeoutMs } : {}
     })
     if (outcome.isLeft()) return outcome as Outcome<never>
     const response = outcome.unsafeCoerce()
--- a/packages/adapters/src/httpTable/index.ts
+++ b/packages/adapters/src/httpTable/index.ts
@@ -13,7 +13,7 @@
 
   /**
    * @param pool - Connections to the platform.
-   * @param timeoutMs - Timeout of a call, in ms.
+   * @param timeoutMs - Timeout of a call, in ms; for reads, the longest wait for the next part of the answer.
    */
   constructor (pool: ConnectionPool, timeoutMs: number) {
     this.#pool = pool
@@ -39,6 +39,8 @@
   async #get<Schema extends TSchema> (schema: Schema, path: string, key: string): Promise<Outcome<Static<Schema>>> {
     const encoded = encodeKey(key)
     if (encoded === undefined) return notDone('invalid', 'the key contains a lone surrogate')
-    return await requestValidatedJson(this.#pool, schema, { method: 'GET', path: path + encoded, timeoutMs: this.#timeoutMs })
+    return await requestValidatedJson(this.#pool, schema, {
+      method: 'GET', path: path + encoded, timeoutMs: this.#timeoutMs, stallTimeoutMs: this.#timeoutMs
+    })
   }
 }
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -34,7 +34,7 @@
   }),
   inventoryMs: Milliseconds(2_000, 'interval between reads of the inventory of VMs'),
   slotReportMs: Milliseconds(50, 'interval between slot reports while requests wait'),
-  storeTimeoutMs: Milliseconds(1_000, 'timeout of calls to the table service and the object store'),
+  storeTimeoutMs: Milliseconds(1_000, 'timeout of calls to the table service and the object store; for reads, between two parts of the answer'),
   workersPerShard: Type.Integer({
     minimum: 0, maximum: 100_000, default: 0, description: 'maximum number of workers per shard; 0 makes one shard per failure domain'
   })
