--- a/packages/jobs/src/node/FailoverStore.ts
+++ b/packages/jobs/src/node/FailoverStore.ts
@@ -53,7 +53,7 @@
   /** Whether this node's own connection works. Once false, only a successful probe sets it again. */
   #isDirectlyReachable = true
   readonly #averageLatency = new LatencyAverage()
-  /** Abandon the direct calls of whose answer nothing has arrived yet. */
+  /** Direct calls without any part of an answer so far; aborting one abandons it. */
   readonly #pendingDirectCalls = new Set<AbortController>()
   /** Index of the peer that is asked next, modulo the number of peers. */
   #peerIndex = 0
