Relay calls to the store through the strongest node that reaches it

A node without a connection to the store kept to the peer that had answered last, also when that one had a link of 10 Mbit/s and stronger nodes were back.

Followers are now listed by the strength of their machines, and a peer that failed to relay a call comes last for 3 s. The test failed before: commits went through the weak node.

--- a/packages/jobs/src/node/FailoverStore.ts
+++ b/packages/jobs/src/node/FailoverStore.ts
@@ -42,6 +42,9 @@
 /** Most peers that are tried for one call. */
 const MAX_PEERS_PER_CALL = 2
 
+/** Time for which other peers are preferred to one that failed to relay a call, in ms. */
+const PEER_PAUSE_MS = 3_000
+
 /**
  * Calls the store over this node's own connection and, while that fails, through other nodes, since the store may be
  * unreachable for some nodes only.
@@ -55,13 +58,14 @@
   readonly #averageLatency = new LatencyAverage()
   /** Direct calls without any part of an answer so far; aborting one abandons it. */
   readonly #pendingDirectCalls = new Set<AbortController>()
-  /** Index of the peer that is asked next, modulo the number of peers. */
-  #peerIndex = 0
+  /** Monotonic time at which a peer last failed to relay a call, in ms. */
+  readonly #peerFailedAt = new WeakMap<Peer, number>()
   /** Monotonic time of the last answer of the store, in ms. */
   lastAnswerAt = 0
   /** Monotonic time of the last answer over this node's own connection, in ms. */
   #lastDirectAnswerAt = 0
 
+  /** @param peers - Returns the nodes that may relay calls, in order of preference. */
   constructor (direct: RecordStore, peers: () => Peer[], metrics: MetricsRecorder) {
     this.#direct = direct
     this.#peers = peers
@@ -232,12 +236,9 @@
   async #relay<Method extends RelayMethod, Value> (
     method: Method, params: CellParams<Method>, decode: (ok: RelayedValue<Method>) => Value, longPollMs = 0
   ): Promise<Outcome<Value>> {
-    const peers = this.#peers()
     const timeoutMs = RELAY_TIMEOUT_MS + LATENCY_FACTOR * this.#averageLatency.ms + longPollMs
     let last: Outcome<Value> = notDone('unavailable', 'the store is unreachable and no node can relay the call')
-    for (let attempt = 0; attempt < Math.min(MAX_PEERS_PER_CALL, peers.length); attempt++) {
-      // A peer that has relayed a call successfully is used for the next call too.
-      const peer = peers[this.#peerIndex % peers.length]!
+    for (const peer of this.#chooseRelays()) {
       this.#metrics.count('store_calls_relayed', { method })
       const answer = await peer.call(method, params, { timeoutMs })
       last = answer
@@ -247,11 +248,19 @@
         this.#recordAnswer()
         return last
       }
-      this.#peerIndex++
+      this.#peerFailedAt.set(peer, performance.now())
       if (failureOf(last)?.certainty === 'unknown' && method === 'cell.store.commit') return last
     }
     return last
   }
+
+  /** Chooses the peers to try for one call, in the order of the list, but those that have failed recently last. */
+  #chooseRelays (): Peer[] {
+    const hasFailed = (peer: Peer) =>
+      performance.now() - (this.#peerFailedAt.get(peer) ?? -Infinity) < PEER_PAUSE_MS
+    const peers = this.#peers()
+    return [...peers.filter((peer) => !hasFailed(peer)), ...peers.filter(hasFailed)].slice(0, MAX_PEERS_PER_CALL)
+  }
 }
 
 const NO_ANSWER: Outcome<never> = unknownEffect('timeout', 'no answer from the store')
--- a/packages/jobs/src/node/Followers.ts
+++ b/packages/jobs/src/node/Followers.ts
@@ -44,9 +44,9 @@
     return [...this.#byNode.values()]
   }
 
-  /** Lists the followers that reach the store over their own connection. */
+  /** Lists the followers that reach the store over their own connection, those on the strongest machines first. */
   listWithStoreAccess (): Follower[] {
-    return this.list().filter(({ hasStore }) => hasStore)
+    return this.list().filter(({ hasStore }) => hasStore).sort((a, b) => a.weakness - b.weakness)
   }
 
   /**
--- a/packages/jobs/src/node/test.ts
+++ b/packages/jobs/src/node/test.ts
@@ -319,6 +319,32 @@
         expect(await fetchState(cell, ID)).to.equal('completed')
       }
     },
+    {
+      name: 'writes through a node with a fast link again as soon as that one reaches the store',
+      options: { nodes: 4, weakNodes: ['n0', 'n1'] },
+      run: async (cell) => {
+        await clock.tickAsync(2_000)
+        const owner = cell.owner!
+        const strong = [...cell.nodes.values()].find(({ name }) => name !== owner.name && ['n2', 'n3'].includes(name))!
+        owner.store.fault = () => 'refused'
+        strong.store.fault = () => 'refused'
+        await clock.tickAsync(1_000)
+        const relays = new Set<string>()
+        for (const { name, store } of cell.nodes.values()) {
+          if (name === owner.name) continue
+          store.fault = (call, partition) => {
+            if (call === 'commit' && partition === 'cell') relays.add(name)
+            return undefined
+          }
+        }
+        await clock.tickAsync(4_000)
+        relays.clear()
+        runInBackground(cell.submit(ID, [{ count: 4 }]))
+        await clock.tickAsync(3_000)
+        expect(await fetchState(cell, ID)).to.equal('completed')
+        expect([...relays]).to.deep.equal([strong.name])
+      }
+    },
     {
       name: 'accepts and finishes jobs while half of the partitions of accepted jobs give no answer',
       run: async (cell) => {
