--- a/packages/protocol/src/rpc/test.ts
+++ b/packages/protocol/src/rpc/test.ts
@@ -84,44 +84,66 @@
   }
 })
 
+/** A server for tests whose answers are written by hand, and a client of it. */
+interface RawPeer {
+  client: RpcClient
+  /** The accepted connections in order. */
+  connections: Socket[]
+  close: () => void
+}
+
+/** One call that has arrived: the indexes of its connection and on that connection, and how to send its response. */
+interface ReceivedCall {
+  connection: number
+  call: number
+  socket: Socket
+  toFrame: (result: unknown) => string
+}
+
+async function servePeer (onCall: (received: ReceivedCall) => void): Promise<RawPeer> {
+  const connections: Socket[] = []
+  const server = createServer((socket) => {
+    const connection = connections.push(socket) - 1
+    let calls = 0
+    socket.on('error', () => {})
+    socket.pipe(split()).on('data', (line: string) => {
+      const { id } = JSON.parse(line)
+      const toFrame = (result: unknown) => `${JSON.stringify({ jsonrpc: '2.0', id, result })}\n`
+      onCall({ connection, call: calls++, socket, toFrame })
+    })
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const client = new RpcClient(`127.0.0.1:${(server.address() as AddressInfo).port}`)
+  const close = () => {
+    client.close()
+    server.close()
+    for (const socket of connections) socket.destroy()
+  }
+  return { client, connections, close }
+}
+
 /** Guards against large answers that never arrive over a slow link, because calls are given up while they come in. */
 describe('RpcClient on a slow link', () => {
   const TIMEOUT_MS = 100
   const PART_INTERVAL_MS = 40
 
-  let client: RpcClient
-  let close: () => void
+  let peer: RawPeer
+  afterEach(() => peer.close())
 
   /** Serves answers, one after the other, that arrive in parts, of which only the first `sentParts` are sent. */
   async function serveInParts (parts: number, sentParts: number): Promise<void> {
-    const sockets = new Set<Socket>()
-    const server = createServer((socket) => {
-      sockets.add(socket)
-      let delayMs = 0
-      socket.pipe(split()).on('data', (line: string) => {
-        const response = { jsonrpc: '2.0', id: JSON.parse(line).id, result: { index: 'x'.repeat(90) } }
-        const frame = `${JSON.stringify(response)}\n`
-        const size = Math.ceil(frame.length / parts)
-        for (let part = 0; part < sentParts; part++) {
-          delayMs += PART_INTERVAL_MS
-          setTimeout(() => socket.write(frame.slice(part * size, (part + 1) * size)), delayMs)
-        }
-      })
+    let delayMs = 0
+    peer = await servePeer(({ socket, toFrame }) => {
+      const frame = toFrame({ index: 'x'.repeat(90) })
+      const size = Math.ceil(frame.length / parts)
+      for (let part = 0; part < sentParts; part++) {
+        delayMs += PART_INTERVAL_MS
+        setTimeout(() => socket.write(frame.slice(part * size, (part + 1) * size)), delayMs)
+      }
     })
-    server.listen(0, '127.0.0.1')
-    await once(server, 'listening')
-    client = new RpcClient(`127.0.0.1:${(server.address() as AddressInfo).port}`)
-    close = () => {
-      server.close()
-      for (const socket of sockets) socket.destroy()
-    }
   }
 
-  afterEach(() => {
-    client.close()
-    close()
-  })
-
   const cases: Array<{ name: string, parts: number, sentParts: number, isAnswered: boolean }> = [
     { name: 'waits for an answer that keeps arriving after the timeout', parts: 8, sentParts: 8, isAnswered: true },
     { name: 'times out when an answer stops arriving', parts: 8, sentParts: 4, isAnswered: false },
@@ -130,7 +152,7 @@
   for (const { name, parts, sentParts, isAnswered } of cases) {
     it(name, async () => {
       await serveInParts(parts, sentParts)
-      const outcome = await client.call('config.fetch', params, { timeoutMs: TIMEOUT_MS })
+      const outcome = await peer.client.call('config.fetch', params, { timeoutMs: TIMEOUT_MS })
       if (isAnswered) expect(outcome.isRight()).to.equal(true)
       else expect(outcome.extract()).to.include({ certainty: 'unknown', reason: 'timeout' })
     })
@@ -138,45 +160,25 @@
 
   it('waits for an answer behind a large one on the same connection', async () => {
     await serveInParts(8, 8)
-    const calls = [1, 2].map(() => client.call('config.fetch', params, { timeoutMs: TIMEOUT_MS }))
+    const calls = [1, 2].map(() => peer.client.call('config.fetch', params, { timeoutMs: TIMEOUT_MS }))
     expect((await Promise.all(calls)).map((outcome) => outcome.isRight())).to.deep.equal([true, true])
   })
 })
 
 /** Guards against connections that went silent without being closed, over which every call would time out. */
 describe('RpcClient on a connection that is not answered', () => {
-  let client: RpcClient
-  let connections: Socket[]
-  let close: () => void
+  let peer: RawPeer
+  afterEach(() => peer.close())
 
   /** Serves connections whose `answer` decides, by connection and call, after how many ms a call is answered. */
   async function serve (answer: (connection: number, call: number) => number | undefined): Promise<void> {
-    connections = []
-    const server = createServer((socket) => {
-      const connection = connections.push(socket) - 1
-      let calls = 0
-      socket.on('error', () => {})
-      socket.pipe(split()).on('data', (line: string) => {
-        const delayMs = answer(connection, calls++)
-        const response = { jsonrpc: '2.0', id: JSON.parse(line).id, result: { index: null } }
-        if (delayMs !== undefined) setTimeout(() => socket.write(`${JSON.stringify(response)}\n`), delayMs)
-      })
+    peer = await servePeer(({ connection, call, socket, toFrame }) => {
+      const delayMs = answer(connection, call)
+      if (delayMs !== undefined) setTimeout(() => socket.write(toFrame({ index: null })), delayMs)
     })
-    server.listen(0, '127.0.0.1')
-    await once(server, 'listening')
-    client = new RpcClient(`127.0.0.1:${(server.address() as AddressInfo).port}`)
-    close = () => {
-      server.close()
-      for (const socket of connections) socket.destroy()
-    }
   }
 
-  afterEach(() => {
-    client.close()
-    close()
-  })
-
-  const call = (timeoutMs: number) => client.call('config.fetch', params, { timeoutMs })
+  const call = (timeoutMs: number) => peer.client.call('config.fetch', params, { timeoutMs })
 
   it('opens a new connection for the next call', async () => {
     await serve((connection) => connection === 0 ? undefined : 0)
@@ -190,8 +192,9 @@
     expect((await call(50)).isLeft()).to.equal(true)
     expect((await call(1_000)).isRight()).to.equal(true)
     expect((await pending).isRight()).to.equal(true)
-    expect(connections.length).to.equal(2)
-    if (!connections[0]!.closed) await once(connections[0]!, 'close')
+    expect(peer.connections.length).to.equal(2)
+    const [first] = peer.connections
+    if (!first!.closed) await once(first!, 'close')
   })
 
   it('reports a timeout, and no refusal, when the peer does not react to a new connection', async () => {
@@ -200,10 +203,15 @@
     const server = await startProcess('-e', { args: [script] })
     server.pause()
     // The kernel accepts connections on behalf of the paused process until the backlog is full.
-    connections = Array.from({ length: 4 }, () => connect(server.ready.port, '127.0.0.1').on('error', () => {}))
-    close = () => { for (const socket of connections) socket.destroy() }
+    const connections = Array.from({ length: 4 }, () =>
+      connect(server.ready.port, '127.0.0.1').on('error', () => {}))
+    const client = new RpcClient(`127.0.0.1:${server.ready.port}`)
+    const close = () => {
+      client.close()
+      for (const socket of connections) socket.destroy()
+    }
+    peer = { client, connections, close }
     await once(connections[0]!, 'connect')
-    client = new RpcClient(`127.0.0.1:${server.ready.port}`)
     expect((await call(50)).extract()).to.include({ certainty: 'not-done', reason: 'timeout' })
     await server.kill()
   })
@@ -214,6 +222,6 @@
     expect((await call(50)).isLeft()).to.equal(true)
     expect((await pending).isRight()).to.equal(true)
     expect((await call(1_000)).isRight()).to.equal(true)
-    expect(connections.length).to.equal(1)
+    expect(peer.connections.length).to.equal(1)
   })
 })
