Log for how long a lost worker was out of reach and whose lease limit ended

The timeline of the incident could not tell whether tasks of lost workers waited for a lease that this owner had granted or for a limit that it had taken over from earlier owners.

--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -116,7 +116,16 @@
   /** Requeues all tasks of a worker on which nothing runs any more. `reason` is also a label of a metric. */
   requeueLostTasks (worker: WorkerState, reason: string): void {
     if (worker.tasks.size === 0) return
-    this.#cell.log.warn({ worker: worker.id, tasks: worker.tasks.size, reason }, 'tasks of a worker are lost')
+    const now = this.#cell.now()
+    this.#cell.log.warn({
+      worker: worker.id,
+      tasks: worker.tasks.size,
+      reason,
+      unreachableMs: Math.round(now - (worker.unreachableSince ?? now)),
+      leaseEndedMs: Math.round(now - worker.leaseEndsBy),
+      // Whether the limit for the lease was taken over from an earlier owner.
+      inherited: !worker.hasAnswered
+    }, 'tasks of a worker are lost')
     this.#cell.metrics.count('tasks_lost', { reason }, worker.tasks.size)
     for (const task of [...worker.tasks]) this.#cell.requeue(task)
   }
--- a/packages/jobs/src/workers/WorkerState.ts
+++ b/packages/jobs/src/workers/WorkerState.ts
@@ -13,8 +13,8 @@
   fillerCpuMillis = 0
   /** Monotonic time by which every lease that was given to the worker has certainly expired, in ms. */
   leaseEndsBy: number
-  /** The worker has answered the last poll, and no start order has stayed unanswered since. */
-  reachable = false
+  /** Monotonic time since which the worker has not answered this owner, in ms; undefined while it is reachable. */
+  unreachableSince: number | undefined = performance.now()
   /** The worker has answered a poll since this owner took over, which fences earlier owners. */
   hasAnswered = false
   /** Monotonic time since which the worker is missing from the registry; undefined while it is registered. */
@@ -45,6 +45,15 @@
     return this.entry.id
   }
 
+  /** Whether the worker has answered the last poll, and no start order has stayed unanswered since. */
+  get reachable (): boolean {
+    return this.unreachableSince === undefined
+  }
+
+  set reachable (reachable: boolean) {
+    this.unreachableSince = reachable ? undefined : this.unreachableSince ?? performance.now()
+  }
+
   get acceptsTasks (): boolean {
     return this.hasAnswered && this.reachable && !this.hasUnownedRuns && !this.entry.draining &&
       this.unlistedSince === undefined
