--- /dev/null
+++ b/packages/jobs/src/loadPatterns/lostWorkers.test.ts
@@ -0,0 +1,79 @@
+import { expect } from 'chai'
+import type { Clock } from '@sinonjs/fake-timers'
+import type { MemoryCell } from '../standins/index.ts'
+import { describeCells, submitInBackground } from './describeCells.ts'
+
+const JOB = '00000000000000a1'
+const TASKS = 6
+const LOST = ['w0', 'w1']
+
+/**
+ * Time after the last disturbance in which a long-running task must run again if there is room, in ms. The operators
+ * allow 4 s without disturbances to recover in, and report a task that doesn't run in the 3 s after them.
+ */
+const RESTART_MS = 7_000
+
+/** Submits a long-running job with a task on each worker. */
+async function startLongRunningJob (cell: MemoryCell, clock: Clock): Promise<void> {
+  submitInBackground(cell, JOB, [{ count: TASKS, maxPerWorker: 2, longRunning: true }])
+  await clock.tickAsync(2_000)
+  expect(countRunning(cell)).to.equal(TASKS)
+}
+
+/** Ends some workers for good. The registry lists them until their entries expire. */
+function loseWorkers (cell: MemoryCell): void {
+  for (const id of LOST) {
+    cell.workers.workers.get(id)!.crash()
+    setTimeout(() => cell.workers.unlist(id), 1_500)
+  }
+}
+
+function countRunning (cell: MemoryCell): number {
+  const names = Array.from({ length: TASKS }, (_, index) => `${JOB}.0.0.${index}`)
+  return names.filter((name) => cell.checker.countRunning(name) === 1).length
+}
+
+describeCells('Workers lost together with the owner', [
+  {
+    // A new owner waited for the leases that the former one might have renewed for 8 s after its last commit.
+    name: 'have their long-running tasks started elsewhere after one takeover',
+    options: { workers: TASKS },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      loseWorkers(cell)
+      cell.killNode(cell.owner!.name)
+      await clock.tickAsync(RESTART_MS)
+      expect(countRunning(cell)).to.equal(TASKS)
+    }
+  },
+  {
+    // Each owner counted the leases of workers that it couldn't reach from its own takeover.
+    name: 'have their long-running tasks started elsewhere although the owner changes again and again',
+    options: { workers: TASKS, nodes: 4 },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      loseWorkers(cell)
+      for (let change = 0; change < 3; change++) {
+        cell.killNode(cell.owner!.name)
+        await clock.tickAsync(3_000)
+      }
+      await clock.tickAsync(RESTART_MS - 3_000)
+      expect(countRunning(cell)).to.equal(TASKS)
+    }
+  },
+  {
+    name: 'have their long-running tasks started elsewhere although the cell is handed over again and again',
+    options: { workers: TASKS, nodes: 4 },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      loseWorkers(cell)
+      for (let change = 0; change < 3; change++) {
+        await clock.tickAsync(2_500)
+        const handover = cell.owner!.cellNode.resign()
+        await clock.tickAsync(200)
+        await handover
+      }
+      expect(countRunning(cell)).to.equal(TASKS)
+    }
+  }
+])
