Store until when leases of earlier owners last, and which workers are lost

Callers saw tasks of lost workers wait 5.3 s more after each handover and 13.3 s more after each takeover, however long the workers had been lost.

Cause: an owner kept in memory until when the leases on a worker that doesn't answer can last. Its successor counted the longest lease from its own takeover, and each further one did so again.

Now the owner's record has the time, on the store's steady clock, by which all leases of earlier owners are over. A worker with tasks that doesn't answer for 1 s gets a record with the end of its leases and its address. No lease is renewed on it before that record is removed, so that later owners may rely on it, and they poll the recorded address.

An owner that received the cell grants no lease before its first own commit.

--- /dev/null
+++ b/packages/jobs/src/loadPatterns/isolatedOwner.test.ts
@@ -0,0 +1,63 @@
+import { expect } from 'chai'
+import type { Clock } from '@sinonjs/fake-timers'
+import type { MemoryCell } from '../standins/index.ts'
+import { describeCells, submitInBackground } from './describeCells.ts'
+
+const JOB = '00000000000000a1'
+const TASK = `${JOB}.0.0.0`
+
+/** Isolates the owner together with the worker that runs the only task, on which it goes on renewing the lease. */
+async function isolateOwner (cell: MemoryCell, clock: Clock): Promise<void> {
+  submitInBackground(cell, JOB, [{ longRunning: true }])
+  await clock.tickAsync(1_000)
+  const { name } = cell.owner!
+  const worker = [...cell.workers.workers.values()].find(({ runs }) => runs.size > 0)!.entry.id
+  cell.isolatedNodes.add(name)
+  cell.reachesWorker = (node, id) => (node === name) === (id === worker)
+  await clock.tickAsync(1_500)
+}
+
+/** The owner that the store knows; an isolated one takes itself for the owner too. */
+function findOwner (cell: MemoryCell) {
+  return [...cell.nodes.values()].find(({ name, up, cellNode }) =>
+    up && cellNode.isOwner && !cell.isolatedNodes.has(name))!
+}
+
+/** The next owner took the end of its predecessor for the end of all leases of owners before it. */
+const changes: Array<{ name: string, change: (cell: MemoryCell, clock: Clock) => Promise<void> }> = [
+  { name: 'no further change of the owner', change: async () => {} },
+  {
+    name: 'a handover by the second owner',
+    change: async (cell, clock) => {
+      const handover = findOwner(cell).cellNode.resign()
+      await clock.tickAsync(200)
+      await handover
+    }
+  },
+  {
+    name: 'a restart of the second owner',
+    change: async (cell, clock) => {
+      const { name } = findOwner(cell)
+      cell.killNode(name)
+      await clock.tickAsync(100)
+      cell.startNode(name)
+    }
+  },
+  {
+    name: 'an end of the second owner right after its takeover',
+    change: async (cell) => { cell.killNode(findOwner(cell).name) }
+  }
+]
+
+describeCells('An isolated owner that still reaches a worker', changes.map(({ name, change }) => ({
+  name: `runs no task twice after ${name}`,
+  options: { nodes: 4 },
+  run: async (cell, clock) => {
+    await isolateOwner(cell, clock)
+    expect(cell.checker.countRunning(TASK)).to.equal(1)
+    await change(cell, clock)
+    await clock.tickAsync(20_000)
+    expect(cell.checker.countRunning(TASK)).to.equal(1)
+    expect(cell.checker.starts).to.equal(2)
+  }
+})))
--- a/packages/jobs/src/node/messages.ts
+++ b/packages/jobs/src/node/messages.ts
@@ -28,7 +28,7 @@
   removes: Type.Array(RowAddress)
 })
 
-const Changes = Type.Object({ rows: Type.Array(Row), version: Count })
+const Changes = Type.Object({ rows: Type.Array(Row), version: Count, nowMs: Type.Optional(Type.Number()) })
 
 const JobStateName = Type.Union(['queued', 'running', 'completed', 'failed', 'cancelled'].map((state) =>
   Type.Literal(state)))
@@ -80,7 +80,7 @@
   'cell.store.commit': {
     params: CommitParams,
     result: relayedResult(Type.Union([
-      Type.Object({ kind: Type.Literal('committed'), version: Count }),
+      Type.Object({ kind: Type.Literal('committed'), version: Count, nowMs: Type.Optional(Type.Number()) }),
       Type.Object({ kind: Type.Literal('conflict'), rows: Type.Array(Row) })
     ]))
   },
--- a/packages/jobs/src/node/relayedCalls.ts
+++ b/packages/jobs/src/node/relayedCalls.ts
@@ -11,9 +11,9 @@
 
 /** A row as it is sent between nodes, with its value in base64. */
 interface WireRow { table: string, partition: string, key: string, version: number, value: string | null }
-interface WireChanges { rows: WireRow[], version: number }
+interface WireChanges { rows: WireRow[], version: number, nowMs?: number }
 interface RelayedValues {
-  'cell.store.commit': { kind: 'committed', version: number } | { kind: 'conflict', rows: WireRow[] }
+  'cell.store.commit': { kind: 'committed', version: number, nowMs?: number } | { kind: 'conflict', rows: WireRow[] }
   'cell.store.read': WireChanges
   'cell.store.readRow': WireRow | null
   'cell.store.changes': WireChanges
@@ -64,14 +64,14 @@
   return { ...row, value: value === null ? undefined : Buffer.from(value, 'base64') }
 }
 
-export function decodeChanges ({ rows, version }: WireChanges): RowChanges {
-  return { rows: rows.map(decodeRow), version }
+export function decodeChanges ({ rows, ...answer }: WireChanges): RowChanges {
+  return { ...answer, rows: rows.map(decodeRow) }
 }
 
 function encodeRow ({ value, ...row }: StoredRow): WireRow {
   return { ...row, value: value === undefined ? null : Buffer.from(value).toString('base64') }
 }
 
-function encodeChanges ({ rows, version }: RowChanges): WireChanges {
-  return { rows: rows.map(encodeRow), version }
+function encodeChanges ({ rows, ...answer }: RowChanges): WireChanges {
+  return { ...answer, rows: rows.map(encodeRow) }
 }
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -1,9 +1,9 @@
-import { throwUncaught, sleep } from '@gypsumspring/protocol'
+import { throwUncaught, sleep, type Outcome } from '@gypsumspring/protocol'
 import { TrackedJob, decodeProgress, type Progress } from '../model/index.ts'
 import { CLOCK_DRIFT, LEASE_SLACK_MS, STORE_OUTAGE_GRACE_MS, TICK_MS } from '../constants/index.ts'
-import type { Ownership, Transfer } from '../ownership/index.ts'
+import { CONTROL_TABLE, type Ownership, type Transfer } from '../ownership/index.ts'
 import type {
-  ConfigurationSource, MetricsRecorder, LogWriter, RecordStore, StoredRow, WorkerConnector, WorkerRegistry
+  ConfigurationSource, MetricsRecorder, LogWriter, RecordStore, RowChanges, StoredRow, WorkerConnector, WorkerRegistry
 } from '../ports.ts'
 import {
   CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, decodeJob
@@ -14,6 +14,7 @@
 import { JobCleanup } from './JobCleanup.ts'
 import { Rescheduler } from './Rescheduler.ts'
 import { GroupCommit } from './GroupCommit.ts'
+import { LostWorkerRecords } from './LostWorkerRecords.ts'
 import { TablePoller } from './TablePoller.ts'
 import { Placer } from './Placer.ts'
 import { RunTracker } from './RunTracker.ts'
@@ -41,7 +42,7 @@
   keepEndedMs: number
   /** Bandwidth of this node's network link, in Mbit/s. */
   linkMbps: number
-  /** The previous owner has certainly ended and renews no task leases any more. */
+  /** The previous owner, but not necessarily those before it, has ended and renews no task leases any more. */
   predecessorEnded: boolean
 }
 
@@ -68,6 +69,7 @@
   readonly #tracker: RunTracker
   readonly #rescheduler: Rescheduler
   readonly #workerManager: WorkerManager
+  readonly #lostWorkers: LostWorkerRecords
   readonly #commits: GroupCommit
   readonly #jobPoller: TablePoller
   readonly #cancelPoller: TablePoller
@@ -108,7 +110,8 @@
     this.#placer = new Placer(cell, this.#advice, breaker, (task) => this.#tracker.stop(task, 'wait'))
     this.#tracker = new RunTracker(cell, breaker, sessions, (reason) => this.#handleOwnershipLost(reason))
     this.#rescheduler = new Rescheduler(cell, this.#tracker, options.stopTimeoutMs)
-    this.#commits = new GroupCommit(cell, ownership, {
+    this.#lostWorkers = new LostWorkerRecords(cell, ownership.clock)
+    this.#commits = new GroupCommit(cell, this.#lostWorkers, ownership, {
       onStartStored: (task) => this.#tracker.start(task).catch(throwUncaught),
       onOwnershipLost: () => this.#handleOwnershipLost('another node has taken the cell over')
     }, options.linkMbps, signal)
@@ -119,7 +122,7 @@
       mayRenewLeases: () => performance.now() - ownership.confirmedAt < STORE_OUTAGE_GRACE_MS,
       waitUntilStored: (worker) => this.#commits.waitUntilStored(worker),
       onFenced: () => this.#handleOwnershipLost('a worker has accepted a higher fencing token'),
-      inheritedLeaseEnd: () => this.#inheritedLeaseEnd()
+      earlierLeasesEnd: () => ownership.earlierLeasesEnd ?? this.#computeEarlierLeasesEnd()
     })
     this.#cleanup = new JobCleanup(cell, store, options.keepEndedMs, (id) => {
       this.#cancelledIds.delete(id)
@@ -139,13 +142,18 @@
 
   /** Restores the state of the cell from the store and the worker registry, and starts to schedule. */
   async start (): Promise<void> {
-    const { log, registry, metrics } = this.#dependencies
+    const { log, registry } = this.#dependencies
     this.#committing = this.#commits.run().finally(() => { this.#commitsEnded = true })
     this.#committing.catch(throwUncaught)
-    const [listed, isRead] = await Promise.all([
-      readWithRetry(() => registry.list(), 'workers', this.#abortController.signal, metrics), this.#readProgress()
+    const [listed, control, progress] = await Promise.all([
+      this.#readUntilKnown(() => registry.list(), 'workers'),
+      this.#readUntilKnown(() => this.#readControl(), CONTROL_TABLE),
+      this.#readUntilKnown(() => this.#dependencies.store.read(PROGRESS_TABLE, CELL_PARTITION), PROGRESS_TABLE)
     ])
-    if (listed === undefined || !isRead) return
+    if (this.#isEnded || listed === undefined || control === undefined || progress === undefined) return
+    this.#ownership.earlierLeasesEnd = this.#computeEarlierLeasesEnd()
+    for (const worker of this.#lostWorkers.restore(control.rows)) this.#workerManager.addLost(worker)
+    this.#restoreProgress(progress.rows)
     for (const worker of listed.workers) this.#workerManager.add(worker)
     this.#recovered = true
     this.#tickTimer = setInterval(() => this.#onTick(), TICK_MS)
@@ -153,6 +161,8 @@
       token: this.token,
       jobs: this.cell.active.size,
       workers: this.cell.workers.size,
+      // Workers that don't answer keep their tasks until then at most.
+      earlierLeasesEndInMs: Math.round(this.#ownership.earlierLeasesEnd - performance.now()),
       tookMs: Math.round(performance.now() - this.#claimedAt)
     }, 'cell recovered')
     this.#workerManager.run(listed.version).catch(throwUncaught)
@@ -171,7 +181,8 @@
     this.#shutDown()
     if (!this.#commitsEnded) this.#ownership.abandon()
     if (this.#ownership.isLost) return undefined
-    return await this.#ownership.transfer(this.#commits.takeFinalRows(), successor)
+    return await this.#ownership.transfer(this.#commits.takeFinalRows(),
+      performance.now() + this.#longestLeaseMs, successor)
   }
 
   /** Adds a job that is already stored. */
@@ -232,23 +243,27 @@
     this.#abortController.abort()
   }
 
+  /** Reads until the store answers; undefined when the owner has ended. `what` is a label of a metric. */
+  async #readUntilKnown<Value> (read: () => Promise<Outcome<Value>>, what: string): Promise<Value | undefined> {
+    return await readWithRetry(read, what, this.#abortController.signal, this.#dependencies.metrics)
+  }
+
+  async #readControl (): Promise<Outcome<RowChanges>> {
+    const sentAt = performance.now()
+    const answer = await this.#dependencies.store.read(CONTROL_TABLE, CELL_PARTITION)
+    return answer.ifRight(({ nowMs }) => this.#ownership.clock.record(nowMs, sentAt))
+  }
+
   /**
-   * Reads the progress records that earlier owners stored. Job rows without a progress record are read later, since
+   * Restores the progress records that earlier owners stored. Job rows without a progress record are read later, since
    * their partitions may be unavailable.
-   *
-   * @returns false when the owner has ended
    */
-  async #readProgress (): Promise<boolean> {
-    const { store, log, metrics } = this.#dependencies
-    const read = await readWithRetry(() => store.read(PROGRESS_TABLE, CELL_PARTITION), PROGRESS_TABLE,
-      this.#abortController.signal, metrics)
-    if (this.#isEnded || read === undefined) return false
-    for (const { key, value } of read.rows) {
+  #restoreProgress (rows: readonly StoredRow[]): void {
+    for (const { key, value } of rows) {
       const progress = value === undefined ? undefined : decodeProgress(value)
       if (progress !== undefined) this.#addJob(progress.job ?? placeholderJob(key), progress)
-      else log.warn({ job: key }, 'progress record is malformed')
+      else this.#dependencies.log.warn({ job: key }, 'progress record is malformed')
     }
-    return true
   }
 
   #handleJobRow ({ key, value }: StoredRow): void {
@@ -289,11 +304,19 @@
     }
   }
 
-  /** Monotonic time by which leases from earlier owners have ended on a worker that can't be reached, in ms. */
-  #inheritedLeaseEnd (): number {
-    const renewalGraceMs = this.#options.predecessorEnded ? 0 : STORE_OUTAGE_GRACE_MS
-    return this.#claimedAt + renewalGraceMs + chooseLeaseMs(this.#options.leaseLimitMs) * (1 + CLOCK_DRIFT) +
-      LEASE_SLACK_MS
+  /** Monotonic time by which all leases that earlier owners granted are over, in ms. */
+  #computeEarlierLeasesEnd (): number {
+    const { clock, earlierLeasesEndAt, isTransferred } = this.#ownership
+    const longest = this.#claimedAt + STORE_OUTAGE_GRACE_MS + this.#longestLeaseMs
+    const stored = earlierLeasesEndAt === null ? longest : clock.toMonotonic(earlierLeasesEndAt) ?? longest
+    // The previous owner has stored the end of its own leases together with the transfer.
+    if (isTransferred) return stored
+    return Math.max(stored, this.#options.predecessorEnded ? this.#claimedAt + this.#longestLeaseMs : longest)
+  }
+
+  /** Time from a renewal until the lease is certainly over, in ms. */
+  get #longestLeaseMs (): number {
+    return chooseLeaseMs(this.#options.leaseLimitMs) * (1 + CLOCK_DRIFT) + LEASE_SLACK_MS
   }
 
   /** Creates the tasks of all occurrences that are due and were not opened yet. */
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -8,6 +8,7 @@
 import type { WorkerState } from '../workers/WorkerState.ts'
 import { Notifier } from '../notifier/Notifier.ts'
 import type { Cell } from './Cell.ts'
+import { MAX_LOST_WORKER_ROWS, toRowAddress, type LostWorkerRecords } from './LostWorkerRecords.ts'
 
 /** Commits that take longer are logged, in ms; a commit usually takes 13 ms. */
 const SLOW_COMMIT_MS = 200
@@ -32,6 +33,8 @@
   starts: Array<{ task: TaskInstance, run: number }>
   /** Sequence number of the last ended run that this batch stores, by worker. */
   endSequences: Map<WorkerState, number>
+  /** Ids of the workers whose records as lost are removed. */
+  foundWorkers: string[]
 }
 
 export interface CommitHooks {
@@ -44,6 +47,7 @@
 /** Stores the progress of all changed jobs in batches, one commit at a time. */
 export class GroupCommit {
   readonly #cell: Cell
+  readonly #lostWorkers: LostWorkerRecords
   readonly #ownership: Ownership
   readonly #hooks: CommitHooks
   readonly #signal: AbortSignal
@@ -56,8 +60,12 @@
   #closing = false
 
   /** @param linkMbps - Bandwidth of this node's network link, in Mbit/s; limits the size of a commit. */
-  constructor (cell: Cell, ownership: Ownership, hooks: CommitHooks, linkMbps: number, signal: AbortSignal) {
+  constructor (
+    cell: Cell, lostWorkers: LostWorkerRecords, ownership: Ownership, hooks: CommitHooks, linkMbps: number,
+    signal: AbortSignal
+  ) {
     this.#cell = cell
+    this.#lostWorkers = lostWorkers
     this.#ownership = ownership
     this.#hooks = hooks
     this.#signal = signal
@@ -75,8 +83,10 @@
       if (this.#cell.dirty.size === 0 && !this.#hasUnstoredEnds()) await this.#waitForWork()
       if (this.#isOver) return
       const batch = this.#takeBatch()
-      const removable = Math.min(MAX_REMOVALS_PER_COMMIT, MAX_ROWS_PER_COMMIT - batch.puts.length)
-      const removes = this.#pendingRemovals.splice(0, removable).map((key) => ({ table: PROGRESS_TABLE, key }))
+      const found = batch.foundWorkers.map(toRowAddress)
+      const removable = Math.min(MAX_REMOVALS_PER_COMMIT, MAX_ROWS_PER_COMMIT - batch.puts.length - found.length)
+      const ended = this.#pendingRemovals.splice(0, Math.max(0, removable))
+      const removes = [...found, ...ended.map((key) => ({ table: PROGRESS_TABLE, key }))]
       const sentAt = performance.now()
       const isOwner = await this.#ownership.commit(batch.puts, removes)
       const tookMs = Math.round(performance.now() - sentAt)
@@ -149,10 +159,12 @@
 
   #takeBatch (): Batch {
     const cell = this.#cell
-    const batch: Batch = { puts: [], states: [], starts: [], endSequences: new Map() }
+    const puts = this.#lostWorkers.takeWrites()
+    const maxRows = MAX_ROWS_PER_COMMIT - (this.#lostWorkers.hasRecords ? MAX_LOST_WORKER_ROWS : 0)
+    const batch: Batch = { puts, states: [], starts: [], endSequences: new Map(), foundWorkers: [] }
     let bytes = 0
     for (const job of this.#prioritizeDirtyJobs()) {
-      if (batch.puts.length >= MAX_ROWS_PER_COMMIT || bytes > this.#maxBytes) break
+      if (batch.puts.length >= maxRows || bytes > this.#maxBytes) break
       cell.dirty.delete(job)
       const value = encodeProgress(job)
       bytes += value.length
@@ -169,6 +181,7 @@
         if (storedEndSequence < processedEndSequence) batch.endSequences.set(worker, processedEndSequence)
       }
     }
+    batch.foundWorkers = this.#lostWorkers.takeRemovals(cell.dirty.size === 0)
     return batch
   }
 
@@ -184,6 +197,7 @@
     for (const [worker, sequence] of batch.endSequences) {
       worker.storedEndSequence = Math.max(worker.storedEndSequence, sequence)
     }
+    this.#lostWorkers.handleRemoved(batch.foundWorkers)
     for (const { task, run } of batch.starts) {
       if (task.status === 'starting' && task.run === run && !task.orderSent) this.#hooks.onStartStored(task)
     }
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -9,6 +9,7 @@
 import type { RunTracker } from './RunTracker.ts'
 import { WorkerSession, type WorkerSessionContext } from './WorkerSession.ts'
 import type { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
+import type { LostWorker } from './LostWorkerRecords.ts'
 import { readWithRetry } from './readWithRetry.ts'
 
 /** Time until a draining worker is assumed to leave when its entry gives none, in ms. */
@@ -39,8 +40,8 @@
 > {
   /** Called when a worker has already accepted a higher token, from a newer owner. */
   onFenced (): void
-  /** Monotonic time by which all task leases granted by earlier owners have ended, in ms. */
-  inheritedLeaseEnd (): number
+  /** Monotonic time by which all task leases granted by earlier owners are over, in ms. */
+  earlierLeasesEnd (): number
 }
 
 /** Tracks the workers of a cell as the registry lists, changes and removes them, with a session for each. */
@@ -68,14 +69,29 @@
   }
 
   add (entry: WorkerEntry): void {
-    const { cell, sessions, connector, tracker } = this.#dependencies
+    const { cell, sessions } = this.#dependencies
     const known = cell.workers.get(entry.id)
     if (known !== undefined && sessions.has(entry.id)) {
       this.#update(known, entry)
       return
     }
-    const worker = known ?? new WorkerState(entry, this.#context.inheritedLeaseEnd())
+    const worker = known ?? new WorkerState(entry, this.#context.earlierLeasesEnd())
     cell.workers.set(entry.id, worker)
+    this.#openSession(worker, entry)
+    this.#update(worker, entry)
+  }
+
+  /** Adds a worker that an earlier owner has recorded as lost. It is polled, since it may be reachable again. */
+  addLost ({ entry, leaseEndsBy }: LostWorker): void {
+    const worker = new WorkerState(entry, leaseEndsBy)
+    worker.isRecordedAsLost = true
+    worker.unlistedSince = performance.now()
+    this.#dependencies.cell.workers.set(entry.id, worker)
+    this.#openSession(worker, entry)
+  }
+
+  #openSession (worker: WorkerState, entry: WorkerEntry): void {
+    const { cell, sessions, connector, tracker } = this.#dependencies
     const { token, leaseMs, mayRenewLeases, waitUntilStored, onFenced } = this.#context
     const session = new WorkerSession(worker, connector.open(entry), {
       token,
@@ -92,7 +108,6 @@
       }
     })
     sessions.set(entry.id, session)
-    this.#update(worker, entry)
     if (this.#started) session.run().catch(throwUncaught)
   }
 
@@ -102,7 +117,7 @@
     const id = task.worker!
     let worker = cell.workers.get(id)
     if (worker === undefined) {
-      worker = new WorkerState(placeholderEntry(id), this.#context.inheritedLeaseEnd())
+      worker = new WorkerState(placeholderEntry(id), this.#context.earlierLeasesEnd())
       worker.unlistedSince = performance.now()
       cell.workers.set(id, worker)
     }
--- a/packages/jobs/src/owner/WorkerSession.ts
+++ b/packages/jobs/src/owner/WorkerSession.ts
@@ -97,7 +97,9 @@
 
   /** Extends the lease. Returns its end on the worker's clock, or undefined when none may be granted. */
   #renewLease (): number | undefined {
-    if (this.#clockReading === undefined || !this.#context.mayRenewLeases()) return undefined
+    if (this.#clockReading === undefined || this.state.isRecordedAsLost || !this.#context.mayRenewLeases()) {
+      return undefined
+    }
     const now = performance.now()
     const { leaseMs } = this.#context
     const endsBy = now + leaseMs * (1 + CLOCK_DRIFT) + LEASE_SLACK_MS
--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -4,6 +4,7 @@
 import { COMMIT_RETRY_MS } from '../constants/index.ts'
 import { commitHedged } from '../commitHedged/index.ts'
 import type { Commit, CommitResult, RecordStore, RowAddress, StoredRow } from '../ports.ts'
+import { StoreClock } from '../storeClock/StoreClock.ts'
 
 /** Most attempts at a claim; the answer to a repeat tells whether an earlier attempt has succeeded. */
 const CLAIM_ATTEMPTS = 4
@@ -25,7 +26,12 @@
   /** Increases with each commit of the owner. */
   sequence: Type.Integer({ minimum: 0 }),
   /** The owner has stopped, so that the cell can be claimed at once. */
-  released: Type.Boolean()
+  released: Type.Boolean(),
+  /**
+   * Time on the store's clock by which all task leases that owners before this one have granted are over, in ms; null
+   * or absent until this owner has stored it.
+   */
+  earlierLeasesEndAt: Type.Optional(Type.Union([Type.Number(), Type.Null()]))
 })
 export type OwnerRecord = Static<typeof OwnerRecord>
 
@@ -72,25 +78,39 @@
   #record: OwnerRecord
   #version: number
   #lost = false
-  /** Monotonic time at which the last successful commit was sent, in ms. */
-  confirmedAt: number
+  readonly clock = new StoreClock()
+  /**
+   * What the previous owner stored: the time on the store's clock by which all leases granted before it (or, after a
+   * transfer, also by it) are over, in ms; null when that is not known.
+   */
+  readonly earlierLeasesEndAt: number | null
+  /** The previous owner has transferred the cell to this node. */
+  readonly isTransferred: boolean
+  /** Monotonic time at which the last successful commit was sent, in ms; -Infinity before this node's first one. */
+  confirmedAt = -Infinity
+  /** Monotonic time by which all leases of earlier owners are over, in ms; stored with the next commit. */
+  earlierLeasesEnd: number | undefined
 
   private constructor (
-    store: RecordStore, partition: string, record: OwnerRecord, version: number, confirmedAt: number
+    store: RecordStore, partition: string, record: OwnerRecord, version: number,
+    earlier: { leasesEndAt: number | null, isTransferred: boolean }
   ) {
     this.#store = store
     this.#partition = partition
     this.#record = record
     this.#version = version
-    this.confirmedAt = confirmedAt
+    this.earlierLeasesEndAt = earlier.leasesEndAt
+    this.isTransferred = earlier.isTransferred
   }
 
   /** Claims the cell if its owner row is still `previous`; fails with `conflict` when another node was faster. */
   static async claim (
     store: RecordStore, partition: string, previous: OwnerRow, self: { node: string, address: string }
   ): Promise<Outcome<Ownership>> {
-    const record = { ...self, token: (previous.record?.token ?? 0) + 1, sequence: 0, released: false }
-    const ownership = new Ownership(store, partition, record, previous.version, performance.now())
+    const token = (previous.record?.token ?? 0) + 1
+    const record = { ...self, token, sequence: 0, released: false, earlierLeasesEndAt: null }
+    const leasesEndAt = previous.record === undefined ? 0 : previous.record.earlierLeasesEndAt ?? null
+    const ownership = new Ownership(store, partition, record, previous.version, { leasesEndAt, isTransferred: false })
     const written = await ownership.#write({ ...record }, [], [], CLAIM_ATTEMPTS)
     const lost = notDone('conflict', 'another node took the cell over')
     return written.chain((committed) => committed ? done(ownership) : lost)
@@ -106,26 +126,37 @@
 
   /** Writes rows of the cell; retries while the store is unreachable. Resolves with false when ownership was lost. */
   async commit (puts: Commit['puts'], removes: RowAddress[] = []): Promise<boolean> {
-    const record = { ...this.#record, sequence: this.#record.sequence + 1 }
+    const record = { ...this.#continuedRecord(), sequence: this.#record.sequence + 1 }
     const written = await this.#write(record, puts, removes, Infinity)
     return written.orDefault(false)
   }
 
   /** Continues an ownership that the previous owner has transferred to this node. */
   static resume (store: RecordStore, partition: string, { record, version }: Transfer): Ownership {
-    return new Ownership(store, partition, record, version, performance.now())
+    const leasesEndAt = record.earlierLeasesEndAt ?? null
+    return new Ownership(store, partition, record, version, { leasesEndAt, isTransferred: true })
   }
 
   /**
    * Writes rows of the cell for the last time and transfers the cell to another node or, without one, releases it, so
    * that the next owner does not have to wait for a timeout.
    *
+   * @param ownLeasesEnd - Monotonic time by which all leases that this owner has granted are over, in ms.
    * @returns What the successor needs to continue; undefined when the cell was released or the write failed.
    */
-  async transfer (puts: Commit['puts'], successor?: { node: string, address: string }): Promise<Transfer | undefined> {
+  async transfer (
+    puts: Commit['puts'], ownLeasesEnd: number, successor?: { node: string, address: string }
+  ): Promise<Transfer | undefined> {
+    const current = this.#continuedRecord()
     const record = successor === undefined
-      ? { ...this.#record, sequence: this.#record.sequence + 1, released: true }
-      : { ...successor, token: this.token + 1, sequence: 0, released: false }
+      ? { ...current, sequence: current.sequence + 1, released: true }
+      : {
+          ...successor,
+          token: this.token + 1,
+          sequence: 0,
+          released: false,
+          earlierLeasesEndAt: latest(current.earlierLeasesEndAt, this.clock.toStore(ownLeasesEnd))
+        }
     const written = await this.#write(record, puts, [], TRANSFER_ATTEMPTS)
     this.#lost = true
     return written.orDefault(false) && successor !== undefined ? { record, version: this.#version } : undefined
@@ -136,6 +167,12 @@
     this.#lost = true
   }
 
+  /** The record of this owner with the end of earlier leases as far as it is known. */
+  #continuedRecord (): OwnerRecord {
+    if (typeof this.#record.earlierLeasesEndAt === 'number' || this.earlierLeasesEnd === undefined) return this.#record
+    return { ...this.#record, earlierLeasesEndAt: this.clock.toStore(this.earlierLeasesEnd) ?? null }
+  }
+
   async #write (
     record: OwnerRecord, puts: Commit['puts'], removes: RowAddress[], attempts: number
   ): Promise<Outcome<boolean>> {
@@ -167,9 +204,15 @@
       this.#lost = true
       return false
     }
+    if (result.kind === 'committed') this.clock.record(result.nowMs, sentAt)
     this.#record = record
     this.#version = version
     this.confirmedAt = sentAt
     return true
   }
 }
+
+/** Returns the later of two times; null when one of them is unknown. */
+function latest (first: number | null | undefined, second: number | undefined): number | null {
+  return typeof first === 'number' && second !== undefined ? Math.max(first, second) : null
+}
--- a/packages/jobs/src/ownership/test.ts
+++ b/packages/jobs/src/ownership/test.ts
@@ -61,10 +61,33 @@
     expect(stored()).to.equal('')
   })
 
+  // Without it, each owner would have to wait for the longest lease that any earlier one may have granted.
+  const ends: Array<{ name: string, earlier: number | undefined, own: number, expected: number | null }> = [
+    { name: 'its own leases, if they end last', earlier: 9_000, own: 12_000, expected: 12_000 },
+    { name: 'earlier leases, if they end last', earlier: 14_000, own: 12_000, expected: 14_000 },
+    { name: 'no leases, if it does not know the earlier ones', earlier: undefined, own: 12_000, expected: null }
+  ]
+  for (const { name, earlier, own, expected } of ends) {
+    it(`tells its successor the end of ${name}`, async () => {
+      const store = new MemoryRecordStore(rows)
+      const vacant = { ...VACANT, record: { node: 'n', address: 'n', token: 1, sequence: 0, released: false } }
+      const old = (await settle(Ownership.claim(store, CELL, vacant, { node: 'n0', address: 'n0' }))).unsafeCoerce()
+      old.earlierLeasesEnd = earlier
+      await settle(old.commit([]))
+      const transfer = await settle(old.transfer([], own, { node: 'n1', address: 'n1' }))
+      const next = Ownership.resume(store, CELL, transfer!)
+      await settle(next.commit([]))
+      const { earlierLeasesEndAt } = next
+      const end = earlierLeasesEndAt === null ? null : next.clock.toMonotonic(earlierLeasesEndAt)!
+      if (expected === null) expect(end).to.equal(null)
+      else expect(end).to.be.within(expected, expected + 20)
+    })
+  }
+
   it('continues at the successor after a transfer and rejects commits of the previous owner', async () => {
     const store = new MemoryRecordStore(rows)
     const old = (await settle(Ownership.claim(store, CELL, VACANT, { node: 'n0', address: 'n0' }))).unsafeCoerce()
-    const transfer = await settle(old.transfer([put('last')], { node: 'n1', address: 'n1' }))
+    const transfer = await settle(old.transfer([put('last')], 8_000, { node: 'n1', address: 'n1' }))
     const next = Ownership.resume(store, CELL, transfer!)
     expect(await settle(next.commit([put('next')]))).to.equal(true)
     expect(await settle(old.commit([put('old')]))).to.equal(false)
--- a/packages/jobs/src/ports.ts
+++ b/packages/jobs/src/ports.ts
@@ -27,7 +27,8 @@
 }
 
 export type CommitResult =
-  | { kind: 'committed', version: number }
+  /** `nowMs` is the time on the store's steady clock when it answered; undefined when it doesn't tell. */
+  | { kind: 'committed', version: number, nowMs?: number }
   /** An expected version did not match and nothing was written; `rows` are the current rows of `expected`. */
   | { kind: 'conflict', rows: StoredRow[] }
 
@@ -35,6 +36,8 @@
   rows: StoredRow[]
   /** Version of the store as of this answer, from which the next read continues. */
   version: number
+  /** Time on the store's steady clock when it answered, in ms; undefined when it doesn't tell. */
+  nowMs?: number
 }
 
 export interface ReadOptions {
--- a/packages/jobs/src/standins/MemoryCell.ts
+++ b/packages/jobs/src/standins/MemoryCell.ts
@@ -47,6 +47,10 @@
   readonly workers = new MemoryWorkers()
   readonly nodes = new Map<string, MemoryNode>()
   readonly queues: Queue[] = [createQueue('batch')]
+  /** Names of the nodes that are cut off from the other nodes and from the store. */
+  readonly isolatedNodes = new Set<string>()
+  /** Whether a node reaches a worker. */
+  reachesWorker: (node: string, worker: string) => boolean = () => true
   readonly #options: Options
   readonly #handlers = new Map<string, CellHandlers>()
   /** All nodes that were ever started, including killed and replaced ones. */
@@ -81,12 +85,16 @@
     const store = new MemoryRecordStore(this.rows, { latencyMs: this.#options.storeLatencyMs })
     const isUp = () => this.nodes.get(name) === node && node.up
     const cellNode = new CellNode({
-      store: blockCallsWhenDown(store, isUp),
+      store: interceptCalls(blockCallsWhenDown(store, isUp), () =>
+        this.isolatedNodes.has(name) ? timeOut() : undefined),
       registry: () => this.workers,
-      connector: { open: (entry) => blockCallsWhenDown(this.workers.open(entry), isUp) },
+      connector: {
+        open: (entry) => interceptCalls(blockCallsWhenDown(this.workers.open(entry), isUp), () =>
+          this.reachesWorker(name, entry.id) ? undefined : timeOut())
+      },
       adviser: this.#options.createAdviser?.() ?? new AllowAllAdviser(),
       configuration: { current: () => ({ version: 1, queues: this.queues }) },
-      connect: (address) => this.#connect(address, isUp),
+      connect: (address) => this.#connect(address, () => isUp() && !this.isolatedNodes.has(name)),
       log: this.#options.log ?? NO_LOG,
       metrics: NO_METRICS
     }, {
@@ -177,6 +185,7 @@
     const call = async (method: string, params: unknown): Promise<Outcome<never>> => {
       await sleep(LATENCY_MS)
       if (!isUp()) return await new Promise(() => {})
+      if (this.isolatedNodes.has(address)) return await timeOut()
       const handler = this.#handlers.get(address)?.[method as keyof CellHandlers] as ((params: unknown) =>
       unknown) | undefined
       if (handler === undefined) return notDone('unavailable', 'connection refused')
@@ -201,18 +210,30 @@
 
 /** Wraps an object so that method calls of a killed process have no effect and never settle. */
 function blockCallsWhenDown<Target extends object> (target: Target, isUp: () => boolean): Target {
+  return interceptCalls(target, () => isUp() ? undefined : new Promise(() => {}))
+}
+
+/** Wraps an object so that method calls have no effect while `intercept` returns an answer, which they get instead. */
+function interceptCalls<Target extends object> (
+  target: Target, intercept: () => Promise<unknown> | undefined
+): Target {
   return new Proxy(target, {
     get (object, name) {
       const member = Reflect.get(object, name) as unknown
       if (typeof member !== 'function') return member
-      return (...args: unknown[]) => isUp()
-        ? (member as (...values: unknown[]) => unknown).apply(object,
-            args)
-        : new Promise(() => {})
+      return (...args: unknown[]) => intercept() ?? (member as (...values: unknown[]) => unknown).apply(object, args)
     }
   })
 }
 
+/** Time after which a call over a link that is cut fails, in ms. */
+const LINK_TIMEOUT_MS = 250
+
+async function timeOut (): Promise<Outcome<never>> {
+  await sleep(LINK_TIMEOUT_MS)
+  return unknownEffect('timeout', 'the link is cut')
+}
+
 /** Creates a queue with default settings. */
 export function createQueue (name: string, changes: Partial<Queue> = {}): Queue {
   return { name, pool: 'pool', priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 500, ...changes }
--- a/packages/jobs/src/standins/MemoryRecordStore.ts
+++ b/packages/jobs/src/standins/MemoryRecordStore.ts
@@ -19,6 +19,9 @@
 /** Delay of a `late` call, in ms. */
 const LATE_MS = 2_000
 
+/** Offset of the store's clock from the process clock, in ms, so that code that assumes equal clocks fails. */
+const CLOCK_OFFSET_MS = 5_000_000
+
 /** Timeout of a call without an answer, in ms. */
 const TIMEOUT_MS = 1_500
 
@@ -31,6 +34,11 @@
   oldest = 0
   readonly changed = new Notifier()
 
+  /** Reading of the store's steady clock, which differs from the clocks of the processes. */
+  get nowMs (): number {
+    return performance.now() + CLOCK_OFFSET_MS
+  }
+
   apply (commit: Commit): CommitResult {
     const { partition } = commit
     const current = commit.expected.map(({ table, key }) => this.rows.get(name(table, partition, key)) ??
@@ -57,7 +65,7 @@
       })
     }
     this.changed.notifyAll()
-    return { kind: 'committed', version: this.version }
+    return { kind: 'committed', version: this.version, nowMs: this.nowMs }
   }
 
   /** Drops the history, as the platform does from time to time. */
@@ -100,7 +108,7 @@
   read (table: string, partition: string): Promise<Outcome<RowChanges>> {
     return this.#answer(partition, () => {
       const rows = [...this.#shared.rows.values()].filter((row) => row.table === table && row.partition === partition)
-      return done({ rows, version: this.#shared.version })
+      return done({ rows, version: this.#shared.version, nowMs: this.#shared.nowMs })
     })
   }
 
@@ -113,7 +121,7 @@
     if (waitMs > 0 && find().length === 0) await this.#shared.changed.wait(waitMs)
     return await this.#answer('', () => after < this.#shared.oldest
       ? notDone('not-found', 'the history does not reach back to this version')
-      : done({ rows: find(), version: this.#shared.version }))
+      : done({ rows: find(), version: this.#shared.version, nowMs: this.#shared.nowMs }))
   }
 
   async #answer<Value> (partition: string, read: () => Outcome<Value>): Promise<Outcome<Value>> {
--- a/packages/jobs/src/workers/WorkerState.ts
+++ b/packages/jobs/src/workers/WorkerState.ts
@@ -15,6 +15,8 @@
   leaseEndsBy: number
   /** Monotonic time since which the worker has not answered this owner, in ms; undefined while it is reachable. */
   unreachableSince: number | undefined = performance.now()
+  /** The store has, or may have, a record from which a later owner knows when the leases on the worker end. */
+  isRecordedAsLost = false
   /** The worker has answered a poll since this owner took over, which fences earlier owners. */
   hasAnswered = false
   /** Monotonic time since which the worker is missing from the registry; undefined while it is registered. */
@@ -55,8 +57,8 @@
   }
 
   get acceptsTasks (): boolean {
-    return this.hasAnswered && this.reachable && !this.hasUnownedRuns && !this.entry.draining &&
-      this.unlistedSince === undefined
+    return this.hasAnswered && this.reachable && !this.isRecordedAsLost && !this.hasUnownedRuns &&
+      !this.entry.draining && this.unlistedSince === undefined
   }
 
   add (task: TaskInstance): void {
