Count the time of a suspension when an owner decides on renewing leases

The monotonic clock stands still while a machine is suspended. An owner that was suspended after it had lost the store could renew leases for longer than its successor allowed for. Both clocks are read now, and the longer time counts; a step of the wall clock ahead only ends renewals earlier.

--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -1,6 +1,7 @@
 import { throwUncaught, sleep, type Outcome } from '@gypsumspring/protocol'
 import { TrackedJob, decodeProgress, type Progress } from '../model/index.ts'
 import { CLOCK_DRIFT, LEASE_SLACK_MS, STORE_OUTAGE_GRACE_MS, TICK_MS } from '../constants/index.ts'
+import { readInstant } from '../instant/index.ts'
 import { CONTROL_TABLE, type Ownership, type Transfer } from '../ownership/index.ts'
 import type {
   ConfigurationSource, MetricsRecorder, LogWriter, RecordStore, RowChanges, StoredRow, WorkerConnector, WorkerRegistry
@@ -119,7 +120,7 @@
     this.#workerManager = new WorkerManager({ ...dependencies, cell, tracker, breaker, sessions, signal }, {
       token: ownership.token,
       leaseMs: chooseLeaseMs(options.leaseLimitMs),
-      mayRenewLeases: () => performance.now() - ownership.confirmedAt < STORE_OUTAGE_GRACE_MS,
+      mayRenewLeases: () => ownership.unconfirmedMs < STORE_OUTAGE_GRACE_MS,
       waitUntilStored: (worker) => this.#commits.waitUntilStored(worker),
       onFenced: () => this.#handleOwnershipLost('a worker has accepted a higher fencing token'),
       earlierLeasesEnd: () => ownership.earlierLeasesEnd ?? this.#computeEarlierLeasesEnd()
@@ -249,7 +250,7 @@
   }
 
   async #readControl (): Promise<Outcome<RowChanges>> {
-    const sentAt = performance.now()
+    const sentAt = readInstant()
     const answer = await this.#dependencies.store.read(CONTROL_TABLE, CELL_PARTITION)
     return answer.ifRight(({ nowMs }) => this.#ownership.clock.record(nowMs, sentAt))
   }
--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -3,6 +3,7 @@
 import { done, notDone, parseJson, sleep, valueOf, type Outcome } from '@gypsumspring/protocol'
 import { COMMIT_RETRY_MS } from '../constants/index.ts'
 import { commitHedged } from '../commitHedged/index.ts'
+import { measureLongestElapsed, readInstant, type Instant } from '../instant/index.ts'
 import type { Commit, CommitResult, RecordStore, RowAddress, StoredRow } from '../ports.ts'
 import { StoreClock } from '../storeClock/StoreClock.ts'
 
@@ -86,8 +87,8 @@
   readonly earlierLeasesEndAt: number | null
   /** The previous owner has transferred the cell to this node. */
   readonly isTransferred: boolean
-  /** Monotonic time at which the last successful commit was sent, in ms; -Infinity before this node's first one. */
-  confirmedAt = -Infinity
+  /** When the last successful commit was sent; undefined before this node's first one. */
+  #confirmedAt: Instant | undefined
   /** Monotonic time by which all leases of earlier owners are over, in ms; stored with the next commit. */
   earlierLeasesEnd: number | undefined
 
@@ -124,6 +125,11 @@
     return this.#lost
   }
 
+  /** Longest time that may have passed since a commit showed that this node owns the cell, in ms. */
+  get unconfirmedMs (): number {
+    return this.#confirmedAt === undefined ? Infinity : measureLongestElapsed(this.#confirmedAt)
+  }
+
   /** Writes rows of the cell; retries while the store is unreachable. Resolves with false when ownership was lost. */
   async commit (puts: Commit['puts'], removes: RowAddress[] = []): Promise<boolean> {
     const record = { ...this.#continuedRecord(), sequence: this.#record.sequence + 1 }
@@ -186,7 +192,7 @@
     }
     let outcome: Outcome<CommitResult> = notDone('closed', 'the ownership was lost')
     for (let attempt = 0; attempt < attempts && !this.#lost; attempt++) {
-      const sentAt = performance.now()
+      const sentAt = readInstant()
       outcome = await commitHedged(this.#store, [commit])
       const result = valueOf(outcome)
       if (result !== undefined) return done(this.#applyResult(result, record, value, sentAt))
@@ -196,7 +202,7 @@
   }
 
   /** Updates the state after a commit; a conflict with a row that equals the written one means that it succeeded. */
-  #applyResult (result: CommitResult, record: OwnerRecord, value: Buffer, sentAt: number): boolean {
+  #applyResult (result: CommitResult, record: OwnerRecord, value: Buffer, sentAt: Instant): boolean {
     const current = result.kind === 'conflict' ? result.rows.find(({ key }) => key === OWNER_KEY) : undefined
     const version = result.kind === 'committed' ? result.version : current?.version
     const isApplied = result.kind === 'committed' || (current?.value !== undefined && value.equals(current.value))
@@ -207,7 +213,7 @@
     if (result.kind === 'committed') this.clock.record(result.nowMs, sentAt)
     this.#record = record
     this.#version = version
-    this.confirmedAt = sentAt
+    this.#confirmedAt = sentAt
     return true
   }
 }
--- a/packages/jobs/src/storeClock/StoreClock.ts
+++ b/packages/jobs/src/storeClock/StoreClock.ts
@@ -1,10 +1,9 @@
+import { measureLongestElapsed, type Instant } from '../instant/index.ts'
+
 interface Reading {
   /** The store's clock in the answer, in ms. */
   storeMs: number
-  /** Monotonic time at which the call was sent, in ms. */
-  sentAt: number
-  /** Unix time at which the call was sent, in ms. */
-  sentAtUnixMs: number
+  sentAt: Instant
   /** Monotonic time at which the answer arrived, in ms. */
   receivedAt: number
 }
@@ -17,23 +16,16 @@
 export class StoreClock {
   #reading: Reading | undefined
 
-  /** Records the answer to a call. `sentAt` is the monotonic time of the call, in ms. */
-  record (storeMs: number | undefined, sentAt: number): void {
-    if (storeMs === undefined) return
-    const receivedAt = performance.now()
-    this.#reading = { storeMs, sentAt, sentAtUnixMs: Date.now() - (receivedAt - sentAt), receivedAt }
+  /** Records the answer to a call. */
+  record (storeMs: number | undefined, sentAt: Instant): void {
+    if (storeMs !== undefined) this.#reading = { storeMs, sentAt, receivedAt: performance.now() }
   }
 
-  /**
-   * Returns the latest time that the store's clock may show at a monotonic time; undefined before the first reading.
-   * The monotonic clock stands still while the machine is suspended, the wall clock does not.
-   */
+  /** Returns the latest time that the store's clock may show at a monotonic time; undefined without a reading. */
   toStore (at: number): number | undefined {
     if (this.#reading === undefined) return undefined
-    const { storeMs, sentAt, sentAtUnixMs } = this.#reading
-    const now = performance.now()
-    const elapsedMs = Math.max(now - sentAt, Date.now() - sentAtUnixMs)
-    return Math.ceil(storeMs + elapsedMs + (at - now))
+    const { storeMs, sentAt } = this.#reading
+    return Math.ceil(storeMs + measureLongestElapsed(sentAt) + (at - performance.now()))
   }
 
   /** Returns the monotonic time by which the store's clock has reached a time; undefined before the first reading. */
--- a/packages/jobs/src/storeClock/test.ts
+++ b/packages/jobs/src/storeClock/test.ts
@@ -1,5 +1,6 @@
 import { install, type Clock } from '@sinonjs/fake-timers'
 import { expect } from 'chai'
+import { readInstant } from '../instant/index.ts'
 import { StoreClock } from './StoreClock.ts'
 
 /** Reading of the store's clock at the start of each case, in ms. */
@@ -16,7 +17,7 @@
 
   /** Records an answer that took 40 ms. */
   const recordReading = () => {
-    const sentAt = performance.now()
+    const sentAt = readInstant()
     clock.tick(40)
     storeClock.record(STORE_MS, sentAt)
   }
@@ -63,7 +64,7 @@
       name: 'keeps its reading when an answer tells no time',
       run: () => {
         recordReading()
-        storeClock.record(undefined, performance.now())
+        storeClock.record(undefined, readInstant())
         return storeClock.toStore(performance.now())
       },
       expected: STORE_MS + 40
