Wait for a killed owner's leases for half a second instead of 8 s

Cause: an owner without access to the store renewed leases for 8 s, to survive outages, so that a new owner had to allow for 8 s each time, although the former one had usually been killed.

Now an owner renews leases for 0.5 s after its last commit, and for 8 s only while each of its followers promises not to take the cell over. They do so while the store is slow or out of reach; the names of the followers are stored, so that a new owner knows whether its promise was needed. A follower makes no promise while a claim of its own may still be applied, and none counts after a suspension of the owner.

With promises taken as always given, five cases of isolatedOwner.test.ts fail (a task runs twice); with promises never given, its outage of 10 s stops the task.

--- a/packages/jobs/src/constants/index.ts
+++ b/packages/jobs/src/constants/index.ts
@@ -25,9 +25,21 @@
 /** Margin after the end of a lease before its tasks count as lost, in ms; a worker's timers fire slightly late. */
 export const LEASE_SLACK_MS = 150
 
-/** How long an owner keeps renewing task leases after its last confirmed write, in ms, to survive store outages. */
+/**
+ * How long an owner keeps renewing task leases after its last confirmed write, in ms. Another node that has taken over
+ * meanwhile waits for these leases too, before it starts the tasks of workers that it can't reach.
+ */
+export const RENEWAL_GRACE_MS = 500
+
+/** The same while no other node can have taken over, in ms, to survive outages of the store. */
 export const STORE_OUTAGE_GRACE_MS = 8_000
 
+/**
+ * Duration of a follower's promise not to take the cell over, in ms; three times the interval of heartbeats, and a
+ * quarter of a second for delays.
+ */
+export const TAKEOVER_PROMISE_MS = 1_000
+
 /** Maximum time that a poll waits for a run to end, in ms; bounds the age of the last report of an idle worker. */
 export const POLL_WAIT_MS = 500
 
--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -1,6 +1,8 @@
 import { failureOf, throwUncaught, sleep, valueOf } from '@gypsumspring/protocol'
-import { PEER_CALL_TIMEOUT_MS, OWNER_TAKEOVER_MS } from '../constants/index.ts'
+import { OWNER_TAKEOVER_MS, PEER_CALL_TIMEOUT_MS, TAKEOVER_PROMISE_MS } from '../constants/index.ts'
+import { readInstant, type Instant } from '../instant/index.ts'
 import { CellOwner, type CellOwnerOptions } from '../owner/CellOwner.ts'
+import type { TakeoverPromise } from '../owner/CellMembers.ts'
 import { Ownership, readOwner, type OwnerRecord, type OwnerRow, type Transfer } from '../ownership/index.ts'
 import type {
   Adviser, ConfigurationSource, MetricsRecorder, LogWriter, RecordStore, WorkerConnector, WorkerRegistry
@@ -30,8 +32,6 @@
 }
 
 export interface CellNodeOptions extends Omit<CellOwnerOptions, 'predecessorEnded'> {
-  /** Name of this node; it must stay the same across restarts. */
-  node: string
   /** RPC address of this node. */
   address: string
   /** RPC addresses of nodes that may be running; they relay store calls before the owner is known. */
@@ -66,6 +66,12 @@
 /** Interval of the store probes, in ms. */
 const PROBE_INTERVAL_MS = 150
 
+/** Average latency of a read above which the store counts as slow, in ms; usually a read takes 6 to 11 ms. */
+const SLOW_STORE_MS = 50
+
+/** Longest time after which the store may apply a write that it has not answered, in ms. */
+const LATE_WRITE_MS = 15_000
+
 /** Time after which another probe is sent although one is not answered yet, in ms; its answer may be lost. */
 const PROBE_PATIENCE_MS = 100
 
@@ -85,6 +91,15 @@
   #ownerPeer: (Peer & { close (): void }) | undefined
   /** Token of the owner that this node follows or has lost contact with. */
   #ownerToken = 0
+  /** Time of the owner in its last answer, with its token. */
+  #ownerTime: { token: number, time: Instant } | undefined
+  /**
+   * Monotonic time until which this node has promised not to take the cell over, in ms. At first, that is the longest
+   * promise that the process may have made before it was restarted.
+   */
+  #promisedUntil = TAKEOVER_PROMISE_MS
+  /** Monotonic time until which a claim without an answer may still be applied, in ms. */
+  #claimPendingUntil = 0
   /** Nodes that may relay store calls while this node does not own the cell. */
   #relayCandidates: Peer[] = []
   #stopped = false
@@ -216,7 +231,8 @@
         uptimeMs: performance.now() - this.#startedAt,
         resigned: this.#resigned,
         hasStore: this.#store.isDirectlyReachable,
-        weakness: computeWeakness(this.#options)
+        weakness: computeWeakness(this.#options),
+        promise: this.#promiseNoTakeover(record.token)
       }
       const answer = await peer.call('cell.follow', heartbeat, { timeoutMs: HEARTBEAT_TIMEOUT_MS })
       const result = valueOf(answer)
@@ -229,6 +245,7 @@
         continue
       }
       this.#setOwnerPeer(peer, record.token)
+      if (result.time !== undefined) this.#ownerTime = { token: record.token, time: result.time }
       const others = result.peers.filter((other) => other !== address)
       this.#relayCandidates = [peer, ...others.map((other) => this.#connect(other))]
       await this.#releaseWaiters.wait(HEARTBEAT_INTERVAL_MS)
@@ -253,7 +270,7 @@
       lastVersion = current.version
       // While the store is slow, the owner can't renew its record as often.
       if (performance.now() - unchangedSince > unchangedLimitMs + COMMIT_LATENCY_FACTOR * this.#store.latencyMs) {
-        if (!this.#mayTakeOver()) return false
+        if (!this.#mayTakeOver() || performance.now() < this.#promisedUntil) return false
         await this.#takeOver(current, false)
         return true
       }
@@ -262,6 +279,18 @@
     return true
   }
 
+  /**
+   * While the store is slow or out of reach, promises not to take the cell over, so that the owner can go on renewing
+   * task leases. At other times the owner needs no promise, which would delay a takeover.
+   */
+  #promiseNoTakeover (token: number): TakeoverPromise | undefined {
+    const now = performance.now()
+    const isStoreSlow = !this.#store.isDirectlyReachable || this.#store.latencyMs > SLOW_STORE_MS
+    if (!isStoreSlow || this.#ownerTime?.token !== token || now < this.#claimPendingUntil) return undefined
+    this.#promisedUntil = now + TAKEOVER_PROMISE_MS
+    return { token, since: this.#ownerTime.time, durationMs: TAKEOVER_PROMISE_MS }
+  }
+
   /** Whether this node may claim the cell: it has not resigned and is not in the pause after `#handOverAndPause`. */
   #mayTakeOver (): boolean {
     return !this.#resigned && performance.now() >= this.#noTakeoverUntil
@@ -282,7 +311,8 @@
     const claim = await Ownership.claim(this.#store, CELL_PARTITION, previous, { node, address })
     const ownership = valueOf(claim)
     if (ownership === undefined) {
-      const reason = failureOf(claim)?.reason
+      const { reason, certainty } = failureOf(claim)!
+      if (certainty === 'unknown') this.#claimPendingUntil = performance.now() + LATE_WRITE_MS
       this.#dependencies.log.info({ previous: previous.record?.token ?? 0, reason }, 'takeover failed')
       return
     }
@@ -379,12 +409,13 @@
   #handleFollow (heartbeat: CellParams<'cell.follow'>): CellResult<'cell.follow'> {
     const owner = this.#owner
     if (owner === undefined) return { isOwner: false, token: 0, peers: [] }
+    owner.recordHeartbeat(heartbeat.node, heartbeat.promise)
     const peer = this.#connect(heartbeat.address)
     if (this.#followers.recordHeartbeat(heartbeat, peer)) {
       owner.addNode({ id: heartbeat.node, adviser: new RemoteAdviser(peer) })
     }
     const peers = this.#followers.listWithStoreAccess().map((follower) => follower.peer.address)
-    return { isOwner: true, token: owner.token, peers }
+    return { isOwner: true, token: owner.token, peers, time: readInstant() }
   }
 
   #removeSilentFollowers (): void {
--- a/packages/jobs/src/node/messages.ts
+++ b/packages/jobs/src/node/messages.ts
@@ -1,5 +1,7 @@
 /** RPC methods between the nodes of a cell, with the schemas that validate their params and results. */
 import { Type, type Static, type TSchema } from '@sinclair/typebox'
+import { Instant } from '../instant/index.ts'
+import { TakeoverPromise } from '../owner/CellMembers.ts'
 import { OwnerRecord } from '../ownership/index.ts'
 import { Job } from '../types.ts'
 
@@ -44,10 +46,13 @@
       /** Whether the follower reaches the store over its own connection. */
       hasStore: Type.Boolean(),
       /** How far its machine falls short of what an owner needs, from 0 (sufficient) to 1. */
-      weakness: Type.Number()
+      weakness: Type.Number(),
+      promise: Type.Optional(TakeoverPromise)
     }),
-    /** `peers` are the addresses of the nodes that can relay store calls. */
-    result: Type.Object({ isOwner: Type.Boolean(), token: Count, peers: Type.Array(Type.String()) })
+    /** `peers` are the addresses of the nodes that can relay store calls; `time` is the owner's. */
+    result: Type.Object({
+      isOwner: Type.Boolean(), token: Count, peers: Type.Array(Type.String()), time: Type.Optional(Instant)
+    })
   },
   /** Notifies a follower that the owner has released the cell; with `transfer`, the follower is the new owner. */
   'cell.released': {
--- /dev/null
+++ b/packages/jobs/src/owner/CellMembers.ts
@@ -0,0 +1,95 @@
+import { parseJson } from '@gypsumspring/protocol'
+import { Type, type Static } from '@sinclair/typebox'
+import { Value } from '@sinclair/typebox/value'
+import { Instant, measureLongestElapsed } from '../instant/index.ts'
+import { CONTROL_TABLE } from '../ownership/index.ts'
+import type { Commit, StoredRow } from '../ports.ts'
+
+const MEMBERS_KEY = 'members'
+
+const MembersRow = Type.Object({
+  /** Token of the owner that wrote the row. */
+  token: Type.Integer({ minimum: 0 }),
+  /** Names of its followers. */
+  nodes: Type.Array(Type.String())
+})
+
+/** A follower's promise not to take the cell over for some time. */
+export const TakeoverPromise = Type.Object({
+  /** Token of the owner to which it is made. */
+  token: Type.Integer({ minimum: 0 }),
+  /** That owner's time in its last answer to the follower, which has made the promise after it. */
+  since: Instant,
+  /** Its duration, in ms. */
+  durationMs: Type.Number({ minimum: 0 })
+})
+export type TakeoverPromise = Static<typeof TakeoverPromise>
+
+/**
+ * The followers of the owner, with their promises not to take the cell over yet. Their names are stored: a node that
+ * takes over and finds its own name knows that during an outage the former owner renewed no leases without its promise,
+ * and waits less for them.
+ */
+export class CellMembers {
+  readonly #token: number
+  readonly #promises = new Map<string, TakeoverPromise | undefined>()
+  /** Names that the store has, or may have, for this owner or the previous one; undefined until they are known. */
+  #stored: Set<string> | undefined
+  /** Names in the row that is being written. */
+  #written: Set<string> | undefined
+  /** This owner has stored its followers. */
+  #isStored = false
+
+  constructor (token: number) {
+    this.#token = token
+  }
+
+  /**
+   * Reads the names that the previous owner stored from the rows of `CONTROL_TABLE`.
+   *
+   * @returns Whether `node` is among them.
+   */
+  restore (rows: readonly StoredRow[], node: string): boolean {
+    const value = rows.find(({ key }) => key === MEMBERS_KEY)?.value
+    const row = value === undefined ? undefined : parseJson(value)
+    const members = Value.Check(MembersRow, row) ? row : { token: 0, nodes: [] }
+    this.#stored = new Set(members.nodes)
+    return members.token === this.#token - 1 && this.#stored.has(node)
+  }
+
+  recordHeartbeat (node: string, promise: TakeoverPromise | undefined): void {
+    this.#promises.set(node, promise)
+  }
+
+  remove (node: string): void {
+    this.#promises.delete(node)
+  }
+
+  /** Whether all followers have promised not to take the cell over now. */
+  get hasAllPromises (): boolean {
+    return this.#stored !== undefined && [...this.#stored, ...this.#promises.keys()].every((node) => {
+      const promise = this.#promises.get(node)
+      return promise?.token === this.#token && measureLongestElapsed(promise.since) < promise.durationMs
+    })
+  }
+
+  /** Returns the row to write with the next commit, if the names differ from the stored ones. */
+  takeWrites (): Commit['puts'] {
+    const stored = this.#stored
+    if (stored === undefined) return []
+    const nodes = [...this.#promises.keys()]
+    if (this.#isStored && nodes.length === stored.size && nodes.every((node) => stored.has(node))) return []
+    for (const node of nodes) stored.add(node)
+    this.#written = new Set(nodes)
+    const value = Buffer.from(JSON.stringify({ token: this.#token, nodes }))
+    return [{ table: CONTROL_TABLE, key: MEMBERS_KEY, value }]
+  }
+
+  /** Called when the row of the last call of `takeWrites` is stored, if there was one. */
+  handleWritten (): void {
+    if (this.#written === undefined) return
+    this.#stored = this.#written
+    this.#written = undefined
+    this.#isStored = true
+  }
+}
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -1,6 +1,8 @@
 import { throwUncaught, sleep, type Outcome } from '@gypsumspring/protocol'
 import { TrackedJob, decodeProgress, type Progress } from '../model/index.ts'
-import { CLOCK_DRIFT, LEASE_SLACK_MS, STORE_OUTAGE_GRACE_MS, TICK_MS } from '../constants/index.ts'
+import {
+  CLOCK_DRIFT, LEASE_SLACK_MS, RENEWAL_GRACE_MS, STORE_OUTAGE_GRACE_MS, TICK_MS
+} from '../constants/index.ts'
 import { readInstant } from '../instant/index.ts'
 import { CONTROL_TABLE, type Ownership, type Transfer } from '../ownership/index.ts'
 import type {
@@ -12,6 +14,7 @@
 import type { Job, JobState } from '../types.ts'
 import { AdviceDispatcher, type AdviceNode } from './AdviceDispatcher.ts'
 import { Cell } from './Cell.ts'
+import { CellMembers, type TakeoverPromise } from './CellMembers.ts'
 import { JobCleanup } from './JobCleanup.ts'
 import { Rescheduler } from './Rescheduler.ts'
 import { GroupCommit } from './GroupCommit.ts'
@@ -35,6 +38,8 @@
 }
 
 export interface CellOwnerOptions {
+  /** Name of this node; it must stay the same across restarts. */
+  node: string
   /** Longest task lease that workers accept, in ms. */
   leaseLimitMs: number
   /** Longest time that a worker takes to stop a task, in ms. */
@@ -71,6 +76,7 @@
   readonly #rescheduler: Rescheduler
   readonly #workerManager: WorkerManager
   readonly #lostWorkers: LostWorkerRecords
+  readonly #members: CellMembers
   readonly #commits: GroupCommit
   readonly #jobPoller: TablePoller
   readonly #cancelPoller: TablePoller
@@ -112,7 +118,9 @@
     this.#tracker = new RunTracker(cell, breaker, sessions, (reason) => this.#handleOwnershipLost(reason))
     this.#rescheduler = new Rescheduler(cell, this.#tracker, options.stopTimeoutMs)
     this.#lostWorkers = new LostWorkerRecords(cell, ownership.clock)
-    this.#commits = new GroupCommit(cell, this.#lostWorkers, ownership, {
+    this.#members = new CellMembers(ownership.token)
+    const members = this.#members
+    this.#commits = new GroupCommit(cell, { lostWorkers: this.#lostWorkers, members }, ownership, {
       onStartStored: (task) => this.#tracker.start(task).catch(throwUncaught),
       onOwnershipLost: () => this.#handleOwnershipLost('another node has taken the cell over')
     }, options.linkMbps, signal)
@@ -120,10 +128,11 @@
     this.#workerManager = new WorkerManager({ ...dependencies, cell, tracker, breaker, sessions, signal }, {
       token: ownership.token,
       leaseMs: chooseLeaseMs(options.leaseLimitMs),
-      mayRenewLeases: () => ownership.unconfirmedMs < STORE_OUTAGE_GRACE_MS,
+      mayRenewLeases: () => ownership.unconfirmedMs < RENEWAL_GRACE_MS ||
+        (ownership.unconfirmedMs < STORE_OUTAGE_GRACE_MS && members.hasAllPromises),
       waitUntilStored: (worker) => this.#commits.waitUntilStored(worker),
       onFenced: () => this.#handleOwnershipLost('a worker has accepted a higher fencing token'),
-      earlierLeasesEnd: () => ownership.earlierLeasesEnd ?? this.#computeEarlierLeasesEnd()
+      earlierLeasesEnd: () => ownership.earlierLeasesEnd ?? this.#computeEarlierLeasesEnd(false)
     })
     this.#cleanup = new JobCleanup(cell, store, options.keepEndedMs, (id) => {
       this.#cancelledIds.delete(id)
@@ -152,7 +161,8 @@
       this.#readUntilKnown(() => this.#dependencies.store.read(PROGRESS_TABLE, CELL_PARTITION), PROGRESS_TABLE)
     ])
     if (this.#isEnded || listed === undefined || control === undefined || progress === undefined) return
-    this.#ownership.earlierLeasesEnd = this.#computeEarlierLeasesEnd()
+    const isMember = this.#members.restore(control.rows, this.#options.node)
+    this.#ownership.earlierLeasesEnd = this.#computeEarlierLeasesEnd(isMember)
     for (const worker of this.#lostWorkers.restore(control.rows)) this.#workerManager.addLost(worker)
     this.#restoreProgress(progress.rows)
     for (const worker of listed.workers) this.#workerManager.add(worker)
@@ -217,12 +227,18 @@
     return count
   }
 
+  /** Records a heartbeat of a follower. */
+  recordHeartbeat (node: string, promise: TakeoverPromise | undefined): void {
+    this.#members.recordHeartbeat(node, promise)
+  }
+
   /** Adds a node through which the policy service can be called. */
   addNode (node: AdviceNode): void {
     this.#advice.addNode(node)
   }
 
   removeNode (id: string): void {
+    this.#members.remove(id)
     this.#advice.removeNode(id)
   }
 
@@ -305,14 +321,20 @@
     }
   }
 
-  /** Monotonic time by which all leases that earlier owners granted are over, in ms. */
-  #computeEarlierLeasesEnd (): number {
+  /**
+   * Returns the monotonic time by which all leases that earlier owners granted are over, in ms.
+   *
+   * @param isMember - Whether the previous owner renewed leases during an outage only with this node's promise.
+   */
+  #computeEarlierLeasesEnd (isMember: boolean): number {
     const { clock, earlierLeasesEndAt, isTransferred } = this.#ownership
-    const longest = this.#claimedAt + STORE_OUTAGE_GRACE_MS + this.#longestLeaseMs
+    const endAfter = (graceMs: number) => this.#claimedAt + graceMs + this.#longestLeaseMs
+    const longest = endAfter(STORE_OUTAGE_GRACE_MS)
     const stored = earlierLeasesEndAt === null ? longest : clock.toMonotonic(earlierLeasesEndAt) ?? longest
     // The previous owner has stored the end of its own leases together with the transfer.
     if (isTransferred) return stored
-    return Math.max(stored, this.#options.predecessorEnded ? this.#claimedAt + this.#longestLeaseMs : longest)
+    if (this.#options.predecessorEnded) return Math.max(stored, endAfter(0))
+    return Math.max(stored, endAfter(isMember ? RENEWAL_GRACE_MS : STORE_OUTAGE_GRACE_MS))
   }
 
   /** Time from a renewal until the lease is certainly over, in ms. */
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -8,6 +8,7 @@
 import type { WorkerState } from '../workers/WorkerState.ts'
 import { Notifier } from '../notifier/Notifier.ts'
 import type { Cell } from './Cell.ts'
+import type { CellMembers } from './CellMembers.ts'
 import { MAX_LOST_WORKER_ROWS, toRowAddress, type LostWorkerRecords } from './LostWorkerRecords.ts'
 
 /** Commits that take longer are logged, in ms; a commit usually takes 13 ms. */
@@ -48,6 +49,7 @@
 export class GroupCommit {
   readonly #cell: Cell
   readonly #lostWorkers: LostWorkerRecords
+  readonly #members: CellMembers
   readonly #ownership: Ownership
   readonly #hooks: CommitHooks
   readonly #signal: AbortSignal
@@ -61,11 +63,12 @@
 
   /** @param linkMbps - Bandwidth of this node's network link, in Mbit/s; limits the size of a commit. */
   constructor (
-    cell: Cell, lostWorkers: LostWorkerRecords, ownership: Ownership, hooks: CommitHooks, linkMbps: number,
-    signal: AbortSignal
+    cell: Cell, control: { lostWorkers: LostWorkerRecords, members: CellMembers }, ownership: Ownership,
+    hooks: CommitHooks, linkMbps: number, signal: AbortSignal
   ) {
     this.#cell = cell
-    this.#lostWorkers = lostWorkers
+    this.#lostWorkers = control.lostWorkers
+    this.#members = control.members
     this.#ownership = ownership
     this.#hooks = hooks
     this.#signal = signal
@@ -159,7 +162,7 @@
 
   #takeBatch (): Batch {
     const cell = this.#cell
-    const puts = this.#lostWorkers.takeWrites()
+    const puts = [...this.#members.takeWrites(), ...this.#lostWorkers.takeWrites()]
     const maxRows = MAX_ROWS_PER_COMMIT - (this.#lostWorkers.hasRecords ? MAX_LOST_WORKER_ROWS : 0)
     const batch: Batch = { puts, states: [], starts: [], endSequences: new Map(), foundWorkers: [] }
     let bytes = 0
@@ -197,6 +200,7 @@
     for (const [worker, sequence] of batch.endSequences) {
       worker.storedEndSequence = Math.max(worker.storedEndSequence, sequence)
     }
+    this.#members.handleWritten()
     this.#lostWorkers.handleRemoved(batch.foundWorkers)
     for (const { task, run } of batch.starts) {
       if (task.status === 'starting' && task.run === run && !task.orderSent) this.#hooks.onStartStored(task)
--- a/packages/jobs/src/standins/MemoryCell.ts
+++ b/packages/jobs/src/standins/MemoryCell.ts
@@ -47,7 +47,7 @@
   readonly workers = new MemoryWorkers()
   readonly nodes = new Map<string, MemoryNode>()
   readonly queues: Queue[] = [createQueue('batch')]
-  /** Names of the nodes that are cut off from the other nodes and from the store. */
+  /** Names of the nodes that are cut off, together, from the other nodes and from the store. */
   readonly isolatedNodes = new Set<string>()
   /** Whether a node reaches a worker. */
   reachesWorker: (node: string, worker: string) => boolean = () => true
@@ -94,7 +94,7 @@
       },
       adviser: this.#options.createAdviser?.() ?? new AllowAllAdviser(),
       configuration: { current: () => ({ version: 1, queues: this.queues }) },
-      connect: (address) => this.#connect(address, () => isUp() && !this.isolatedNodes.has(name)),
+      connect: (address) => this.#connect(name, address, isUp),
       log: this.#options.log ?? NO_LOG,
       metrics: NO_METRICS
     }, {
@@ -181,11 +181,11 @@
     return (name === undefined ? undefined : this.nodes.get(name)) ?? up[0]!
   }
 
-  #connect (address: string, isUp: () => boolean): Peer & { close (): void } {
+  #connect (name: string, address: string, isUp: () => boolean): Peer & { close (): void } {
     const call = async (method: string, params: unknown): Promise<Outcome<never>> => {
       await sleep(LATENCY_MS)
       if (!isUp()) return await new Promise(() => {})
-      if (this.isolatedNodes.has(address)) return await timeOut()
+      if (this.isolatedNodes.has(name) !== this.isolatedNodes.has(address)) return await timeOut()
       const handler = this.#handlers.get(address)?.[method as keyof CellHandlers] as ((params: unknown) =>
       unknown) | undefined
       if (handler === undefined) return notDone('unavailable', 'connection refused')
