Don't connect to lost workers whose address no owner knew

The lost workers' entries had lapsed during the outage of the store, so that they were recorded without an address, and opening a connection to it threw. The new case failed before.

--- a/packages/jobs/src/loadPatterns/lostWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/lostWorkers.test.ts
@@ -21,10 +21,10 @@
 }
 
 /** Ends some workers for good. The registry lists them until their entries expire. */
-function loseWorkers (cell: MemoryCell): void {
+function loseWorkers (cell: MemoryCell, listedMs = 1_500): void {
   for (const id of LOST) {
     cell.workers.workers.get(id)!.crash()
-    setTimeout(() => cell.workers.unlist(id), 1_500)
+    setTimeout(() => cell.workers.unlist(id), listedMs)
   }
 }
 
@@ -61,6 +61,21 @@
       expect(countRunning(cell)).to.equal(TASKS)
     }
   },
+  {
+    // The second owner knew no address of the workers, and the third one failed to connect to it.
+    name: 'have their long-running tasks started elsewhere although no new owner finds them in the registry',
+    options: { workers: TASKS, nodes: 4 },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      loseWorkers(cell, 0)
+      for (let change = 0; change < 2; change++) {
+        cell.killNode(cell.owner!.name)
+        await clock.tickAsync(3_000)
+      }
+      await clock.tickAsync(RESTART_MS - 3_000)
+      expect(countRunning(cell)).to.equal(TASKS)
+    }
+  },
   {
     name: 'have their long-running tasks started elsewhere although the cell is handed over again and again',
     options: { workers: TASKS, nodes: 4 },
--- a/packages/jobs/src/owner/LostWorkerRecords.ts
+++ b/packages/jobs/src/owner/LostWorkerRecords.ts
@@ -20,6 +20,7 @@
   /** Time on the store's clock by which all leases on the worker are over, in ms. */
   leasesEndAt: Type.Number(),
   pool: Type.String(),
+  /** Empty if the worker was in the registry of no owner since it was lost. */
   address: Type.String(),
   failureDomain: Type.String(),
   capacity: Demand,
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -81,13 +81,16 @@
     this.#update(worker, entry)
   }
 
-  /** Adds a worker that an earlier owner has recorded as lost. It is polled, since it may be reachable again. */
+  /**
+   * Adds a worker that an earlier owner has recorded as lost. It is polled, if that owner knew its address, since it may
+   * be reachable again.
+   */
   addLost ({ entry, leaseEndsBy }: LostWorker): void {
     const worker = new WorkerState(entry, leaseEndsBy)
     worker.isRecordedAsLost = true
     worker.unlistedSince = performance.now()
     this.#dependencies.cell.workers.set(entry.id, worker)
-    this.#openSession(worker, entry)
+    if (entry.address !== '') this.#openSession(worker, entry)
   }
 
   #openSession (worker: WorkerState, entry: WorkerEntry): void {
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -255,6 +255,7 @@
   }
 
   open (entry: WorkerEntry): WorkerClient {
+    if (entry.address === '') throw new Error(`worker ${entry.id} has no address`)
     return new MemoryWorkerClient(this.workers.get(entry.id)!)
   }
 
