Ask followers for promises while only the owner's commits are slow

While commits took 0.9 s and reads were fast, followers made no promises, and no lease was renewed, as each commit was confirmed more than 0.5 s after it was sent: the tasks of all workers lapsed after 5 s. The owner now tells its followers when its last confirmed commit is older than 0.25 s. A fault of the half second for a killed owner, found by a calculation; the new test failed before.

--- a/packages/jobs/src/loadPatterns/isolatedOwner.test.ts
+++ b/packages/jobs/src/loadPatterns/isolatedOwner.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import { sleep } from '@gypsumspring/protocol'
 import type { Clock } from '@sinonjs/fake-timers'
 import type { MemoryCell } from '../standins/index.ts'
 import { describeCells, submitInBackground } from './describeCells.ts'
@@ -92,7 +93,31 @@
   }
 ])
 
+/** Delays the commits of all nodes, but not their reads, as when the partition of the cell is overloaded. */
+function delayCommits (cell: MemoryCell, delayMs: number): void {
+  for (const { store } of cell.nodes.values()) {
+    const commit = store.commit.bind(store)
+    store.commit = async (...args) => {
+      await sleep(delayMs)
+      return await commit(...args)
+    }
+  }
+}
+
 describeCells('An outage of the store', [
+  {
+    // Followers made no promises while their reads were fast, and no lease was renewed 0.5 s after a commit was sent.
+    name: 'stops no task when only the commits are slow',
+    options: { nodes: 3 },
+    run: async (cell, clock) => {
+      submitInBackground(cell, JOB, [{ longRunning: true }])
+      await clock.tickAsync(2_000)
+      delayCommits(cell, 900)
+      await clock.tickAsync(15_000)
+      expect(cell.checker.countRunning(TASK)).to.equal(1)
+      expect(cell.checker.starts).to.equal(1)
+    }
+  },
   {
     // The leases of all workers ended 5.5 s after the last commit.
     name: 'stops no task while all followers promise not to take over',
--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -91,8 +91,8 @@
   #ownerPeer: (Peer & { close (): void }) | undefined
   /** Token of the owner that this node follows or has lost contact with. */
   #ownerToken = 0
-  /** Time of the owner in its last answer, with its token. */
-  #ownerTime: { token: number, time: Instant } | undefined
+  /** What the owner told in its last answer, with its token. */
+  #ownerAnswer: { token: number, time: Instant, needsPromise: boolean } | undefined
   /**
    * Monotonic time until which this node has promised not to take the cell over, in ms. At first, that is the longest
    * promise that the process may have made before it was restarted.
@@ -245,7 +245,8 @@
         continue
       }
       this.#setOwnerPeer(peer, record.token)
-      if (result.time !== undefined) this.#ownerTime = { token: record.token, time: result.time }
+      const { time, needsPromise = false } = result
+      if (time !== undefined) this.#ownerAnswer = { token: record.token, time, needsPromise }
       const others = result.peers.filter((other) => other !== address)
       this.#relayCandidates = [peer, ...others.map((other) => this.#connect(other))]
       await this.#releaseWaiters.wait(HEARTBEAT_INTERVAL_MS)
@@ -280,15 +281,17 @@
   }
 
   /**
-   * While the store is slow or out of reach, promises not to take the cell over, so that the owner can go on renewing
-   * task leases. At other times the owner needs no promise, which would delay a takeover.
+   * While the store is slow or out of reach for this node or the owner, promises not to take the cell over, so that the
+   * owner can go on renewing task leases. At other times the owner needs no promise, which would delay a takeover.
    */
   #promiseNoTakeover (token: number): TakeoverPromise | undefined {
     const now = performance.now()
+    const answer = this.#ownerAnswer
+    if (answer?.token !== token || now < this.#claimPendingUntil) return undefined
     const isStoreSlow = !this.#store.isDirectlyReachable || this.#store.latencyMs > SLOW_STORE_MS
-    if (!isStoreSlow || this.#ownerTime?.token !== token || now < this.#claimPendingUntil) return undefined
+    if (!isStoreSlow && !answer.needsPromise) return undefined
     this.#promisedUntil = now + TAKEOVER_PROMISE_MS
-    return { token, since: this.#ownerTime.time, durationMs: TAKEOVER_PROMISE_MS }
+    return { token, since: answer.time, durationMs: TAKEOVER_PROMISE_MS }
   }
 
   /** Whether this node may claim the cell: it has not resigned and is not in the pause after `#handOverAndPause`. */
@@ -415,7 +418,7 @@
       owner.addNode({ id: heartbeat.node, adviser: new RemoteAdviser(peer) })
     }
     const peers = this.#followers.listWithStoreAccess().map((follower) => follower.peer.address)
-    return { isOwner: true, token: owner.token, peers, time: readInstant() }
+    return { isOwner: true, token: owner.token, peers, time: readInstant(), needsPromise: owner.needsPromises }
   }
 
   #removeSilentFollowers (): void {
--- a/packages/jobs/src/node/messages.ts
+++ b/packages/jobs/src/node/messages.ts
@@ -49,9 +49,15 @@
       weakness: Type.Number(),
       promise: Type.Optional(TakeoverPromise)
     }),
-    /** `peers` are the addresses of the nodes that can relay store calls; `time` is the owner's. */
     result: Type.Object({
-      isOwner: Type.Boolean(), token: Count, peers: Type.Array(Type.String()), time: Type.Optional(Instant)
+      isOwner: Type.Boolean(),
+      token: Count,
+      /** Addresses of the nodes that can relay store calls. */
+      peers: Type.Array(Type.String()),
+      /** The owner's time. */
+      time: Type.Optional(Instant),
+      /** The owner's commits take so long that it needs promises to renew task leases. */
+      needsPromise: Type.Optional(Type.Boolean())
     })
   },
   /** Notifies a follower that the owner has released the cell; with `transfer`, the follower is the new owner. */
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -227,6 +227,11 @@
     return count
   }
 
+  /** Whether the last confirmed commit is so old that leases may soon be renewed only with the followers' promises. */
+  get needsPromises (): boolean {
+    return this.#ownership.unconfirmedMs > RENEWAL_GRACE_MS / 2
+  }
+
   /** Records a heartbeat of a follower. */
   recordHeartbeat (node: string, promise: TakeoverPromise | undefined): void {
     this.#members.recordHeartbeat(node, promise)
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -82,8 +82,8 @@
   }
 
   /**
-   * Adds a worker that an earlier owner has recorded as lost. It is polled, if that owner knew its address, since it may
-   * be reachable again.
+   * Adds a worker that an earlier owner has recorded as lost. If that owner knew its address, it is polled, since it
+   * may be reachable again.
    */
   addLost ({ entry, leaseEndsBy }: LostWorker): void {
     const worker = new WorkerState(entry, leaseEndsBy)
