Lower the limit for a worker's leases once it has answered a new owner

After a takeover by a node that the former owner didn't know, a worker that answered and was lost later kept its tasks until the limit for leases of earlier owners, up to 13.3 s after the takeover. Its first answer fences these owners, so that no lease lasts longer than one granted just before it.

--- a/packages/jobs/src/loadPatterns/lostWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/lostWorkers.test.ts
@@ -76,6 +76,20 @@
       expect(countRunning(cell)).to.equal(TASKS)
     }
   },
+  {
+    // The limit for leases of earlier owners also held for workers that had answered the new one, which ended them.
+    name: 'have their long-running tasks started elsewhere after they have answered an owner unknown to the former one',
+    options: { workers: TASKS },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      for (const name of [...cell.nodes.keys()]) cell.killNode(name)
+      cell.startNode('n9')
+      await clock.tickAsync(3_000)
+      loseWorkers(cell)
+      await clock.tickAsync(RESTART_MS)
+      expect(countRunning(cell)).to.equal(TASKS)
+    }
+  },
   {
     name: 'have their long-running tasks started elsewhere although the cell is handed over again and again',
     options: { workers: TASKS, nodes: 4 },
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -1,8 +1,6 @@
 import { throwUncaught, sleep, type Outcome } from '@gypsumspring/protocol'
 import { TrackedJob, decodeProgress, type Progress } from '../model/index.ts'
-import {
-  CLOCK_DRIFT, LEASE_SLACK_MS, RENEWAL_GRACE_MS, STORE_OUTAGE_GRACE_MS, TICK_MS
-} from '../constants/index.ts'
+import { RENEWAL_GRACE_MS, STORE_OUTAGE_GRACE_MS, TICK_MS } from '../constants/index.ts'
 import { readInstant } from '../instant/index.ts'
 import { CONTROL_TABLE, type Ownership, type Transfer } from '../ownership/index.ts'
 import type {
@@ -23,7 +21,7 @@
 import { Placer } from './Placer.ts'
 import { RunTracker } from './RunTracker.ts'
 import { WorkerManager } from './WorkerManager.ts'
-import { chooseLeaseMs, type WorkerSession } from './WorkerSession.ts'
+import { chooseLeaseMs, toLongestLeaseMs, type WorkerSession } from './WorkerSession.ts'
 import { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
 import { readWithRetry } from './readWithRetry.ts'
 
@@ -344,7 +342,7 @@
 
   /** Time from a renewal until the lease is certainly over, in ms. */
   get #longestLeaseMs (): number {
-    return chooseLeaseMs(this.#options.leaseLimitMs) * (1 + CLOCK_DRIFT) + LEASE_SLACK_MS
+    return toLongestLeaseMs(chooseLeaseMs(this.#options.leaseLimitMs))
   }
 
   /** Creates the tasks of all occurrences that are due and were not opened yet. */
--- a/packages/jobs/src/owner/WorkerSession.ts
+++ b/packages/jobs/src/owner/WorkerSession.ts
@@ -102,8 +102,7 @@
     }
     const now = performance.now()
     const { leaseMs } = this.#context
-    const endsBy = now + leaseMs * (1 + CLOCK_DRIFT) + LEASE_SLACK_MS
-    this.state.leaseEndsBy = Math.max(this.state.leaseEndsBy, endsBy)
+    this.state.leaseEndsBy = Math.max(this.state.leaseEndsBy, now + toLongestLeaseMs(leaseMs))
     this.#lastLeaseEnd = Math.floor(this.#clockReading.workerMs + (now - this.#clockReading.at) + leaseMs)
     return this.#lastLeaseEnd
   }
@@ -122,7 +121,12 @@
   }
 
   async #handleReport (report: WorkerReport, sentAt: number, isFirst: boolean): Promise<void> {
-    this.#clockReading = { workerMs: report.clockMs, at: performance.now() }
+    const now = performance.now()
+    this.#clockReading = { workerMs: report.clockMs, at: now }
+    // The first poll fences earlier owners, so that all their leases were granted before this answer.
+    if (!this.state.hasAnswered) {
+      this.state.leaseEndsBy = Math.min(this.state.leaseEndsBy, now + toLongestLeaseMs(this.#context.leaseMs))
+    }
     const wasReachable = this.state.reachable
     this.state.reachable = true
     this.#context.onReport(this.state, report, sentAt)
@@ -152,6 +156,11 @@
   return failureOf(outcome)?.reason === 'session-expired'
 }
 
+/** Time from the grant of a lease until it is certainly over, in ms. */
+export function toLongestLeaseMs (leaseMs: number): number {
+  return leaseMs * (1 + CLOCK_DRIFT) + LEASE_SLACK_MS
+}
+
 /** Duration of task leases under the platform's limit, both in ms. */
 export function chooseLeaseMs (limitMs: number): number {
   return Math.min(TASK_LEASE_MS, limitMs)
