Take over from an owner that is killed while the store is slow

A follower now forgets what the owner told once it gets no answer, and waits for the end of its promise instead of heartbeating anew.

--- a/packages/jobs/src/constants/index.ts
+++ b/packages/jobs/src/constants/index.ts
@@ -40,6 +40,12 @@
  */
 export const TAKEOVER_PROMISE_MS = 1_000
 
+/**
+ * The same while the store answers neither the follower nor its peers, in ms. A follower whose heartbeat was lost sends
+ * the next one only after a read of the owner's record has timed out, which takes 1.5 s.
+ */
+export const OUTAGE_PROMISE_MS = 2_500
+
 /** Maximum time that a poll waits for a run to end, in ms; bounds the age of the last report of an idle worker. */
 export const POLL_WAIT_MS = 500
 
--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -1,5 +1,5 @@
 import { failureOf, throwUncaught, sleep, valueOf } from '@gypsumspring/protocol'
-import { OWNER_TAKEOVER_MS, PEER_CALL_TIMEOUT_MS, TAKEOVER_PROMISE_MS } from '../constants/index.ts'
+import { OUTAGE_PROMISE_MS, OWNER_TAKEOVER_MS, PEER_CALL_TIMEOUT_MS, TAKEOVER_PROMISE_MS } from '../constants/index.ts'
 import { readInstant, type Instant } from '../instant/index.ts'
 import { CellOwner, type CellOwnerOptions } from '../owner/CellOwner.ts'
 import type { TakeoverPromise } from '../owner/CellMembers.ts'
@@ -97,7 +97,7 @@
    * Monotonic time until which this node has promised not to take the cell over, in ms. At first, that is the longest
    * promise that the process may have made before it was restarted.
    */
-  #promisedUntil = TAKEOVER_PROMISE_MS
+  #promisedUntil = OUTAGE_PROMISE_MS
   /** Monotonic time until which a claim without an answer may still be applied, in ms. */
   #claimPendingUntil = 0
   /** Nodes that may relay store calls while this node does not own the cell. */
@@ -238,6 +238,8 @@
       const result = valueOf(answer)
       if (result === undefined || !result.isOwner || result.token !== record.token) {
         this.#setOwnerPeer(undefined, record.token)
+        // A promise to an owner that does not answer would be renewed with each heartbeat and prevent a takeover.
+        this.#ownerAnswer = undefined
         const failure = failureOf(answer)
         const mayBeRunning = failure?.certainty === 'unknown' || failure?.reason === 'timeout'
         const unchangedLimitMs = mayBeRunning ? OWNER_TAKEOVER_MS : REFUSED_OWNER_TIMEOUT_MS
@@ -271,9 +273,11 @@
       lastVersion = current.version
       // While the store is slow, the owner can't renew its record as often.
       if (performance.now() - unchangedSince > unchangedLimitMs + COMMIT_LATENCY_FACTOR * this.#store.latencyMs) {
-        if (!this.#mayTakeOver() || performance.now() < this.#promisedUntil) return false
-        await this.#takeOver(current, false)
-        return true
+        if (!this.#mayTakeOver()) return false
+        if (performance.now() >= this.#promisedUntil) {
+          await this.#takeOver(current, false)
+          return true
+        }
       }
       await sleep(OWNER_POLL_INTERVAL_MS)
     }
@@ -290,8 +294,10 @@
     if (answer?.token !== token || now < this.#claimPendingUntil) return undefined
     const isStoreSlow = !this.#store.isDirectlyReachable || this.#store.latencyMs > SLOW_STORE_MS
     if (!isStoreSlow && !answer.needsPromise) return undefined
-    this.#promisedUntil = now + TAKEOVER_PROMISE_MS
-    return { token, since: answer.time, durationMs: TAKEOVER_PROMISE_MS }
+    // While this node can't reach the store, it couldn't take the cell over, and heartbeats come less often.
+    const durationMs = this.#store.isAnswering ? TAKEOVER_PROMISE_MS : OUTAGE_PROMISE_MS
+    this.#promisedUntil = now + durationMs
+    return { token, since: answer.time, durationMs }
   }
 
   /** Whether this node may claim the cell: it has not resigned and is not in the pause after `#handOverAndPause`. */
--- a/packages/jobs/src/owner/CellMembers.ts
+++ b/packages/jobs/src/owner/CellMembers.ts
@@ -47,14 +47,15 @@
   /**
    * Reads the names that the previous owner stored from the rows of `CONTROL_TABLE`.
    *
-   * @returns Whether `node` is among them.
+   * @returns Whether the previous owner has written them, and whether `node` is among them then.
    */
-  restore (rows: readonly StoredRow[], node: string): boolean {
+  restore (rows: readonly StoredRow[], node: string): { isByPredecessor: boolean, isMember: boolean } {
     const value = rows.find(({ key }) => key === MEMBERS_KEY)?.value
     const row = value === undefined ? undefined : parseJson(value)
     const members = Value.Check(MembersRow, row) ? row : { token: 0, nodes: [] }
     this.#stored = new Set(members.nodes)
-    return members.token === this.#token - 1 && this.#stored.has(node)
+    const isByPredecessor = members.token === this.#token - 1
+    return { isByPredecessor, isMember: isByPredecessor && this.#stored.has(node) }
   }
 
   recordHeartbeat (node: string, promise: TakeoverPromise | undefined): void {
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -130,7 +130,9 @@
         (ownership.unconfirmedMs < STORE_OUTAGE_GRACE_MS && members.hasAllPromises),
       waitUntilStored: (worker) => this.#commits.waitUntilStored(worker),
       onFenced: () => this.#handleOwnershipLost('a worker has accepted a higher fencing token'),
-      earlierLeasesEnd: () => ownership.earlierLeasesEnd ?? this.#computeEarlierLeasesEnd(false)
+      earlierLeasesEnd: () => ownership.earlierLeasesEnd ?? this.#computeEarlierLeasesEnd(false),
+      isRecordedAsLost: (id) => this.#lostWorkers.has(id),
+      onLostWorkerFound: () => this.#commits.wake()
     })
     this.#cleanup = new JobCleanup(cell, store, options.keepEndedMs, (id) => {
       this.#cancelledIds.delete(id)
@@ -159,9 +161,11 @@
       this.#readUntilKnown(() => this.#dependencies.store.read(PROGRESS_TABLE, CELL_PARTITION), PROGRESS_TABLE)
     ])
     if (this.#isEnded || listed === undefined || control === undefined || progress === undefined) return
-    const isMember = this.#members.restore(control.rows, this.#options.node)
-    this.#ownership.earlierLeasesEnd = this.#computeEarlierLeasesEnd(isMember)
-    for (const worker of this.#lostWorkers.restore(control.rows)) this.#workerManager.addLost(worker)
+    const { isMember, isByPredecessor } = this.#members.restore(control.rows, this.#options.node)
+    const earlierLeasesEnd = this.#computeEarlierLeasesEnd(isMember)
+    this.#ownership.earlierLeasesEnd = earlierLeasesEnd
+    const lostWorkers = this.#lostWorkers.restore(control.rows, isByPredecessor, earlierLeasesEnd)
+    for (const worker of lostWorkers) this.#workerManager.addLost(worker)
     this.#restoreProgress(progress.rows)
     for (const worker of listed.workers) this.#workerManager.add(worker)
     this.#recovered = true
@@ -333,7 +337,9 @@
     const { clock, earlierLeasesEndAt, isTransferred } = this.#ownership
     const endAfter = (graceMs: number) => this.#claimedAt + graceMs + this.#longestLeaseMs
     const longest = endAfter(STORE_OUTAGE_GRACE_MS)
-    const stored = earlierLeasesEndAt === null ? longest : clock.toMonotonic(earlierLeasesEndAt) ?? longest
+    const recorded = earlierLeasesEndAt === null ? longest : clock.toMonotonic(earlierLeasesEndAt) ?? longest
+    // The writer's wall clock may have been set ahead. No owner renews leases for longer after it was replaced.
+    const stored = Math.min(recorded, longest)
     // The previous owner has stored the end of its own leases together with the transfer.
     if (isTransferred) return stored
     if (this.#options.predecessorEnded) return Math.max(stored, endAfter(0))
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -9,7 +9,7 @@
 import { Notifier } from '../notifier/Notifier.ts'
 import type { Cell } from './Cell.ts'
 import type { CellMembers } from './CellMembers.ts'
-import { MAX_LOST_WORKER_ROWS, toRowAddress, type LostWorkerRecords } from './LostWorkerRecords.ts'
+import { REMOVAL_ROWS, toRowAddress, type LostWorkerRecords } from './LostWorkerRecords.ts'
 
 /** Commits that take longer are logged, in ms; a commit usually takes 13 ms. */
 const SLOW_COMMIT_MS = 200
@@ -162,8 +162,10 @@
 
   #takeBatch (): Batch {
     const cell = this.#cell
-    const puts = [...this.#members.takeWrites(), ...this.#lostWorkers.takeWrites()]
-    const maxRows = MAX_ROWS_PER_COMMIT - (this.#lostWorkers.hasRecords ? MAX_LOST_WORKER_ROWS : 0)
+    // The row of the members tells the next owner that it may rely on the records of lost workers.
+    const members = this.#lostWorkers.hasUntrusted ? [] : this.#members.takeWrites()
+    const puts = [...members, ...this.#lostWorkers.takeWrites()]
+    const maxRows = MAX_ROWS_PER_COMMIT - (this.#lostWorkers.hasRecords ? REMOVAL_ROWS : 0)
     const batch: Batch = { puts, states: [], starts: [], endSequences: new Map(), foundWorkers: [] }
     let bytes = 0
     for (const job of this.#prioritizeDirtyJobs()) {
@@ -184,7 +186,7 @@
         if (storedEndSequence < processedEndSequence) batch.endSequences.set(worker, processedEndSequence)
       }
     }
-    batch.foundWorkers = this.#lostWorkers.takeRemovals(cell.dirty.size === 0)
+    batch.foundWorkers = this.#lostWorkers.takeRemovals(cell.dirty.size === 0, MAX_ROWS_PER_COMMIT - puts.length)
     return batch
   }
 
--- a/packages/jobs/src/owner/LostWorkerRecords.ts
+++ b/packages/jobs/src/owner/LostWorkerRecords.ts
@@ -10,11 +10,23 @@
 
 const KEY_PREFIX = 'lost-worker/'
 
-/** Time for which a worker has not answered before it is recorded, in ms; single lost answers are not recorded. */
-const RECORD_AFTER_MS = 1_000
+/**
+ * Time for which a worker that never answered this owner has been silent before it is recorded, in ms. This owner could
+ * not grant it any lease, so that the record costs nothing.
+ */
+const RECORD_INHERITED_AFTER_MS = 1_000
+
+/**
+ * The same for a worker that has answered this owner, in ms. When such a worker returns, its leases are renewed only
+ * after the record has been removed.
+ */
+const RECORD_AFTER_MS = 2_500
+
+/** Most records that one commit writes, so that there is room for the jobs. */
+const MAX_WRITES_PER_COMMIT = 20
 
-/** Most records that one commit writes, and most that it removes, so that there is room for the jobs. */
-export const MAX_LOST_WORKER_ROWS = 20
+/** Rows of a commit that are left to removals of records, while there are any. */
+export const REMOVAL_ROWS = 40
 
 const LostWorkerRow = Type.Object({
   /** Time on the store's clock by which all leases on the worker are over, in ms. */
@@ -46,6 +58,9 @@
   /** Ids of the workers of which the store has, or may have, a record. */
   readonly #recorded = new Set<string>()
 
+  /** Ids of the workers whose records are malformed or by an owner before one that did not know of records. */
+  readonly #untrusted = new Set<string>()
+
   constructor (cell: Cell, clock: StoreClock) {
     this.#cell = cell
     this.#clock = clock
@@ -56,28 +71,45 @@
     return this.#recorded.size > 0
   }
 
-  /** Reads the records of earlier owners from the rows of `CONTROL_TABLE`. */
-  restore (rows: readonly StoredRow[]): LostWorker[] {
+  /**
+   * Reads the records of earlier owners from the rows of `CONTROL_TABLE`.
+   *
+   * @param isTrusted - Whether the previous owner has kept to the records. Otherwise they are only removed.
+   * @param earlierLeasesEnd - Monotonic time by which all leases of earlier owners are over, in ms.
+   */
+  restore (rows: readonly StoredRow[], isTrusted: boolean, earlierLeasesEnd: number): LostWorker[] {
     return rows.flatMap(({ key, value }) => {
       if (!key.startsWith(KEY_PREFIX)) return []
       const id = key.slice(KEY_PREFIX.length)
-      this.#recorded.add(id)
       const row = value === undefined ? undefined : parseJson(value)
-      const leaseEndsBy = Value.Check(LostWorkerRow, row) ? this.#clock.toMonotonic(row.leasesEndAt) : undefined
-      if (leaseEndsBy === undefined) {
+      this.#recorded.add(id)
+      if (!isTrusted) this.#untrusted.add(id)
+      if (!Value.Check(LostWorkerRow, row)) {
         this.#cell.log.warn({ worker: id }, 'record of a lost worker is malformed')
+        this.#untrusted.add(id)
         return []
       }
-      return [{ entry: toEntry(id, row as LostWorkerRow), leaseEndsBy }]
+      const recordedEnd = isTrusted ? this.#clock.toMonotonic(row.leasesEndAt) ?? Infinity : Infinity
+      return [{ entry: toEntry(id, row), leaseEndsBy: Math.min(recordedEnd, earlierLeasesEnd) }]
     })
   }
 
+  /** Whether the store has, or may have, a record of a worker. */
+  has (id: string): boolean {
+    return this.#recorded.has(id)
+  }
+
+  /** Whether the store has records that a later owner must not rely on. */
+  get hasUntrusted (): boolean {
+    return this.#untrusted.size > 0
+  }
+
   /** Returns the records to write with the next commit. From now on no leases are renewed on these workers. */
   takeWrites (): Commit['puts'] {
     const now = this.#cell.now()
     const writes: Commit['puts'] = []
     for (const worker of this.#cell.workers.values()) {
-      if (writes.length >= MAX_LOST_WORKER_ROWS) break
+      if (writes.length >= MAX_WRITES_PER_COMMIT) break
       if (this.#recorded.has(worker.id) || !isLost(worker, now)) continue
       const leasesEndAt = this.#clock.toStore(worker.leaseEndsBy)
       if (leasesEndAt === undefined) break
@@ -92,19 +124,23 @@
   /**
    * Returns the ids of workers whose records are to be removed with the next commit: of those that answer again and,
    * once it is stored that their tasks wait for other workers, of those without tasks.
+   *
+   * @param limit - Most ids to return.
    */
-  takeRemovals (areJobsStored: boolean): string[] {
+  takeRemovals (areJobsStored: boolean, limit: number): string[] {
     const removable = [...this.#recorded].filter((id) => {
       const worker = this.#cell.workers.get(id)
-      return worker?.reachable === true || (areJobsStored && (worker === undefined || worker.tasks.size === 0))
+      return this.#untrusted.has(id) || worker?.reachable === true ||
+        (areJobsStored && (worker === undefined || worker.tasks.size === 0))
     })
-    return removable.slice(0, MAX_LOST_WORKER_ROWS)
+    return removable.slice(0, limit)
   }
 
   /** Allows leases on workers again whose records were removed. */
   handleRemoved (ids: readonly string[]): void {
     for (const id of ids) {
       this.#recorded.delete(id)
+      this.#untrusted.delete(id)
       const worker = this.#cell.workers.get(id)
       if (worker === undefined) continue
       worker.isRecordedAsLost = false
@@ -118,9 +154,9 @@
   return { table: CONTROL_TABLE, key: `${KEY_PREFIX}${id}` }
 }
 
-function isLost ({ tasks, unreachableSince, leaseEndsBy }: WorkerState, now: number): boolean {
-  return tasks.size > 0 && unreachableSince !== undefined && now - unreachableSince >= RECORD_AFTER_MS &&
-    leaseEndsBy > now
+function isLost ({ tasks, unreachableSince, leaseEndsBy, hasAnswered }: WorkerState, now: number): boolean {
+  if (tasks.size === 0 || unreachableSince === undefined || leaseEndsBy <= now) return false
+  return now - unreachableSince >= (hasAnswered ? RECORD_AFTER_MS : RECORD_INHERITED_AFTER_MS)
 }
 
 function toRow (entry: WorkerEntry, leasesEndAt: number): LostWorkerRow {
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -42,6 +42,10 @@
   onFenced (): void
   /** Monotonic time by which all task leases granted by earlier owners are over, in ms. */
   earlierLeasesEnd (): number
+  /** Whether the store has, or may have, a record of a worker as lost. */
+  isRecordedAsLost (id: string): boolean
+  /** Called when a worker that is recorded as lost answers. */
+  onLostWorkerFound (): void
 }
 
 /** Tracks the workers of a cell as the registry lists, changes and removes them, with a session for each. */
@@ -75,7 +79,7 @@
       this.#update(known, entry)
       return
     }
-    const worker = known ?? new WorkerState(entry, this.#context.earlierLeasesEnd())
+    const worker = known ?? this.#createState(entry)
     cell.workers.set(entry.id, worker)
     this.#openSession(worker, entry)
     this.#update(worker, entry)
@@ -107,20 +111,28 @@
       onExpired: (state) => this.#remove(state, 'another incarnation answers'),
       onReachabilityChange: (state) => {
         cell.log.info({ worker: state.id, reachable: state.reachable }, 'worker reachability changed')
-        if (state.reachable) cell.notifyChange()
+        if (!state.reachable) return
+        cell.notifyChange()
+        if (state.isRecordedAsLost) this.#context.onLostWorkerFound()
       }
     })
     sessions.set(entry.id, session)
     if (this.#started) session.run().catch(throwUncaught)
   }
 
+  #createState (entry: WorkerEntry): WorkerState {
+    const worker = new WorkerState(entry, this.#context.earlierLeasesEnd())
+    worker.isRecordedAsLost = this.#context.isRecordedAsLost(entry.id)
+    return worker
+  }
+
   /** Adds a run started by an earlier owner to its worker, which may no longer be registered. */
   addInheritedRun (task: TaskInstance): void {
     const { cell } = this.#dependencies
     const id = task.worker!
     let worker = cell.workers.get(id)
     if (worker === undefined) {
-      worker = new WorkerState(placeholderEntry(id), this.#context.earlierLeasesEnd())
+      worker = this.#createState(placeholderEntry(id))
       worker.unlistedSince = performance.now()
       cell.workers.set(id, worker)
     }
--- a/packages/jobs/src/owner/WorkerSession.ts
+++ b/packages/jobs/src/owner/WorkerSession.ts
@@ -28,6 +28,9 @@
   onReachabilityChange (worker: WorkerState): void
 }
 
+/** Maximum time that a poll of a worker that is recorded as lost waits, in ms; a commit takes 13 ms. */
+const RECORDED_POLL_WAIT_MS = 50
+
 /** Polls one worker, which also renews the lease of its tasks, and sends orders to it. */
 export class WorkerSession {
   readonly state: WorkerState
@@ -92,6 +95,8 @@
   }
 
   get #pollWaitMs (): number {
+    // Its leases can be renewed again as soon as the record is removed.
+    if (this.state.isRecordedAsLost) return RECORDED_POLL_WAIT_MS
     return this.#context.answerLoss.isHigh && this.state.tasks.size > 0 ? LOSSY_POLL_WAIT_MS : POLL_WAIT_MS
   }
 
