Let the job of the paused-process test run until it is told to end

Cause: each task ran for 1.5 s. With all processes on one core, `apply` and the first `gypsumctl status` take longer than that, so the test first read the state after the job had succeeded, and waited in vain for a shard that runs it.

The worker stand-in now takes the name of a gate in the payload of an attempt: the attempt runs until the gate is opened by a control call. The test opens it on every other worker while the former owner is paused and on the rest after it has resumed, so that the former owner comes back both to tasks that have ended and to tasks that still run. It also waits until another owner has taken over before it resumes the former one; a fixed pause of 4 s could end earlier on a slow machine, with the check of the epoch failing. All checks of the test are unchanged.

Ruled out: a longer run time, which would make the test as long as the slowest machine needs.

The new case of httpWorkerConnector/test.ts covers the gate.

--- a/packages/adapters/src/httpWorkerConnector/test.ts
+++ b/packages/adapters/src/httpWorkerConnector/test.ts
@@ -96,6 +96,22 @@
     expect(attempts[0]).to.include({ state: 'stopped', detail: 'lease lapsed' })
   })
 
+  it('runs attempts that wait for a gate until it is opened, and starts later ones as succeeded', async () => {
+    const session = await openSession(1)
+    const gated = (task: string, gate: string): AttemptStart => ({ ...attempt, task, payload: { gate } })
+    const start = async (...starts: AttemptStart[]) =>
+      (await worker.start(session, starts)).unsafeCoerce().results.map(({ state }) => state)
+    const readStates = async () =>
+      (await worker.heartbeat(session, emptyHeartbeat)).unsafeCoerce().attempts.map(({ state }) => state)
+    const starts = [gated('a', 'g'), gated('b', 'other gate'), attempt]
+    expect(await start(...starts)).to.deep.equal(['running', 'running', 'running'])
+    expect(await readStates()).to.deep.equal(['running', 'running', 'running'])
+    await callControl(server.url, 'workers/all/open-gate', { gate: 'g' })
+    expect(await readStates()).to.deep.equal(['succeeded', 'running', 'running'])
+    expect(await start(gated('c', 'g'), gated('d', 'third gate'))).to.deep.equal(['succeeded', 'running'])
+    expect(server.records()).to.deep.include({ starts: 5, ends: { succeeded: 2 } })
+  })
+
   it('distinguishes the faults of a worker and does not delay calls to other workers', async () => {
     const other = connector.connect({ id: 'worker-1', address: server.address })
     await injectFault({ down: true })
--- a/packages/standins/src/memoryWorker/index.ts
+++ b/packages/standins/src/memoryWorker/index.ts
@@ -12,6 +12,8 @@
   startedAt: number
   /** Usage to report, once the attempt has run for longer than the fault `lagMs`. */
   delayedUsage?: Resources
+  /** Name of the gate for which the attempt waits. */
+  gate?: string
   leaseTimer?: Timer
   runTimer?: Timer
 }
@@ -28,6 +30,8 @@
 interface AttemptPayload {
   /** Run time in ms. Default: the attempt runs until it is stopped. */
   runMs?: number
+  /** Name of a gate: the attempt runs until `openGate` is called with that name, however long that takes. */
+  gate?: string
   /** Whether the attempt fails immediately. */
   fails?: boolean
   /** Usage to report; may exceed the resources of the attempt. */
@@ -53,6 +57,7 @@
   readonly #shards = new Map<string, ShardSession>()
   /** Final states of acknowledged attempts, kept so that a start that arrives late does not run again (A3). */
   readonly #acknowledged = new Map<string, AttemptState>()
+  readonly #openGates = new Set<string>()
 
   constructor (id: string, capacity: Resources, observe: AttemptObserver = () => {}) {
     this.#id = id
@@ -132,6 +137,12 @@
     this.faults.set({ down: false })
   }
 
+  /** Lets all attempts that wait for the gate succeed, and those that start later succeed at once. */
+  openGate (gate: string): void {
+    this.#openGates.add(gate)
+    for (const [key, attempt] of this.#attempts) if (attempt.gate === gate) this.#end(key, 'succeeded')
+  }
+
   /** Attempts that run now. */
   get running (): AttemptReport[] {
     return this.#listReports().filter(({ state }) => state === 'running')
@@ -142,13 +153,14 @@
     const key = attemptKey(task, attempt)
     const known = this.#attempts.get(key)?.state ?? this.#acknowledged.get(key)
     if (known !== undefined) return { task, attempt, accepted: true, state: known }
-    const { runMs, fails, usage } = start.payload as AttemptPayload
+    const { runMs, gate, fails, usage } = start.payload as AttemptPayload
     const startedAt = performance.now()
-    const started: Attempt = { task, attempt, resources, state: 'running', startedAt, delayedUsage: usage }
+    const started: Attempt = { task, attempt, resources, state: 'running', startedAt, delayedUsage: usage, gate }
     this.#attempts.set(key, started)
     this.#observe('start', this.#id, toReport(started))
     this.#renew(key, start.leaseMs)
     if (this.failsEverything || fails === true) this.#end(key, 'failed', 'exit code 1')
+    else if (gate !== undefined && this.#openGates.has(gate)) this.#end(key, 'succeeded')
     else if (runMs !== undefined) started.runTimer = setTimeout(() => this.#end(key, 'succeeded'), runMs)
     return { task, attempt, accepted: true, state: started.state }
   }
--- a/packages/standins/src/processTests/pausedProcess.test.ts
+++ b/packages/standins/src/processTests/pausedProcess.test.ts
@@ -8,6 +8,9 @@
 /** Longer than the shard lease and the session TTL of the test cell, so that another process takes over meanwhile. */
 const PAUSE_MS = 4000
 
+/** Gate for which the tasks of the job wait, so that they run for as long as the test needs at any machine speed. */
+const GATE = 'former-owner-resumed'
+
 describe('a process paused beyond the end of its lease (SIGSTOP, SIGCONT)', () => {
   let cell: Cell
 
@@ -20,10 +23,23 @@
     return vm
   }
 
+  async function readShard (id: string): Promise<ShardStatus | undefined> {
+    return (await readShards(cell)).find(({ shard }) => shard === id)
+  }
+
+  /** Lets the tasks on every other worker succeed, or on all. */
+  async function openGate (share: 'half' | 'all'): Promise<void> {
+    const step = share === 'half' ? 2 : 1
+    for (const { ready } of cell.workers) {
+      const ids = (ready['workers'] as string[]).filter((_id, index) => index % step === 0)
+      await Promise.all(ids.map((id) => callControl(ready['url'], `workers/${id}/open-gate`, { gate: GATE })))
+    }
+  }
+
   it('starts no task twice after it resumes as the former owner of a shard, and is fenced (P1, P2)', async () => {
     await waitFor('every shard has an owner', async () => (await readShards(cell)).length === 3)
     const jobs: Workload[] = (cell.manifest.workloads ?? []).filter(({ kind }) => kind === 'batch')
-      .map((workload) => ({ ...workload, id: `${workload.id}-paused`, tasks: 60, payload: { runMs: 1500 } }))
+      .map((workload) => ({ ...workload, id: `${workload.id}-paused`, tasks: 60, payload: { gate: GATE } }))
     const applied = await cell.applyManifest((manifest) => ({
       ...manifest, workloads: [...manifest.workloads ?? [], ...jobs]
     }))
@@ -36,10 +52,13 @@
     })
     const { scheduler } = findVmOfScheduler(busyShard!.owner)
     scheduler.pause()
-    await new Promise((resolve) => setTimeout(resolve, PAUSE_MS))
+    await Promise.all([openGate('half'), new Promise((resolve) => setTimeout(resolve, PAUSE_MS))])
+    await waitFor('another owner took over', async () =>
+      ((await readShard(busyShard!.shard))?.epoch ?? 0) > busyShard!.epoch)
     scheduler.resume()
+    await openGate('all')
     await waitUntilSettled(cell, jobs)
-    const after = (await readShards(cell)).find(({ shard }) => shard === busyShard!.shard)
+    const after = await readShard(busyShard!.shard)
     expect(after?.epoch, 'another owner took over').to.be.above(busyShard!.epoch)
     await checkInvariants(cell)
   })
--- a/packages/standins/src/serveWorkers/index.ts
+++ b/packages/standins/src/serveWorkers/index.ts
@@ -42,6 +42,8 @@
   FaultUpdate, Type.Object({ failsEverything: Type.Optional(Type.Boolean()) })
 ], { additionalProperties: false })
 
+const GateOpening = Type.Object({ gate: Type.String({ minLength: 1 }) }, { additionalProperties: false })
+
 /** Similar to a worker of the Arquivo deployment; docs/design.md, section 1.5. */
 const DEFAULT_CAPACITY: Resources = { cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0 }
 
@@ -170,6 +172,7 @@
     if (failsEverything !== undefined) worker.failsEverything = failsEverything
     faults.set(faultUpdate)
   }, WorkerFaultUpdate)
+  addWorkerCommand('open-gate', ({ worker }, body) => worker.openGate((body as Static<typeof GateOpening>).gate), GateOpening)
   // A failed VM would accept no connections. As all workers share one port, its requests get no response instead.
   addWorkerCommand('fail', ({ worker, faults }) => {
     worker.fail()
