Log what keeps a waiting step off the workers of its pool

`step waits for a worker` counts the workers of the pool by what keeps the step's task off them: after 2 s, every 2 s for each step, at most ten lines in a second.

--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -9,6 +9,7 @@
 import type { AdviceDispatcher } from './AdviceDispatcher.ts'
 import { readySteps, type Cell } from './Cell.ts'
 import { Preemptor } from './Preemptor.ts'
+import { WaitLog } from './WaitLog.ts'
 import type { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
 
 /** Time that a task waits for room before a worker is reserved for it, in ms. */
@@ -26,6 +27,7 @@
   readonly #advice: AdviceDispatcher
   readonly #breaker: WorkerCircuitBreaker
   readonly #preemptor: Preemptor
+  readonly #waitLog: WaitLog
   /** Workers that get no more tasks in this round, so that they become free for a task that waits for room. */
   readonly #reserved = new Set<WorkerState>()
   /** Tasks of the current step that were placed in this round. */
@@ -39,6 +41,7 @@
     this.#cell = cell
     this.#advice = advice
     this.#breaker = breaker
+    this.#waitLog = new WaitLog(cell.log)
   }
 
   /** Runs one placement round over all waiting tasks. */
@@ -63,6 +66,7 @@
       this.#logPlaced(step, now)
       if (blocked === undefined) continue
       const workers = pools.get(pool) ?? []
+      this.#waitLog.record(blocked, workers, this.#workerChecks(blocked), now)
       this.#handleBlocked(blocked, workers, candidates, now)
       if (lateness === 0 && preemptionAttempts < MAX_PREEMPTION_ATTEMPTS) {
         if (this.#preemptor.makeRoom(blocked, workers, this.#workerChecks(blocked), now)) preemptionAttempts++
