--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -28,8 +28,8 @@
   readonly #breaker: WorkerCircuitBreaker
   readonly #preemptor: Preemptor
   readonly #waitLog: WaitLog
-  /** Workers that get no more tasks in this round, so that they become free for a task that waits for room. */
-  readonly #reserved = new Set<WorkerState>()
+  /** Workers that get no more tasks in this round, so that they become free for a waiting task; with its step. */
+  readonly #reserved = new Map<WorkerState, StepInstance>()
   /** Tasks of the current step that were placed in this round. */
   readonly #placedTasks: TaskInstance[] = []
 
@@ -66,7 +66,9 @@
       this.#logPlaced(step, now)
       if (blocked === undefined) continue
       const workers = pools.get(pool) ?? []
-      this.#waitLog.record(blocked, workers, this.#workerChecks(blocked), now)
+      this.#waitLog.record(blocked, workers, {
+        ...this.#workerChecks(blocked), reservedFor: (worker) => this.#reserved.get(worker) ?? worker.claim?.step
+      }, now)
       this.#handleBlocked(blocked, workers, candidates, now)
       if (lateness === 0 && preemptionAttempts < MAX_PREEMPTION_ATTEMPTS) {
         if (this.#preemptor.makeRoom(blocked, workers, this.#workerChecks(blocked), now)) preemptionAttempts++
@@ -201,7 +203,7 @@
     if (advice !== undefined && !step.advice.pending) this.#requestAdvice(task, workers, candidates, now)
     if (now - task.waitingSince < RESERVE_AFTER_MS || this.#reserved.size >= workers.length * MAX_RESERVED_SHARE) return
     const candidate = chooseReservation(step, workers, this.#reserved)
-    if (candidate !== undefined) this.#reserved.add(candidate)
+    if (candidate !== undefined) this.#reserved.set(candidate, step)
   }
 
   /** Requests advice if some worker could take the task now, apart from tickets, and otherwise renews its tickets. */
--- a/packages/jobs/src/owner/WaitLog.test.ts
+++ b/packages/jobs/src/owner/WaitLog.test.ts
@@ -5,7 +5,8 @@
 
 /** Interval between the rounds of the cases, in ms. */
 const ROUND_MS = 50
-const CHECKS = { isHealthy: () => true, isReserved: () => true }
+const KEEPER = makeStep()
+const CHECKS = { isHealthy: () => true, isReserved: () => true, reservedFor: () => KEEPER }
 
 describe('WaitLog', () => {
   const cases: Array<{ name: string, steps: () => StepInstance[], durationMs: number, lines: number }> = [
@@ -26,7 +27,9 @@
       for (let now = NOW; now <= NOW + durationMs; now += ROUND_MS) {
         for (const { tasks: [task] } of waiting) log.record(task!, [makeWorker('w')], CHECKS, now)
       }
-      expect(written.map(({ obstacles }) => obstacles)).to.deep.equal(Array(lines).fill({ reserved: 1 }))
+      expect(written.map(({ obstacles, reservedFor }) => ({ obstacles, reservedFor }))).to.deep.equal(
+        Array(lines).fill({ obstacles: { reserved: 1 }, reservedFor: [KEEPER.name] })
+      )
     })
   }
 })
--- a/packages/jobs/src/owner/WaitLog.ts
+++ b/packages/jobs/src/owner/WaitLog.ts
@@ -1,5 +1,6 @@
 import type { StepInstance, TaskInstance } from '../model/index.ts'
 import type { LogWriter } from '../ports.ts'
+import { mayRunWithRoom } from '../placement/chooseWorker/index.ts'
 import { countObstacles } from '../placement/countObstacles/index.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 
@@ -9,7 +10,13 @@
 /** Least time between two lines, in ms: under overload hundreds of steps wait. */
 const LINE_INTERVAL_MS = 100
 
-type WorkerChecks = Pick<Parameters<typeof countObstacles>[2], 'isHealthy' | 'isReserved'>
+/** Most steps that a line names in `reservedFor`. */
+const MAX_RESERVED_FOR = 3
+
+interface WorkerChecks extends Pick<Parameters<typeof countObstacles>[2], 'isHealthy' | 'isReserved'> {
+  /** The step that a reserved worker is kept for. */
+  reservedFor: (worker: WorkerState) => StepInstance | undefined
+}
 
 /** Logs what keeps waiting steps off the workers of their pool, in a bounded number of lines. */
 export class WaitLog {
@@ -30,13 +37,24 @@
     if (now - Math.max(since, this.#loggedAt.get(step) ?? 0) < STEP_INTERVAL_MS) return
     this.#lastLineAt = now
     this.#loggedAt.set(step, now)
+    const obstacles = countObstacles(task, workers, { ...checks, now })
     this.#log.info({
       job: step.job.id,
       step: step.name,
       left: step.tasks.filter(({ status }) => status === 'waiting').length,
       waitedMs: Math.round(now - since),
       workers: workers.length,
-      obstacles: countObstacles(task, workers, { ...checks, now })
+      obstacles,
+      ...obstacles.reserved === undefined ? {} : { reservedFor: nameKeepers(task, workers, checks, now) }
     }, 'step waits for a worker')
   }
 }
+
+/** Names the steps for which workers are kept that the task could use otherwise. */
+function nameKeepers (
+  task: TaskInstance, workers: readonly WorkerState[], { isHealthy, isReserved, reservedFor }: WorkerChecks, now: number
+): string[] {
+  const kept = workers.filter((worker) => worker.hasRoom(task.step.spec) && isReserved(worker) &&
+    mayRunWithRoom(task, worker, { now, isHealthy, ignoreTickets: true }))
+  return [...new Set(kept.flatMap((worker) => reservedFor(worker)?.name ?? []))].slice(0, MAX_RESERVED_FOR)
+}
--- a/packages/jobs/src/placement/chooseReservation/index.ts
+++ b/packages/jobs/src/placement/chooseReservation/index.ts
@@ -11,7 +11,7 @@
  * @returns The worker, or undefined when none could run the task.
  */
 export function chooseReservation (
-  step: StepInstance, workers: readonly WorkerState[], reserved: ReadonlySet<WorkerState>
+  step: StepInstance, workers: readonly WorkerState[], reserved: ReadonlyMap<WorkerState, unknown>
 ): WorkerState | undefined {
   const counts = step.countByWorker()
   let best: WorkerState | undefined
