Use the room beside a reservation instead of keeping the whole worker free

Cause: a worker reserved for a task that waits for room took no other task at all.

Now a reservation keeps only what the waiting task needs beyond the resources of the tasks that have to end first (`computeKeptRoom`). Other tasks may take the rest, since it would stay free beside the waiting task as well.

Ruled out by the obstacles in these lines: tickets, the breaker, failed runs and unreachable workers. While the worker was `reserved`, the other 9 were `notAllowed`, which the policy doesn't change for a step.

Not changed: a small task that would take some of the kept room waits as before, even if it were to end before the room is there.

--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -3,8 +3,9 @@
 import { chooseWorker, mayRunWithRoom } from '../placement/chooseWorker/index.ts'
 import { chooseFailureDomain } from '../placement/chooseFailureDomain/index.ts'
 import { chooseReservation } from '../placement/chooseReservation/index.ts'
+import { computeKeptRoom } from '../placement/computeKeptRoom/index.ts'
 import { orderSteps } from '../placement/orderSteps/index.ts'
-import type { Step } from '../types.ts'
+import type { Demand, Step } from '../types.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 import type { AdviceDispatcher } from './AdviceDispatcher.ts'
 import { readySteps, type Cell } from './Cell.ts'
@@ -21,6 +22,12 @@
 /** Most steps in one round for which others are looked at that could be stopped; the most urgent ones come first. */
 const MAX_PREEMPTION_ATTEMPTS = 4
 
+/** Room on a worker that is kept for a task of a step. */
+interface Reservation {
+  step: StepInstance
+  keptRoom: Demand
+}
+
 /** Assigns waiting tasks to workers. */
 export class Placer {
   readonly #cell: Cell
@@ -28,8 +35,8 @@
   readonly #breaker: WorkerCircuitBreaker
   readonly #preemptor: Preemptor
   readonly #waitLog: WaitLog
-  /** Workers that get no more tasks in this round, so that they become free for a waiting task; with its step. */
-  readonly #reserved = new Map<WorkerState, StepInstance>()
+  /** Workers on which tasks of other steps leave room in this round, so that a waiting task can start there. */
+  readonly #reserved = new Map<WorkerState, Reservation>()
   /** Tasks of the current step that were placed in this round. */
   readonly #placedTasks: TaskInstance[] = []
 
@@ -67,7 +74,7 @@
       if (blocked === undefined) continue
       const workers = pools.get(pool) ?? []
       this.#waitLog.record(blocked, workers, {
-        ...this.#workerChecks(blocked), reservedFor: (worker) => this.#reserved.get(worker) ?? worker.claim?.step
+        ...this.#workerChecks(blocked), reservedFor: (worker) => (this.#reserved.get(worker) ?? worker.claim)?.step
       }, now)
       this.#handleBlocked(blocked, workers, candidates, now)
       if (lateness === 0 && preemptionAttempts < MAX_PREEMPTION_ATTEMPTS) {
@@ -161,10 +168,17 @@
   #workerChecks (task: TaskInstance) {
     return {
       isHealthy: (worker: WorkerState) => this.#breaker.mayStart(worker.id, task),
-      isReserved: (worker: WorkerState) => this.#reserved.has(worker) || this.#preemptor.isClaimed(worker, task.step)
+      isReserved: (worker: WorkerState) => this.#isReserved(worker, task) ||
+        this.#preemptor.isClaimed(worker, task.step)
     }
   }
 
+  /** Whether a task would take up room on a worker that is kept for another one. */
+  #isReserved (worker: WorkerState, { step }: TaskInstance): boolean {
+    const reservation = this.#reserved.get(worker)
+    return reservation !== undefined && !worker.hasRoom(step.spec, reservation.keptRoom)
+  }
+
   /** After a wait, lets a task go back to a worker on which it failed when no other has room. */
   #chooseFailedWorker (
     task: TaskInstance, workers: readonly WorkerState[], now: number, rack?: string
@@ -203,7 +217,8 @@
     if (advice !== undefined && !step.advice.pending) this.#requestAdvice(task, workers, candidates, now)
     if (now - task.waitingSince < RESERVE_AFTER_MS || this.#reserved.size >= workers.length * MAX_RESERVED_SHARE) return
     const candidate = chooseReservation(step, workers, this.#reserved)
-    if (candidate !== undefined) this.#reserved.set(candidate, step)
+    if (candidate === undefined) return
+    this.#reserved.set(candidate, { step, keptRoom: computeKeptRoom(step, candidate, now) })
   }
 
   /** Requests advice if some worker could take the task now, apart from tickets, and otherwise renews its tickets. */
--- a/packages/jobs/src/workers/WorkerState.ts
+++ b/packages/jobs/src/workers/WorkerState.ts
@@ -1,5 +1,8 @@
 import type { StepInstance, TaskInstance } from '../model/index.ts'
-import type { WorkerEntry } from '../types.ts'
+import type { Demand, WorkerEntry } from '../types.ts'
+
+/** No resources. */
+export const NO_DEMAND: Demand = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
 
 /** The owner's view of one incarnation of a worker. */
 export class WorkerState {
@@ -68,12 +71,16 @@
     this.usedAccelerators += sign * demand.accelerators
   }
 
-  /** Whether the free resources suffice for one more task of the step. */
-  hasRoom (step: { demand: WorkerEntry['capacity'], fills: boolean }): boolean {
+  /**
+   * Whether the free resources suffice for one more task of the step.
+   *
+   * @param change - Change of the resources in use to assume. Default: none.
+   */
+  hasRoom (step: { demand: Demand, fills: boolean }, change = NO_DEMAND): boolean {
     const { capacity } = this.entry
     const { demand } = step
-    return this.usedMemoryMb + demand.memoryMb <= capacity.memoryMb &&
-      this.usedAccelerators + demand.accelerators <= capacity.accelerators &&
-      (step.fills || this.usedCpuMillis + demand.cpuMillis <= capacity.cpuMillis)
+    return this.usedMemoryMb + demand.memoryMb + change.memoryMb <= capacity.memoryMb &&
+      this.usedAccelerators + demand.accelerators + change.accelerators <= capacity.accelerators &&
+      (step.fills || this.usedCpuMillis + demand.cpuMillis + change.cpuMillis <= capacity.cpuMillis)
   }
 }
