Ask the inventory of machines about workers that don't answer

Tasks of a worker that has ended waited for the end of its leases, up to 5.3 s. The owner now asks the platform's inventory of machines when a worker with tasks has not answered for 0.3 s, and starts its tasks elsewhere when the listing shows that it has ended: its machine runs another worker or none, or two listings in a row show it nowhere.

A listing that fails, is stale or shows none of the workers that answer leaves the tasks to their leases.

The stand-in of a worker answered a poll that was under way when it crashed, which hid the crash for up to half a second longer than a real one; it answers no more.

--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -5,7 +5,8 @@
 import type { TakeoverPromise } from '../owner/CellMembers.ts'
 import { Ownership, readOwner, type OwnerRecord, type OwnerRow, type Transfer } from '../ownership/index.ts'
 import type {
-  Adviser, ConfigurationSource, MetricsRecorder, LogWriter, RecordStore, WorkerConnector, WorkerRegistry
+  Adviser, ConfigurationSource, MetricsRecorder, LogWriter, RecordStore, WorkerConnector, WorkerInventory,
+  WorkerRegistry
 } from '../ports.ts'
 import { CELL_PARTITION } from '../records/index.ts'
 import { Notifier } from '../notifier/Notifier.ts'
@@ -24,6 +25,8 @@
   /** Creates the worker registry that reads from the given store. */
   registry: (store: RecordStore) => WorkerRegistry
   connector: WorkerConnector
+  /** Without it, tasks of workers that don't answer wait until their leases have ended. */
+  inventory?: WorkerInventory
   adviser: Adviser
   configuration: ConfigurationSource
   connect: (address: string) => Peer & { close (): void }
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -6,7 +6,8 @@
 import { readInstant } from '../instant/index.ts'
 import { CONTROL_TABLE, type Ownership, type Transfer } from '../ownership/index.ts'
 import type {
-  ConfigurationSource, MetricsRecorder, LogWriter, RecordStore, RowChanges, StoredRow, WorkerConnector, WorkerRegistry
+  ConfigurationSource, MetricsRecorder, LogWriter, RecordStore, RowChanges, StoredRow, WorkerConnector, WorkerInventory,
+  WorkerRegistry
 } from '../ports.ts'
 import {
   CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, decodeJob
@@ -32,6 +33,7 @@
   store: RecordStore
   registry: WorkerRegistry
   connector: WorkerConnector
+  inventory?: WorkerInventory
   configuration: ConfigurationSource
   log: LogWriter
   metrics: MetricsRecorder
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -1,11 +1,12 @@
 import { failureOf, throwUncaught, sleep, valueOf } from '@gypsumspring/protocol'
 import type { TaskInstance } from '../model/index.ts'
 import { UNLISTED_GRACE_MS } from '../constants/index.ts'
-import type { WorkerConnector, WorkerRegistry } from '../ports.ts'
+import type { WorkerConnector, WorkerInventory, WorkerRegistry } from '../ports.ts'
 import type { WorkerEntry } from '../types.ts'
 import { AnswerLoss } from '../workers/AnswerLoss.ts'
 import { WorkerState } from '../workers/WorkerState.ts'
 import type { Cell } from './Cell.ts'
+import { EndedWorkerDetector } from './EndedWorkerDetector.ts'
 import type { RunTracker } from './RunTracker.ts'
 import { WorkerSession, type WorkerSessionContext } from './WorkerSession.ts'
 import type { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
@@ -26,6 +27,7 @@
   cell: Cell
   registry: WorkerRegistry
   connector: WorkerConnector
+  inventory?: WorkerInventory
   tracker: RunTracker
   breaker: WorkerCircuitBreaker
   /** Sessions by worker id; shared with the tracker, which sends orders through them. */
@@ -49,11 +51,17 @@
   readonly #dependencies: WorkerManagerDependencies
   readonly #context: WorkerManagerContext
   readonly #answerLoss = new AnswerLoss()
+  readonly #endedWorkers: EndedWorkerDetector | undefined
   #started = false
 
   constructor (dependencies: WorkerManagerDependencies, context: WorkerManagerContext) {
     this.#dependencies = dependencies
     this.#context = context
+    const { cell, inventory, signal } = dependencies
+    if (inventory === undefined) return
+    this.#endedWorkers = new EndedWorkerDetector(cell, inventory, (worker) => {
+      this.#remove(worker, 'the inventory shows that it has ended')
+    }, signal)
   }
 
   /** Starts the sessions and follows the registry from a version on. */
@@ -128,8 +136,8 @@
   }
 
   /**
-   * Handles unreachable workers: requeues their tasks when the lease has ended, and removes workers without tasks that
-   * the registry has not listed for `UNLISTED_GRACE_MS`.
+   * Handles unreachable workers: requeues their tasks when the lease has ended, and removes those that have ended by the
+   * inventory, and those without tasks that the registry has not listed for `UNLISTED_GRACE_MS`.
    */
   tick (now: number): void {
     for (const worker of [...this.#dependencies.cell.workers.values()]) {
@@ -140,6 +148,7 @@
       const unlistedMs = worker.unlistedSince === undefined ? 0 : now - worker.unlistedSince
       if (unlistedMs > UNLISTED_GRACE_MS && worker.tasks.size === 0) this.#remove(worker, 'not registered any more')
     }
+    this.#endedWorkers?.tick(now)
   }
 
   #update (worker: WorkerState, entry: WorkerEntry): void {
--- a/packages/jobs/src/ports.ts
+++ b/packages/jobs/src/ports.ts
@@ -117,6 +117,22 @@
   }>>
 }
 
+export interface MachineEntry {
+  /** Name of the machine; it stays the same while workers on it begin and end. */
+  machine: string
+  /** Id of the worker that the machine runs; empty when it runs none. */
+  worker: string
+}
+
+/** The platform's inventory of the machines on which workers run. */
+export interface WorkerInventory {
+  /**
+   * Lists all machines. Fails unless the listing is complete. Its parts may be of different times: a machine that moves
+   * between them may be missing or listed twice.
+   */
+  listMachines (): Promise<Outcome<readonly MachineEntry[]>>
+}
+
 export interface ConfigurationSource {
   /** Latest configuration in force on this node; undefined before the first one has arrived. */
   current (): QueueConfiguration | undefined
--- a/packages/jobs/src/standins/MemoryCell.ts
+++ b/packages/jobs/src/standins/MemoryCell.ts
@@ -3,6 +3,7 @@
 import type { Peer } from '../node/FailoverStore.ts'
 import type { Adviser, MetricsRecorder, LogWriter } from '../ports.ts'
 import type { Job, JobSpec, Queue, Step, WorkerEntry } from '../types.ts'
+import { MemoryInventory } from './MemoryInventory.ts'
 import { MemoryRecordStore, MemoryRows } from './MemoryRecordStore.ts'
 import { MemoryWorkers, createTicket, type MemoryWorker, type PlanRunEnd } from './MemoryWorkers.ts'
 
@@ -21,6 +22,8 @@
   weakNodes?: string[]
   /** Latency of a call to the store, in ms. Default: 5. */
   storeLatencyMs?: number
+  /** Whether nodes can ask an inventory of machines. Default: no. */
+  hasInventory?: boolean
   /** Receives the log lines. Default: they are discarded. */
   log?: LogWriter
 }
@@ -45,9 +48,11 @@
 export class MemoryCell {
   readonly rows = new MemoryRows()
   readonly workers = new MemoryWorkers()
+  /** Used by the nodes only with the option `hasInventory`. */
+  readonly inventory = new MemoryInventory()
   readonly nodes = new Map<string, MemoryNode>()
   readonly queues: Queue[] = [createQueue('batch')]
-  /** Names of the nodes that are cut off, together, from the other nodes and from the store. */
+  /** Names of the nodes that are cut off, together, from the other nodes, the store and the inventory. */
   readonly isolatedNodes = new Set<string>()
   /** Whether a node reaches a worker. */
   reachesWorker: (node: string, worker: string) => boolean = () => true
@@ -66,7 +71,8 @@
     return this.workers.checker
   }
 
-  addWorker (id: string, changes: Partial<WorkerEntry> = {}): MemoryWorker {
+  /** Adds a worker. `machine` is the machine on which it runs, by default one of its own. */
+  addWorker (id: string, changes: Partial<WorkerEntry> = {}, machine = `m-${id}`): MemoryWorker {
     const entry: WorkerEntry = {
       id,
       pool: 'pool',
@@ -78,15 +84,20 @@
       labels: ['a', 'r1'],
       ...changes
     }
-    return this.workers.add(entry, this.#options.planRunEnd ?? ((key) => this.#succeedAfterEstimate(key.job, key.step)))
+    const planRunEnd = this.#options.planRunEnd ?? ((key) => this.#succeedAfterEstimate(key.job, key.step))
+    const worker = this.workers.add(entry, planRunEnd)
+    this.inventory.machines.set(machine, worker)
+    return worker
   }
 
   startNode (name: string): MemoryNode {
     const store = new MemoryRecordStore(this.rows, { latencyMs: this.#options.storeLatencyMs })
     const isUp = () => this.nodes.get(name) === node && node.up
+    const isolate = <Target extends object>(target: Target) => interceptCalls(blockCallsWhenDown(target, isUp), () =>
+      this.isolatedNodes.has(name) ? timeOut() : undefined)
     const cellNode = new CellNode({
-      store: interceptCalls(blockCallsWhenDown(store, isUp), () =>
-        this.isolatedNodes.has(name) ? timeOut() : undefined),
+      store: isolate(store),
+      inventory: this.#options.hasInventory === true ? isolate(this.inventory) : undefined,
       registry: () => this.workers,
       connector: {
         open: (entry) => interceptCalls(blockCallsWhenDown(this.workers.open(entry), isUp), () =>
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -305,7 +305,8 @@
   ): Promise<Outcome<Value>> {
     await sleep(LATENCY_MS)
     const fault = this.#worker.alive ? this.#worker.fault(name) : 'silent'
-    const noAnswer = () => timeOut(timeoutMs)
+    const deadline = performance.now() + timeoutMs
+    const noAnswer = () => timeOut(Math.max(0, deadline - performance.now()))
     if (fault === 'silent') return await noAnswer()
     if (fault === 'late') {
       setTimeout(() => { if (this.#worker.alive && this.#worker.acceptsToken(token)) act() }, LATE_MS)
@@ -327,7 +328,7 @@
     }
     const outcome = await act()
     await sleep(LATENCY_MS)
-    return fault === 'lost' ? await noAnswer() : outcome
+    return fault === 'lost' || !this.#worker.alive ? await noAnswer() : outcome
   }
 }
 
--- a/packages/jobs/src/standins/index.ts
+++ b/packages/jobs/src/standins/index.ts
@@ -1,5 +1,6 @@
 export * from './MemoryRecordStore.ts'
 export * from './MemoryWorkers.ts'
+export * from './MemoryInventory.ts'
 export * from './InvariantChecker.ts'
 export * from './SeededRandom.ts'
 export * from './MemoryCell.ts'
