--- a/packages/jobs/src/node/faults.test.ts
+++ b/packages/jobs/src/node/faults.test.ts
@@ -1,6 +1,6 @@
 import { install, type Clock } from '@sinonjs/fake-timers'
 import { expect } from 'chai'
-import { MemoryCell, SeededRandom, type MemoryWorker, type StoreFault } from '../standins/index.ts'
+import { MemoryCell, SeededRandom, type InventoryFault, type MemoryWorker, type StoreFault } from '../standins/index.ts'
 import type { Step } from '../types.ts'
 
 /** Range of seeds; the environment variable SEEDS=FROM-TO sets another one. */
@@ -18,12 +18,26 @@
   readonly accepted = new Set<string>()
   readonly cancelled = new Set<string>()
   readonly #random: SeededRandom
+  /** Apart from the other faults, which are therefore the same with and without an inventory. */
+  readonly #inventoryRandom: SeededRandom
   #jobs = 0
   #workers = 8
 
-  constructor (seed: number) {
+  constructor (seed: number, hasInventory: boolean) {
     this.#random = new SeededRandom(seed)
-    this.cell = new MemoryCell({ nodes: 3, workers: 8, planRunEnd: (key) => this.#chooseOutcome(key) })
+    this.#inventoryRandom = new SeededRandom(seed)
+    this.cell = new MemoryCell({ nodes: 3, workers: 8, hasInventory, planRunEnd: (key) => this.#chooseOutcome(key) })
+  }
+
+  /** Injects faults into every eighth listing or so, and leaves another machine out of each. */
+  disturbInventory (): void {
+    const random = this.#inventoryRandom
+    const { inventory } = this.cell
+    const faults = [undefined, undefined, ...['refused', 'silent', 'stale'] as const]
+    inventory.fault = () => random.chance(0.2) ? random.pick<InventoryFault>(faults) : undefined
+    // Two listings in a row must not leave out the same machine.
+    inventory.isMissed = (machine) => machine === `m-w${inventory.listings % 40}`
+    inventory.latencyMs = random.pick([10, 200])
   }
 
   async runRandomEvent (): Promise<void> {
@@ -45,6 +59,7 @@
   clearFaults (): void {
     for (const { store } of this.cell.nodes.values()) store.fault = () => undefined
     for (const worker of this.cell.workers.workers.values()) worker.fault = () => undefined
+    this.cell.inventory.fault = () => undefined
   }
 
   #chooseOutcome (key: { job: string, step: number }) {
@@ -127,30 +142,33 @@
   }
 }
 
-describe('a cell under overlapping faults', () => {
-  let clock: Clock
-  beforeEach(() => { clock = install() })
-  afterEach(() => clock.uninstall())
-
-  for (let seed = FROM; seed <= TO; seed++) {
-    it(`violates no scheduling guarantee and finishes every accepted job (seed ${seed})`, async () => {
-      const scenario = new FaultScenario(seed)
-      const { cell } = scenario
-      for (let now = 0; now < FAULT_PHASE_MS; now += EVENT_INTERVAL_MS) {
-        await scenario.runRandomEvent()
-        await clock.tickAsync(EVENT_INTERVAL_MS)
-      }
-      scenario.clearFaults()
-      await clock.tickAsync(RECOVERY_MS)
-      expect(cell.checker.violations).to.deep.equal([])
-      const states = [...scenario.accepted].map(async (id) => [id, await cell.show(id)] as const)
-      await clock.tickAsync(2_000)
-      const unfinished = (await Promise.all(states)).filter(([, state]) => state === undefined ||
-        state === 'queued' || state === 'running')
-      expect(unfinished).to.deep.equal([])
-      const stopped = cell.stop()
-      await clock.tickAsync(5_000)
-      await stopped
-    })
-  }
-})
+for (const hasInventory of [false, true]) {
+  describe(`a cell under overlapping faults ${hasInventory ? 'with' : 'without'} an inventory of machines`, () => {
+    let clock: Clock
+    beforeEach(() => { clock = install() })
+    afterEach(() => clock.uninstall())
+
+    for (let seed = FROM; seed <= TO; seed++) {
+      it(`violates no scheduling guarantee and finishes every accepted job (seed ${seed})`, async () => {
+        const scenario = new FaultScenario(seed, hasInventory)
+        const { cell } = scenario
+        if (hasInventory) scenario.disturbInventory()
+        for (let now = 0; now < FAULT_PHASE_MS; now += EVENT_INTERVAL_MS) {
+          await scenario.runRandomEvent()
+          await clock.tickAsync(EVENT_INTERVAL_MS)
+        }
+        scenario.clearFaults()
+        await clock.tickAsync(RECOVERY_MS)
+        expect(cell.checker.violations).to.deep.equal([])
+        const states = [...scenario.accepted].map(async (id) => [id, await cell.show(id)] as const)
+        await clock.tickAsync(2_000)
+        const unfinished = (await Promise.all(states)).filter(([, state]) => state === undefined ||
+          state === 'queued' || state === 'running')
+        expect(unfinished).to.deep.equal([])
+        const stopped = cell.stop()
+        await clock.tickAsync(5_000)
+        await stopped
+      })
+    }
+  })
+}
