--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -90,8 +90,8 @@
   }
 
   /**
-   * Adds a worker that an earlier owner has recorded as lost. It is polled, if that owner knew its address, since it may
-   * be reachable again.
+   * Adds a worker that an earlier owner has recorded as lost. It is polled, if that owner knew its address, since it
+   * may be reachable again.
    */
   addLost ({ entry, leaseEndsBy }: LostWorker): void {
     const worker = new WorkerState(entry, leaseEndsBy)
@@ -136,8 +136,8 @@
   }
 
   /**
-   * Handles unreachable workers: requeues their tasks when the lease has ended, and removes those that have ended by the
-   * inventory, and those without tasks that the registry has not listed for `UNLISTED_GRACE_MS`.
+   * Handles unreachable workers: requeues their tasks when the lease has ended, and removes those that have ended by
+   * the inventory, and those without tasks that the registry has not listed for `UNLISTED_GRACE_MS`.
    */
   tick (now: number): void {
     for (const worker of [...this.#dependencies.cell.workers.values()]) {
