Require three listings without a worker before it counts as ended

Workers whose machines an earlier listing has shown, and which run another worker or none now, still need one listing only.

--- a/packages/jobs/src/owner/EndedWorkerDetector.ts
+++ b/packages/jobs/src/owner/EndedWorkerDetector.ts
@@ -30,11 +30,17 @@
  */
 const MIN_SHOWN_SHARE = 0.5
 
+/**
+ * Listings in a row that have to show a worker nowhere. One may miss a machine that moves between its pages, and the
+ * next one may repeat it if the service answers from a cache.
+ */
+const MIN_MISSING_LISTINGS = 3
+
 /**
  * Asks the inventory of machines about workers with tasks that don't answer, and reports those that have ended. Only
  * listings that were sent after the worker became unreachable count. One of these is evidence:
  * - The machine that ran the worker, by an earlier listing, runs another one or none.
- * - Two listings in a row show the worker nowhere. A single one may miss a machine that moves between its pages.
+ * - `MIN_MISSING_LISTINGS` listings in a row show the worker nowhere.
  */
 export class EndedWorkerDetector {
   readonly #cell: Cell
@@ -43,8 +49,8 @@
   readonly #signal: AbortSignal
   /** The last machine known to run a worker, by the worker's id. */
   readonly #machines = new Map<string, string>()
-  /** Workers that the last listing didn't show, each with the time since which it was unreachable. */
-  readonly #missing = new WeakMap<WorkerState, number>()
+  /** Number of listings in a row that didn't show a worker, and the time since which it was unreachable. */
+  readonly #missing = new WeakMap<WorkerState, { listings: number, since: number }>()
   #isListing = false
   /** Monotonic time at which the last listing was requested, in ms. */
   #sentAt = -Infinity
@@ -104,15 +110,22 @@
       const present = machine === undefined ? undefined : workersByMachine.get(machine)
       if (present !== undefined) {
         this.#reportEnd(worker, { machine, runs: present })
-      } else if (mayProveAbsence && this.#missing.get(worker) === worker.unreachableSince) {
-        this.#reportEnd(worker, { machine, missingFromListings: 2 })
       } else if (mayProveAbsence) {
-        this.#missing.set(worker, worker.unreachableSince!)
-        this.#delayMs = FIRST_DELAY_MS
+        const listings = this.#countMissing(worker)
+        if (listings >= MIN_MISSING_LISTINGS) this.#reportEnd(worker, { machine, missingFromListings: listings })
       }
     }
   }
 
+  #countMissing (worker: WorkerState): number {
+    const since = worker.unreachableSince!
+    const earlier = this.#missing.get(worker)
+    const listings = earlier?.since === since ? earlier.listings + 1 : 1
+    this.#missing.set(worker, { listings, since })
+    this.#delayMs = FIRST_DELAY_MS
+    return listings
+  }
+
   #reportEnd (worker: WorkerState, evidence: Record<string, unknown>): void {
     const silentMs = Math.round(performance.now() - worker.unreachableSince!)
     const fields = { worker: worker.id, tasks: worker.tasks.size, silentMs, ...evidence }
