--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -4,7 +4,8 @@
 import { readInstant } from '../instant/index.ts'
 import { CONTROL_TABLE, type Ownership, type Transfer } from '../ownership/index.ts'
 import type {
-  ConfigurationSource, MetricsRecorder, LogWriter, RecordStore, RowChanges, StoredRow, WorkerConnector, WorkerRegistry
+  ConfigurationSource, MetricsRecorder, LogWriter, RecordStore, RowChanges, StoredRow, WorkerConnector, WorkerInventory,
+  WorkerRegistry
 } from '../ports.ts'
 import {
   CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, decodeJob
@@ -30,6 +31,7 @@
   store: RecordStore
   registry: WorkerRegistry
   connector: WorkerConnector
+  inventory?: WorkerInventory
   configuration: ConfigurationSource
   log: LogWriter
   metrics: MetricsRecorder
