Let one follower vouch that a replaced owner renews no more leases

During an outage the former owner needed the promises of all its followers, so that one of them that makes no more is enough. The new owner asks for that and counts the rest of that follower's promise. The new case failed before.

--- a/packages/jobs/src/loadPatterns/lostWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/lostWorkers.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import type { Clock } from '@sinonjs/fake-timers'
+import { throwUncaught } from '@gypsumspring/protocol'
 import type { MemoryCell } from '../standins/index.ts'
 import { describeCells, submitInBackground } from './describeCells.ts'
 
@@ -90,6 +91,22 @@
       expect(countRunning(cell)).to.equal(TASKS)
     }
   },
+  {
+    // A node that was not among the followers of the killed owner allowed it 8 s for renewals.
+    name: 'have their long-running tasks started elsewhere by an owner unknown to the former one',
+    options: { workers: TASKS },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      loseWorkers(cell)
+      const followers = [...cell.nodes.values()].filter((node) => node !== cell.owner)
+      cell.killNode(cell.owner!.name)
+      for (const { cellNode } of followers) cellNode.resign().catch(throwUncaught)
+      cell.startNode('n9', followers.map(({ name }) => name))
+      await clock.tickAsync(RESTART_MS)
+      expect(cell.owner!.name).to.equal('n9')
+      expect(countRunning(cell)).to.equal(TASKS)
+    }
+  },
   {
     name: 'have their long-running tasks started elsewhere although the cell is handed over again and again',
     options: { workers: TASKS, nodes: 4 },
--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -101,6 +101,8 @@
    * promise that the process may have made before it was restarted.
    */
   #promisedUntil = OUTAGE_PROMISE_MS
+  /** Highest token of an owner to which this node makes no more promises, since it was replaced. */
+  #withheldToken = 0
   /** Monotonic time until which a claim without an answer may still be applied, in ms. */
   #claimPendingUntil = 0
   /** Nodes that may relay store calls while this node does not own the cell. */
@@ -162,6 +164,10 @@
     return {
       'cell.follow': (heartbeat) => this.#handleFollow(heartbeat),
       'cell.released': (message) => this.#handleReleased(message),
+      'cell.withholdPromises': ({ token }) => {
+        this.#withheldToken = Math.max(this.#withheldToken, token)
+        return { node: this.#options.node, promisedMs: Math.max(0, this.#promisedUntil - performance.now()) }
+      },
       'cell.accept': ({ job }) => {
         this.#owner?.accept(job)
         return { taken: this.#owner?.isRecovered === true }
@@ -294,7 +300,7 @@
   #promiseNoTakeover (token: number): TakeoverPromise | undefined {
     const now = performance.now()
     const answer = this.#ownerAnswer
-    if (answer?.token !== token || now < this.#claimPendingUntil) return undefined
+    if (answer?.token !== token || token <= this.#withheldToken || now < this.#claimPendingUntil) return undefined
     const isStoreSlow = !this.#store.isDirectlyReachable || this.#store.latencyMs > SLOW_STORE_MS
     if (!isStoreSlow && !answer.needsPromise) return undefined
     // While this node can't reach the store, it couldn't take the cell over, and heartbeats come less often.
@@ -340,7 +346,12 @@
     const dependencies = this.#dependencies
     const store = this.#store
     const owner = new CellOwner(
-      { ...dependencies, store, registry: dependencies.registry(store) },
+      {
+        ...dependencies,
+        store,
+        registry: dependencies.registry(store),
+        withholdPromises: (token) => this.#withholdPromises(token)
+      },
       ownership,
       { ...this.#options, predecessorEnded },
       (reason) => {
@@ -363,6 +374,13 @@
     this.#followers.clear()
   }
 
+  /** Asks all known nodes to make no more promises to an owner, and returns the answers. */
+  async #withholdPromises (token: number): Promise<Array<CellResult<'cell.withholdPromises'>>> {
+    const answers = await Promise.all([...this.#peersByAddress.values()].map((peer) =>
+      peer.call('cell.withholdPromises', { token }, { timeoutMs: HEARTBEAT_TIMEOUT_MS })))
+    return answers.flatMap((answer) => valueOf(answer) ?? [])
+  }
+
   /**
    * Hands the cell to a follower on a much stronger machine. It does not wait for the recovery of the cell, which may
    * never finish over a slow link.
--- a/packages/jobs/src/node/messages.ts
+++ b/packages/jobs/src/node/messages.ts
@@ -60,6 +60,14 @@
       needsPromise: Type.Optional(Type.Boolean())
     })
   },
+  /**
+   * Asks a node to make no more promises to the owner with a token, which was replaced. `promisedMs` is the remaining
+   * duration of promises that it has made.
+   */
+  'cell.withholdPromises': {
+    params: Type.Object({ token: Count }),
+    result: Type.Object({ node: Type.String(), promisedMs: Type.Number({ minimum: 0 }) })
+  },
   /** Notifies a follower that the owner has released the cell; with `transfer`, the follower is the new owner. */
   'cell.released': {
     params: Type.Object({
--- a/packages/jobs/src/owner/CellMembers.ts
+++ b/packages/jobs/src/owner/CellMembers.ts
@@ -45,17 +45,18 @@
   }
 
   /**
-   * Reads the names that the previous owner stored from the rows of `CONTROL_TABLE`.
+   * Reads the names of the previous owner's followers from the rows of `CONTROL_TABLE`.
    *
-   * @returns Whether the previous owner has written them, and whether `node` is among them then.
+   * @returns The names; undefined if the row is by an earlier owner or missing.
    */
-  restore (rows: readonly StoredRow[], node: string): { isByPredecessor: boolean, isMember: boolean } {
-    const value = rows.find(({ key }) => key === MEMBERS_KEY)?.value
-    const row = value === undefined ? undefined : parseJson(value)
-    const members = Value.Check(MembersRow, row) ? row : { token: 0, nodes: [] }
-    this.#stored = new Set(members.nodes)
-    const isByPredecessor = members.token === this.#token - 1
-    return { isByPredecessor, isMember: isByPredecessor && this.#stored.has(node) }
+  readPrevious (rows: readonly StoredRow[]): ReadonlySet<string> | undefined {
+    const members = decodeMembers(rows)
+    return members.token === this.#token - 1 ? new Set(members.nodes) : undefined
+  }
+
+  /** Takes over the stored names. From now on, `takeWrites` replaces them. */
+  restore (rows: readonly StoredRow[]): void {
+    this.#stored = new Set(decodeMembers(rows).nodes)
   }
 
   recordHeartbeat (node: string, promise: TakeoverPromise | undefined): void {
@@ -94,3 +95,9 @@
     this.#isStored = true
   }
 }
+
+function decodeMembers (rows: readonly StoredRow[]): Static<typeof MembersRow> {
+  const value = rows.find(({ key }) => key === MEMBERS_KEY)?.value
+  const row = value === undefined ? undefined : parseJson(value)
+  return Value.Check(MembersRow, row) ? row : { token: 0, nodes: [] }
+}
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -33,6 +33,8 @@
   connector: WorkerConnector
   inventory?: WorkerInventory
   configuration: ConfigurationSource
+  /** Asks other nodes to make no more promises to the owner with a token. */
+  withholdPromises: (token: number) => Promise<Array<{ node: string, promisedMs: number }>>
   log: LogWriter
   metrics: MetricsRecorder
 }
@@ -132,7 +134,7 @@
         (ownership.unconfirmedMs < STORE_OUTAGE_GRACE_MS && members.hasAllPromises),
       waitUntilStored: (worker) => this.#commits.waitUntilStored(worker),
       onFenced: () => this.#handleOwnershipLost('a worker has accepted a higher fencing token'),
-      earlierLeasesEnd: () => ownership.earlierLeasesEnd ?? this.#computeEarlierLeasesEnd(false),
+      earlierLeasesEnd: () => ownership.earlierLeasesEnd ?? this.#computeEarlierLeasesEnd(STORE_OUTAGE_GRACE_MS),
       isRecordedAsLost: (id) => this.#lostWorkers.has(id),
       onLostWorkerFound: () => this.#commits.wake()
     })
@@ -163,10 +165,13 @@
       this.#readUntilKnown(() => this.#dependencies.store.read(PROGRESS_TABLE, CELL_PARTITION), PROGRESS_TABLE)
     ])
     if (this.#isEnded || listed === undefined || control === undefined || progress === undefined) return
-    const { isMember, isByPredecessor } = this.#members.restore(control.rows, this.#options.node)
-    const earlierLeasesEnd = this.#computeEarlierLeasesEnd(isMember)
+    const previousMembers = this.#members.readPrevious(control.rows)
+    const graceMs = await this.#determineRenewalGrace(previousMembers)
+    if (this.#isEnded) return
+    this.#members.restore(control.rows)
+    const earlierLeasesEnd = this.#computeEarlierLeasesEnd(graceMs)
     this.#ownership.earlierLeasesEnd = earlierLeasesEnd
-    const lostWorkers = this.#lostWorkers.restore(control.rows, isByPredecessor, earlierLeasesEnd)
+    const lostWorkers = this.#lostWorkers.restore(control.rows, previousMembers !== undefined, earlierLeasesEnd)
     for (const worker of lostWorkers) this.#workerManager.addLost(worker)
     this.#restoreProgress(progress.rows)
     for (const worker of listed.workers) this.#workerManager.add(worker)
@@ -330,12 +335,27 @@
     }
   }
 
+  /**
+   * Returns for how long after this node's claim the previous owner may have renewed leases, in ms. During an outage it
+   * needed the promises of all its followers, so that one that makes no more of them is enough.
+   */
+  async #determineRenewalGrace (previousMembers: ReadonlySet<string> | undefined): Promise<number> {
+    if (this.#options.predecessorEnded || this.#ownership.isTransferred) return 0
+    if (previousMembers === undefined) return STORE_OUTAGE_GRACE_MS
+    if (previousMembers.has(this.#options.node)) return RENEWAL_GRACE_MS
+    const answers = await this.#dependencies.withholdPromises(this.token - 1)
+    const elapsedMs = performance.now() - this.#claimedAt
+    const graces = answers.filter(({ node }) => previousMembers.has(node))
+      .map(({ promisedMs }) => Math.max(RENEWAL_GRACE_MS, elapsedMs + promisedMs))
+    return Math.min(STORE_OUTAGE_GRACE_MS, ...graces)
+  }
+
   /**
    * Returns the monotonic time by which all leases that earlier owners granted are over, in ms.
    *
-   * @param isMember - Whether the previous owner renewed leases during an outage only with this node's promise.
+   * @param graceMs - Time after this node's claim for which the previous owner may have renewed leases, in ms.
    */
-  #computeEarlierLeasesEnd (isMember: boolean): number {
+  #computeEarlierLeasesEnd (graceMs: number): number {
     const { clock, earlierLeasesEndAt, isTransferred } = this.#ownership
     const endAfter = (graceMs: number) => this.#claimedAt + graceMs + this.#longestLeaseMs
     const longest = endAfter(STORE_OUTAGE_GRACE_MS)
@@ -343,9 +363,7 @@
     // The writer's wall clock may have been set ahead. No owner renews leases for longer after it was replaced.
     const stored = Math.min(recorded, longest)
     // The previous owner has stored the end of its own leases together with the transfer.
-    if (isTransferred) return stored
-    if (this.#options.predecessorEnded) return Math.max(stored, endAfter(0))
-    return Math.max(stored, endAfter(isMember ? RENEWAL_GRACE_MS : STORE_OUTAGE_GRACE_MS))
+    return isTransferred ? stored : Math.max(stored, endAfter(graceMs))
   }
 
   /** Time from a renewal until the lease is certainly over, in ms. */
--- a/packages/jobs/src/standins/MemoryCell.ts
+++ b/packages/jobs/src/standins/MemoryCell.ts
@@ -90,7 +90,7 @@
     return worker
   }
 
-  startNode (name: string): MemoryNode {
+  startNode (name: string, seeds: string[] = []): MemoryNode {
     const store = new MemoryRecordStore(this.rows, { latencyMs: this.#options.storeLatencyMs })
     const isUp = () => this.nodes.get(name) === node && node.up
     const isolate = <Target extends object>(target: Target) => interceptCalls(blockCallsWhenDown(target, isUp), () =>
@@ -111,7 +111,7 @@
     }, {
       node: name,
       address: name,
-      seeds: [],
+      seeds,
       leaseLimitMs: 6_000,
       stopTimeoutMs: 900,
       keepEndedMs: 120_000,
