--- a/packages/jobs/src/node/test.ts
+++ b/packages/jobs/src/node/test.ts
@@ -387,6 +387,21 @@
         expect(await answer).to.equal('refused')
       }
     },
+    {
+      // Another node took the cell over 0.45 s after a transfer, before the new owner had made a commit.
+      name: 'renews the record of a transferred ownership at once',
+      run: async (cell) => {
+        await clock.tickAsync(1_000)
+        const former = cell.owner!
+        const handover = former.cellNode.resign()
+        const countWrites = () => cell.rows.history.filter(({ table, key }) => table === 'control' && key === 'owner').length
+        while (cell.owner === undefined || cell.owner === former) await clock.tickAsync(1)
+        const writes = countWrites()
+        await clock.tickAsync(60)
+        await handover
+        expect(countWrites()).to.be.greaterThan(writes)
+      }
+    },
     {
       name: 'has a new owner within 200 ms after the owner resigns',
       run: async (cell) => {
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -82,8 +82,9 @@
 
   /** Commits until the owner ends or `close` is called. */
   async run (): Promise<void> {
-    while (!this.#isOver) {
-      if (this.#cell.dirty.size === 0 && !this.#hasUnstoredEnds()) await this.#waitForWork()
+    // The first commit is made at once: others may already watch the record that a transfer has left.
+    for (let isFirst = true; !this.#isOver; isFirst = false) {
+      if (!isFirst && this.#cell.dirty.size === 0 && !this.#hasUnstoredEnds()) await this.#waitForWork()
       if (this.#isOver) return
       const batch = this.#takeBatch()
       const found = batch.foundWorkers.map(toRowAddress)
