Share the long-running job of four tests of load patterns

Four files submitted the same job, found its worker and counted its runs by themselves, and isolated nodes in three copies of one loop. No assertion is dropped; lostWorkers.test.ts now also checks, as endedWorkers.test.ts did, that the workers it ends have tasks.

--- a/packages/jobs/src/loadPatterns/endedWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/endedWorkers.test.ts
@@ -1,13 +1,12 @@
 import { expect } from 'chai'
 import type { Clock } from '@sinonjs/fake-timers'
 import type { MemoryCell } from '../standins/index.ts'
-import { describeCells, submitInBackground } from './describeCells.ts'
+import { describeCells } from './describeCells.ts'
+import {
+  DISTURBED, TASKS, TASKS_PER_WORKER, countRunning, startLongRunningJob
+} from './longRunningJob.ts'
 
-const JOB = '00000000000000a1'
-const TASKS = 6
-const TASKS_PER_WORKER = 2
-const ENDED = ['w0', 'w1']
-const ENDED_TASKS = ENDED.length * TASKS_PER_WORKER
+const ENDED_TASKS = DISTURBED.length * TASKS_PER_WORKER
 const options = { workers: TASKS, hasInventory: true }
 
 /** Time after the end of a worker in which its tasks must run again, in ms. It is noticed after 0.75 s at most. */
@@ -16,26 +15,13 @@
 /** Time after the last renewal in which every lease on a worker has ended and its tasks run again, in ms. */
 const LEASE_END_MS = 6_500
 
-/** Submits a long-running job that has as many tasks as allowed on each of the workers that a test ends or silences. */
-async function startLongRunningJob (cell: MemoryCell, clock: Clock): Promise<void> {
-  submitInBackground(cell, JOB, [{ count: TASKS, maxPerWorker: TASKS_PER_WORKER, longRunning: true }])
-  await clock.tickAsync(2_000)
-  expect(countRunning(cell)).to.equal(TASKS)
-  for (const id of ENDED) expect(cell.workers.workers.get(id)!.runs.size).to.equal(TASKS_PER_WORKER)
-}
-
 /** Ends some workers. The registry goes on listing them. */
 function endWorkers (cell: MemoryCell): void {
-  for (const id of ENDED) cell.workers.workers.get(id)!.crash()
+  for (const id of DISTURBED) cell.workers.workers.get(id)!.crash()
 }
 
 function silenceWorkers (cell: MemoryCell): void {
-  for (const id of ENDED) cell.workers.workers.get(id)!.fault = () => 'silent'
-}
-
-function countRunning (cell: MemoryCell): number {
-  const names = Array.from({ length: TASKS }, (_, index) => `${JOB}.0.0.${index}`)
-  return names.filter((name) => cell.checker.countRunning(name) === 1).length
+  for (const id of DISTURBED) cell.workers.workers.get(id)!.fault = () => 'silent'
 }
 
 /** Ways in which the inventory shows that workers have ended. */
@@ -45,14 +31,14 @@
     name: 'whose machines run others',
     end: (cell) => {
       endWorkers(cell)
-      for (const id of ENDED) cell.addWorker(`${id}-next`, {}, `m-${id}`)
+      for (const id of DISTURBED) cell.addWorker(`${id}-next`, {}, `m-${id}`)
     }
   },
   {
     name: 'that are missing from the registry too',
     end: (cell) => {
       endWorkers(cell)
-      for (const id of ENDED) cell.workers.unlist(id)
+      for (const id of DISTURBED) cell.workers.unlist(id)
     }
   }
 ]
@@ -76,7 +62,7 @@
     run: async (cell, clock) => {
       await startLongRunningJob(cell, clock)
       endWorkers(cell)
-      for (const id of ENDED) cell.inventory.machines.delete(`m-${id}`)
+      for (const id of DISTURBED) cell.inventory.machines.delete(`m-${id}`)
       await clock.tickAsync(RESTART_MS + 1_000)
       expect(countRunning(cell)).to.equal(TASKS)
     }
@@ -85,7 +71,7 @@
     name: 'and were in no listing have their tasks started elsewhere after a third listing',
     options,
     run: async (cell, clock) => {
-      cell.inventory.isMissed = (machine) => ENDED.includes(machine.slice('m-'.length))
+      cell.inventory.isMissed = (machine) => DISTURBED.includes(machine.slice('m-'.length))
       await startLongRunningJob(cell, clock)
       endWorkers(cell)
       await clock.tickAsync(RESTART_MS + 1_000)
@@ -110,7 +96,7 @@
       await startLongRunningJob(cell, clock)
       cell.inventory.fault = () => 'refused'
       endWorkers(cell)
-      for (const id of ENDED) cell.workers.unlist(id)
+      for (const id of DISTURBED) cell.workers.unlist(id)
       await clock.tickAsync(2_500)
       expect(countRunning(cell)).to.equal(TASKS - ENDED_TASKS)
       cell.killNode(cell.owner!.name)
@@ -186,14 +172,14 @@
     name: 'don\'t answer and are missing from the registry',
     disturb: async (cell) => {
       silenceWorkers(cell)
-      for (const id of ENDED) cell.workers.unlist(id)
+      for (const id of DISTURBED) cell.workers.unlist(id)
     }
   },
   {
     name: 'don\'t answer and are missing from one listing',
     disturb: async (cell) => {
       const first = cell.inventory.listings + 1
-      cell.inventory.isMissed = (machine) => ENDED.includes(machine.slice('m-'.length)) && cell.inventory.listings === first
+      cell.inventory.isMissed = (machine) => DISTURBED.includes(machine.slice('m-'.length)) && cell.inventory.listings === first
       silenceWorkers(cell)
     }
   },
@@ -202,7 +188,7 @@
     name: 'don\'t answer and are missing from a listing that is repeated once',
     disturb: async (cell) => {
       const first = cell.inventory.listings + 1
-      cell.inventory.isMissed = (machine) => ENDED.includes(machine.slice('m-'.length)) && cell.inventory.listings === first
+      cell.inventory.isMissed = (machine) => DISTURBED.includes(machine.slice('m-'.length)) && cell.inventory.listings === first
       cell.inventory.fault = () => cell.inventory.listings === first + 1 ? 'stale' : undefined
       silenceWorkers(cell)
     }
@@ -235,9 +221,9 @@
     disturb: async (cell, clock) => {
       silenceWorkers(cell)
       cell.inventory.latencyMs = 1_000
-      for (const id of ENDED) cell.inventory.machines.set(`m-${id}`, cell.workers.workers.get('w5')!)
+      for (const id of DISTURBED) cell.inventory.machines.set(`m-${id}`, cell.workers.workers.get('w5')!)
       await clock.tickAsync(1_300)
-      for (const id of ENDED) cell.workers.workers.get(id)!.fault = () => undefined
+      for (const id of DISTURBED) cell.workers.workers.get(id)!.fault = () => undefined
       await clock.tickAsync(700)
     }
   }
@@ -252,7 +238,7 @@
       await disturb(cell, clock)
       await clock.tickAsync(2_500)
       expect(cell.checker.starts).to.equal(TASKS)
-      for (const id of ENDED) cell.workers.workers.get(id)!.fault = () => undefined
+      for (const id of DISTURBED) cell.workers.workers.get(id)!.fault = () => undefined
       await clock.tickAsync(3_000)
       expect(countRunning(cell)).to.equal(TASKS)
       expect(cell.checker.starts).to.equal(TASKS)
--- a/packages/jobs/src/loadPatterns/isolatedOwner.test.ts
+++ b/packages/jobs/src/loadPatterns/isolatedOwner.test.ts
@@ -1,20 +1,21 @@
 import { expect } from 'chai'
 import type { Clock } from '@sinonjs/fake-timers'
 import type { MemoryCell } from '../standins/index.ts'
-import { describeCells, submitInBackground } from './describeCells.ts'
+import { describeCells } from './describeCells.ts'
+import { TASK, startLongRunningTask } from './longRunningJob.ts'
 
-const JOB = '00000000000000a1'
-const TASK = `${JOB}.0.0.0`
+/** Isolates nodes together with a worker: neither reaches any other worker or node. */
+function isolate (cell: MemoryCell, nodes: Iterable<string>, worker: string): void {
+  for (const node of nodes) cell.isolatedNodes.add(node)
+  cell.reachesWorker = (node, id) => cell.isolatedNodes.has(node) === (id === worker)
+}
 
 /** Isolates the owner with some followers and the worker of the only task, on which it goes on renewing the lease. */
 async function isolateOwner (cell: MemoryCell, clock: Clock, followers = 0): Promise<void> {
-  submitInBackground(cell, JOB, [{ longRunning: true }])
-  await clock.tickAsync(1_000)
+  const worker = (await startLongRunningTask(cell, clock, 1_000)).entry.id
   const { name } = cell.owner!
-  const worker = [...cell.workers.workers.values()].find(({ runs }) => runs.size > 0)!.entry.id
   const others = [...cell.nodes.keys()].filter((node) => node !== name)
-  for (const node of [name, ...others.slice(0, followers)]) cell.isolatedNodes.add(node)
-  cell.reachesWorker = (node, id) => cell.isolatedNodes.has(node) === (id === worker)
+  isolate(cell, [name, ...others.slice(0, followers)], worker)
   await clock.tickAsync(1_500)
 }
 
@@ -52,11 +53,8 @@
 
 /** Isolates all nodes of the cell with a worker, so that they go on together, and starts nodes that they don't know. */
 async function isolateCell (cell: MemoryCell, clock: Clock): Promise<void> {
-  submitInBackground(cell, JOB, [{ longRunning: true }])
-  await clock.tickAsync(1_000)
-  const worker = [...cell.workers.workers.values()].find(({ runs }) => runs.size > 0)!.entry.id
-  for (const name of cell.nodes.keys()) cell.isolatedNodes.add(name)
-  cell.reachesWorker = (node, id) => cell.isolatedNodes.has(node) === (id === worker)
+  const worker = (await startLongRunningTask(cell, clock, 1_000)).entry.id
+  isolate(cell, cell.nodes.keys(), worker)
   cell.startNode('n8')
   cell.startNode('n9')
   await clock.tickAsync(3_500)
@@ -81,9 +79,7 @@
     name: 'keeps its run until the recorded end of its leases, also under the next owner',
     options: { nodes: 3 },
     run: async (cell, clock) => {
-      submitInBackground(cell, JOB, [{ longRunning: true }])
-      await clock.tickAsync(2_000)
-      const worker = [...cell.workers.workers.values()].find(({ runs }) => runs.size > 0)!.entry.id
+      const worker = (await startLongRunningTask(cell, clock)).entry.id
       cell.reachesWorker = (_node, id) => id !== worker
       await clock.tickAsync(3_500)
       cell.killNode(cell.owner!.name)
@@ -97,9 +93,7 @@
     name: 'gets no lease while the record can not be removed',
     options: { nodes: 3 },
     run: async (cell, clock) => {
-      submitInBackground(cell, JOB, [{ longRunning: true }])
-      await clock.tickAsync(2_000)
-      const worker = [...cell.workers.workers.values()].find(({ runs }) => runs.size > 0)!
+      const worker = await startLongRunningTask(cell, clock)
       const owner = cell.owner!.name
       worker.fault = () => 'silent'
       await clock.tickAsync(3_500)
@@ -119,9 +113,7 @@
     name: 'keeps its run when it answers again before its lease ends',
     options: { nodes: 3 },
     run: async (cell, clock) => {
-      submitInBackground(cell, JOB, [{ longRunning: true }])
-      await clock.tickAsync(2_000)
-      const worker = [...cell.workers.workers.values()].find(({ runs }) => runs.size > 0)!
+      const worker = await startLongRunningTask(cell, clock)
       worker.fault = () => 'silent'
       await clock.tickAsync(4_200)
       worker.fault = () => undefined
@@ -161,11 +153,8 @@
     name: 'is waited for by a node that it has never heard of',
     options: { nodes: 2 },
     run: async (cell, clock) => {
-      submitInBackground(cell, JOB, [{ longRunning: true }])
-      await clock.tickAsync(1_000)
-      const worker = [...cell.workers.workers.values()].find(({ runs }) => runs.size > 0)!.entry.id
-      for (const name of cell.nodes.keys()) cell.isolatedNodes.add(name)
-      cell.reachesWorker = (node, id) => cell.isolatedNodes.has(node) === (id === worker)
+      const worker = (await startLongRunningTask(cell, clock, 1_000)).entry.id
+      isolate(cell, cell.nodes.keys(), worker)
       cell.startNode('n9')
       await clock.tickAsync(20_000)
       expect(cell.checker.countRunning(TASK)).to.equal(1)
@@ -180,8 +169,7 @@
     name: 'stops no task while all followers promise not to take over',
     options: { nodes: 3 },
     run: async (cell, clock) => {
-      submitInBackground(cell, JOB, [{ longRunning: true }])
-      await clock.tickAsync(2_000)
+      await startLongRunningTask(cell, clock)
       for (const { store } of cell.nodes.values()) store.fault = () => 'silent'
       await clock.tickAsync(10_000)
       for (const { store } of cell.nodes.values()) store.fault = () => undefined
--- a/packages/jobs/src/loadPatterns/lostWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/lostWorkers.test.ts
@@ -1,12 +1,8 @@
 import { expect } from 'chai'
-import type { Clock } from '@sinonjs/fake-timers'
 import { throwUncaught } from '@gypsumspring/protocol'
 import type { MemoryCell } from '../standins/index.ts'
-import { describeCells, submitInBackground } from './describeCells.ts'
-
-const JOB = '00000000000000a1'
-const TASKS = 6
-const LOST = ['w0', 'w1']
+import { describeCells } from './describeCells.ts'
+import { DISTURBED, TASKS, countRunning, startLongRunningJob } from './longRunningJob.ts'
 
 /**
  * Time after the last disturbance in which a long-running task must run again if there is room, in ms. The operators
@@ -14,26 +10,14 @@
  */
 const RESTART_MS = 7_000
 
-/** Submits a long-running job with a task on each worker. */
-async function startLongRunningJob (cell: MemoryCell, clock: Clock): Promise<void> {
-  submitInBackground(cell, JOB, [{ count: TASKS, maxPerWorker: 2, longRunning: true }])
-  await clock.tickAsync(2_000)
-  expect(countRunning(cell)).to.equal(TASKS)
-}
-
 /** Ends some workers for good. The registry lists them until their entries expire. */
 function loseWorkers (cell: MemoryCell, listedMs = 1_500): void {
-  for (const id of LOST) {
+  for (const id of DISTURBED) {
     cell.workers.workers.get(id)!.crash()
     setTimeout(() => cell.workers.unlist(id), listedMs)
   }
 }
 
-function countRunning (cell: MemoryCell): number {
-  const names = Array.from({ length: TASKS }, (_, index) => `${JOB}.0.0.${index}`)
-  return names.filter((name) => cell.checker.countRunning(name) === 1).length
-}
-
 describeCells('Workers lost together with the owner', [
   {
     // A new owner waited for the leases that the former one might have renewed for 8 s after its last commit.
--- a/packages/jobs/src/loadPatterns/slowStore.test.ts
+++ b/packages/jobs/src/loadPatterns/slowStore.test.ts
@@ -2,10 +2,8 @@
 import { expect } from 'chai'
 import { sleep } from '@gypsumspring/protocol'
 import type { MemoryCell } from '../standins/index.ts'
-import { describeCells, submitInBackground } from './describeCells.ts'
-
-const JOB = '00000000000000a1'
-const TASK = `${JOB}.0.0.0`
+import { describeCells } from './describeCells.ts'
+import { TASK, startLongRunningTask } from './longRunningJob.ts'
 
 /** Time in which another node must have taken over from a killed owner, in ms. */
 const TAKEOVER_MS = 4_000
@@ -26,8 +24,7 @@
     // Followers made no promises while their reads were fast, and no lease was renewed 0.5 s after a commit was sent.
     name: 'stops no task when only the commits are slow',
     run: async (cell, clock) => {
-      submitInBackground(cell, JOB, [{ longRunning: true }])
-      await clock.tickAsync(2_000)
+      await startLongRunningTask(cell, clock)
       delayCommits(cell, 900)
       await clock.tickAsync(15_000)
       expect(cell.checker.countRunning(TASK)).to.equal(1)
