Keep what the store tells of earlier leases when a new owner ends early

An owner now grants no leases before the end of earlier ones is stored, and until then its record carries the last owner that may have granted leases, what that owner has stored and when it was replaced. The next owner goes on from there. Whether the previous owner has ended is part of it and no longer an option of CellOwner.

The test of two owners that end before they have recovered failed before (2 of 6 tasks ran). The tests of isolated owners pass before and after; a new one covers the same chain with an owner that goes on renewing leases.

--- a/packages/jobs/src/loadPatterns/isolatedOwner.test.ts
+++ b/packages/jobs/src/loadPatterns/isolatedOwner.test.ts
@@ -137,6 +137,22 @@
       expect(cell.checker.starts).to.equal(2)
     }
   })),
+  {
+    // A new owner must not take the end of such a predecessor for the end of all leases.
+    name: 'runs no task twice after a second and a third owner that end before they have recovered the cell',
+    options: { nodes: 5 },
+    run: async (cell, clock) => {
+      const worker = (await startLongRunningTask(cell, clock, 1_000)).entry.id
+      isolate(cell, [cell.owner!.name], worker)
+      for (let killed = 0; killed < 2; killed++) {
+        while (findOwner(cell) === undefined) await clock.tickAsync(1)
+        cell.killNode(findOwner(cell).name)
+      }
+      await clock.tickAsync(20_000)
+      expect(cell.checker.countRunning(TASK)).to.equal(1)
+      expect(cell.checker.starts).to.equal(2)
+    }
+  },
   {
     // Followers that were isolated with it promised not to take over, and it renewed leases for 8 s.
     name: 'renews no leases once another follower may have taken over',
--- a/packages/jobs/src/loadPatterns/lostWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/lostWorkers.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import type { Clock } from '@sinonjs/fake-timers'
 import { throwUncaught } from '@gypsumspring/protocol'
 import type { MemoryCell } from '../standins/index.ts'
 import { describeCells } from './describeCells.ts'
@@ -18,6 +19,16 @@
   }
 }
 
+/** Kills the owner, and then each of some new owners after a time as owner. */
+async function killOwners (cell: MemoryCell, clock: Clock, count: number, ownedMs: number): Promise<void> {
+  cell.killNode(cell.owner!.name)
+  for (let killed = 0; killed < count; killed++) {
+    while (cell.owner === undefined) await clock.tickAsync(1)
+    await clock.tickAsync(ownedMs)
+    cell.killNode(cell.owner.name)
+  }
+}
+
 describeCells('Workers lost together with the owner', [
   {
     // A new owner waited for the leases that the former one might have renewed for 8 s after its last commit.
@@ -46,6 +57,18 @@
       expect(countRunning(cell)).to.equal(TASKS)
     }
   },
+  {
+    // What the store told of earlier leases was lost with an owner that had not stored anything, and 8 s were added.
+    name: 'have their long-running tasks started elsewhere after two owners that end before they have recovered the cell',
+    options: { workers: TASKS, nodes: 4 },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      loseWorkers(cell)
+      await killOwners(cell, clock, 2, 0)
+      await clock.tickAsync(RESTART_MS)
+      expect(countRunning(cell)).to.equal(TASKS)
+    }
+  },
   {
     // The second owner knew no address of the workers, and the third one failed to connect to it.
     name: 'have their long-running tasks started elsewhere although no new owner finds them in the registry',
--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -34,7 +34,7 @@
   metrics: MetricsRecorder
 }
 
-export interface CellNodeOptions extends Omit<CellOwnerOptions, 'predecessorEnded'> {
+export interface CellNodeOptions extends CellOwnerOptions {
   /** RPC address of this node. */
   address: string
   /** RPC addresses of nodes that may be running; they relay store calls before the owner is known. */
@@ -164,10 +164,7 @@
     return {
       'cell.follow': (heartbeat) => this.#handleFollow(heartbeat),
       'cell.released': (message) => this.#handleReleased(message),
-      'cell.withholdPromises': ({ token }) => {
-        this.#withheldToken = Math.max(this.#withheldToken, token)
-        return { node: this.#options.node, promisedMs: Math.max(0, this.#promisedUntil - performance.now()) }
-      },
+      'cell.withholdPromises': ({ token }) => this.#withholdPromises(token),
       'cell.accept': ({ job }) => {
         this.#owner?.accept(job)
         return { taken: this.#owner?.isRecovered === true }
@@ -212,7 +209,7 @@
       const transfer = this.#receivedTransfer
       if (transfer !== undefined) {
         this.#receivedTransfer = undefined
-        await this.#runAsOwner(Ownership.resume(this.#store, CELL_PARTITION, transfer), undefined, true)
+        await this.#runAsOwner(Ownership.resume(this.#store, CELL_PARTITION, transfer), undefined)
         continue
       }
       const row = valueOf(await readOwner(this.#store, CELL_PARTITION))
@@ -326,7 +323,7 @@
   async #takeOver (previous: OwnerRow, predecessorEnded: boolean): Promise<void> {
     await sleep(chooseTakeoverDelay(this.#options, previous.version))
     const { node, address } = this.#options
-    const claim = await Ownership.claim(this.#store, CELL_PARTITION, previous, { node, address })
+    const claim = await Ownership.claim(this.#store, CELL_PARTITION, previous, { node, address }, predecessorEnded)
     const ownership = valueOf(claim)
     if (ownership === undefined) {
       const { reason, certainty } = failureOf(claim)!
@@ -334,12 +331,13 @@
       this.#dependencies.log.info({ previous: previous.record?.token ?? 0, reason }, 'takeover failed')
       return
     }
-    await this.#runAsOwner(ownership, previous.record?.node, predecessorEnded)
+    await this.#runAsOwner(ownership, previous.record?.node)
   }
 
   /** Runs as the owner of the cell until the ownership is lost or handed over. */
-  async #runAsOwner (ownership: Ownership, previous: string | undefined, predecessorEnded: boolean): Promise<void> {
-    this.#dependencies.log.info({ token: ownership.token, previous, predecessorEnded }, 'took the cell over')
+  async #runAsOwner (ownership: Ownership, previous: string | undefined): Promise<void> {
+    const { token, predecessor } = ownership
+    this.#dependencies.log.info({ token, previous, predecessor }, 'took the cell over')
     this.#dependencies.metrics.count('takeovers')
     this.#ownerPeer = undefined
     const ended = new Promise<void>((resolve) => { this.#resolveOwnershipEnd = resolve })
@@ -350,10 +348,10 @@
         ...dependencies,
         store,
         registry: dependencies.registry(store),
-        withholdPromises: (token) => this.#withholdPromises(token)
+        endPromises: (token, nodes) => this.#endPromises(token, nodes)
       },
       ownership,
-      { ...this.#options, predecessorEnded },
+      this.#options,
       (reason) => {
         dependencies.log.warn({ token: ownership.token, reason }, 'lost the cell')
         this.#owner = undefined
@@ -374,11 +372,25 @@
     this.#followers.clear()
   }
 
-  /** Asks all known nodes to make no more promises to an owner, and returns the answers. */
-  async #withholdPromises (token: number): Promise<Array<CellResult<'cell.withholdPromises'>>> {
+  /** Makes no more promises to the replaced owner with a token, and returns for how long earlier ones last. */
+  #withholdPromises (token: number): CellResult<'cell.withholdPromises'> {
+    this.#withheldToken = Math.max(this.#withheldToken, token)
+    return { node: this.#options.node, promisedMs: Math.max(0, this.#promisedUntil - performance.now()) }
+  }
+
+  /**
+   * Has nodes make no more promises to the owner with a token.
+   *
+   * @returns The monotonic time by which the promises of one of the nodes are over, in ms; infinite if none answers.
+   */
+  async #endPromises (token: number, nodes: ReadonlySet<string>): Promise<number> {
+    const own = this.#withholdPromises(token)
+    if (nodes.has(own.node) && own.promisedMs === 0) return performance.now()
     const answers = await Promise.all([...this.#peersByAddress.values()].map((peer) =>
       peer.call('cell.withholdPromises', { token }, { timeoutMs: HEARTBEAT_TIMEOUT_MS })))
-    return answers.flatMap((answer) => valueOf(answer) ?? [])
+    const now = performance.now()
+    const known = [own, ...answers.flatMap((answer) => valueOf(answer) ?? [])].filter(({ node }) => nodes.has(node))
+    return Math.min(...known.map(({ promisedMs }) => now + promisedMs))
   }
 
   /**
--- a/packages/jobs/src/owner/CellMembers.ts
+++ b/packages/jobs/src/owner/CellMembers.ts
@@ -45,13 +45,14 @@
   }
 
   /**
-   * Reads the names of the previous owner's followers from the rows of `CONTROL_TABLE`.
+   * Reads the names of the followers of an earlier owner from the rows of `CONTROL_TABLE`.
    *
-   * @returns The names; undefined if the row is by an earlier owner or missing.
+   * @param token - Token of that owner.
+   * @returns The names; undefined if the row is by another owner or missing.
    */
-  readPrevious (rows: readonly StoredRow[]): ReadonlySet<string> | undefined {
+  readFollowers (rows: readonly StoredRow[], token: number): ReadonlySet<string> | undefined {
     const members = decodeMembers(rows)
-    return members.token === this.#token - 1 ? new Set(members.nodes) : undefined
+    return members.token === token ? new Set(members.nodes) : undefined
   }
 
   /** Takes over the stored names. From now on, `takeWrites` replaces them. */
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -2,7 +2,7 @@
 import { TrackedJob, decodeProgress, type Progress } from '../model/index.ts'
 import { RENEWAL_GRACE_MS, STORE_OUTAGE_GRACE_MS, TICK_MS } from '../constants/index.ts'
 import { readInstant } from '../instant/index.ts'
-import { CONTROL_TABLE, type Ownership, type Transfer } from '../ownership/index.ts'
+import { CONTROL_TABLE, type Ownership, type Predecessor, type Transfer } from '../ownership/index.ts'
 import type {
   ConfigurationSource, MetricsRecorder, LogWriter, RecordStore, RowChanges, StoredRow, WorkerConnector, WorkerInventory,
   WorkerRegistry
@@ -33,8 +33,11 @@
   connector: WorkerConnector
   inventory?: WorkerInventory
   configuration: ConfigurationSource
-  /** Asks other nodes to make no more promises to the owner with a token. */
-  withholdPromises: (token: number) => Promise<Array<{ node: string, promisedMs: number }>>
+  /**
+   * Asks nodes to make no more promises to the owner with a token. Resolves with the monotonic time by which the
+   * promises of one of them are over, in ms; infinite if none answers.
+   */
+  endPromises: (token: number, nodes: ReadonlySet<string>) => Promise<number>
   log: LogWriter
   metrics: MetricsRecorder
 }
@@ -50,8 +53,6 @@
   keepEndedMs: number
   /** Bandwidth of this node's network link, in Mbit/s. */
   linkMbps: number
-  /** The previous owner, but not necessarily those before it, has ended and renews no task leases any more. */
-  predecessorEnded: boolean
 }
 
 /** Longest wait for the commit in flight when the owner stops, in ms; the store may be unavailable. */
@@ -85,8 +86,6 @@
   readonly #cleanup: JobCleanup
   /** Ids of cancelled jobs, also of those whose job row was not read yet. */
   readonly #cancelledIds = new Set<string>()
-  /** Monotonic time at which this owner was created, in ms. */
-  readonly #claimedAt = performance.now()
   readonly #abortController = new AbortController()
   readonly #onEnd: (reason: string) => void
   #recovered = false
@@ -130,11 +129,11 @@
     this.#workerManager = new WorkerManager({ ...dependencies, cell, tracker, breaker, sessions, signal }, {
       token: ownership.token,
       leaseMs: chooseLeaseMs(options.leaseLimitMs),
-      mayRenewLeases: () => ownership.unconfirmedMs < RENEWAL_GRACE_MS ||
-        (ownership.unconfirmedMs < STORE_OUTAGE_GRACE_MS && members.hasAllPromises),
+      mayRenewLeases: () => ownership.mayGrantLeases && (ownership.unconfirmedMs < RENEWAL_GRACE_MS ||
+        (ownership.unconfirmedMs < STORE_OUTAGE_GRACE_MS && members.hasAllPromises)),
       waitUntilStored: (worker) => this.#commits.waitUntilStored(worker),
       onFenced: () => this.#handleOwnershipLost('a worker has accepted a higher fencing token'),
-      earlierLeasesEnd: () => ownership.earlierLeasesEnd ?? this.#computeEarlierLeasesEnd(STORE_OUTAGE_GRACE_MS),
+      earlierLeasesEnd: () => ownership.earlierLeasesEnd ?? this.#longestLeasesEnd,
       isRecordedAsLost: (id) => this.#lostWorkers.has(id),
       onLostWorkerFound: () => this.#commits.wake()
     })
@@ -165,25 +164,27 @@
       this.#readUntilKnown(() => this.#dependencies.store.read(PROGRESS_TABLE, CELL_PARTITION), PROGRESS_TABLE)
     ])
     if (this.#isEnded || listed === undefined || control === undefined || progress === undefined) return
-    const previousMembers = this.#members.readPrevious(control.rows)
-    const graceMs = await this.#determineRenewalGrace(previousMembers)
+    const { predecessor } = this.#ownership
+    const followers = this.#members.readFollowers(control.rows, predecessor?.token ?? this.token - 1)
+    const earlierLeasesEnd = await this.#determineEarlierLeasesEnd(followers)
     if (this.#isEnded) return
     this.#members.restore(control.rows)
-    const earlierLeasesEnd = this.#computeEarlierLeasesEnd(graceMs)
     this.#ownership.earlierLeasesEnd = earlierLeasesEnd
-    const lostWorkers = this.#lostWorkers.restore(control.rows, previousMembers !== undefined, earlierLeasesEnd)
+    const lostWorkers = this.#lostWorkers.restore(control.rows, followers !== undefined, earlierLeasesEnd)
     for (const worker of lostWorkers) this.#workerManager.addLost(worker)
     this.#restoreProgress(progress.rows)
     for (const worker of listed.workers) this.#workerManager.add(worker)
     this.#recovered = true
+    // The first leases wait for this commit.
+    this.#commits.commitNow()
     this.#tickTimer = setInterval(() => this.#onTick(), TICK_MS)
     log.info({
       token: this.token,
       jobs: this.cell.active.size,
       workers: this.cell.workers.size,
       // Workers that don't answer keep their tasks until then at most.
-      earlierLeasesEndInMs: Math.round(this.#ownership.earlierLeasesEnd - performance.now()),
-      tookMs: Math.round(performance.now() - this.#claimedAt)
+      earlierLeasesEndInMs: Math.round(earlierLeasesEnd - performance.now()),
+      tookMs: Math.round(performance.now() - this.#ownership.ownedBy)
     }, 'cell recovered')
     this.#workerManager.run(listed.version).catch(throwUncaught)
     this.#cancelPoller.run().catch(throwUncaught)
@@ -336,34 +337,42 @@
   }
 
   /**
-   * Returns for how long after this node's claim the previous owner may have renewed leases, in ms. During an outage it
-   * needed the promises of all its followers, so that one that makes no more of them is enough.
+   * Returns the monotonic time by which all leases that earlier owners granted are over, in ms.
+   *
+   * @param followers - Followers of the last owner that may have granted leases; undefined if they are not known.
    */
-  async #determineRenewalGrace (previousMembers: ReadonlySet<string> | undefined): Promise<number> {
-    if (this.#options.predecessorEnded || this.#ownership.isTransferred) return 0
-    if (previousMembers === undefined) return STORE_OUTAGE_GRACE_MS
-    if (previousMembers.has(this.#options.node)) return RENEWAL_GRACE_MS
-    const answers = await this.#dependencies.withholdPromises(this.token - 1)
-    const elapsedMs = performance.now() - this.#claimedAt
-    const graces = answers.filter(({ node }) => previousMembers.has(node))
-      .map(({ promisedMs }) => Math.max(RENEWAL_GRACE_MS, elapsedMs + promisedMs))
-    return Math.min(STORE_OUTAGE_GRACE_MS, ...graces)
+  async #determineEarlierLeasesEnd (followers: ReadonlySet<string> | undefined): Promise<number> {
+    const { predecessor, earlierLeasesEndAt } = this.#ownership
+    if (predecessor === undefined) return this.#toEarlierLeasesEnd(earlierLeasesEndAt)
+    const lastRenewalBy = await this.#determineLastRenewal(predecessor, followers)
+    return Math.max(this.#toEarlierLeasesEnd(predecessor.earlierLeasesEndAt), lastRenewalBy + this.#longestLeaseMs)
+  }
+
+  /** Converts the end of leases that an earlier owner has stored to monotonic time, in ms. */
+  #toEarlierLeasesEnd (storedEndAt: number | null): number {
+    const end = storedEndAt === null ? undefined : this.#ownership.clock.toMonotonic(storedEndAt)
+    // The writer's wall clock may have been set ahead. No owner renews leases for longer after it was replaced.
+    return Math.min(end ?? Infinity, this.#longestLeasesEnd)
   }
 
   /**
-   * Returns the monotonic time by which all leases that earlier owners granted are over, in ms.
-   *
-   * @param graceMs - Time after this node's claim for which the previous owner may have renewed leases, in ms.
+   * Returns the monotonic time by which an earlier owner has renewed its last lease, in ms. During an outage it needed
+   * the promises of all its followers, so that one that makes no more of them is enough.
    */
-  #computeEarlierLeasesEnd (graceMs: number): number {
-    const { clock, earlierLeasesEndAt, isTransferred } = this.#ownership
-    const endAfter = (graceMs: number) => this.#claimedAt + graceMs + this.#longestLeaseMs
-    const longest = endAfter(STORE_OUTAGE_GRACE_MS)
-    const recorded = earlierLeasesEndAt === null ? longest : clock.toMonotonic(earlierLeasesEndAt) ?? longest
-    // The writer's wall clock may have been set ahead. No owner renews leases for longer after it was replaced.
-    const stored = Math.min(recorded, longest)
-    // The previous owner has stored the end of its own leases together with the transfer.
-    return isTransferred ? stored : Math.max(stored, endAfter(graceMs))
+  async #determineLastRenewal (
+    { token, hasEnded, replacedBy }: Predecessor, followers: ReadonlySet<string> | undefined
+  ): Promise<number> {
+    const { clock, ownedBy } = this.#ownership
+    const recorded = replacedBy === null ? undefined : clock.toMonotonic(replacedBy)
+    const replacedAt = Math.min(ownedBy, recorded ?? ownedBy)
+    if (hasEnded) return replacedAt
+    const promisesEnd = followers === undefined ? Infinity : await this.#dependencies.endPromises(token, followers)
+    return Math.min(replacedAt + STORE_OUTAGE_GRACE_MS, Math.max(replacedAt + RENEWAL_GRACE_MS, promisesEnd))
+  }
+
+  /** Monotonic time by which leases of earlier owners are over in any case, in ms. */
+  get #longestLeasesEnd (): number {
+    return this.#ownership.ownedBy + STORE_OUTAGE_GRACE_MS + this.#longestLeaseMs
   }
 
   /** Time from a renewal until the lease is certainly over, in ms. */
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -60,6 +60,8 @@
   readonly #storedWaiters = new Notifier()
   /** Set by `close`: no commit follows the one in flight. */
   #closing = false
+  /** The next commit is made at once, also if nothing has changed. */
+  #isDue = true
 
   /** @param linkMbps - Bandwidth of this node's network link, in Mbit/s; limits the size of a commit. */
   constructor (
@@ -83,9 +85,10 @@
   /** Commits until the owner ends or `close` is called. */
   async run (): Promise<void> {
     // The first commit is made at once: others may already watch the record that a transfer has left.
-    for (let isFirst = true; !this.#isOver; isFirst = false) {
-      if (!isFirst && this.#cell.dirty.size === 0 && !this.#hasUnstoredEnds()) await this.#waitForWork()
+    while (!this.#isOver) {
+      if (!this.#isDue && this.#cell.dirty.size === 0 && !this.#hasUnstoredEnds()) await this.#waitForWork()
       if (this.#isOver) return
+      this.#isDue = false
       const batch = this.#takeBatch()
       const found = batch.foundWorkers.map(toRowAddress)
       const removable = Math.min(MAX_REMOVALS_PER_COMMIT, MAX_ROWS_PER_COMMIT - batch.puts.length - found.length)
@@ -106,6 +109,12 @@
     }
   }
 
+  /** Commits as soon as the commit in flight has finished, also if nothing has changed. */
+  commitNow (): void {
+    this.#isDue = true
+    this.wake()
+  }
+
   /** Wakes the commit loop to check for changes. */
   wake (): void {
     this.#workWaiters.notifyAll()
--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -17,6 +17,18 @@
 export const CONTROL_TABLE = 'control'
 const OWNER_KEY = 'owner'
 
+/** The last owner before a new one that may have granted task leases. */
+const Predecessor = Type.Object({
+  token: Type.Integer({ minimum: 0 }),
+  /** It has ended, so that it renews no leases any more. */
+  hasEnded: Type.Boolean(),
+  /** The time that it has stored as `earlierLeasesEndAt`. */
+  earlierLeasesEndAt: Type.Union([Type.Number(), Type.Null()]),
+  /** Time on the store's clock by which another node had taken the cell over from it, in ms; null if not known. */
+  replacedBy: Type.Union([Type.Number(), Type.Null()])
+})
+export type Predecessor = Static<typeof Predecessor>
+
 /** The owner of a cell. Each commit of the owner rewrites this row, so that commits can only succeed in order. */
 export const OwnerRecord = Type.Object({
   node: Type.String(),
@@ -30,9 +42,11 @@
   released: Type.Boolean(),
   /**
    * Time on the store's clock by which all task leases that owners before this one have granted are over, in ms; null
-   * or absent until this owner has stored it.
+   * until this owner has stored it. Before that, it grants no leases. Owners that don't know of this field omit it.
    */
-  earlierLeasesEndAt: Type.Optional(Type.Union([Type.Number(), Type.Null()]))
+  earlierLeasesEndAt: Type.Optional(Type.Union([Type.Number(), Type.Null()])),
+  /** Present until `earlierLeasesEndAt` is stored. */
+  predecessor: Type.Optional(Predecessor)
 })
 export type OwnerRecord = Static<typeof OwnerRecord>
 
@@ -80,39 +94,39 @@
   #version: number
   #lost = false
   readonly clock = new StoreClock()
-  /**
-   * What the previous owner stored: the time on the store's clock by which all leases granted before it (or, after a
-   * transfer, also by it) are over, in ms; null when that is not known.
-   */
+  /** The last earlier owner that may have granted leases; undefined if `earlierLeasesEndAt` includes its leases. */
+  readonly predecessor: Predecessor | undefined
+  /** Time on the store's clock by which leases of earlier owners are over, in ms, as far as it was known at first. */
   readonly earlierLeasesEndAt: number | null
-  /** The previous owner has transferred the cell to this node. */
-  readonly isTransferred: boolean
+  /** Monotonic time by which this node owned the cell, in ms. */
+  #ownedBy = performance.now()
   /** When the last successful commit was sent; undefined before this node's first one. */
   #confirmedAt: Instant | undefined
   /** Monotonic time by which all leases of earlier owners are over, in ms; stored with the next commit. */
   earlierLeasesEnd: number | undefined
 
-  private constructor (
-    store: RecordStore, partition: string, record: OwnerRecord, version: number,
-    earlier: { leasesEndAt: number | null, isTransferred: boolean }
-  ) {
+  private constructor (store: RecordStore, partition: string, record: OwnerRecord, version: number) {
     this.#store = store
     this.#partition = partition
     this.#record = record
     this.#version = version
-    this.earlierLeasesEndAt = earlier.leasesEndAt
-    this.isTransferred = earlier.isTransferred
+    this.predecessor = record.predecessor
+    this.earlierLeasesEndAt = record.earlierLeasesEndAt ?? null
   }
 
-  /** Claims the cell if its owner row is still `previous`; fails with `conflict` when another node was faster. */
+  /**
+   * Claims the cell if its owner row is still `previous`; fails with `conflict` when another node was faster.
+   *
+   * @param hasEnded - Whether the previous owner has ended.
+   */
   static async claim (
-    store: RecordStore, partition: string, previous: OwnerRow, self: { node: string, address: string }
+    store: RecordStore, partition: string, previous: OwnerRow, self: { node: string, address: string }, hasEnded = false
   ): Promise<Outcome<Ownership>> {
     const token = (previous.record?.token ?? 0) + 1
-    const record = { ...self, token, sequence: 0, released: false, earlierLeasesEndAt: null }
-    const leasesEndAt = previous.record === undefined ? 0 : previous.record.earlierLeasesEndAt ?? null
-    const ownership = new Ownership(store, partition, record, previous.version, { leasesEndAt, isTransferred: false })
+    const record = { ...self, token, sequence: 0, released: false, ...describeEarlierLeases(previous.record, hasEnded) }
+    const ownership = new Ownership(store, partition, record, previous.version)
     const written = await ownership.#write({ ...record }, [], [], CLAIM_ATTEMPTS)
+    ownership.#ownedBy = performance.now()
     const lost = notDone('conflict', 'another node took the cell over')
     return written.chain((committed) => committed ? done(ownership) : lost)
   }
@@ -125,6 +139,15 @@
     return this.#lost
   }
 
+  get ownedBy (): number {
+    return this.#ownedBy
+  }
+
+  /** Whether the store knows when the leases of earlier owners end, so that this one may grant leases. */
+  get mayGrantLeases (): boolean {
+    return typeof this.#record.earlierLeasesEndAt === 'number'
+  }
+
   /** Longest time that may have passed since a commit showed that this node owns the cell, in ms. */
   get unconfirmedMs (): number {
     return this.#confirmedAt === undefined ? Infinity : measureLongestElapsed(this.#confirmedAt)
@@ -139,8 +162,7 @@
 
   /** Continues an ownership that the previous owner has transferred to this node. */
   static resume (store: RecordStore, partition: string, { record, version }: Transfer): Ownership {
-    const leasesEndAt = record.earlierLeasesEndAt ?? null
-    return new Ownership(store, partition, record, version, { leasesEndAt, isTransferred: true })
+    return new Ownership(store, partition, record, version)
   }
 
   /**
@@ -154,15 +176,13 @@
     puts: Commit['puts'], ownLeasesEnd: number, successor?: { node: string, address: string }
   ): Promise<Transfer | undefined> {
     const current = this.#continuedRecord()
+    const ownLeasesEndAt = this.clock.toStore(ownLeasesEnd)
+    const leases = typeof current.earlierLeasesEndAt === 'number' && ownLeasesEndAt !== undefined
+      ? { earlierLeasesEndAt: Math.max(current.earlierLeasesEndAt, ownLeasesEndAt) }
+      : describeEarlierLeases(current, true)
     const record = successor === undefined
       ? { ...current, sequence: current.sequence + 1, released: true }
-      : {
-          ...successor,
-          token: this.token + 1,
-          sequence: 0,
-          released: false,
-          earlierLeasesEndAt: latest(current.earlierLeasesEndAt, this.clock.toStore(ownLeasesEnd))
-        }
+      : { ...successor, token: this.token + 1, sequence: 0, released: false, ...leases }
     const written = await this.#write(record, puts, [], TRANSFER_ATTEMPTS)
     this.#lost = true
     return written.orDefault(false) && successor !== undefined ? { record, version: this.#version } : undefined
@@ -173,10 +193,14 @@
     this.#lost = true
   }
 
-  /** The record of this owner with the end of earlier leases as far as it is known. */
+  /** The record of this owner with what is known of earlier leases by now. */
   #continuedRecord (): OwnerRecord {
-    if (typeof this.#record.earlierLeasesEndAt === 'number' || this.earlierLeasesEnd === undefined) return this.#record
-    return { ...this.#record, earlierLeasesEndAt: this.clock.toStore(this.earlierLeasesEnd) ?? null }
+    const { predecessor, ...record } = this.#record
+    if (predecessor === undefined) return record
+    const endAt = this.earlierLeasesEnd === undefined ? undefined : this.clock.toStore(this.earlierLeasesEnd)
+    if (endAt !== undefined) return { ...record, earlierLeasesEndAt: endAt }
+    const replacedBy = predecessor.replacedBy ?? this.clock.toStore(this.#ownedBy) ?? null
+    return { ...record, predecessor: { ...predecessor, replacedBy } }
   }
 
   async #write (
@@ -218,7 +242,18 @@
   }
 }
 
-/** Returns the later of two times; null when one of them is unknown. */
-function latest (first: number | null | undefined, second: number | undefined): number | null {
-  return typeof first === 'number' && second !== undefined ? Math.max(first, second) : null
+/**
+ * Returns what the record of a new owner tells of earlier leases.
+ *
+ * @param previous - Record of the previous owner, if there was one.
+ * @param hasEnded - Whether that owner has ended.
+ */
+function describeEarlierLeases (
+  previous: OwnerRecord | undefined, hasEnded: boolean
+): Pick<OwnerRecord, 'earlierLeasesEndAt' | 'predecessor'> {
+  if (previous === undefined) return { earlierLeasesEndAt: 0 }
+  const { token, earlierLeasesEndAt = null, predecessor } = previous
+  // With a predecessor in its record, the previous owner has granted no leases.
+  const granting = predecessor ?? { token, hasEnded, earlierLeasesEndAt, replacedBy: null }
+  return { earlierLeasesEndAt: null, predecessor: granting }
 }
--- a/packages/jobs/src/ownership/test.ts
+++ b/packages/jobs/src/ownership/test.ts
@@ -65,6 +65,7 @@
   const ends: Array<{ name: string, earlier: number | undefined, own: number, expected: number | null }> = [
     { name: 'its own leases, if they end last', earlier: 9_000, own: 12_000, expected: 12_000 },
     { name: 'earlier leases, if they end last', earlier: 14_000, own: 12_000, expected: 14_000 },
+    // It has granted no leases then.
     { name: 'no leases, if it does not know the earlier ones', earlier: undefined, own: 12_000, expected: null }
   ]
   for (const { name, earlier, own, expected } of ends) {
@@ -84,6 +85,44 @@
     })
   }
 
+  // An owner grants no leases before it has stored the end of earlier ones. Those of the owner before it count then.
+  const unstored: Array<{ name: string, end: (owner: Ownership) => Promise<unknown> }> = [
+    { name: 'an end without a commit', end: async () => {} },
+    { name: 'an end after a commit', end: async (owner) => { await owner.commit([]) } },
+    { name: 'a release', end: async (owner) => { await owner.transfer([], 0) } }
+  ]
+  for (const { name, end } of unstored) {
+    it(`passes on its predecessor's leases after ${name}, if it has not stored the end of earlier leases`, async () => {
+      const store = new MemoryRecordStore(rows)
+      const claim = async (node: string) => {
+        const row = (await settle(readOwner(store, CELL))).unsafeCoerce()
+        return (await settle(Ownership.claim(store, CELL, row, { node, address: node }))).unsafeCoerce()
+      }
+      const first = await claim('n0')
+      expect(first.mayGrantLeases).to.equal(true)
+      const second = await claim('n1')
+      expect(second.mayGrantLeases).to.equal(false)
+      await settle(end(second))
+      const third = await claim('n2')
+      expect(third.predecessor).to.deep.include({ token: first.token, hasEnded: false, earlierLeasesEndAt: 0 })
+      third.earlierLeasesEnd = 60_000
+      await settle(third.commit([]))
+      expect(third.mayGrantLeases).to.equal(true)
+      const fourth = await claim('n3')
+      expect(fourth.predecessor!.token).to.equal(third.token)
+      expect(fourth.clock.toMonotonic(fourth.predecessor!.earlierLeasesEndAt!)).to.be.within(60_000, 60_020)
+    })
+  }
+
+  it('tells the next owner when it had replaced its predecessor', async () => {
+    const store = new MemoryRecordStore(rows)
+    const vacant = { ...VACANT, record: { node: 'n', address: 'n', token: 1, sequence: 0, released: false } }
+    const second = (await settle(Ownership.claim(store, CELL, vacant, { node: 'n0', address: 'n0' }))).unsafeCoerce()
+    await settle(second.commit([]))
+    const { record } = (await settle(readOwner(store, CELL))).unsafeCoerce()
+    expect(second.clock.toMonotonic(record!.predecessor!.replacedBy!)).to.be.within(second.ownedBy, second.ownedBy + 20)
+  })
+
   it('continues at the successor after a transfer and rejects commits of the previous owner', async () => {
     const store = new MemoryRecordStore(rows)
     const old = (await settle(Ownership.claim(store, CELL, VACANT, { node: 'n0', address: 'n0' }))).unsafeCoerce()
