Name the previous owner's followers until they follow the new one

An owner that was killed before other nodes followed it had stored no followers. The next owner didn't find its own name among them and added 8 s for renewals. An owner now keeps the names of its predecessor's followers in the row for 2 s, and needs their promises for that time.

--- a/packages/jobs/src/loadPatterns/lostWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/lostWorkers.test.ts
@@ -69,6 +69,18 @@
       expect(countRunning(cell)).to.equal(TASKS)
     }
   },
+  {
+    // The third owner did not find its name among the followers that the second one had stored, and added 8 s.
+    name: 'have their long-running tasks started elsewhere after an owner that ends before other nodes follow it',
+    options: { workers: TASKS, nodes: 4 },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      loseWorkers(cell)
+      await killOwners(cell, clock, 1, 60)
+      await clock.tickAsync(RESTART_MS)
+      expect(countRunning(cell)).to.equal(TASKS)
+    }
+  },
   {
     // The second owner knew no address of the workers, and the third one failed to connect to it.
     name: 'have their long-running tasks started elsewhere although no new owner finds them in the registry',
--- a/packages/jobs/src/owner/CellMembers.ts
+++ b/packages/jobs/src/owner/CellMembers.ts
@@ -7,6 +7,12 @@
 
 const MEMBERS_KEY = 'members'
 
+/**
+ * Time for which the followers of the previous owner stay in the row, in ms. They follow a new owner with their next
+ * heartbeat, which may take 1.5 s while answers are lost. If it ends before that, they still find their names.
+ */
+const INHERITED_NAMES_MS = 2_000
+
 const MembersRow = Type.Object({
   /** Token of the owner that wrote the row. */
   token: Type.Integer({ minimum: 0 }),
@@ -32,16 +38,23 @@
  */
 export class CellMembers {
   readonly #token: number
+  readonly #node: string
   readonly #promises = new Map<string, TakeoverPromise | undefined>()
   /** Names that the store has, or may have, for this owner or the previous one; undefined until they are known. */
   #stored: Set<string> | undefined
   /** Names in the row that is being written. */
   #written: Set<string> | undefined
+  /** Names that the previous owner has stored. */
+  #inherited: string[] = []
+  /** Monotonic time until which the inherited names are kept, in ms. */
+  #inheritedUntil = 0
   /** This owner has stored its followers. */
   #isStored = false
 
-  constructor (token: number) {
+  /** @param node - Name of the owner's node. */
+  constructor (token: number, node: string) {
     this.#token = token
+    this.#node = node
   }
 
   /**
@@ -57,7 +70,10 @@
 
   /** Takes over the stored names. From now on, `takeWrites` replaces them. */
   restore (rows: readonly StoredRow[]): void {
-    this.#stored = new Set(decodeMembers(rows).nodes)
+    const { nodes } = decodeMembers(rows)
+    this.#stored = new Set(nodes)
+    this.#inherited = nodes.filter((node) => node !== this.#node)
+    this.#inheritedUntil = performance.now() + INHERITED_NAMES_MS
   }
 
   recordHeartbeat (node: string, promise: TakeoverPromise | undefined): void {
@@ -80,7 +96,8 @@
   takeWrites (): Commit['puts'] {
     const stored = this.#stored
     if (stored === undefined) return []
-    const nodes = [...this.#promises.keys()]
+    const inherited = performance.now() < this.#inheritedUntil ? this.#inherited : []
+    const nodes = [...new Set([...this.#promises.keys(), ...inherited])]
     if (this.#isStored && nodes.length === stored.size && nodes.every((node) => stored.has(node))) return []
     for (const node of nodes) stored.add(node)
     this.#written = new Set(nodes)
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -119,7 +119,7 @@
     this.#tracker = new RunTracker(cell, breaker, sessions, (reason) => this.#handleOwnershipLost(reason))
     this.#rescheduler = new Rescheduler(cell, this.#tracker, options.stopTimeoutMs)
     this.#lostWorkers = new LostWorkerRecords(cell, ownership.clock)
-    this.#members = new CellMembers(ownership.token)
+    this.#members = new CellMembers(ownership.token, options.node)
     const members = this.#members
     this.#commits = new GroupCommit(cell, { lostWorkers: this.#lostWorkers, members }, ownership, {
       onStartStored: (task) => this.#tracker.start(task).catch(throwUncaught),
