Grant no leases after a handover before the first commit

The record that a handover writes now has the same form as that of a claim: the last owner that may have granted leases, when it ended, and what it had stored. The successor grants leases once it has stored the end of earlier ones, as after a claim, and CellOwner has no case of its own for it.

The RPC that notifies followers has a new name, so that a node of an older version does not resume such a record, which it would carry on unchanged; it finds its name in the store and claims the cell.

The test of what an owner tells its successor checks the new fields instead of one sum: whose leases count, when that owner ended, and the end of earlier leases.

--- a/packages/jobs/src/loadPatterns/lostWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/lostWorkers.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import type { Clock } from '@sinonjs/fake-timers'
 import { throwUncaught } from '@gypsumspring/protocol'
+import type { OwnerRecord } from '../ownership/index.ts'
 import type { MemoryCell } from '../standins/index.ts'
 import { describeCells } from './describeCells.ts'
 import { DISTURBED, TASKS, countRunning, startLongRunningJob } from './longRunningJob.ts'
@@ -29,6 +30,10 @@
   }
 }
 
+function readOwnerRecord (cell: MemoryCell): OwnerRecord {
+  return JSON.parse(Buffer.from(cell.rows.rows.get('control/cell/owner')!.value!).toString())
+}
+
 describeCells('Workers lost together with the owner', [
   {
     // A new owner waited for the leases that the former one might have renewed for 8 s after its last commit.
@@ -81,6 +86,21 @@
       expect(countRunning(cell)).to.equal(TASKS)
     }
   },
+  {
+    // An owner to which the cell was transferred was taken for one that may have renewed leases for 8 s.
+    name: 'have their long-running tasks started elsewhere after a handover to a node that ends before it learns of it',
+    options: { workers: TASKS, nodes: 4 },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      loseWorkers(cell)
+      const { token } = readOwnerRecord(cell)
+      cell.owner!.cellNode.resign().catch(throwUncaught)
+      while (readOwnerRecord(cell).token === token) await clock.tickAsync(1)
+      cell.killNode(readOwnerRecord(cell).node)
+      await clock.tickAsync(RESTART_MS)
+      expect(countRunning(cell)).to.equal(TASKS)
+    }
+  },
   {
     // The second owner knew no address of the workers, and the third one failed to connect to it.
     name: 'have their long-running tasks started elsewhere although no new owner finds them in the registry',
--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -163,7 +163,7 @@
   handlers (): CellHandlers {
     return {
       'cell.follow': (heartbeat) => this.#handleFollow(heartbeat),
-      'cell.released': (message) => this.#handleReleased(message),
+      'cell.ownershipEnded': (message) => this.#handleOwnershipEnded(message),
       'cell.withholdPromises': ({ token }) => this.#withholdPromises(token),
       'cell.accept': ({ job }) => {
         this.#owner?.accept(job)
@@ -436,12 +436,12 @@
     this.#dependencies.log.info(fields, 'gave the cell up')
     for (const follower of followers) {
       const message = { token, transfer: follower === successor ? transfer ?? null : null }
-      follower.peer.call('cell.released', message, { timeoutMs: PEER_CALL_TIMEOUT_MS }).catch(throwUncaught)
+      follower.peer.call('cell.ownershipEnded', message, { timeoutMs: PEER_CALL_TIMEOUT_MS }).catch(throwUncaught)
     }
     this.#resolveOwnershipEnd?.()
   }
 
-  #handleReleased ({ token, transfer }: CellParams<'cell.released'>): CellResult<'cell.released'> {
+  #handleOwnershipEnded ({ token, transfer }: CellParams<'cell.ownershipEnded'>): CellResult<'cell.ownershipEnded'> {
     this.#lastReleasedToken = Math.max(this.#lastReleasedToken, token)
     if (transfer !== null && !this.#resigned) this.#receivedTransfer = transfer
     this.#releaseWaiters.notifyAll()
--- a/packages/jobs/src/node/messages.ts
+++ b/packages/jobs/src/node/messages.ts
@@ -68,8 +68,8 @@
     params: Type.Object({ token: Count }),
     result: Type.Object({ node: Type.String(), promisedMs: Type.Number({ minimum: 0 }) })
   },
-  /** Notifies a follower that the owner has released the cell; with `transfer`, the follower is the new owner. */
-  'cell.released': {
+  /** Notifies a follower that the owner has given the cell up; with `transfer`, the follower is the new owner. */
+  'cell.ownershipEnded': {
     params: Type.Object({
       token: Count, transfer: Type.Union([Type.Object({ record: OwnerRecord, version: Count }), Type.Null()])
     }),
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -202,8 +202,7 @@
     this.#shutDown()
     if (!this.#commitsEnded) this.#ownership.abandon()
     if (this.#ownership.isLost) return undefined
-    return await this.#ownership.transfer(this.#commits.takeFinalRows(),
-      performance.now() + this.#longestLeaseMs, successor)
+    return await this.#ownership.transfer(this.#commits.takeFinalRows(), successor)
   }
 
   /** Adds a job that is already stored. */
@@ -342,8 +341,8 @@
    * @param followers - Followers of the last owner that may have granted leases; undefined if they are not known.
    */
   async #determineEarlierLeasesEnd (followers: ReadonlySet<string> | undefined): Promise<number> {
-    const { predecessor, earlierLeasesEndAt } = this.#ownership
-    if (predecessor === undefined) return this.#toEarlierLeasesEnd(earlierLeasesEndAt)
+    const { predecessor } = this.#ownership
+    if (predecessor === undefined) return this.#ownership.ownedBy
     const lastRenewalBy = await this.#determineLastRenewal(predecessor, followers)
     return Math.max(this.#toEarlierLeasesEnd(predecessor.earlierLeasesEndAt), lastRenewalBy + this.#longestLeaseMs)
   }
--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -24,7 +24,7 @@
   hasEnded: Type.Boolean(),
   /** The time that it has stored as `earlierLeasesEndAt`. */
   earlierLeasesEndAt: Type.Union([Type.Number(), Type.Null()]),
-  /** Time on the store's clock by which another node had taken the cell over from it, in ms; null if not known. */
+  /** Time on the store's clock by which it had ended or been replaced, in ms; null if not known. */
   replacedBy: Type.Union([Type.Number(), Type.Null()])
 })
 export type Predecessor = Static<typeof Predecessor>
@@ -94,10 +94,8 @@
   #version: number
   #lost = false
   readonly clock = new StoreClock()
-  /** The last earlier owner that may have granted leases; undefined if `earlierLeasesEndAt` includes its leases. */
+  /** The last owner before this one that may have granted leases; undefined if there is none. */
   readonly predecessor: Predecessor | undefined
-  /** Time on the store's clock by which leases of earlier owners are over, in ms, as far as it was known at first. */
-  readonly earlierLeasesEndAt: number | null
   /** Monotonic time by which this node owned the cell, in ms. */
   #ownedBy = performance.now()
   /** When the last successful commit was sent; undefined before this node's first one. */
@@ -111,7 +109,6 @@
     this.#record = record
     this.#version = version
     this.predecessor = record.predecessor
-    this.earlierLeasesEndAt = record.earlierLeasesEndAt ?? null
   }
 
   /**
@@ -123,7 +120,8 @@
     store: RecordStore, partition: string, previous: OwnerRow, self: { node: string, address: string }, hasEnded = false
   ): Promise<Outcome<Ownership>> {
     const token = (previous.record?.token ?? 0) + 1
-    const record = { ...self, token, sequence: 0, released: false, ...describeEarlierLeases(previous.record, hasEnded) }
+    const leases = describeEarlierLeases(previous.record, { hasEnded, replacedBy: null })
+    const record = { ...self, token, sequence: 0, released: false, ...leases }
     const ownership = new Ownership(store, partition, record, previous.version)
     const written = await ownership.#write({ ...record }, [], [], CLAIM_ATTEMPTS)
     ownership.#ownedBy = performance.now()
@@ -167,22 +165,24 @@
 
   /**
    * Writes rows of the cell for the last time and transfers the cell to another node or, without one, releases it, so
-   * that the next owner does not have to wait for a timeout.
+   * that the next owner does not have to wait for a timeout. From now on, this owner must not grant any leases.
    *
-   * @param ownLeasesEnd - Monotonic time by which all leases that this owner has granted are over, in ms.
    * @returns What the successor needs to continue; undefined when the cell was released or the write failed.
    */
   async transfer (
-    puts: Commit['puts'], ownLeasesEnd: number, successor?: { node: string, address: string }
+    puts: Commit['puts'], successor?: { node: string, address: string }
   ): Promise<Transfer | undefined> {
     const current = this.#continuedRecord()
-    const ownLeasesEndAt = this.clock.toStore(ownLeasesEnd)
-    const leases = typeof current.earlierLeasesEndAt === 'number' && ownLeasesEndAt !== undefined
-      ? { earlierLeasesEndAt: Math.max(current.earlierLeasesEndAt, ownLeasesEndAt) }
-      : describeEarlierLeases(current, true)
+    const endedAt = this.clock.toStore(performance.now()) ?? null
     const record = successor === undefined
       ? { ...current, sequence: current.sequence + 1, released: true }
-      : { ...successor, token: this.token + 1, sequence: 0, released: false, ...leases }
+      : {
+          ...successor,
+          token: this.token + 1,
+          sequence: 0,
+          released: false,
+          ...describeEarlierLeases(current, { hasEnded: true, replacedBy: endedAt })
+        }
     const written = await this.#write(record, puts, [], TRANSFER_ATTEMPTS)
     this.#lost = true
     return written.orDefault(false) && successor !== undefined ? { record, version: this.#version } : undefined
@@ -246,14 +246,13 @@
  * Returns what the record of a new owner tells of earlier leases.
  *
  * @param previous - Record of the previous owner, if there was one.
- * @param hasEnded - Whether that owner has ended.
+ * @param end - What is known of the end of that owner.
  */
 function describeEarlierLeases (
-  previous: OwnerRecord | undefined, hasEnded: boolean
+  previous: OwnerRecord | undefined, end: Pick<Predecessor, 'hasEnded' | 'replacedBy'>
 ): Pick<OwnerRecord, 'earlierLeasesEndAt' | 'predecessor'> {
   if (previous === undefined) return { earlierLeasesEndAt: 0 }
   const { token, earlierLeasesEndAt = null, predecessor } = previous
   // With a predecessor in its record, the previous owner has granted no leases.
-  const granting = predecessor ?? { token, hasEnded, earlierLeasesEndAt, replacedBy: null }
-  return { earlierLeasesEndAt: null, predecessor: granting }
+  return { earlierLeasesEndAt: null, predecessor: predecessor ?? { token, earlierLeasesEndAt, ...end } }
 }
--- a/packages/jobs/src/ownership/test.ts
+++ b/packages/jobs/src/ownership/test.ts
@@ -62,26 +62,29 @@
   })
 
   // Without it, each owner would have to wait for the longest lease that any earlier one may have granted.
-  const ends: Array<{ name: string, earlier: number | undefined, own: number, expected: number | null }> = [
-    { name: 'its own leases, if they end last', earlier: 9_000, own: 12_000, expected: 12_000 },
-    { name: 'earlier leases, if they end last', earlier: 14_000, own: 12_000, expected: 14_000 },
-    // It has granted no leases then.
-    { name: 'no leases, if it does not know the earlier ones', earlier: undefined, own: 12_000, expected: null }
+  const earlierEnds: Array<{ name: string, earlier: number | undefined, token: number, end: number | null }> = [
+    { name: 'its own end, with the end of earlier leases', earlier: 9_000, token: 2, end: 9_000 },
+    { name: 'what it knows of its predecessor, if it does not know the end', earlier: undefined, token: 1, end: null }
   ]
-  for (const { name, earlier, own, expected } of ends) {
-    it(`tells its successor the end of ${name}`, async () => {
+  for (const { name, earlier, token, end } of earlierEnds) {
+    it(`tells its successor ${name}`, async () => {
       const store = new MemoryRecordStore(rows)
       const vacant = { ...VACANT, record: { node: 'n', address: 'n', token: 1, sequence: 0, released: false } }
       const old = (await settle(Ownership.claim(store, CELL, vacant, { node: 'n0', address: 'n0' }))).unsafeCoerce()
       old.earlierLeasesEnd = earlier
       await settle(old.commit([]))
-      const transfer = await settle(old.transfer([], own, { node: 'n1', address: 'n1' }))
+      const endedBy = performance.now()
+      const transfer = await settle(old.transfer([], { node: 'n1', address: 'n1' }))
       const next = Ownership.resume(store, CELL, transfer!)
+      expect(next.mayGrantLeases).to.equal(false)
       await settle(next.commit([]))
-      const { earlierLeasesEndAt } = next
-      const end = earlierLeasesEndAt === null ? null : next.clock.toMonotonic(earlierLeasesEndAt)!
-      if (expected === null) expect(end).to.equal(null)
-      else expect(end).to.be.within(expected, expected + 20)
+      const { predecessor, clock } = next
+      expect(predecessor).to.include({ token, hasEnded: token === 2 })
+      const replacedAt = token === 2 ? endedBy : old.ownedBy
+      expect(clock.toMonotonic(predecessor!.replacedBy!)).to.be.within(replacedAt, replacedAt + 20)
+      const { earlierLeasesEndAt } = predecessor!
+      if (end === null) expect(earlierLeasesEndAt).to.equal(null)
+      else expect(clock.toMonotonic(earlierLeasesEndAt!)).to.be.within(end, end + 20)
     })
   }
 
@@ -89,7 +92,7 @@
   const unstored: Array<{ name: string, end: (owner: Ownership) => Promise<unknown> }> = [
     { name: 'an end without a commit', end: async () => {} },
     { name: 'an end after a commit', end: async (owner) => { await owner.commit([]) } },
-    { name: 'a release', end: async (owner) => { await owner.transfer([], 0) } }
+    { name: 'a release', end: async (owner) => { await owner.transfer([]) } }
   ]
   for (const { name, end } of unstored) {
     it(`passes on its predecessor's leases after ${name}, if it has not stored the end of earlier leases`, async () => {
@@ -126,7 +129,7 @@
   it('continues at the successor after a transfer and rejects commits of the previous owner', async () => {
     const store = new MemoryRecordStore(rows)
     const old = (await settle(Ownership.claim(store, CELL, VACANT, { node: 'n0', address: 'n0' }))).unsafeCoerce()
-    const transfer = await settle(old.transfer([put('last')], 8_000, { node: 'n1', address: 'n1' }))
+    const transfer = await settle(old.transfer([put('last')], { node: 'n1', address: 'n1' }))
     const next = Ownership.resume(store, CELL, transfer!)
     expect(await settle(next.commit([put('next')]))).to.equal(true)
     expect(await settle(old.commit([put('old')]))).to.equal(false)
