Count a former owner's last renewal from the end of a promise

A new owner that was itself among the followers of the former one took the present for the end of its own promise to it, though that promise had ended before. Each owner that ended before it had recovered the cell therefore moved the end of the leases (a review of: 8.9 s after the first takeover with one that lived for 3 s).

--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -385,7 +385,7 @@
    */
   async #endPromises (token: number, nodes: ReadonlySet<string>): Promise<number> {
     const own = this.#withholdPromises(token)
-    if (nodes.has(own.node) && own.promisedMs === 0) return performance.now()
+    if (nodes.has(own.node) && own.promisedMs === 0) return this.#promisedUntil
     const answers = await Promise.all([...this.#peersByAddress.values()].map((peer) =>
       peer.call('cell.withholdPromises', { token }, { timeoutMs: HEARTBEAT_TIMEOUT_MS })))
     const now = performance.now()
