--- a/packages/jobs/src/owner/CellMembers.ts
+++ b/packages/jobs/src/owner/CellMembers.ts
@@ -8,8 +8,8 @@
 const MEMBERS_KEY = 'members'
 
 /**
- * Time for which the followers of the previous owner stay in the row, in ms. They follow a new owner with their next
- * heartbeat, which may take 1.5 s while answers are lost. If it ends before that, they still find their names.
+ * Longest time for which the followers of the previous owner stay in the row, in ms. They follow a new owner with their
+ * next heartbeat, which may take 1.5 s while answers are lost.
  */
 const INHERITED_NAMES_MS = 2_000
 
@@ -44,7 +44,10 @@
   #stored: Set<string> | undefined
   /** Names in the row that is being written. */
   #written: Set<string> | undefined
-  /** Names that the previous owner has stored. */
+  /**
+   * Names that the previous owner has stored. They stay in the row until this one has a follower: if it ends before
+   * that, the nodes still find their names.
+   */
   #inherited: string[] = []
   /** Monotonic time until which the inherited names are kept, in ms. */
   #inheritedUntil = 0
@@ -96,8 +99,8 @@
   takeWrites (): Commit['puts'] {
     const stored = this.#stored
     if (stored === undefined) return []
-    const inherited = performance.now() < this.#inheritedUntil ? this.#inherited : []
-    const nodes = [...new Set([...this.#promises.keys(), ...inherited])]
+    const isInherited = this.#promises.size === 0 && performance.now() < this.#inheritedUntil
+    const nodes = isInherited ? this.#inherited : [...this.#promises.keys()]
     if (this.#isStored && nodes.length === stored.size && nodes.every((node) => stored.has(node))) return []
     for (const node of nodes) stored.add(node)
     this.#written = new Set(nodes)
