Grant leases without the store's time, and know one's own former leases

Further tests, green before and after, for checks whose removal no test had shown: the own promise of a node to which the cell is handed over, a restart of an owner that has not recovered, leases before the end of earlier ones is stored, names kept for ever, the end of an owner without leases, and the predecessor over two handovers.

--- a/packages/jobs/src/loadPatterns/isolatedOwner.test.ts
+++ b/packages/jobs/src/loadPatterns/isolatedOwner.test.ts
@@ -3,6 +3,7 @@
 import type { MemoryCell } from '../standins/index.ts'
 import { describeCells } from './describeCells.ts'
 import { TASK, startLongRunningTask } from './longRunningJob.ts'
+import { delayRecovery, findOwner, waitForOwner } from './owners.ts'
 
 /** Isolates nodes together with a worker: neither reaches any other worker or node. */
 function isolate (cell: MemoryCell, nodes: Iterable<string>, worker: string): void {
@@ -19,19 +20,13 @@
   await clock.tickAsync(1_500)
 }
 
-/** The owner that the store knows; an isolated one takes itself for the owner too. */
-function findOwner (cell: MemoryCell) {
-  return [...cell.nodes.values()].find(({ name, up, cellNode }) =>
-    up && cellNode.isOwner && !cell.isolatedNodes.has(name))!
-}
-
 /** The next owner took the end of its predecessor for the end of all leases of owners before it. */
 const changes: Array<{ name: string, change: (cell: MemoryCell, clock: Clock) => Promise<void> }> = [
   { name: 'no further change of the owner', change: async () => {} },
   {
     name: 'a handover by the second owner',
     change: async (cell, clock) => {
-      const handover = findOwner(cell).cellNode.resign()
+      const handover = findOwner(cell)!.cellNode.resign()
       await clock.tickAsync(200)
       await handover
     }
@@ -39,7 +34,7 @@
   {
     name: 'a restart of the second owner',
     change: async (cell, clock) => {
-      const { name } = findOwner(cell)
+      const { name } = findOwner(cell)!
       cell.killNode(name)
       await clock.tickAsync(100)
       cell.startNode(name)
@@ -47,7 +42,7 @@
   },
   {
     name: 'an end of the second owner right after its takeover',
-    change: async (cell) => { cell.killNode(findOwner(cell).name) }
+    change: async (cell) => { cell.killNode(findOwner(cell)!.name) }
   }
 ]
 
@@ -74,6 +69,89 @@
   }
 })))
 
+describeCells('An isolated owner with its follower', [
+  {
+    // The next owner is that follower, which has promised the isolated owner not to take over.
+    name: 'runs no task twice when the cell is handed over to the follower before its promise has ended',
+    options: { nodes: 2 },
+    run: async (cell, clock) => {
+      const worker = (await startLongRunningTask(cell, clock, 1_000)).entry.id
+      const follower = [...cell.nodes.values()].find((node) => node !== cell.owner)!
+      isolate(cell, cell.nodes.keys(), worker)
+      const unknown = cell.startNode('n9')
+      const endDelay = delayRecovery(cell, 60_000)
+      expect((await waitForOwner(cell, clock)).name).to.equal('n9')
+      await clock.tickAsync(700)
+      cell.isolatedNodes.delete(follower.name)
+      await clock.tickAsync(800)
+      endDelay()
+      const handover = unknown.cellNode.resign()
+      await clock.tickAsync(300)
+      await handover
+      expect((await waitForOwner(cell, clock)).name).to.equal(follower.name)
+      await clock.tickAsync(8_000)
+      expect(cell.checker.violations).to.deep.equal([])
+      expect(cell.checker.starts).to.equal(2)
+    }
+  },
+  {
+    // The restarted owner must not take the end of its former process for the end of the isolated owner.
+    name: 'runs no task twice after a restart of the second owner before it has recovered the cell',
+    options: { nodes: 2 },
+    run: async (cell, clock) => {
+      const worker = (await startLongRunningTask(cell, clock, 1_000)).entry.id
+      isolate(cell, cell.nodes.keys(), worker)
+      cell.startNode('n9')
+      delayRecovery(cell, 60_000)
+      await waitForOwner(cell, clock)
+      cell.killNode('n9')
+      cell.startNode('n9')
+      await clock.tickAsync(25_000)
+      expect(cell.checker.countRunning(TASK)).to.equal(1)
+      expect(cell.checker.starts).to.equal(2)
+    }
+  }
+])
+
+describeCells('An owner that can not store the end of earlier leases', [
+  {
+    // A later owner would not count leases that it had granted.
+    name: 'grants no leases',
+    options: { nodes: 4 },
+    run: async (cell, clock) => {
+      const worker = (await startLongRunningTask(cell, clock)).entry.id
+      const { name } = cell.owner!
+      cell.killNode(name)
+      const { store } = cell.startNode(name)
+      delayRecovery(cell, 2_500)
+      expect((await waitForOwner(cell, clock)).name).to.equal(name)
+      await clock.tickAsync(3_200)
+      store.fault = (call) => call === 'commit' ? 'silent' : undefined
+      await clock.tickAsync(150)
+      isolate(cell, [name], worker)
+      await clock.tickAsync(15_000)
+      expect(cell.checker.violations).to.deep.equal([])
+      expect(cell.checker.starts).to.equal(2)
+    }
+  },
+  {
+    // It never granted any, so that all tasks ended.
+    name: 'grants leases if the store does not tell its time',
+    options: { nodes: 3 },
+    run: async (cell, clock) => {
+      await startLongRunningTask(cell, clock)
+      Object.defineProperty(cell.rows, 'nowMs', { get: () => undefined })
+      cell.killNode(cell.owner!.name)
+      await clock.tickAsync(12_000)
+      expect(cell.checker.countRunning(TASK)).to.equal(1)
+      expect(cell.checker.starts).to.equal(1)
+    }
+  }
+])
+
+/** Outages soon after a takeover, with followers that are killed together with the former owner. */
+const outages = [{ killed: 0, afterMs: 1_000 }, { killed: 1, afterMs: 1_000 }, { killed: 1, afterMs: 2_500 }]
+
 describeCells('A worker that is recorded as lost', [
   {
     name: 'keeps its run until the recorded end of its leases, also under the next owner',
@@ -145,8 +223,7 @@
       const worker = (await startLongRunningTask(cell, clock, 1_000)).entry.id
       isolate(cell, [cell.owner!.name], worker)
       for (let killed = 0; killed < 2; killed++) {
-        while (findOwner(cell) === undefined) await clock.tickAsync(1)
-        cell.killNode(findOwner(cell).name)
+        cell.killNode((await waitForOwner(cell, clock)).name)
       }
       await clock.tickAsync(20_000)
       expect(cell.checker.countRunning(TASK)).to.equal(1)
@@ -180,6 +257,24 @@
 ])
 
 describeCells('An outage of the store', [
+  ...outages.map(({ killed, afterMs }) => ({
+    // The new owner needed promises of nodes that had ended, whose names it had kept, or of itself.
+    name: `stops no task ${afterMs} ms after a takeover, with ${killed} followers killed together with the owner`,
+    options: { nodes: 4 },
+    run: async (cell: MemoryCell, clock: Clock) => {
+      await startLongRunningTask(cell, clock)
+      const followers = [...cell.nodes.values()].filter((node) => node !== cell.owner)
+      for (const { name } of [cell.owner!, ...followers.slice(0, killed)]) cell.killNode(name)
+      await waitForOwner(cell, clock)
+      await clock.tickAsync(afterMs)
+      for (const { store } of cell.nodes.values()) store.fault = () => 'silent'
+      await clock.tickAsync(7_000)
+      for (const { store } of cell.nodes.values()) store.fault = () => undefined
+      await clock.tickAsync(3_000)
+      expect(cell.checker.countRunning(TASK)).to.equal(1)
+      expect(cell.checker.starts).to.equal(1)
+    }
+  })),
   {
     // The leases of all workers ended 5.5 s after the last commit.
     name: 'stops no task while all followers promise not to take over',
--- a/packages/jobs/src/loadPatterns/lostWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/lostWorkers.test.ts
@@ -5,6 +5,7 @@
 import type { MemoryCell } from '../standins/index.ts'
 import { describeCells } from './describeCells.ts'
 import { DISTURBED, TASKS, countRunning, startLongRunningJob } from './longRunningJob.ts'
+import { delayRecovery, waitForOwner } from './owners.ts'
 
 /**
  * Time after the last disturbance in which a long-running task must run again if there is room, in ms. The operators
@@ -24,9 +25,9 @@
 async function killOwners (cell: MemoryCell, clock: Clock, count: number, ownedMs: number): Promise<void> {
   cell.killNode(cell.owner!.name)
   for (let killed = 0; killed < count; killed++) {
-    while (cell.owner === undefined) await clock.tickAsync(1)
+    const { name } = await waitForOwner(cell, clock)
     await clock.tickAsync(ownedMs)
-    cell.killNode(cell.owner.name)
+    cell.killNode(name)
   }
 }
 
@@ -74,6 +75,34 @@
       expect(countRunning(cell)).to.equal(TASKS)
     }
   },
+  {
+    // Each owner that ended before it had recovered the cell moved the end of the leases of the first one.
+    name: 'have their long-running tasks started elsewhere after two owners that do not recover the cell for 1.2 s',
+    options: { workers: TASKS, nodes: 4 },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      loseWorkers(cell)
+      const endDelay = delayRecovery(cell, 60_000)
+      await killOwners(cell, clock, 2, 1_200)
+      endDelay()
+      await clock.tickAsync(3_500)
+      expect(countRunning(cell)).to.equal(TASKS)
+    }
+  },
+  {
+    // A restarted node did not recognize itself as the owner that had granted the leases, and added 8 s.
+    name: 'have their long-running tasks started elsewhere by the first owner, restarted after the second one has ended',
+    options: { workers: TASKS, nodes: 2 },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      loseWorkers(cell)
+      const { name } = cell.owner!
+      await killOwners(cell, clock, 1, 0)
+      cell.startNode(name)
+      await clock.tickAsync(RESTART_MS)
+      expect(countRunning(cell)).to.equal(TASKS)
+    }
+  },
   {
     // The third owner did not find its name among the followers that the second one had stored, and added 8 s.
     name: 'have their long-running tasks started elsewhere after an owner that ends before other nodes follow it',
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -359,12 +359,14 @@
    * the promises of all its followers, so that one that makes no more of them is enough.
    */
   async #determineLastRenewal (
-    { token, hasEnded, replacedBy }: Predecessor, followers: ReadonlySet<string> | undefined
+    { node, token, hasEnded, replacedBy }: Predecessor, followers: ReadonlySet<string> | undefined
   ): Promise<number> {
     const { clock, ownedBy } = this.#ownership
     const recorded = replacedBy === null ? undefined : clock.toMonotonic(replacedBy)
     const replacedAt = Math.min(ownedBy, recorded ?? ownedBy)
     if (hasEnded) return replacedAt
+    // It was a former process of this node, or this one before it lost the cell.
+    if (node === this.#options.node) return Math.min(ownedBy, replacedAt + STORE_OUTAGE_GRACE_MS)
     const promisesEnd = followers === undefined ? Infinity : await this.#dependencies.endPromises(token, followers)
     return Math.min(replacedAt + STORE_OUTAGE_GRACE_MS, Math.max(replacedAt + RENEWAL_GRACE_MS, promisesEnd))
   }
--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -19,6 +19,7 @@
 
 /** The last owner before a new one that may have granted task leases. */
 const Predecessor = Type.Object({
+  node: Type.String(),
   token: Type.Integer({ minimum: 0 }),
   /** It has ended, so that it renews no leases any more. */
   hasEnded: Type.Boolean(),
@@ -42,10 +43,10 @@
   released: Type.Boolean(),
   /**
    * Time on the store's clock by which all task leases that owners before this one have granted are over, in ms; null
-   * until this owner has stored it. Before that, it grants no leases. Owners that don't know of this field omit it.
+   * if it is not known yet, or the store does not tell its time. Owners that don't know of this field omit it.
    */
   earlierLeasesEndAt: Type.Optional(Type.Union([Type.Number(), Type.Null()])),
-  /** Present until `earlierLeasesEndAt` is stored. */
+  /** Present until a commit of this owner after its recovery; before that, it grants no leases. */
   predecessor: Type.Optional(Predecessor)
 })
 export type OwnerRecord = Static<typeof OwnerRecord>
@@ -141,9 +142,9 @@
     return this.#ownedBy
   }
 
-  /** Whether the store knows when the leases of earlier owners end, so that this one may grant leases. */
+  /** Whether this owner may grant leases: a later one would know of them. */
   get mayGrantLeases (): boolean {
-    return typeof this.#record.earlierLeasesEndAt === 'number'
+    return this.#record.predecessor === undefined
   }
 
   /** Longest time that may have passed since a commit showed that this node owns the cell, in ms. */
@@ -196,9 +197,11 @@
   /** The record of this owner with what is known of earlier leases by now. */
   #continuedRecord (): OwnerRecord {
     const { predecessor, ...record } = this.#record
+    if (typeof record.earlierLeasesEndAt === 'number') return record
+    if (this.earlierLeasesEnd !== undefined) {
+      return { ...record, earlierLeasesEndAt: this.clock.toStore(this.earlierLeasesEnd) ?? null }
+    }
     if (predecessor === undefined) return record
-    const endAt = this.earlierLeasesEnd === undefined ? undefined : this.clock.toStore(this.earlierLeasesEnd)
-    if (endAt !== undefined) return { ...record, earlierLeasesEndAt: endAt }
     const replacedBy = predecessor.replacedBy ?? this.clock.toStore(this.#ownedBy) ?? null
     return { ...record, predecessor: { ...predecessor, replacedBy } }
   }
@@ -252,7 +255,7 @@
   previous: OwnerRecord | undefined, end: Pick<Predecessor, 'hasEnded' | 'replacedBy'>
 ): Pick<OwnerRecord, 'earlierLeasesEndAt' | 'predecessor'> {
   if (previous === undefined) return { earlierLeasesEndAt: 0 }
-  const { token, earlierLeasesEndAt = null, predecessor } = previous
+  const { node, token, earlierLeasesEndAt = null, predecessor } = previous
   // With a predecessor in its record, the previous owner has granted no leases.
-  return { earlierLeasesEndAt: null, predecessor: predecessor ?? { token, earlierLeasesEndAt, ...end } }
+  return { earlierLeasesEndAt: null, predecessor: predecessor ?? { node, token, earlierLeasesEndAt, ...end } }
 }
--- a/packages/jobs/src/ownership/test.ts
+++ b/packages/jobs/src/ownership/test.ts
@@ -117,6 +117,31 @@
     })
   }
 
+  it('does not take the end of an owner without leases for the end of its predecessor', async () => {
+    const store = new MemoryRecordStore(rows)
+    const first = (await settle(Ownership.claim(store, CELL, VACANT, { node: 'n0', address: 'n0' }))).unsafeCoerce()
+    for (const hasEnded of [false, true]) {
+      const row = (await settle(readOwner(store, CELL))).unsafeCoerce()
+      const claim = Ownership.claim(store, CELL, row, { node: 'n1', address: 'n1' }, hasEnded)
+      const { predecessor } = (await settle(claim)).unsafeCoerce()
+      expect(predecessor).to.include({ node: 'n0', token: first.token, hasEnded: false })
+    }
+  })
+
+  it('passes on the predecessor, and when it was replaced, over two handovers', async () => {
+    const store = new MemoryRecordStore(rows)
+    const first = (await settle(Ownership.claim(store, CELL, VACANT, { node: 'n0', address: 'n0' }))).unsafeCoerce()
+    const row = (await settle(readOwner(store, CELL))).unsafeCoerce()
+    const second = (await settle(Ownership.claim(store, CELL, row, { node: 'n1', address: 'n1' }))).unsafeCoerce()
+    const toThird = (await settle(second.transfer([], { node: 'n2', address: 'n2' })))!
+    const third = Ownership.resume(store, CELL, toThird)
+    await settle(third.commit([]))
+    const toFourth = (await settle(third.transfer([], { node: 'n3', address: 'n3' })))!
+    const { predecessor } = Ownership.resume(store, CELL, toFourth)
+    expect(predecessor).to.include({ token: first.token, hasEnded: false, earlierLeasesEndAt: 0 })
+    expect(third.clock.toMonotonic(predecessor!.replacedBy!)).to.be.within(second.ownedBy, second.ownedBy + 20)
+  })
+
   it('tells the next owner when it had replaced its predecessor', async () => {
     const store = new MemoryRecordStore(rows)
     const vacant = { ...VACANT, record: { node: 'n', address: 'n', token: 1, sequence: 0, released: false } }
