Record when draining workers leave, for the owners that follow

What callers saw: after a change of the owner during a drain, long-running tasks stayed on the draining worker until it left, and then did not run until the lease on it had ended.

Cause: the registry entry of a draining worker tells how long the worker stays, but not since when. Each new owner counted that time from its own takeover, so that it moved the tasks after the worker had left.

Evidence: loadPatterns/drainingWorkers.test.ts.

Why it works: the owner keeps the time on the store's steady clock in one row, `draining`, written with the next commit when a worker begins to drain, leaves or drains no more. A new owner takes the earlier of that time and its own count. Neither progress records nor worker reports tell since when a worker drains.

Tests of the other direction: tasks stay on the worker after a takeover for as long as without one; a drain that was called off doesn't shorten the next one; a malformed row is ignored.

--- /dev/null
+++ b/packages/jobs/src/loadPatterns/drainingWorkers.test.ts
@@ -0,0 +1,146 @@
+import { expect } from 'chai'
+import type { Clock } from '@sinonjs/fake-timers'
+import { CONTROL_TABLE } from '../ownership/index.ts'
+import { CELL_PARTITION } from '../records/index.ts'
+import type { MemoryCell } from '../standins/index.ts'
+import { describeCells } from './describeCells.ts'
+import { DISTURBED, TASKS, TASKS_PER_WORKER, countRunning, startLongRunningJob } from './longRunningJob.ts'
+
+/** Time from the start of a drain until the workers leave, in ms. */
+const DRAIN_MS = 6_000
+
+/** Time before they leave at which the runs of draining workers are stopped, in ms. */
+const STOP_BEFORE_MS = 1_400
+
+/** Time that the owner assumes when an entry tells none, in ms. */
+const ASSUMED_DRAIN_MS = 2_000
+
+/** Makes some workers drain; the entries in the registry stay as they are until the workers have left. */
+function drainWorkers (cell: MemoryCell, entry: { leavesInMs?: number } = { leavesInMs: DRAIN_MS }): void {
+  for (const id of DISTURBED) cell.workers.update(id, { draining: true, ...entry })
+}
+
+/** Counts the runs on the draining workers. */
+function countOnDraining (cell: MemoryCell): number {
+  return DISTURBED.reduce((count, id) => count + cell.workers.workers.get(id)!.runs.size, 0)
+}
+
+/** Transfers the cell to another node. */
+async function handOver (cell: MemoryCell, clock: Clock): Promise<void> {
+  const handover = cell.owner!.cellNode.resign()
+  await clock.tickAsync(200)
+  await handover
+}
+
+describeCells('Workers that drain while the owner changes', [
+  {
+    // A new owner counted the time until they leave from its own takeover, so that they left with their tasks.
+    name: 'have their long-running tasks moved in time after a takeover',
+    options: { workers: TASKS },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      drainWorkers(cell)
+      await clock.tickAsync(3_000)
+      cell.killNode(cell.owner!.name)
+      await clock.tickAsync(DRAIN_MS - 3_000)
+      expect(countOnDraining(cell)).to.equal(0)
+      expect(countRunning(cell)).to.equal(TASKS)
+    }
+  },
+  {
+    // The time began anew with each of several owners.
+    name: 'have their long-running tasks moved in time although the owner changes again and again',
+    options: { workers: TASKS, nodes: 4 },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      drainWorkers(cell)
+      for (let change = 0; change < 3; change++) {
+        await clock.tickAsync(1_500)
+        cell.killNode(cell.owner!.name)
+      }
+      await clock.tickAsync(DRAIN_MS - 3 * 1_500)
+      expect(countOnDraining(cell)).to.equal(0)
+      expect(countRunning(cell)).to.equal(TASKS)
+    }
+  },
+  {
+    // The time also began anew with an owner that had got the cell from its predecessor.
+    name: 'have their long-running tasks moved in time although the cell is handed over again and again',
+    options: { workers: TASKS, nodes: 4 },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      drainWorkers(cell)
+      for (let change = 0; change < 3; change++) {
+        await clock.tickAsync(1_300)
+        await handOver(cell, clock)
+      }
+      await clock.tickAsync(DRAIN_MS - 3 * 1_500)
+      expect(countOnDraining(cell)).to.equal(0)
+      expect(countRunning(cell)).to.equal(TASKS)
+    }
+  },
+  {
+    // The time that is assumed for entries without one began anew too.
+    name: 'have their long-running tasks moved in time when their entries tell no time',
+    options: { workers: TASKS, nodes: 4 },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      drainWorkers(cell, {})
+      for (let change = 0; change < 3; change++) {
+        await clock.tickAsync(300)
+        await handOver(cell, clock)
+      }
+      await clock.tickAsync(ASSUMED_DRAIN_MS - 3 * 500)
+      expect(countOnDraining(cell)).to.equal(0)
+      expect(countRunning(cell)).to.equal(TASKS)
+    }
+  },
+  {
+    // A new owner that takes no account of the remaining time would stop the runs at once.
+    name: 'keep their tasks after a takeover for as long as without one',
+    options: { workers: TASKS },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      drainWorkers(cell)
+      await clock.tickAsync(1_000)
+      cell.killNode(cell.owner!.name)
+      await clock.tickAsync(DRAIN_MS - STOP_BEFORE_MS - 1_000 - 10)
+      expect(countOnDraining(cell)).to.equal(DISTURBED.length * TASKS_PER_WORKER)
+    }
+  },
+  {
+    // The time of a drain that was called off would cut the next drain short.
+    name: 'get the whole time when they drain again after an earlier drain was called off',
+    options: { workers: TASKS },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      drainWorkers(cell)
+      await clock.tickAsync(1_000)
+      for (const id of DISTURBED) cell.workers.update(id, { draining: false, leavesInMs: undefined })
+      await clock.tickAsync(1_000)
+      await handOver(cell, clock)
+      await clock.tickAsync(2_000)
+      drainWorkers(cell)
+      await clock.tickAsync(500)
+      await handOver(cell, clock)
+      await clock.tickAsync(DRAIN_MS - STOP_BEFORE_MS - 700 - 10)
+      expect(countOnDraining(cell)).to.equal(DISTURBED.length * TASKS_PER_WORKER)
+    }
+  },
+  {
+    // A row that can't be decoded would end the process of each owner in turn.
+    name: 'have their long-running tasks moved although the record of the former owner is malformed',
+    options: { workers: TASKS },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      drainWorkers(cell)
+      await clock.tickAsync(1_000)
+      const puts = [{ table: CONTROL_TABLE, key: 'draining', value: Buffer.from('{"w0":null}') }]
+      cell.rows.apply({ partition: CELL_PARTITION, expected: [], puts, removes: [] })
+      cell.killNode(cell.owner!.name)
+      await clock.tickAsync(DRAIN_MS + 1_000)
+      expect(countOnDraining(cell)).to.equal(0)
+      expect(countRunning(cell)).to.equal(TASKS)
+    }
+  }
+])
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -14,6 +14,7 @@
 import { AdviceDispatcher, type AdviceNode } from './AdviceDispatcher.ts'
 import { Cell } from './Cell.ts'
 import { CellMembers, type TakeoverPromise } from './CellMembers.ts'
+import { DrainRecord } from './DrainRecord.ts'
 import { JobCleanup } from './JobCleanup.ts'
 import { Rescheduler } from './Rescheduler.ts'
 import { GroupCommit } from './GroupCommit.ts'
@@ -80,6 +81,7 @@
   readonly #workerManager: WorkerManager
   readonly #lostWorkers: LostWorkerRecords
   readonly #members: CellMembers
+  readonly #drains: DrainRecord
   readonly #commits: GroupCommit
   readonly #jobPoller: TablePoller
   readonly #cancelPoller: TablePoller
@@ -121,12 +123,14 @@
     this.#lostWorkers = new LostWorkerRecords(cell, ownership.clock)
     this.#members = new CellMembers(ownership.token, options.node)
     const members = this.#members
-    this.#commits = new GroupCommit(cell, { lostWorkers: this.#lostWorkers, members }, ownership, {
+    this.#drains = new DrainRecord(cell, ownership.clock)
+    const drains = this.#drains
+    this.#commits = new GroupCommit(cell, { lostWorkers: this.#lostWorkers, members, drains }, ownership, {
       onStartStored: (task) => this.#tracker.start(task).catch(throwUncaught),
       onOwnershipLost: () => this.#handleOwnershipLost('another node has taken the cell over')
     }, options.linkMbps, signal)
     const tracker = this.#tracker
-    this.#workerManager = new WorkerManager({ ...dependencies, cell, tracker, breaker, sessions, signal }, {
+    this.#workerManager = new WorkerManager({ ...dependencies, cell, tracker, breaker, drains, sessions, signal }, {
       token: ownership.token,
       leaseMs: chooseLeaseMs(options.leaseLimitMs),
       mayRenewLeases: () => ownership.mayGrantLeases && (ownership.unconfirmedMs < RENEWAL_GRACE_MS ||
@@ -169,6 +173,7 @@
     const earlierLeasesEnd = await this.#determineEarlierLeasesEnd(followers)
     if (this.#isEnded) return
     this.#members.restore(control.rows)
+    this.#drains.restore(control.rows)
     this.#ownership.earlierLeasesEnd = earlierLeasesEnd
     const lostWorkers = this.#lostWorkers.restore(control.rows, followers !== undefined, earlierLeasesEnd)
     for (const worker of lostWorkers) this.#workerManager.addLost(worker)
--- /dev/null
+++ b/packages/jobs/src/owner/DrainRecord.ts
@@ -0,0 +1,71 @@
+import { parseJson } from '@gypsumspring/protocol'
+import { Type } from '@sinclair/typebox'
+import { Value } from '@sinclair/typebox/value'
+import { CONTROL_TABLE } from '../ownership/index.ts'
+import type { Commit, StoredRow } from '../ports.ts'
+import type { StoreClock } from '../storeClock/StoreClock.ts'
+import type { Cell } from './Cell.ts'
+
+const DRAINING_KEY = 'draining'
+
+/** Time on the store's clock at which each draining worker leaves, in ms, by worker id. */
+const DrainingRow = Type.Record(Type.String(), Type.Number())
+
+/**
+ * Records in the store when draining workers leave. Their registry entries tell how long they stay, but not since when,
+ * so that a later owner could only count that time from its own takeover.
+ */
+export class DrainRecord {
+  readonly #cell: Cell
+  readonly #clock: StoreClock
+  /** Time on the store's clock at which each draining worker leaves, in ms. */
+  readonly #leavesAt = new Map<string, number>()
+  #isChanged = false
+
+  constructor (cell: Cell, clock: StoreClock) {
+    this.#cell = cell
+    this.#clock = clock
+  }
+
+  /** Reads the record of earlier owners from the rows of `CONTROL_TABLE`. */
+  restore (rows: readonly StoredRow[]): void {
+    const value = rows.find(({ key }) => key === DRAINING_KEY)?.value
+    if (value === undefined) return
+    const row = parseJson(value)
+    if (Value.Check(DrainingRow, row)) {
+      for (const [id, leavesAt] of Object.entries(row)) this.#leavesAt.set(id, leavesAt)
+    } else this.#cell.log.warn({}, 'record of draining workers is malformed')
+  }
+
+  /**
+   * Records when a draining worker leaves, unless an earlier owner has recorded an earlier time.
+   *
+   * @param leavesAt - Monotonic time, in ms.
+   * @returns The earlier of both times.
+   */
+  add (id: string, leavesAt: number): number {
+    const recorded = this.#leavesAt.get(id)
+    const recordedLeavesAt = recorded === undefined ? undefined : this.#clock.toMonotonic(recorded)
+    if (recordedLeavesAt !== undefined && recordedLeavesAt <= leavesAt) return recordedLeavesAt
+    const stored = this.#clock.toStore(leavesAt)
+    if (stored !== undefined) {
+      this.#leavesAt.set(id, stored)
+      this.#isChanged = true
+    }
+    return leavesAt
+  }
+
+  /** Removes the record of a worker that has left or doesn't drain any more. */
+  remove (id: string): void {
+    if (this.#leavesAt.delete(id)) this.#isChanged = true
+  }
+
+  /** Returns the row to write with the next commit, if it has changed. */
+  takeWrites (): Commit['puts'] {
+    if (!this.#isChanged) return []
+    this.#isChanged = false
+    for (const id of this.#leavesAt.keys()) if (!this.#cell.workers.has(id)) this.#leavesAt.delete(id)
+    const value = Buffer.from(JSON.stringify(Object.fromEntries(this.#leavesAt)))
+    return [{ table: CONTROL_TABLE, key: DRAINING_KEY, value }]
+  }
+}
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -9,6 +9,7 @@
 import { Notifier } from '../notifier/Notifier.ts'
 import type { Cell } from './Cell.ts'
 import type { CellMembers } from './CellMembers.ts'
+import type { DrainRecord } from './DrainRecord.ts'
 import { REMOVAL_ROWS, toRowAddress, type LostWorkerRecords } from './LostWorkerRecords.ts'
 
 /** Commits that take longer are logged, in ms; a commit usually takes 13 ms. */
@@ -50,6 +51,7 @@
   readonly #cell: Cell
   readonly #lostWorkers: LostWorkerRecords
   readonly #members: CellMembers
+  readonly #drains: DrainRecord
   readonly #ownership: Ownership
   readonly #hooks: CommitHooks
   readonly #signal: AbortSignal
@@ -65,12 +67,13 @@
 
   /** @param linkMbps - Bandwidth of this node's network link, in Mbit/s; limits the size of a commit. */
   constructor (
-    cell: Cell, control: { lostWorkers: LostWorkerRecords, members: CellMembers }, ownership: Ownership,
-    hooks: CommitHooks, linkMbps: number, signal: AbortSignal
+    cell: Cell, control: { lostWorkers: LostWorkerRecords, members: CellMembers, drains: DrainRecord },
+    ownership: Ownership, hooks: CommitHooks, linkMbps: number, signal: AbortSignal
   ) {
     this.#cell = cell
     this.#lostWorkers = control.lostWorkers
     this.#members = control.members
+    this.#drains = control.drains
     this.#ownership = ownership
     this.#hooks = hooks
     this.#signal = signal
@@ -174,7 +177,7 @@
     const cell = this.#cell
     // The row of the members tells the next owner that it may rely on the records of lost workers.
     const members = this.#lostWorkers.hasUntrusted ? [] : this.#members.takeWrites()
-    const puts = [...members, ...this.#lostWorkers.takeWrites()]
+    const puts = [...members, ...this.#drains.takeWrites(), ...this.#lostWorkers.takeWrites()]
     const maxRows = MAX_ROWS_PER_COMMIT - (this.#lostWorkers.hasRecords ? REMOVAL_ROWS : 0)
     const batch: Batch = { puts, states: [], starts: [], endSequences: new Map(), foundWorkers: [] }
     let bytes = 0
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -6,6 +6,7 @@
 import { AnswerLoss } from '../workers/AnswerLoss.ts'
 import { WorkerState } from '../workers/WorkerState.ts'
 import type { Cell } from './Cell.ts'
+import type { DrainRecord } from './DrainRecord.ts'
 import { EndedWorkerDetector } from './EndedWorkerDetector.ts'
 import type { RunTracker } from './RunTracker.ts'
 import { WorkerSession, type WorkerSessionContext } from './WorkerSession.ts'
@@ -30,6 +31,7 @@
   inventory?: WorkerInventory
   tracker: RunTracker
   breaker: WorkerCircuitBreaker
+  drains: DrainRecord
   /** Sessions by worker id; shared with the tracker, which sends orders through them. */
   sessions: Map<string, WorkerSession>
   /** Aborted when the owner ends. */
@@ -164,23 +166,28 @@
   }
 
   #update (worker: WorkerState, entry: WorkerEntry): void {
-    if (entry.draining && worker.leavesAt === undefined) {
-      worker.leavesAt = performance.now() + (entry.leavesInMs ?? DEFAULT_DRAIN_MS)
-      this.#dependencies.cell.log.info({ worker: entry.id, leavesInMs: entry.leavesInMs }, 'worker is draining')
+    const { cell, drains } = this.#dependencies
+    if (!entry.draining) drains.remove(entry.id)
+    else if (worker.leavesAt === undefined) {
+      const now = performance.now()
+      worker.leavesAt = drains.add(entry.id, now + (entry.leavesInMs ?? DEFAULT_DRAIN_MS))
+      const remainingMs = Math.round(worker.leavesAt - now)
+      cell.log.info({ worker: entry.id, leavesInMs: entry.leavesInMs, remainingMs }, 'worker is draining')
     }
     worker.entry = entry
     worker.unlistedSince = undefined
-    this.#dependencies.cell.notifyChange()
+    cell.notifyChange()
   }
 
   #remove (worker: WorkerState, reason: string): void {
-    const { cell, sessions, tracker, breaker } = this.#dependencies
+    const { cell, sessions, tracker, breaker, drains } = this.#dependencies
     if (cell.workers.get(worker.id) !== worker) return
     tracker.requeueLostTasks(worker, reason)
     sessions.get(worker.id)?.close()
     sessions.delete(worker.id)
     cell.workers.delete(worker.id)
     breaker.remove(worker.id)
+    drains.remove(worker.id)
     cell.log.info({ worker: worker.id, reason }, 'worker removed')
   }
 
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -78,7 +78,7 @@
 
 /** One simulated incarnation of a worker with leases, fencing and a list of ended runs. */
 export class MemoryWorker {
-  readonly entry: WorkerEntry
+  entry: WorkerEntry
   readonly runs = new Map<string, SimulatedRun>()
   readonly #highestRun = new Map<string, number>()
   readonly #checker: InvariantChecker
@@ -231,6 +231,13 @@
     return worker
   }
 
+  /** Changes the registry entry of a worker. */
+  update (id: string, changes: Partial<WorkerEntry>): void {
+    const worker = this.workers.get(id)!
+    worker.entry = { ...worker.entry, ...changes }
+    this.#recordChange(id)
+  }
+
   /** Removes a worker from the registry. The worker itself may keep running. */
   unlist (id: string): void {
     this.#unlisted.add(id)
