Count the time of inherited runs across several changes of the owner

What callers saw: a stuck run was not moved to another worker while the owner changed more often than the limit for overdue tasks lasts, so that its job did not end.

Cause: each new owner counted the run time from the moment when it had found the run on its worker. Neither progress rows nor worker reports tell since when a run has been running.

Why it works: each owner writes one row, `takeovers`, with its first commit: the version of the store that it has read, and the time on the store's clock by which leases of earlier owners are over. No run starts without a lease, and the row of a job is written with each of its assignments. So a run in a row of that version or an older one has started by that time.

No run is stopped earlier than one owner alone would stop it: the time errs on the late side, and since it is not stored how often a task was moved, each earlier run counts as a move, which doubles this limit. A single takeover still delays the limit by the time for which the run had been running.

--- /dev/null
+++ b/packages/jobs/src/loadPatterns/overdueTasks.test.ts
@@ -0,0 +1,95 @@
+import { expect } from 'chai'
+import type { Clock } from '@sinonjs/fake-timers'
+import type { MemoryCell, MemoryNode, PlanRunEnd } from '../standins/index.ts'
+import { describeCells, fetchState, submitInBackground } from './describeCells.ts'
+
+const JOB = '00000000000000a1'
+
+/** Estimated run time of the task, in ms. Without a change of the owner its first run is overdue after 8 s. */
+const ESTIMATED_MS = 2_000
+
+/** Time between two changes of the owner, in ms. */
+const OWNED_MS = 3_000
+
+/** Plans the runs of the task by their numbers: each succeeds after a time in ms, or never ends by itself. */
+function planRuns (...durations: Array<number | undefined>): PlanRunEnd {
+  return (_, run) => {
+    const afterMs = durations[run - 1]
+    return afterMs === undefined ? undefined : { reason: 'done', afterMs }
+  }
+}
+
+/** Changes the owner again and again. */
+async function changeOwners (
+  cell: MemoryCell, clock: Clock, count: number, change: (owner: MemoryNode) => Promise<unknown> | void
+): Promise<void> {
+  for (let changes = 0; changes < count; changes++) {
+    const changed = change(cell.owner!)
+    await clock.tickAsync(OWNED_MS)
+    await changed
+  }
+}
+
+async function submit (cell: MemoryCell, clock: Clock, waitMs: number): Promise<void> {
+  submitInBackground(cell, JOB, [{ estimatedRunMs: ESTIMATED_MS }])
+  await clock.tickAsync(waitMs)
+}
+
+describeCells('Tasks that are overdue while the owner changes', [
+  {
+    // Each owner counted the run time from its own takeover, so that a stuck run was never stopped.
+    name: 'are started elsewhere although the owner ends again and again',
+    options: { nodes: 9, planRunEnd: planRuns(undefined, ESTIMATED_MS) },
+    run: async (cell, clock) => {
+      await submit(cell, clock, OWNED_MS)
+      await changeOwners(cell, clock, 6, ({ name }) => cell.killNode(name))
+      expect(await fetchState(cell, clock, JOB)).to.equal('completed')
+    }
+  },
+  {
+    // The same held for owners that handed the cell over.
+    name: 'are started elsewhere although the cell is handed over again and again',
+    options: { nodes: 9, planRunEnd: planRuns(undefined, ESTIMATED_MS) },
+    run: async (cell, clock) => {
+      await submit(cell, clock, OWNED_MS)
+      await changeOwners(cell, clock, 6, ({ cellNode }) => cellNode.resign())
+      expect(await fetchState(cell, clock, JOB)).to.equal('completed')
+    }
+  },
+  {
+    // A run time that is counted from a takeover before the start would stop runs that are in time.
+    name: 'keep a run that ends before it is overdue',
+    options: { nodes: 9, planRunEnd: planRuns(3 * ESTIMATED_MS + 1_900) },
+    run: async (cell, clock) => {
+      await changeOwners(cell, clock, 2, ({ cellNode }) => cellNode.resign())
+      await submit(cell, clock, OWNED_MS)
+      await changeOwners(cell, clock, 5, ({ name }) => cell.killNode(name))
+      expect(cell.checker.starts).to.equal(1)
+      expect(await fetchState(cell, clock, JOB)).to.equal('completed')
+    }
+  },
+  {
+    // No owner knows for how many earlier runs the limit has doubled, so that a lower one would stop the run again.
+    name: 'keep a second run that ends before the doubled limit',
+    options: { nodes: 9, planRunEnd: planRuns(undefined, 6 * ESTIMATED_MS + 1_900) },
+    run: async (cell, clock) => {
+      await submit(cell, clock, 8_500)
+      expect(cell.checker.starts).to.equal(2)
+      await changeOwners(cell, clock, 5, ({ cellNode }) => cellNode.resign())
+      expect(cell.checker.starts).to.equal(2)
+      expect(await fetchState(cell, clock, JOB)).to.equal('completed')
+    }
+  },
+  {
+    // The time of a run that an owner has inherited would also count for the next run of the task.
+    name: 'keep a second run, by the owner that has stopped an inherited one, until the doubled limit',
+    options: { nodes: 9, planRunEnd: planRuns(undefined, 6 * ESTIMATED_MS + 1_900) },
+    run: async (cell, clock) => {
+      await submit(cell, clock, OWNED_MS)
+      await changeOwners(cell, clock, 2, ({ cellNode }) => cellNode.resign())
+      await clock.tickAsync(20_000)
+      expect(cell.checker.starts).to.equal(2)
+      expect(await fetchState(cell, clock, JOB)).to.equal('completed')
+    }
+  }
+])
--- a/packages/jobs/src/model/TrackedJob.ts
+++ b/packages/jobs/src/model/TrackedJob.ts
@@ -39,6 +39,8 @@
    * shows whether the run exists.
    */
   inherited = false
+  /** Monotonic time by which an inherited run has started, in ms, if earlier owners have recorded it. */
+  inheritedStartedBy: number | undefined
   /** A start order for the current run may have been sent. */
   orderSent = false
   /** Ticket of the policy service for the worker; empty when the queue has no policy. */
@@ -177,8 +179,10 @@
   /**
    * Restores what an earlier owner has stored. Tasks that may be running are `starting` until their worker has been
    * polled.
+   *
+   * @param startedBy - Monotonic time by which their runs have started, in ms, if it is known.
    */
-  restore (progress: Progress, now: number): void {
+  restore (progress: Progress, now: number, startedBy?: number): void {
     this.state = progress.state
     this.storedState = progress.state
     this.endedAt = progress.endedAt
@@ -202,6 +206,7 @@
       task.orderSent = true
       task.worker = record.worker
       task.inherited = true
+      task.inheritedStartedBy = startedBy
     }
   }
 }
--- a/packages/jobs/src/owner/Cell.ts
+++ b/packages/jobs/src/owner/Cell.ts
@@ -67,6 +67,7 @@
     task.ticket = task.step.advice.ticket(worker.id, this.now()) ?? ''
     task.percent = 100
     task.inherited = false
+    task.inheritedStartedBy = undefined
     task.heldBackSince = undefined
     worker.add(task)
     const { job } = task.step
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -22,6 +22,7 @@
 import { TablePoller } from './TablePoller.ts'
 import { Placer } from './Placer.ts'
 import { RunTracker } from './RunTracker.ts'
+import { TakeoverRecord } from './TakeoverRecord.ts'
 import { WorkerManager } from './WorkerManager.ts'
 import { chooseLeaseMs, toLongestLeaseMs, type WorkerSession } from './WorkerSession.ts'
 import { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
@@ -82,6 +83,7 @@
   readonly #lostWorkers: LostWorkerRecords
   readonly #members: CellMembers
   readonly #drains: DrainRecord
+  readonly #takeovers: TakeoverRecord
   readonly #commits: GroupCommit
   readonly #jobPoller: TablePoller
   readonly #cancelPoller: TablePoller
@@ -125,7 +127,9 @@
     const members = this.#members
     this.#drains = new DrainRecord(cell, ownership.clock)
     const drains = this.#drains
-    this.#commits = new GroupCommit(cell, { lostWorkers: this.#lostWorkers, members, drains }, ownership, {
+    this.#takeovers = new TakeoverRecord(cell, ownership.clock)
+    const takeovers = this.#takeovers
+    this.#commits = new GroupCommit(cell, { lostWorkers: this.#lostWorkers, members, drains, takeovers }, ownership, {
       onStartStored: (task) => this.#tracker.start(task).catch(throwUncaught),
       onOwnershipLost: () => this.#handleOwnershipLost('another node has taken the cell over')
     }, options.linkMbps, signal)
@@ -174,6 +178,8 @@
     if (this.#isEnded) return
     this.#members.restore(control.rows)
     this.#drains.restore(control.rows)
+    this.#takeovers.restore(control.rows)
+    this.#takeovers.add(progress.version, earlierLeasesEnd)
     this.#ownership.earlierLeasesEnd = earlierLeasesEnd
     const lostWorkers = this.#lostWorkers.restore(control.rows, followers !== undefined, earlierLeasesEnd)
     for (const worker of lostWorkers) this.#workerManager.addLost(worker)
@@ -296,9 +302,10 @@
    * their partitions may be unavailable.
    */
   #restoreProgress (rows: readonly StoredRow[]): void {
-    for (const { key, value } of rows) {
+    for (const { key, value, version } of rows) {
       const progress = value === undefined ? undefined : decodeProgress(value)
-      if (progress !== undefined) this.#addJob(progress.job ?? placeholderJob(key), progress)
+      const startedBy = this.#takeovers.startedBy(version)
+      if (progress !== undefined) this.#addJob(progress.job ?? placeholderJob(key), progress, startedBy)
       else this.#dependencies.log.warn({ job: key }, 'progress record is malformed')
     }
   }
@@ -313,10 +320,11 @@
     this.#addJob(job, undefined)
   }
 
-  #addJob (job: Job, progress: Progress | undefined): void {
+  /** @param startedBy - Monotonic time by which the job's inherited runs have started, in ms, if it is known. */
+  #addJob (job: Job, progress: Progress | undefined, startedBy?: number): void {
     const tracked = new TrackedJob(job, performance.now(), Date.now())
     this.cell.jobs.set(job.id, tracked)
-    if (progress !== undefined) tracked.restore(progress, performance.now())
+    if (progress !== undefined) tracked.restore(progress, performance.now(), startedBy)
     for (const task of tracked.tasks()) if (task.isAssigned) this.#workerManager.addInheritedRun(task)
     if (tracked.isOver) return
     this.cell.active.add(tracked)
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -11,6 +11,7 @@
 import type { CellMembers } from './CellMembers.ts'
 import type { DrainRecord } from './DrainRecord.ts'
 import { REMOVAL_ROWS, toRowAddress, type LostWorkerRecords } from './LostWorkerRecords.ts'
+import type { TakeoverRecord } from './TakeoverRecord.ts'
 
 /** Commits that take longer are logged, in ms; a commit usually takes 13 ms. */
 const SLOW_COMMIT_MS = 200
@@ -39,6 +40,14 @@
   foundWorkers: string[]
 }
 
+/** What the owner stores beside the progress of jobs. */
+export interface ControlRecords {
+  lostWorkers: LostWorkerRecords
+  members: CellMembers
+  drains: DrainRecord
+  takeovers: TakeoverRecord
+}
+
 export interface CommitHooks {
   /** Called when a task assignment is stored, so that its start order may be sent. */
   onStartStored (task: TaskInstance): void
@@ -52,6 +61,7 @@
   readonly #lostWorkers: LostWorkerRecords
   readonly #members: CellMembers
   readonly #drains: DrainRecord
+  readonly #takeovers: TakeoverRecord
   readonly #ownership: Ownership
   readonly #hooks: CommitHooks
   readonly #signal: AbortSignal
@@ -67,13 +77,13 @@
 
   /** @param linkMbps - Bandwidth of this node's network link, in Mbit/s; limits the size of a commit. */
   constructor (
-    cell: Cell, control: { lostWorkers: LostWorkerRecords, members: CellMembers, drains: DrainRecord },
-    ownership: Ownership, hooks: CommitHooks, linkMbps: number, signal: AbortSignal
+    cell: Cell, control: ControlRecords, ownership: Ownership, hooks: CommitHooks, linkMbps: number, signal: AbortSignal
   ) {
     this.#cell = cell
     this.#lostWorkers = control.lostWorkers
     this.#members = control.members
     this.#drains = control.drains
+    this.#takeovers = control.takeovers
     this.#ownership = ownership
     this.#hooks = hooks
     this.#signal = signal
@@ -177,7 +187,9 @@
     const cell = this.#cell
     // The row of the members tells the next owner that it may rely on the records of lost workers.
     const members = this.#lostWorkers.hasUntrusted ? [] : this.#members.takeWrites()
-    const puts = [...members, ...this.#drains.takeWrites(), ...this.#lostWorkers.takeWrites()]
+    const puts = [
+      ...members, ...this.#takeovers.takeWrites(), ...this.#drains.takeWrites(), ...this.#lostWorkers.takeWrites()
+    ]
     const maxRows = MAX_ROWS_PER_COMMIT - (this.#lostWorkers.hasRecords ? REMOVAL_ROWS : 0)
     const batch: Batch = { puts, states: [], starts: [], endSequences: new Map(), foundWorkers: [] }
     let bytes = 0
--- a/packages/jobs/src/owner/Rescheduler.ts
+++ b/packages/jobs/src/owner/Rescheduler.ts
@@ -41,7 +41,8 @@
   }
 
   #moveOverdue (task: TaskInstance, worker: WorkerState, now: number): void {
-    this.#cell.log.info({ job: task.step.job.id, worker: worker.id, run: task.run, ranMs: Math.round(now - task.startedAt), estimatedMs: task.step.spec.estimatedRunMs }, 'moving overdue task to another worker')
+    const ranMs = Math.round(now - Math.min(task.startedAt, task.inheritedStartedBy ?? Infinity))
+    this.#cell.log.info({ job: task.step.job.id, worker: worker.id, run: task.run, ranMs, estimatedMs: task.step.spec.estimatedRunMs }, 'moving overdue task to another worker')
     this.#cell.metrics.count('tasks_overdue')
     task.failedOn.add(worker.id)
     this.#tracker.stop(task, 'wait')
@@ -51,7 +52,15 @@
 function isOverdue (task: TaskInstance, now: number): boolean {
   const { estimatedRunMs, longRunning, fills } = task.step.spec
   if (longRunning || fills || task.percent < 100 || task.startedAt === 0) return false
-  // A task that was moved before may just take longer than its estimate, so the limit doubles with each such worker.
-  const factor = OVERDUE_FACTOR * 2 ** task.failedOn.size
-  return now - task.startedAt > factor * estimatedRunMs + OVERDUE_EXTRA_MS
+  if (now - task.startedAt > computeLimit(estimatedRunMs, task.failedOn.size)) return true
+  // The workers on which earlier owners had moved the task are not known, but there is at most one for each run.
+  return now - (task.inheritedStartedBy ?? now) > computeLimit(estimatedRunMs, task.run - 1)
+}
+
+/**
+ * Computes the time after which a run is overdue, in ms. A task that was moved before may just take longer than its
+ * estimate, so the limit doubles with each worker that it was moved from.
+ */
+function computeLimit (estimatedRunMs: number, movedCount: number): number {
+  return OVERDUE_FACTOR * 2 ** movedCount * estimatedRunMs + OVERDUE_EXTRA_MS
 }
