Go on from the reported pace of filler tasks after a change of the owner

What callers saw: after each change of the owner, filler tasks beside serving tasks ran at full pace for half a second, and the serving tasks missed the target for their tail latency.

Cause: the pace of each worker was known to one owner only. The next one took it for 100%, chose the next pace from there and set it: while the latency was between 0.6 and 0.85 of its target, or below, that was 100%.

Why it works: workers report the pace of each task. Until its own first change, an owner starts from the lowest pace that the worker reports. It stores nothing. A case checks that a lowered pace rises again.

The simulated workers now carry out pace orders, report the pace, and let tests choose the reported usage.

--- /dev/null
+++ b/packages/jobs/src/loadPatterns/fillerPace.test.ts
@@ -0,0 +1,79 @@
+import { expect } from 'chai'
+import type { Clock } from '@sinonjs/fake-timers'
+import type { MemoryCell } from '../standins/index.ts'
+import { describeCells, submitInBackground } from './describeCells.ts'
+
+const SERVING_JOB = '00000000000000a1'
+
+const FILLER_JOB = '00000000000000a2'
+
+/** Target for the tail latency of the serving task, in ms. */
+const TARGET_MS = 200
+
+/** Tail latency of the serving task without filler tasks, in ms. */
+const IDLE_MS = 100
+
+/** Time in which the pace settles, in ms. */
+const SETTLE_MS = 6_000
+
+/** Pace of the filler task on the only worker, in percent. */
+function readPace (cell: MemoryCell): number {
+  return cell.workers.workers.get('w0')!.runs.get(`${FILLER_JOB}.0.0.0`)!.percent
+}
+
+/** Starts a serving and a filler task on one worker, where the filler at full pace adds `addedMs` to the latency. */
+async function startBoth (cell: MemoryCell, clock: Clock, addedMs: number): Promise<void> {
+  cell.workers.workers.get('w0')!.usage = ({ job }) =>
+    job === SERVING_JOB ? IDLE_MS + addedMs * readPace(cell) / 100 : 0
+  submitInBackground(cell, FILLER_JOB, [{ fills: true, longRunning: true }])
+  await clock.tickAsync(1_000)
+  submitInBackground(cell, SERVING_JOB, [{ longRunning: true, targetLatencyMs: TARGET_MS }])
+  await clock.tickAsync(SETTLE_MS)
+}
+
+/** Returns the highest pace of the filler task in some time, in percent. */
+async function findHighestPace (cell: MemoryCell, clock: Clock, durationMs: number): Promise<number> {
+  let highest = 0
+  for (let passedMs = 0; passedMs < durationMs; passedMs += 10) {
+    await clock.tickAsync(10)
+    highest = Math.max(highest, readPace(cell))
+  }
+  return highest
+}
+
+describeCells('Filler tasks beside serving tasks', [
+  {
+    // A new owner took the pace for 100% and set it, so that the serving task missed its target after each takeover.
+    name: 'keep their lowered pace after a takeover',
+    options: { workers: 1 },
+    run: async (cell, clock) => {
+      await startBoth(cell, clock, 150)
+      expect(readPace(cell)).to.equal(25)
+      cell.killNode(cell.owner!.name)
+      expect(await findHighestPace(cell, clock, SETTLE_MS)).to.equal(25)
+    }
+  },
+  {
+    // The same held after a handover.
+    name: 'keep their lowered pace when the cell is handed over',
+    options: { workers: 1 },
+    run: async (cell, clock) => {
+      await startBoth(cell, clock, 150)
+      const handover = cell.owner!.cellNode.resign()
+      expect(await findHighestPace(cell, clock, SETTLE_MS)).to.equal(25)
+      await handover
+    }
+  },
+  {
+    // A pace that is only adopted would stay low for good.
+    name: 'are sped up again by a new owner once the serving task has room',
+    options: { workers: 1 },
+    run: async (cell, clock) => {
+      await startBoth(cell, clock, 150)
+      cell.workers.workers.get('w0')!.usage = () => IDLE_MS
+      cell.killNode(cell.owner!.name)
+      await clock.tickAsync(SETTLE_MS)
+      expect(readPace(cell)).to.equal(100)
+    }
+  }
+])
--- a/packages/jobs/src/owner/FillerPacer.ts
+++ b/packages/jobs/src/owner/FillerPacer.ts
@@ -31,12 +31,16 @@
       if (targetLatencyMs > 0) tails.push({ tailMs: usage, targetMs: targetLatencyMs })
       if (fills) fillers.push(task)
     }
-    const percent = this.#choosePercent(worker.id, tails)
+    const percent = this.#choosePercent(worker.id, tails, fillers)
     for (const task of fillers) if (task.percent !== percent) this.#setPace(worker.id, task, percent, tails)
   }
 
-  #choosePercent (worker: string, tails: ReadonlyArray<{ tailMs: number, targetMs: number }>): number {
-    const pace = this.#paceByWorker.get(worker) ?? { percent: 100, changedAt: 0 }
+  #choosePercent (
+    worker: string, tails: ReadonlyArray<{ tailMs: number, targetMs: number }>, fillers: readonly TaskInstance[]
+  ): number {
+    // Before this owner's first change, the lowest reported pace is that of an earlier owner.
+    const reported = Math.min(100, ...fillers.map((task) => task.percent))
+    const pace = this.#paceByWorker.get(worker) ?? { percent: reported, changedAt: 0 }
     const now = this.#cell.now()
     if (now - pace.changedAt < MIN_PACE_INTERVAL_MS) return pace.percent
     const percent = computeFillerPace(pace.percent, tails)
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -33,6 +33,8 @@
   run: number
   endTimer: ReturnType<typeof setTimeout> | undefined
   checkpoint: string
+  /** Pace, in percent. */
+  percent: number
 }
 
 /** Time after which a member of a gang gives up waiting for the others, in ms. */
@@ -98,6 +100,8 @@
   alive = true
   /** Chooses the fault to inject into each call. */
   fault: (call: 'poll' | 'start' | 'stop' | 'pace') => WorkerFault = () => undefined
+  /** Chooses the usage that is reported of a run. */
+  usage: (key: TaskKey) => number = () => 0
 
   constructor (entry: WorkerEntry, checker: InvariantChecker, gangs: Gangs, planRunEnd: PlanRunEnd) {
     this.#gangs = gangs
@@ -152,7 +156,9 @@
     }
     this.#highestRun.set(name, order.run)
     this.#checker.recordStart(order, this.entry)
-    const run: SimulatedRun = { key: order.key, run: order.run, endTimer: undefined, checkpoint: order.checkpoint }
+    const run: SimulatedRun = {
+      key: order.key, run: order.run, endTimer: undefined, checkpoint: order.checkpoint, percent: 100
+    }
     this.runs.set(name, run)
     const plannedEnd = this.#planRunEnd(order.key, order.run, this.entry.id)
     const size = this.#checker.gangSize(order.key)
@@ -175,6 +181,11 @@
     setTimeout(() => { if (this.runs.get(name) === known) this.#end(known, 'stopped') }, STOP_MS)
   }
 
+  pace ({ key, run }: RunOrder, percent: number): void {
+    const known = this.runs.get(toTaskName(key))
+    if (known?.run === run) known.percent = percent
+  }
+
   async report (acknowledged: number, waitMs: number): Promise<WorkerReport> {
     this.ended = this.ended.filter(({ sequence, key, run }) => {
       if (sequence <= acknowledged && sequence > this.#lapsedSequence) {
@@ -183,12 +194,12 @@
       return sequence > acknowledged
     })
     if (this.ended.length === 0 && waitMs > 0) await this.#ends.wait(waitMs)
-    const running = [...this.runs.values()].map(({ key, run, checkpoint }) => ({
+    const running = [...this.runs.values()].map(({ key, run, checkpoint, percent }) => ({
       key,
       run,
       checkpoint,
-      percent: 100,
-      usage: 0
+      percent,
+      usage: this.usage(key)
     }))
     return { clockMs: this.clockMs, running, ended: [...this.ended] }
   }
@@ -300,8 +311,8 @@
     return this.#call('stop', token, () => done(this.#worker.stop(order)))
   }
 
-  pace (_order: RunOrder, _percent: number, token: number): Promise<Outcome<void>> {
-    return this.#call('pace', token, () => done(undefined))
+  pace (order: RunOrder, percent: number, token: number): Promise<Outcome<void>> {
+    return this.#call('pace', token, () => done(this.#worker.pace(order, percent)))
   }
 
   close (): void {}
