Test that new owners ignore malformed rows of drains and takeovers

The rows `draining` and `takeovers` are read by each new owner; one that can't be decoded must neither end its process nor move tasks too early. A case for `takeovers` is new; the one for `draining` now also checks that the runs stay at first.

--- a/packages/jobs/src/loadPatterns/drainingWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/drainingWorkers.test.ts
@@ -138,7 +138,9 @@
       const puts = [{ table: CONTROL_TABLE, key: 'draining', value: Buffer.from('{"w0":null}') }]
       cell.rows.apply({ partition: CELL_PARTITION, expected: [], puts, removes: [] })
       cell.killNode(cell.owner!.name)
-      await clock.tickAsync(DRAIN_MS + 1_000)
+      await clock.tickAsync(2_000)
+      expect(countOnDraining(cell)).to.equal(DISTURBED.length * TASKS_PER_WORKER)
+      await clock.tickAsync(DRAIN_MS - 1_000)
       expect(countOnDraining(cell)).to.equal(0)
       expect(countRunning(cell)).to.equal(TASKS)
     }
--- a/packages/jobs/src/loadPatterns/overdueTasks.test.ts
+++ b/packages/jobs/src/loadPatterns/overdueTasks.test.ts
@@ -1,5 +1,7 @@
 import { expect } from 'chai'
 import type { Clock } from '@sinonjs/fake-timers'
+import { CONTROL_TABLE } from '../ownership/index.ts'
+import { CELL_PARTITION } from '../records/index.ts'
 import type { MemoryCell, MemoryNode, PlanRunEnd } from '../standins/index.ts'
 import { describeCells, fetchState, submitInBackground } from './describeCells.ts'
 
@@ -91,5 +93,18 @@
       expect(cell.checker.starts).to.equal(2)
       expect(await fetchState(cell, clock, JOB)).to.equal('completed')
     }
+  },
+  {
+    // A row that can't be decoded would end the process of each owner in turn.
+    name: 'are started elsewhere although the record of earlier takeovers is malformed',
+    options: { planRunEnd: planRuns(undefined, ESTIMATED_MS) },
+    run: async (cell, clock) => {
+      await submit(cell, clock, OWNED_MS)
+      const puts = [{ table: CONTROL_TABLE, key: 'takeovers', value: Buffer.from('{}') }]
+      cell.rows.apply({ partition: CELL_PARTITION, expected: [], puts, removes: [] })
+      await changeOwners(cell, clock, 1, ({ name }) => cell.killNode(name))
+      await clock.tickAsync(10_000)
+      expect(await fetchState(cell, clock, JOB)).to.equal('completed')
+    }
   }
 ])
