Record open circuit breakers, for the owners that follow

What callers saw: where all runs failed on several workers, jobs failed for good that would have ended well without a change of the owner. After each one, tasks went to these workers again and used up their attempts.

Cause: which workers had failed was known to one owner only. Each new one began with closed circuit breakers. Progress rows tell how often a task has failed but not where, and worker reports tell no ends that are acknowledged.

Why it works: the owner keeps the open breakers, with the end of their cooldown on the store's clock and the next cooldown, in one row, `breakers`. It is written with the next commit when a breaker opens or has closed again, which is rare. A new owner goes on with them, for 20 s at most before the first probe.

--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -12,6 +12,7 @@
 } from '../records/index.ts'
 import type { Job, JobState } from '../types.ts'
 import { AdviceDispatcher, type AdviceNode } from './AdviceDispatcher.ts'
+import { BreakerRecord } from './BreakerRecord.ts'
 import { Cell } from './Cell.ts'
 import { CellMembers, type TakeoverPromise } from './CellMembers.ts'
 import { DrainRecord } from './DrainRecord.ts'
@@ -84,6 +85,7 @@
   readonly #members: CellMembers
   readonly #drains: DrainRecord
   readonly #takeovers: TakeoverRecord
+  readonly #breakers: BreakerRecord
   readonly #commits: GroupCommit
   readonly #jobPoller: TablePoller
   readonly #cancelPoller: TablePoller
@@ -129,7 +131,11 @@
     const drains = this.#drains
     this.#takeovers = new TakeoverRecord(cell, ownership.clock)
     const takeovers = this.#takeovers
-    this.#commits = new GroupCommit(cell, { lostWorkers: this.#lostWorkers, members, drains, takeovers }, ownership, {
+    this.#breakers = new BreakerRecord(cell, ownership.clock, breaker)
+    const breakers = this.#breakers
+    this.#commits = new GroupCommit(cell, {
+      lostWorkers: this.#lostWorkers, members, drains, takeovers, breakers
+    }, ownership, {
       onStartStored: (task) => this.#tracker.start(task).catch(throwUncaught),
       onOwnershipLost: () => this.#handleOwnershipLost('another node has taken the cell over')
     }, options.linkMbps, signal)
@@ -185,6 +191,7 @@
     for (const worker of lostWorkers) this.#workerManager.addLost(worker)
     this.#restoreProgress(progress.rows)
     for (const worker of listed.workers) this.#workerManager.add(worker)
+    this.#breakers.restore(control.rows)
     this.#recovered = true
     // The first leases wait for this commit.
     this.#commits.commitNow()
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -7,6 +7,7 @@
 import type { JobState } from '../types.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 import { Notifier } from '../notifier/Notifier.ts'
+import type { BreakerRecord } from './BreakerRecord.ts'
 import type { Cell } from './Cell.ts'
 import type { CellMembers } from './CellMembers.ts'
 import type { DrainRecord } from './DrainRecord.ts'
@@ -46,6 +47,7 @@
   members: CellMembers
   drains: DrainRecord
   takeovers: TakeoverRecord
+  breakers: BreakerRecord
 }
 
 export interface CommitHooks {
@@ -62,6 +64,7 @@
   readonly #members: CellMembers
   readonly #drains: DrainRecord
   readonly #takeovers: TakeoverRecord
+  readonly #breakers: BreakerRecord
   readonly #ownership: Ownership
   readonly #hooks: CommitHooks
   readonly #signal: AbortSignal
@@ -84,6 +87,7 @@
     this.#members = control.members
     this.#drains = control.drains
     this.#takeovers = control.takeovers
+    this.#breakers = control.breakers
     this.#ownership = ownership
     this.#hooks = hooks
     this.#signal = signal
@@ -188,7 +192,8 @@
     // The row of the members tells the next owner that it may rely on the records of lost workers.
     const members = this.#lostWorkers.hasUntrusted ? [] : this.#members.takeWrites()
     const puts = [
-      ...members, ...this.#takeovers.takeWrites(), ...this.#drains.takeWrites(), ...this.#lostWorkers.takeWrites()
+      ...members, ...this.#takeovers.takeWrites(), ...this.#drains.takeWrites(), ...this.#breakers.takeWrites(),
+      ...this.#lostWorkers.takeWrites()
     ]
     const maxRows = MAX_ROWS_PER_COMMIT - (this.#lostWorkers.hasRecords ? REMOVAL_ROWS : 0)
     const batch: Batch = { puts, states: [], starts: [], endSequences: new Map(), foundWorkers: [] }
--- a/packages/jobs/src/owner/WorkerCircuitBreaker.ts
+++ b/packages/jobs/src/owner/WorkerCircuitBreaker.ts
@@ -12,6 +12,9 @@
 /** Least time between two starts on a worker of tasks that have no healthier worker to go to, in ms. */
 const PROBE_INTERVAL_MS = 1_000
 
+/** Stands for the jobs that failed under an earlier owner. */
+const UNKNOWN_JOB = ''
+
 interface BreakerState {
   /** Jobs whose tasks failed since the last success. */
   failedJobs: Set<string>
@@ -29,6 +32,7 @@
 /** Circuit breaker for each worker: keeps tasks away for a time from workers on which tasks of several jobs failed. */
 export class WorkerCircuitBreaker {
   readonly #states = new Map<string, BreakerState>()
+  #isChanged = false
 
   /**
    * Records the result of a run. Failures of one job count once per worker, so that a job that fails everywhere opens
@@ -38,6 +42,7 @@
     const state = this.#getOrCreate(worker)
     if (state.probe === task) state.probe = undefined
     if (succeeded) {
+      this.#isChanged ||= state.tripped
       state.failedJobs.clear()
       state.tripped = false
       state.cooldownMs = INITIAL_COOLDOWN_MS
@@ -48,9 +53,37 @@
       state.openUntil = now + state.cooldownMs
       state.cooldownMs = Math.min(MAX_COOLDOWN_MS, state.cooldownMs * 2)
       state.tripped = true
+      this.#isChanged = true
     }
   }
 
+  /**
+   * Restores the breaker of a worker that an earlier owner has found failing.
+   *
+   * @param openUntil - Monotonic time until which the worker gets no tasks, in ms.
+   * @param cooldownMs - Cooldown for the next time that the breaker opens, in ms.
+   */
+  restore (worker: string, openUntil: number, cooldownMs: number): void {
+    const state = this.#getOrCreate(worker)
+    state.tripped = true
+    state.openUntil = Math.min(openUntil, performance.now() + MAX_COOLDOWN_MS)
+    state.cooldownMs = Math.min(cooldownMs, MAX_COOLDOWN_MS)
+    state.failedJobs.add(UNKNOWN_JOB)
+  }
+
+  /** Breakers that have opened and not closed again. */
+  listTripped (): Array<{ worker: string, openUntil: number, cooldownMs: number }> {
+    return [...this.#states].filter(([, { tripped }]) => tripped)
+      .map(([worker, { openUntil, cooldownMs }]) => ({ worker, openUntil, cooldownMs }))
+  }
+
+  /** Whether a breaker has opened or closed since the last call. */
+  takeChange (): boolean {
+    const isChanged = this.#isChanged
+    this.#isChanged = false
+    return isChanged
+  }
+
   /** Records that a task was assigned to a worker. It becomes the probe if the breaker has not closed again. */
   recordStart (worker: string, task: TaskInstance): void {
     const state = this.#states.get(worker)
@@ -88,6 +121,7 @@
   }
 
   remove (worker: string): void {
+    this.#isChanged ||= this.#states.get(worker)?.tripped === true
     this.#states.delete(worker)
   }
 
