--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -12,8 +12,10 @@
 } from '../records/index.ts'
 import type { Job, JobState } from '../types.ts'
 import { AdviceDispatcher, type AdviceNode } from './AdviceDispatcher.ts'
+import { BreakerRecord } from './BreakerRecord.ts'
 import { Cell } from './Cell.ts'
 import { CellMembers, type TakeoverPromise } from './CellMembers.ts'
+import { DrainRecord } from './DrainRecord.ts'
 import { JobCleanup } from './JobCleanup.ts'
 import { Rescheduler } from './Rescheduler.ts'
 import { GroupCommit } from './GroupCommit.ts'
@@ -21,6 +23,7 @@
 import { TablePoller } from './TablePoller.ts'
 import { Placer } from './Placer.ts'
 import { RunTracker } from './RunTracker.ts'
+import { TakeoverRecord } from './TakeoverRecord.ts'
 import { WorkerManager } from './WorkerManager.ts'
 import { chooseLeaseMs, toLongestLeaseMs, type WorkerSession } from './WorkerSession.ts'
 import { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
@@ -80,6 +83,9 @@
   readonly #workerManager: WorkerManager
   readonly #lostWorkers: LostWorkerRecords
   readonly #members: CellMembers
+  readonly #drains: DrainRecord
+  readonly #takeovers: TakeoverRecord
+  readonly #breakers: BreakerRecord
   readonly #commits: GroupCommit
   readonly #jobPoller: TablePoller
   readonly #cancelPoller: TablePoller
@@ -121,12 +127,20 @@
     this.#lostWorkers = new LostWorkerRecords(cell, ownership.clock)
     this.#members = new CellMembers(ownership.token, options.node)
     const members = this.#members
-    this.#commits = new GroupCommit(cell, { lostWorkers: this.#lostWorkers, members }, ownership, {
+    this.#drains = new DrainRecord(cell, ownership.clock)
+    const drains = this.#drains
+    this.#takeovers = new TakeoverRecord(cell, ownership.clock)
+    const takeovers = this.#takeovers
+    this.#breakers = new BreakerRecord(cell, ownership.clock, breaker)
+    const breakers = this.#breakers
+    this.#commits = new GroupCommit(cell, {
+      lostWorkers: this.#lostWorkers, members, drains, takeovers, breakers
+    }, ownership, {
       onStartStored: (task) => this.#tracker.start(task).catch(throwUncaught),
       onOwnershipLost: () => this.#handleOwnershipLost('another node has taken the cell over')
     }, options.linkMbps, signal)
     const tracker = this.#tracker
-    this.#workerManager = new WorkerManager({ ...dependencies, cell, tracker, breaker, sessions, signal }, {
+    this.#workerManager = new WorkerManager({ ...dependencies, cell, tracker, breaker, drains, sessions, signal }, {
       token: ownership.token,
       leaseMs: chooseLeaseMs(options.leaseLimitMs),
       mayRenewLeases: () => ownership.mayGrantLeases && (ownership.unconfirmedMs < RENEWAL_GRACE_MS ||
@@ -169,11 +183,15 @@
     const earlierLeasesEnd = await this.#determineEarlierLeasesEnd(followers)
     if (this.#isEnded) return
     this.#members.restore(control.rows)
+    this.#drains.restore(control.rows)
+    this.#takeovers.restore(control.rows)
+    this.#takeovers.add(progress.version, earlierLeasesEnd)
     this.#ownership.earlierLeasesEnd = earlierLeasesEnd
     const lostWorkers = this.#lostWorkers.restore(control.rows, followers !== undefined, earlierLeasesEnd)
     for (const worker of lostWorkers) this.#workerManager.addLost(worker)
     this.#restoreProgress(progress.rows)
     for (const worker of listed.workers) this.#workerManager.add(worker)
+    this.#breakers.restore(control.rows)
     this.#recovered = true
     // The first leases wait for this commit.
     this.#commits.commitNow()
@@ -290,9 +308,10 @@
    * their partitions may be unavailable.
    */
   #restoreProgress (rows: readonly StoredRow[]): void {
-    for (const { key, value } of rows) {
+    for (const { key, value, version } of rows) {
       const progress = value === undefined ? undefined : decodeProgress(value)
-      if (progress !== undefined) this.#addJob(progress.job ?? placeholderJob(key), progress)
+      const startedBy = this.#takeovers.startedBy(version)
+      if (progress !== undefined) this.#addJob(progress.job ?? placeholderJob(key), progress, startedBy)
       else this.#dependencies.log.warn({ job: key }, 'progress record is malformed')
     }
   }
@@ -307,10 +326,11 @@
     this.#addJob(job, undefined)
   }
 
-  #addJob (job: Job, progress: Progress | undefined): void {
+  /** @param startedBy - Monotonic time by which the job's inherited runs have started, in ms, if it is known. */
+  #addJob (job: Job, progress: Progress | undefined, startedBy?: number): void {
     const tracked = new TrackedJob(job, performance.now(), Date.now())
     this.cell.jobs.set(job.id, tracked)
-    if (progress !== undefined) tracked.restore(progress, performance.now())
+    if (progress !== undefined) tracked.restore(progress, performance.now(), startedBy)
     for (const task of tracked.tasks()) if (task.isAssigned) this.#workerManager.addInheritedRun(task)
     if (tracked.isOver) return
     this.cell.active.add(tracked)
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -7,9 +7,12 @@
 import type { JobState } from '../types.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 import { Notifier } from '../notifier/Notifier.ts'
+import type { BreakerRecord } from './BreakerRecord.ts'
 import type { Cell } from './Cell.ts'
 import type { CellMembers } from './CellMembers.ts'
+import type { DrainRecord } from './DrainRecord.ts'
 import { REMOVAL_ROWS, toRowAddress, type LostWorkerRecords } from './LostWorkerRecords.ts'
+import type { TakeoverRecord } from './TakeoverRecord.ts'
 
 /** Commits that take longer are logged, in ms; a commit usually takes 13 ms. */
 const SLOW_COMMIT_MS = 200
@@ -38,6 +41,15 @@
   foundWorkers: string[]
 }
 
+/** What the owner stores beside the progress of jobs. */
+export interface ControlRecords {
+  lostWorkers: LostWorkerRecords
+  members: CellMembers
+  drains: DrainRecord
+  takeovers: TakeoverRecord
+  breakers: BreakerRecord
+}
+
 export interface CommitHooks {
   /** Called when a task assignment is stored, so that its start order may be sent. */
   onStartStored (task: TaskInstance): void
@@ -50,6 +62,9 @@
   readonly #cell: Cell
   readonly #lostWorkers: LostWorkerRecords
   readonly #members: CellMembers
+  readonly #drains: DrainRecord
+  readonly #takeovers: TakeoverRecord
+  readonly #breakers: BreakerRecord
   readonly #ownership: Ownership
   readonly #hooks: CommitHooks
   readonly #signal: AbortSignal
@@ -65,12 +80,14 @@
 
   /** @param linkMbps - Bandwidth of this node's network link, in Mbit/s; limits the size of a commit. */
   constructor (
-    cell: Cell, control: { lostWorkers: LostWorkerRecords, members: CellMembers }, ownership: Ownership,
-    hooks: CommitHooks, linkMbps: number, signal: AbortSignal
+    cell: Cell, control: ControlRecords, ownership: Ownership, hooks: CommitHooks, linkMbps: number, signal: AbortSignal
   ) {
     this.#cell = cell
     this.#lostWorkers = control.lostWorkers
     this.#members = control.members
+    this.#drains = control.drains
+    this.#takeovers = control.takeovers
+    this.#breakers = control.breakers
     this.#ownership = ownership
     this.#hooks = hooks
     this.#signal = signal
@@ -174,7 +191,10 @@
     const cell = this.#cell
     // The row of the members tells the next owner that it may rely on the records of lost workers.
     const members = this.#lostWorkers.hasUntrusted ? [] : this.#members.takeWrites()
-    const puts = [...members, ...this.#lostWorkers.takeWrites()]
+    const puts = [
+      ...members, ...this.#takeovers.takeWrites(), ...this.#drains.takeWrites(), ...this.#breakers.takeWrites(),
+      ...this.#lostWorkers.takeWrites()
+    ]
     const maxRows = MAX_ROWS_PER_COMMIT - (this.#lostWorkers.hasRecords ? REMOVAL_ROWS : 0)
     const batch: Batch = { puts, states: [], starts: [], endSequences: new Map(), foundWorkers: [] }
     let bytes = 0
