Prepare the checks of a blocked step once, not for each worker

While steps wait, each placement round looks at all workers of the pool for up to four of them, whether others could be stopped there. The checks were copied, and the step's tasks counted if its tasks per worker are limited, again for each worker.

--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -1,6 +1,6 @@
 import { TICKET_MARGIN_MS } from '../constants/index.ts'
 import type { StepInstance, TaskInstance } from '../model/index.ts'
-import { chooseWorker, mayRunWithRoom } from '../placement/chooseWorker/index.ts'
+import { chooseWorker, filterRunnable } from '../placement/chooseWorker/index.ts'
 import { chooseFailureDomain } from '../placement/chooseFailureDomain/index.ts'
 import { chooseReservation } from '../placement/chooseReservation/index.ts'
 import { computeKeptRoom } from '../placement/computeKeptRoom/index.ts'
@@ -106,9 +106,9 @@
 
   /** Chooses the failure domain that the tasks of a step share, from the workers that could take the first one now. */
   #chooseFailureDomain (task: TaskInstance, workers: readonly WorkerState[], now: number): void {
-    const checks = { ...this.#workerChecks(task), now }
-    task.step.failureDomain = chooseFailureDomain(task.step, workers.filter((worker) =>
-      worker.hasRoom(task.step.spec) && mayRunWithRoom(task, worker, checks)))
+    const { step } = task
+    const withRoom = workers.filter((worker) => worker.hasRoom(step.spec))
+    step.failureDomain = chooseFailureDomain(step, filterRunnable(task, withRoom, { ...this.#workerChecks(task), now }))
   }
 
   /** Places all tasks of a gang or none. Returns one of them when there is no room for all. */
--- a/packages/jobs/src/owner/Preemptor.ts
+++ b/packages/jobs/src/owner/Preemptor.ts
@@ -1,6 +1,6 @@
 import type { StepInstance, TaskInstance } from '../model/index.ts'
 import { choosePreemption } from '../placement/choosePreemption/index.ts'
-import { mayRunWithRoom } from '../placement/chooseWorker/index.ts'
+import { filterRunnable } from '../placement/chooseWorker/index.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 import type { Cell } from './Cell.ts'
 
@@ -47,7 +47,7 @@
     if (step.spec.gang || step.spec.longRunning) return false
     if (now - Math.max(task.waitingSince, step.readyAt ?? 0) < PREEMPT_AFTER_MS) return false
     if (workers.some(({ claim }) => claim !== undefined && claim.step === step && claim.until > now)) return false
-    const possible = workers.filter((worker) => mayRunWithRoom(task, worker, { ...checks, now: now + CLAIM_MS }))
+    const possible = filterRunnable(task, workers, { ...checks, now: now + CLAIM_MS })
     const preemption = choosePreemption(task, possible, now)
     if (preemption !== undefined) {
       preemption.worker.claim = { step, until: now + CLAIM_MS }
--- a/packages/jobs/src/owner/WaitLog.ts
+++ b/packages/jobs/src/owner/WaitLog.ts
@@ -1,6 +1,6 @@
 import type { StepInstance, TaskInstance } from '../model/index.ts'
 import type { LogWriter } from '../ports.ts'
-import { mayRunWithRoom } from '../placement/chooseWorker/index.ts'
+import { filterRunnable } from '../placement/chooseWorker/index.ts'
 import { countObstacles } from '../placement/countObstacles/index.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 
@@ -54,7 +54,7 @@
 function nameKeepers (
   task: TaskInstance, workers: readonly WorkerState[], { isHealthy, isReserved, reservedFor }: WorkerChecks, now: number
 ): string[] {
-  const kept = workers.filter((worker) => worker.hasRoom(task.step.spec) && isReserved(worker) &&
-    mayRunWithRoom(task, worker, { now, isHealthy, ignoreTickets: true }))
+  const reserved = workers.filter((worker) => worker.hasRoom(task.step.spec) && isReserved(worker))
+  const kept = filterRunnable(task, reserved, { now, isHealthy, ignoreTickets: true })
   return [...new Set(kept.flatMap((worker) => reservedFor(worker)?.name ?? []))].slice(0, MAX_RESERVED_FOR)
 }
--- a/packages/jobs/src/placement/chooseWorker/index.ts
+++ b/packages/jobs/src/placement/chooseWorker/index.ts
@@ -46,11 +46,11 @@
   task: TaskInstance, workers: Iterable<WorkerState>, options: Options
 ): WorkerState | undefined {
   const { step } = task
-  const counts = step.spec.maxPerWorker > 0 ? step.countByWorker() : undefined
+  const counts = countIfLimited(step)
   let best: WorkerState | undefined
   let bestCost = Infinity
   for (const worker of workers) {
-    if (!mayRun(task, worker, counts, options)) continue
+    if (!worker.hasRoom(step.spec) || !mayRunWithRoom(task, worker, counts, options)) continue
     const cost = computeCost(step, worker)
     if (cost < bestCost) {
       best = worker
@@ -60,24 +60,28 @@
   return best
 }
 
-function mayRun (
-  task: TaskInstance, worker: WorkerState, counts: Map<string, number> | undefined, options: Options
-): boolean {
-  return worker.hasRoom(task.step.spec) && mayRunWithRoom(task, worker, options, counts)
-}
-
 /**
- * Tells whether a worker could run a task if it had room for it.
+ * Finds the workers that could run a task if they had room for it.
  *
  * @param task - The task.
- * @param worker - The worker.
- * @param options - Restrictions beyond the state of the worker.
- * @param counts - Number of the step's tasks on each worker, if it is known and limited.
- * @returns Whether everything but the free resources allows the task to start there.
+ * @param workers - Workers to choose from.
+ * @param options - Restrictions beyond the state of the workers.
+ * @returns The workers on which everything but the free resources allows the task to start, in the given order.
  */
-export function mayRunWithRoom (
-  task: TaskInstance, worker: WorkerState, options: Options,
-  counts = task.step.spec.maxPerWorker > 0 ? task.step.countByWorker() : undefined
+export function filterRunnable (
+  task: TaskInstance, workers: readonly WorkerState[], options: Options
+): WorkerState[] {
+  const counts = countIfLimited(task.step)
+  return workers.filter((worker) => mayRunWithRoom(task, worker, counts, options))
+}
+
+/** Number of the step's tasks on each worker; undefined if it is not limited. */
+function countIfLimited (step: StepInstance): Map<string, number> | undefined {
+  return step.spec.maxPerWorker > 0 ? step.countByWorker() : undefined
+}
+
+function mayRunWithRoom (
+  task: TaskInstance, worker: WorkerState, counts: Map<string, number> | undefined, options: Options
 ): boolean {
   const { step } = task
   const { spec } = step
