Check tickets before the health and reservations of workers

Each waiting step with a policy had the circuit breaker and the reservations of all workers with room checked in each placement round, although it has tickets for few of them. All checks are free of side effects and all have to pass, so that their order changes no decision.

--- a/packages/jobs/src/placement/chooseWorker/index.ts
+++ b/packages/jobs/src/placement/chooseWorker/index.ts
@@ -89,11 +89,16 @@
   if (spec.requiredLabel !== '' && !worker.entry.labels.includes(spec.requiredLabel)) return false
   if (options.rack !== undefined && !worker.entry.labels.includes(options.rack)) return false
   if (counts !== undefined && (counts.get(worker.id) ?? 0) >= spec.maxPerWorker) return false
+  // The costlier checks come last: a step has tickets for few workers of a large cell.
+  if (!isAllowed(step, worker, options)) return false
   if (options.isHealthy?.(worker) === false || options.isReserved?.(worker) === true) return false
-  if (spec.fills && unclaimedCpuMillis(worker) < spec.demand.cpuMillis * MIN_FILLER_CPU_SHARE) return false
-  if (step.job.definition.queue.advice === undefined) return true
-  if (options.ignoreTickets === true) return step.advice.isAllowed(worker.id) !== false
-  return step.advice.ticket(worker.id, options.now) !== undefined
+  return !spec.fills || unclaimedCpuMillis(worker) >= spec.demand.cpuMillis * MIN_FILLER_CPU_SHARE
+}
+
+/** Whether the policy service lets a step start on a worker. */
+function isAllowed ({ job, advice }: StepInstance, { id }: WorkerState, { now, ignoreTickets }: Options): boolean {
+  if (job.definition.queue.advice === undefined) return true
+  return ignoreTickets === true ? advice.isAllowed(id) !== false : advice.ticket(id, now) !== undefined
 }
 
 /** CPU that neither regular nor filler tasks have claimed; negative when filler tasks overcommit the worker. */
--- a/packages/jobs/src/placement/test.ts
+++ b/packages/jobs/src/placement/test.ts
@@ -117,6 +117,22 @@
     expect(chooseWorker(task, workers, { now: NOW + 200 })).to.equal(undefined)
     expect(chooseWorker(task, workers, { now: NOW + 200, ignoreTickets: true })?.id).to.equal('second')
   })
+
+  // Each waiting step with a policy had the health of all workers checked in each round, also of those it can't use.
+  it('checks the health and reservations only of workers for which the step has a ticket', () => {
+    const task = makeStep({}, { advice: { decisionMs: 10, perWorkerMs: 1, validMs: 2000 } }).tasks[0]!
+    const workers = Array.from({ length: 100 }, (_, index) => makeWorker(`w${index}`))
+    task.step.advice.record(['w1', 'w2', 'w3'], [['w1', 'ticket'], ['w3', 'ticket']], NOW + 100)
+    const healthChecked: string[] = []
+    const reservationChecked: string[] = []
+    chooseWorker(task, workers, {
+      now: NOW,
+      isHealthy: ({ id }) => healthChecked.push(id) > 0,
+      isReserved: ({ id }) => reservationChecked.push(id) === 0
+    })
+    expect(healthChecked).to.deep.equal(['w1', 'w3'])
+    expect(reservationChecked).to.deep.equal(['w1', 'w3'])
+  })
 })
 
 describe('selectAdviceCandidates', () => {
