Search the inventory once per reading, not once per member

Each listing of members searched all machines of the last inventory for each member, and each gossip round derived the peer addresses from all machines again. The addresses and the hosts of leaving entry VMs are now extracted when the inventory is read.

--- a/packages/daemon/src/membership/GossipMembership.ts
+++ b/packages/daemon/src/membership/GossipMembership.ts
@@ -35,7 +35,10 @@
   readonly #options: GossipOptions
   readonly #table: MemberTable
   readonly #generator
-  #machines: Machine[] = []
+  /** Peer addresses on the entry VMs of the last inventory. */
+  #listedAddresses: string[] = []
+  /** Hosts of the entry VMs that are leaving by the last inventory. */
+  #leavingHosts: ReadonlySet<string> = new Set()
   #timers: Array<ReturnType<typeof setTimeout>> = []
   #stopped = false
 
@@ -105,29 +108,31 @@
     outcome.caseOf({
       // Keeps the previous inventory; peers are also discovered through gossip.
       Left: ({ reason }) => log.warn({ reason }, 'reading the inventory failed'),
-      Right: (machines) => { this.#machines = machines }
+      Right: (machines) => this.#applyInventory(machines)
     })
   }
 
+  /** Extracts what is needed once per reading: members are listed far more often, and most machines are workers. */
+  #applyInventory (machines: Machine[]): void {
+    const ports = this.#options.peerPorts.split(',')
+    const entryVms = machines.filter(({ kind }) => kind === 'entry')
+    this.#listedAddresses = entryVms.flatMap(({ address }) => ports.map((port) => `${getHost(address)}:${port}`))
+    this.#leavingHosts = new Set(entryVms.filter(({ state }) => state === 'leaving').map(({ address }) => getHost(address)))
+  }
+
   #sampleMembers (): Member[] {
     return [this.#options.self(), ...pickRandom(this.members(), MEMBERS_PER_EXCHANGE, this.#generator)]
   }
 
   #listPeerAddresses (): string[] {
     const own = this.#options.self().address
-    const ports = this.#options.peerPorts.split(',')
-    const listed = this.#machines.filter(({ kind }) => kind === 'entry')
-      .flatMap(({ address }) => ports.map((port) => `${getHost(address)}:${port}`))
     const known = this.members().map(({ address }) => address)
-    return [...new Set([...listed, ...known])].filter((address) => address !== own)
+    return [...new Set([...this.#listedAddresses, ...known])].filter((address) => address !== own)
   }
 
   /** Marks a member as leaving if the platform lists its VM as leaving, even if the process has not announced it. */
   #markLeaving (member: Member): Member {
-    const host = getHost(member.address)
-    const isOnLeavingVm = this.#machines.some((machine) =>
-      machine.kind === 'entry' && machine.state === 'leaving' && getHost(machine.address) === host)
-    return isOnLeavingVm ? { ...member, leaving: true } : member
+    return this.#leavingHosts.has(getHost(member.address)) ? { ...member, leaving: true } : member
   }
 
   /** Repeats an action; the interval runs from the end of one call to the start of the next. */
