Correct the handling of drains and circuit breakers across owners

Faults that a second review has shown, each with a test that failed before: - A worker that drained and was ready again kept the time at which it was to leave: its long-running tasks were stopped again and again (52 starts in 9 s where none was due), and a second drain was not noticed. An old fault. - A new owner knows when a worker leaves, but not when an inherited run has started, and stopped runs that would have ended in time. It leaves inherited runs of other than long-running and filler tasks alone now. - The first success of a probe left the breaker open until its cooldown was over, which a takeover had ended until breakers were recorded.

The rows of drains and breakers are arrays now: ids with a line break escaped the check of the row, and a malformed value would have ended the process of each owner (shown by the review for the class). A cooldown of 0 is refused, and a long row of takeovers is halved until it is short enough; both have no test in the repository.

--- a/packages/jobs/src/loadPatterns/drainingWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/drainingWorkers.test.ts
@@ -3,7 +3,7 @@
 import { CONTROL_TABLE } from '../ownership/index.ts'
 import { CELL_PARTITION } from '../records/index.ts'
 import type { MemoryCell } from '../standins/index.ts'
-import { describeCells } from './describeCells.ts'
+import { describeCells, submitInBackground } from './describeCells.ts'
 import { DISTURBED, TASKS, TASKS_PER_WORKER, countRunning, startLongRunningJob } from './longRunningJob.ts'
 
 /** Time from the start of a drain until the workers leave, in ms. */
@@ -20,6 +20,10 @@
   for (const id of DISTURBED) cell.workers.update(id, { draining: true, ...entry })
 }
 
+function callDrainOff (cell: MemoryCell): void {
+  for (const id of DISTURBED) cell.workers.update(id, { draining: false, leavesInMs: undefined })
+}
+
 /** Counts the runs on the draining workers. */
 function countOnDraining (cell: MemoryCell): number {
   return DISTURBED.reduce((count, id) => count + cell.workers.workers.get(id)!.runs.size, 0)
@@ -135,7 +139,7 @@
       await startLongRunningJob(cell, clock)
       drainWorkers(cell)
       await clock.tickAsync(1_000)
-      const puts = [{ table: CONTROL_TABLE, key: 'draining', value: Buffer.from('{"w0":null}') }]
+      const puts = [{ table: CONTROL_TABLE, key: 'draining', value: Buffer.from('[["w0",null]]') }]
       cell.rows.apply({ partition: CELL_PARTITION, expected: [], puts, removes: [] })
       cell.killNode(cell.owner!.name)
       await clock.tickAsync(2_000)
@@ -144,5 +148,49 @@
       expect(countOnDraining(cell)).to.equal(0)
       expect(countRunning(cell)).to.equal(TASKS)
     }
-  }
+  },
+  // The time of the first drain stayed, so that tasks were stopped again and again, and a second drain was not noticed.
+  {
+    name: 'keep their tasks after they are ready again',
+    options: { workers: TASKS },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      const startsBefore = cell.checker.starts
+      drainWorkers(cell)
+      await clock.tickAsync(1_000)
+      callDrainOff(cell)
+      await clock.tickAsync(DRAIN_MS + 3_000)
+      expect(cell.checker.starts).to.equal(startsBefore)
+    }
+  },
+  {
+    name: 'have their tasks moved in time when they drain again under the same owner',
+    options: { workers: TASKS },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      drainWorkers(cell, { leavesInMs: 60_000 })
+      await clock.tickAsync(1_000)
+      callDrainOff(cell)
+      await clock.tickAsync(1_000)
+      drainWorkers(cell)
+      await clock.tickAsync(DRAIN_MS)
+      expect(countOnDraining(cell)).to.equal(0)
+    }
+  },
+  ...[false, true].map((withTakeover) => ({
+    // A new owner knows when the worker leaves, but not that the run started before it took over.
+    name: `keep a run that ends in time${withTakeover ? ' although the owner changes' : ''}`,
+    options: { workers: 3 },
+    run: async (cell: MemoryCell, clock: Clock) => {
+      submitInBackground(cell, '00000000000000a1', [{ estimatedRunMs: 8_000 }])
+      const findWorker = () => [...cell.workers.workers.values()].find(({ runs }) => runs.size > 0)
+      while (findWorker() === undefined) await clock.tickAsync(1)
+      cell.workers.update(findWorker()!.entry.id, { draining: true, leavesInMs: 8_800 })
+      await clock.tickAsync(2_000)
+      if (withTakeover) cell.killNode(cell.owner!.name)
+      await clock.tickAsync(6_500)
+      expect(cell.checker.starts).to.equal(1)
+      expect(findWorker()).to.equal(undefined)
+    }
+  }))
 ])
--- a/packages/jobs/src/loadPatterns/failingWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/failingWorkers.test.ts
@@ -82,13 +82,29 @@
       expect(recovering.runs - runsBefore).to.equal(10)
     }
   },
+  {
+    // After the first success the workers still got no tasks until the restored cooldown was over.
+    name: 'get tasks again after the first success of a probe',
+    options: { ...OPTIONS, workers: 2, planRunEnd: () => ({ reason: 'done', afterMs: RUN_MS }) },
+    run: async (cell, clock) => {
+      const openUntilAt = cell.rows.nowMs + 20_000
+      const row = [['w0', openUntilAt, 20_000], ['w1', openUntilAt, 20_000]]
+      const puts = [{ table: CONTROL_TABLE, key: 'breakers', value: Buffer.from(JSON.stringify(row)) }]
+      cell.rows.apply({ partition: CELL_PARTITION, expected: [], puts, removes: [] })
+      cell.killNode(cell.owner!.name)
+      await clock.tickAsync(2_000)
+      for (let index = 0; index < 8; index++) submitJob(cell, index)
+      await clock.tickAsync(6_000)
+      expect(cell.checker.starts).to.equal(8)
+    }
+  },
   {
     // A row that can't be decoded would end the process of each owner in turn.
     name: 'don\'t stop an owner for which the record of the former one is malformed',
     options: { ...OPTIONS, planRunEnd: unknown.planRunEnd },
     run: async (cell, clock) => {
       await submitJobs(cell, clock, OWNED_MS)
-      const puts = [{ table: CONTROL_TABLE, key: 'breakers', value: Buffer.from('{"w0":null}') }]
+      const puts = [{ table: CONTROL_TABLE, key: 'breakers', value: Buffer.from('[["w0",null]]') }]
       cell.rows.apply({ partition: CELL_PARTITION, expected: [], puts, removes: [] })
       cell.killNode(cell.owner!.name)
       await clock.tickAsync(3_000)
--- a/packages/jobs/src/owner/BreakerRecord.ts
+++ b/packages/jobs/src/owner/BreakerRecord.ts
@@ -10,10 +10,10 @@
 const BREAKERS_KEY = 'breakers'
 
 /**
- * For each worker whose breaker has opened and not closed again, by its id: the time on the store's clock until which
- * it gets no tasks, and the cooldown for the next time, both in ms.
+ * For each worker whose breaker has opened and not closed again: its id, the time on the store's clock until which it
+ * gets no tasks, and the cooldown for the next time, both in ms.
  */
-const BreakersRow = Type.Record(Type.String(), Type.Tuple([Type.Number(), Type.Number({ minimum: 0 })]))
+const BreakersRow = Type.Array(Type.Tuple([Type.String(), Type.Number(), Type.Number({ exclusiveMinimum: 0 })]))
 
 /** Records the tripped circuit breakers in the store, so that a new owner gives their workers no more than probes. */
 export class BreakerRecord {
@@ -36,7 +36,7 @@
       this.#cell.log.warn({}, 'record of circuit breakers is malformed')
       return
     }
-    for (const [id, [openUntilAt, cooldownMs]] of Object.entries(row)) {
+    for (const [id, openUntilAt, cooldownMs] of row) {
       const openUntil = this.#clock.toMonotonic(openUntilAt)
       if (openUntil !== undefined && this.#cell.workers.has(id)) this.#breaker.restore(id, openUntil, cooldownMs)
     }
@@ -47,9 +47,9 @@
     if (!this.#breaker.takeChange()) return []
     const entries = this.#breaker.listTripped().flatMap(({ worker, openUntil, cooldownMs }) => {
       const openUntilAt = this.#clock.toStore(openUntil)
-      return openUntilAt === undefined ? [] : [[worker, [openUntilAt, cooldownMs]]]
+      return openUntilAt === undefined ? [] : [[worker, openUntilAt, cooldownMs]]
     })
-    const value = Buffer.from(JSON.stringify(Object.fromEntries(entries)))
+    const value = Buffer.from(JSON.stringify(entries))
     return [{ table: CONTROL_TABLE, key: BREAKERS_KEY, value }]
   }
 }
--- a/packages/jobs/src/owner/DrainRecord.ts
+++ b/packages/jobs/src/owner/DrainRecord.ts
@@ -8,8 +8,8 @@
 
 const DRAINING_KEY = 'draining'
 
-/** Time on the store's clock at which each draining worker leaves, in ms, by worker id. */
-const DrainingRow = Type.Record(Type.String(), Type.Number())
+/** Ids of the draining workers, with the time on the store's clock at which they leave, in ms. */
+const DrainingRow = Type.Array(Type.Tuple([Type.String(), Type.Number()]))
 
 /**
  * Records in the store when draining workers leave. Their registry entries tell how long they stay, but not since when,
@@ -32,9 +32,8 @@
     const value = rows.find(({ key }) => key === DRAINING_KEY)?.value
     if (value === undefined) return
     const row = parseJson(value)
-    if (Value.Check(DrainingRow, row)) {
-      for (const [id, leavesAt] of Object.entries(row)) this.#leavesAt.set(id, leavesAt)
-    } else this.#cell.log.warn({}, 'record of draining workers is malformed')
+    if (Value.Check(DrainingRow, row)) for (const [id, leavesAt] of row) this.#leavesAt.set(id, leavesAt)
+    else this.#cell.log.warn({}, 'record of draining workers is malformed')
   }
 
   /**
@@ -65,7 +64,7 @@
     if (!this.#isChanged) return []
     this.#isChanged = false
     for (const id of this.#leavesAt.keys()) if (!this.#cell.workers.has(id)) this.#leavesAt.delete(id)
-    const value = Buffer.from(JSON.stringify(Object.fromEntries(this.#leavesAt)))
+    const value = Buffer.from(JSON.stringify([...this.#leavesAt]))
     return [{ table: CONTROL_TABLE, key: DRAINING_KEY, value }]
   }
 }
--- a/packages/jobs/src/owner/Rescheduler.ts
+++ b/packages/jobs/src/owner/Rescheduler.ts
@@ -37,7 +37,9 @@
     const stopBy = leavesAt - this.#stopTimeoutMs - DRAIN_MARGIN_MS
     if (now < stopBy) return false
     const { estimatedRunMs, longRunning, fills } = task.step.spec
-    return longRunning || fills || task.startedAt + estimatedRunMs > leavesAt - DRAIN_MARGIN_MS
+    if (longRunning || fills) return true
+    // An inherited run has started before `startedAt`, and may end in time.
+    return !task.inherited && task.startedAt + estimatedRunMs > leavesAt - DRAIN_MARGIN_MS
   }
 
   #moveOverdue (task: TaskInstance, worker: WorkerState, now: number): void {
--- a/packages/jobs/src/owner/TakeoverRecord.ts
+++ b/packages/jobs/src/owner/TakeoverRecord.ts
@@ -52,7 +52,9 @@
     const endAt = this.#clock.toStore(earlierLeasesEnd)
     if (endAt === undefined) return
     this.#takeovers.push([version, endAt])
-    if (this.#takeovers.length > MAX_TAKEOVERS) this.#takeovers = this.#takeovers.filter((_, index) => index % 2 === 0)
+    while (this.#takeovers.length > MAX_TAKEOVERS) {
+      this.#takeovers = this.#takeovers.filter((_, index) => index % 2 === 0)
+    }
     this.#isChanged = true
   }
 
--- a/packages/jobs/src/owner/WorkerCircuitBreaker.ts
+++ b/packages/jobs/src/owner/WorkerCircuitBreaker.ts
@@ -45,6 +45,7 @@
       this.#isChanged ||= state.tripped
       state.failedJobs.clear()
       state.tripped = false
+      state.openUntil = 0
       state.cooldownMs = INITIAL_COOLDOWN_MS
       return
     }
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -167,8 +167,10 @@
 
   #update (worker: WorkerState, entry: WorkerEntry): void {
     const { cell, drains } = this.#dependencies
-    if (!entry.draining) drains.remove(entry.id)
-    else if (worker.leavesAt === undefined) {
+    if (!entry.draining) {
+      drains.remove(entry.id)
+      worker.leavesAt = undefined
+    } else if (worker.leavesAt === undefined) {
       const now = performance.now()
       worker.leavesAt = drains.add(entry.id, now + (entry.leavesInMs ?? DEFAULT_DRAIN_MS))
       const remainingMs = Math.round(worker.leavesAt - now)
