Keep the token of an owner record that can only be decoded in part

A record with an unknown form of the predecessor now counts as that of an owner that has granted leases. A row that is no JSON at all still counts as that of a cell that never had an owner.

--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -81,7 +81,11 @@
 
 function decodeOwnerRecord (value: Uint8Array | undefined): OwnerRecord | undefined {
   const record = value === undefined ? undefined : parseJson(value)
-  return Value.Check(OwnerRecord, record) ? record : undefined
+  if (Value.Check(OwnerRecord, record)) return record
+  // Without the token, the next owner would be fenced off by the workers.
+  const { predecessor: _, ...known } = Object(record) as Partial<OwnerRecord>
+  const withoutEarlierLeases = { ...known, earlierLeasesEndAt: null }
+  return Value.Check(OwnerRecord, withoutEarlierLeases) ? withoutEarlierLeases : undefined
 }
 
 /**
--- a/packages/jobs/src/ownership/test.ts
+++ b/packages/jobs/src/ownership/test.ts
@@ -142,6 +142,18 @@
     expect(third.clock.toMonotonic(predecessor!.replacedBy!)).to.be.within(second.ownedBy, second.ownedBy + 20)
   })
 
+  // Workers fence off an owner that begins with the first token again, and it would take all earlier leases for over.
+  it('keeps the token of a record whose predecessor can not be decoded, and counts the leases of its owner', async () => {
+    const store = new MemoryRecordStore(rows)
+    const record = { node: 'n0', address: 'n0', token: 7, sequence: 0, released: false, predecessor: { token: 6 } }
+    const put = { table: 'control', key: 'owner', value: Buffer.from(JSON.stringify(record)) }
+    rows.apply({ partition: CELL, expected: [], puts: [put], removes: [] })
+    const row = (await settle(readOwner(store, CELL))).unsafeCoerce()
+    const next = (await settle(Ownership.claim(store, CELL, row, { node: 'n1', address: 'n1' }))).unsafeCoerce()
+    expect(next.token).to.equal(8)
+    expect(next.predecessor).to.include({ node: 'n0', token: 7, hasEnded: false, earlierLeasesEndAt: null })
+  })
+
   it('tells the next owner when it had replaced its predecessor', async () => {
     const store = new MemoryRecordStore(rows)
     const vacant = { ...VACANT, record: { node: 'n', address: 'n', token: 1, sequence: 0, released: false } }
