--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -101,7 +101,6 @@
   readonly clock = new StoreClock()
   /** The last owner before this one that may have granted leases; undefined if there is none. */
   readonly predecessor: Predecessor | undefined
-  /** Monotonic time by which this node owned the cell, in ms. */
   #ownedBy = performance.now()
   /** When the last successful commit was sent; undefined before this node's first one. */
   #confirmedAt: Instant | undefined
@@ -142,6 +141,7 @@
     return this.#lost
   }
 
+  /** Monotonic time by which this node owned the cell, in ms. */
   get ownedBy (): number {
     return this.#ownedBy
   }
