Allow no renewals in an outage to an owner without stored followers

The store failed right after the first owner had stored that it has no followers. It was killed, and the next one, whose name was not in the row, added 8 s for renewals (earlierLeasesEndInMs 13245), which three more owners carried on.

An owner now renews leases in an outage only once it has stored followers, so that an empty row means 0.5 s.

Two cases check that such an owner, isolated with nodes that follow it, renews no leases.

--- a/packages/jobs/src/loadPatterns/isolatedOwner.test.ts
+++ b/packages/jobs/src/loadPatterns/isolatedOwner.test.ts
@@ -71,6 +71,24 @@
   }
 })))
 
+describeCells('An isolated owner without stored followers', [0, 2].map((followers) => ({
+  // The next owner allows it 0.5 s for renewals, whether or not nodes that it has not stored follow it.
+  name: `renews no leases during an outage, with ${followers} followers`,
+  options: { nodes: 1 },
+  run: async (cell: MemoryCell, clock: Clock) => {
+    const worker = (await startLongRunningTask(cell, clock, 1_000)).entry.id
+    const { name, store } = cell.owner!
+    store.fault = (call) => call === 'commit' ? 'silent' : undefined
+    for (let follower = 0; follower < followers; follower++) cell.startNode(`f${follower}`, [name])
+    await clock.tickAsync(400)
+    isolate(cell, cell.nodes.keys(), worker)
+    cell.startNode('n9')
+    await clock.tickAsync(20_000)
+    expect(cell.checker.countRunning(TASK)).to.equal(1)
+    expect(cell.checker.starts).to.equal(2)
+  }
+})))
+
 describeCells('An isolated owner with its follower', [
   {
     // The next owner is that follower, which has promised the isolated owner not to take over.
--- a/packages/jobs/src/loadPatterns/lostWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/lostWorkers.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import type { Clock } from '@sinonjs/fake-timers'
 import { throwUncaught } from '@gypsumspring/protocol'
+import { TAKEOVER_PROMISE_MS } from '../constants/index.ts'
 import type { OwnerRecord } from '../ownership/index.ts'
 import type { MemoryCell } from '../standins/index.ts'
 import { describeCells } from './describeCells.ts'
@@ -130,6 +131,23 @@
       expect(countRunning(cell)).to.equal(TASKS)
     }
   },
+  {
+    // A new owner that found no names of followers added 8 s, although the former one was not the only node.
+    name: 'have their long-running tasks started elsewhere after an owner that could not store its first followers',
+    options: { workers: TASKS, nodes: 1 },
+    run: async (cell, clock) => {
+      await startLongRunningJob(cell, clock)
+      const { name, store } = cell.owner!
+      store.fault = (call) => call === 'commit' ? 'silent' : undefined
+      for (const node of ['n1', 'n2']) cell.startNode(node, [name])
+      await clock.tickAsync(400)
+      loseWorkers(cell)
+      cell.killNode(name)
+      // The commits of the former owner were slow, so that its followers had promised not to take over for 1 s.
+      await clock.tickAsync(TAKEOVER_PROMISE_MS + RESTART_MS)
+      expect(countRunning(cell)).to.equal(TASKS)
+    }
+  },
   {
     // The second owner knew no address of the workers, and the third one failed to connect to it.
     name: 'have their long-running tasks started elsewhere although no new owner finds them in the registry',
--- a/packages/jobs/src/owner/CellMembers.ts
+++ b/packages/jobs/src/owner/CellMembers.ts
@@ -51,8 +51,8 @@
   #inherited: string[] = []
   /** Monotonic time until which the inherited names are kept, in ms. */
   #inheritedUntil = 0
-  /** This owner has stored its followers. */
-  #isStored = false
+  /** Number of followers that this owner has stored; undefined before it has stored any row. */
+  #storedCount: number | undefined
 
   /** @param node - Name of the owner's node. */
   constructor (token: number, node: string) {
@@ -87,9 +87,11 @@
     this.#promises.delete(node)
   }
 
-  /** Whether all followers have promised not to take the cell over now. */
+  /** Whether there are stored followers, and all have promised not to take the cell over now. */
   get hasAllPromises (): boolean {
-    return this.#stored !== undefined && [...this.#stored, ...this.#promises.keys()].every((node) => {
+    // A node that finds no names allows this owner no renewals during an outage.
+    if (this.#stored === undefined || this.#storedCount === undefined || this.#storedCount === 0) return false
+    return [...this.#stored, ...this.#promises.keys()].every((node) => {
       const promise = this.#promises.get(node)
       return promise?.token === this.#token && measureLongestElapsed(promise.since) < promise.durationMs
     })
@@ -101,7 +103,8 @@
     if (stored === undefined) return []
     const isInherited = this.#promises.size === 0 && performance.now() < this.#inheritedUntil
     const nodes = isInherited ? this.#inherited : [...this.#promises.keys()]
-    if (this.#isStored && nodes.length === stored.size && nodes.every((node) => stored.has(node))) return []
+    const isSame = nodes.length === stored.size && nodes.every((node) => stored.has(node))
+    if (isSame && this.#storedCount !== undefined) return []
     for (const node of nodes) stored.add(node)
     this.#written = new Set(nodes)
     const value = Buffer.from(JSON.stringify({ token: this.#token, nodes }))
@@ -112,8 +115,8 @@
   handleWritten (): void {
     if (this.#written === undefined) return
     this.#stored = this.#written
+    this.#storedCount = this.#written.size
     this.#written = undefined
-    this.#isStored = true
   }
 }
 
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -387,6 +387,7 @@
     if (hasEnded) return replacedAt
     // It was a former process of this node, or this one before it lost the cell.
     if (node === this.#options.node) return Math.min(ownedBy, replacedAt + STORE_OUTAGE_GRACE_MS)
+    if (followers?.size === 0) return replacedAt + RENEWAL_GRACE_MS
     const promisesEnd = followers === undefined ? Infinity : await this.#dependencies.endPromises(token, followers)
     return Math.min(replacedAt + STORE_OUTAGE_GRACE_MS, Math.max(replacedAt + RENEWAL_GRACE_MS, promisesEnd))
   }
