Count only failures that somebody can know in the soak's check of attempts

Run 1 had failed on w7; the owner was killed before it had stored the end (the store was disturbed), and w7 had crashed. Neither the store nor any process knew of the failure. The check counted it, which no scheduler can satisfy; the operators' rule counts ends that are acknowledged then or later.

Failures whose ends are lost with their worker before an owner has acknowledged them are no longer counted for the attempts of a task. All others are counted as before, from the moment of the failure on.

--- a/packages/jobs/src/standins/InvariantChecker.ts
+++ b/packages/jobs/src/standins/InvariantChecker.ts
@@ -6,6 +6,8 @@
   /** The owner has acknowledged the successful end. */
   doneAcknowledged: boolean
   failures: number
+  /** Failures whose ends were lost with their worker before an owner had acknowledged them. */
+  lostFailures: number
 }
 
 /**
@@ -48,8 +50,9 @@
     if (history.doneAcknowledged && !step.longRunning) {
       this.violations.push(`${name}: run ${run} started after the task had succeeded`)
     }
-    if (!step.longRunning && history.failures >= job.maxAttempts) {
-      this.violations.push(`${name}: run ${run} started after ${history.failures} failures`)
+    const knownFailures = history.failures - history.lostFailures
+    if (!step.longRunning && knownFailures >= job.maxAttempts) {
+      this.violations.push(`${name}: run ${run} started after ${knownFailures} failures`)
     }
     if (job.cancelledAt !== undefined && performance.now() - job.cancelledAt > CANCEL_GRACE_MS) {
       this.violations.push(`${name}: started long after its job was cancelled`)
@@ -87,6 +90,11 @@
     return spec?.gang === true ? spec.count : 1
   }
 
+  /** Records that a worker has crashed with an end that no owner had acknowledged, so that it may not be known. */
+  recordLostEnd (name: string, reason: RunEndReason): void {
+    if (reason === 'failed') this.#history(name).lostFailures++
+  }
+
   /** Records that an end was removed from a worker's list because the owner has acknowledged it. */
   recordAcknowledgement (name: string, run: number): void {
     const history = this.#history(name)
@@ -120,7 +128,8 @@
         running: new Map(),
         doneRun: undefined,
         doneAcknowledged: false,
-        failures: 0
+        failures: 0,
+        lostFailures: 0
       })
     }
     return history
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -124,6 +124,7 @@
       this.#gangs.leave(run)
     }
     this.runs.clear()
+    for (const { key, reason } of this.ended) this.#checker.recordLostEnd(toTaskName(key), reason)
   }
 
   /** Checks a fencing token, and remembers the highest one. */
