--- a/packages/jobs/src/owner/CellMembers.ts
+++ b/packages/jobs/src/owner/CellMembers.ts
@@ -1,9 +1,8 @@
-import { parseJson } from '@gypsumspring/protocol'
 import { Type, type Static } from '@sinclair/typebox'
-import { Value } from '@sinclair/typebox/value'
 import { Instant, measureLongestElapsed } from '../instant/index.ts'
 import { CONTROL_TABLE } from '../ownership/index.ts'
 import type { Commit, StoredRow } from '../ports.ts'
+import { decodeRow } from '../records/index.ts'
 
 const MEMBERS_KEY = 'members'
 
@@ -90,7 +89,7 @@
   /** Whether there are stored followers, and all have promised not to take the cell over now. */
   get hasAllPromises (): boolean {
     // A node that finds no names allows this owner no renewals during an outage.
-    if (this.#stored === undefined || this.#storedCount === undefined || this.#storedCount === 0) return false
+    if (this.#stored === undefined || (this.#storedCount ?? 0) === 0) return false
     return [...this.#stored, ...this.#promises.keys()].every((node) => {
       const promise = this.#promises.get(node)
       return promise?.token === this.#token && measureLongestElapsed(promise.since) < promise.durationMs
@@ -121,7 +120,6 @@
 }
 
 function decodeMembers (rows: readonly StoredRow[]): Static<typeof MembersRow> {
-  const value = rows.find(({ key }) => key === MEMBERS_KEY)?.value
-  const row = value === undefined ? undefined : parseJson(value)
-  return Value.Check(MembersRow, row) ? row : { token: 0, nodes: [] }
+  const row = rows.find(({ key }) => key === MEMBERS_KEY)
+  return decodeRow(MembersRow, row?.value) ?? { token: 0, nodes: [] }
 }
--- a/packages/jobs/src/owner/DrainRecord.ts
+++ b/packages/jobs/src/owner/DrainRecord.ts
@@ -1,12 +1,8 @@
-import { parseJson } from '@gypsumspring/protocol'
 import { Type } from '@sinclair/typebox'
-import { Value } from '@sinclair/typebox/value'
-import { CONTROL_TABLE } from '../ownership/index.ts'
 import type { Commit, StoredRow } from '../ports.ts'
 import type { StoreClock } from '../storeClock/StoreClock.ts'
 import type { Cell } from './Cell.ts'
-
-const DRAINING_KEY = 'draining'
+import { ControlRow } from './ControlRow.ts'
 
 /** Ids of the draining workers, with the time on the store's clock at which they leave, in ms. */
 const DrainingRow = Type.Array(Type.Tuple([Type.String(), Type.Number()]))
@@ -18,6 +14,7 @@
 export class DrainRecord {
   readonly #cell: Cell
   readonly #clock: StoreClock
+  readonly #row: ControlRow<typeof DrainingRow>
   /** Time on the store's clock at which each draining worker leaves, in ms. */
   readonly #leavesAt = new Map<string, number>()
   #isChanged = false
@@ -25,15 +22,12 @@
   constructor (cell: Cell, clock: StoreClock) {
     this.#cell = cell
     this.#clock = clock
+    this.#row = new ControlRow('draining', DrainingRow, 'draining workers', cell.log)
   }
 
   /** Reads the record of earlier owners from the rows of `CONTROL_TABLE`. */
   restore (rows: readonly StoredRow[]): void {
-    const value = rows.find(({ key }) => key === DRAINING_KEY)?.value
-    if (value === undefined) return
-    const row = parseJson(value)
-    if (Value.Check(DrainingRow, row)) for (const [id, leavesAt] of row) this.#leavesAt.set(id, leavesAt)
-    else this.#cell.log.warn({}, 'record of draining workers is malformed')
+    for (const [id, leavesAt] of this.#row.read(rows) ?? []) this.#leavesAt.set(id, leavesAt)
   }
 
   /**
@@ -64,7 +58,6 @@
     if (!this.#isChanged) return []
     this.#isChanged = false
     for (const id of this.#leavesAt.keys()) if (!this.#cell.workers.has(id)) this.#leavesAt.delete(id)
-    const value = Buffer.from(JSON.stringify([...this.#leavesAt]))
-    return [{ table: CONTROL_TABLE, key: DRAINING_KEY, value }]
+    return this.#row.toWrites([...this.#leavesAt])
   }
 }
--- a/packages/jobs/src/owner/LostWorkerRecords.ts
+++ b/packages/jobs/src/owner/LostWorkerRecords.ts
@@ -1,8 +1,7 @@
-import { parseJson } from '@gypsumspring/protocol'
 import { Type, type Static } from '@sinclair/typebox'
-import { Value } from '@sinclair/typebox/value'
 import { CONTROL_TABLE } from '../ownership/index.ts'
 import type { Commit, RowAddress, StoredRow } from '../ports.ts'
+import { decodeRow } from '../records/index.ts'
 import type { StoreClock } from '../storeClock/StoreClock.ts'
 import { Demand, type WorkerEntry } from '../types.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
@@ -81,10 +80,10 @@
     return rows.flatMap(({ key, value }) => {
       if (!key.startsWith(KEY_PREFIX)) return []
       const id = key.slice(KEY_PREFIX.length)
-      const row = value === undefined ? undefined : parseJson(value)
+      const row = decodeRow(LostWorkerRow, value)
       this.#recorded.add(id)
       if (!isTrusted) this.#untrusted.add(id)
-      if (!Value.Check(LostWorkerRow, row)) {
+      if (row === undefined) {
         this.#cell.log.warn({ worker: id }, 'record of a lost worker is malformed')
         this.#untrusted.add(id)
         return []
--- a/packages/jobs/src/owner/TakeoverRecord.ts
+++ b/packages/jobs/src/owner/TakeoverRecord.ts
@@ -1,12 +1,8 @@
-import { parseJson } from '@gypsumspring/protocol'
 import { Type, type Static } from '@sinclair/typebox'
-import { Value } from '@sinclair/typebox/value'
-import { CONTROL_TABLE } from '../ownership/index.ts'
 import type { Commit, StoredRow } from '../ports.ts'
 import type { StoreClock } from '../storeClock/StoreClock.ts'
 import type { Cell } from './Cell.ts'
-
-const TAKEOVERS_KEY = 'takeovers'
+import { ControlRow } from './ControlRow.ts'
 
 /** Most takeovers that are kept. With more of them, every second one is dropped. */
 const MAX_TAKEOVERS = 32
@@ -23,23 +19,19 @@
  * earlier owners end, or never will.
  */
 export class TakeoverRecord {
-  readonly #cell: Cell
   readonly #clock: StoreClock
+  readonly #row: ControlRow<typeof TakeoversRow>
   #takeovers: Static<typeof TakeoversRow> = []
   #isChanged = false
 
   constructor (cell: Cell, clock: StoreClock) {
-    this.#cell = cell
     this.#clock = clock
+    this.#row = new ControlRow('takeovers', TakeoversRow, 'takeovers', cell.log)
   }
 
   /** Reads the takeovers of earlier owners from the rows of `CONTROL_TABLE`. */
   restore (rows: readonly StoredRow[]): void {
-    const value = rows.find(({ key }) => key === TAKEOVERS_KEY)?.value
-    if (value === undefined) return
-    const row = parseJson(value)
-    if (Value.Check(TakeoversRow, row)) this.#takeovers = row
-    else this.#cell.log.warn({}, 'record of takeovers is malformed')
+    this.#takeovers = this.#row.read(rows) ?? []
   }
 
   /**
@@ -72,6 +64,6 @@
   takeWrites (): Commit['puts'] {
     if (!this.#isChanged) return []
     this.#isChanged = false
-    return [{ table: CONTROL_TABLE, key: TAKEOVERS_KEY, value: Buffer.from(JSON.stringify(this.#takeovers)) }]
+    return this.#row.toWrites(this.#takeovers)
   }
 }
--- a/packages/jobs/src/records/index.ts
+++ b/packages/jobs/src/records/index.ts
@@ -1,4 +1,5 @@
 import { parseJson } from '@gypsumspring/protocol'
+import type { Static, TSchema } from '@sinclair/typebox'
 import { Value } from '@sinclair/typebox/value'
 import { JOB_PARTITIONS } from '../constants/index.ts'
 import { hashText } from '../hashText/index.ts'
@@ -53,6 +54,19 @@
  * @returns The job, or undefined when the bytes are not a valid job.
  */
 export function decodeJob (bytes: Uint8Array): Job | undefined {
-  const value = parseJson(bytes)
-  return Value.Check(Job, value) ? value : undefined
+  return decodeRow(Job, bytes)
+}
+
+/**
+ * Decodes the JSON value of a row.
+ *
+ * @param schema - Schema of the value.
+ * @param bytes - The bytes of the row; undefined if it does not exist.
+ * @returns The value, or undefined when the bytes are not a valid one.
+ */
+export function decodeRow<Schema extends TSchema> (
+  schema: Schema, bytes: Uint8Array | undefined
+): Static<Schema> | undefined {
+  const value = bytes === undefined ? undefined : parseJson(bytes)
+  return Value.Check(schema, value) ? value : undefined
 }
