Hold the owner's control records in one object

CellOwner had a field and a local for each of the five, and GroupCommit copied them into five fields. Workers that the registry has not listed are added in one place, for recorded ones and those of inherited runs. No behaviour changes.

--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -18,7 +18,7 @@
 import { DrainRecord } from './DrainRecord.ts'
 import { JobCleanup } from './JobCleanup.ts'
 import { Rescheduler } from './Rescheduler.ts'
-import { GroupCommit } from './GroupCommit.ts'
+import { GroupCommit, type ControlRecords } from './GroupCommit.ts'
 import { LostWorkerRecords } from './LostWorkerRecords.ts'
 import { TablePoller } from './TablePoller.ts'
 import { Placer } from './Placer.ts'
@@ -81,11 +81,7 @@
   readonly #tracker: RunTracker
   readonly #rescheduler: Rescheduler
   readonly #workerManager: WorkerManager
-  readonly #lostWorkers: LostWorkerRecords
-  readonly #members: CellMembers
-  readonly #drains: DrainRecord
-  readonly #takeovers: TakeoverRecord
-  readonly #breakers: BreakerRecord
+  readonly #control: ControlRecords
   readonly #commits: GroupCommit
   readonly #jobPoller: TablePoller
   readonly #cancelPoller: TablePoller
@@ -124,18 +120,15 @@
     this.#placer = new Placer(cell, this.#advice, breaker, (task) => this.#tracker.stop(task, 'wait'))
     this.#tracker = new RunTracker(cell, breaker, sessions, (reason) => this.#handleOwnershipLost(reason))
     this.#rescheduler = new Rescheduler(cell, this.#tracker, options.stopTimeoutMs)
-    this.#lostWorkers = new LostWorkerRecords(cell, ownership.clock)
-    this.#members = new CellMembers(ownership.token, options.node)
-    const members = this.#members
-    this.#drains = new DrainRecord(cell, ownership.clock)
-    const drains = this.#drains
-    this.#takeovers = new TakeoverRecord(cell, ownership.clock)
-    const takeovers = this.#takeovers
-    this.#breakers = new BreakerRecord(cell, ownership.clock, breaker)
-    const breakers = this.#breakers
-    this.#commits = new GroupCommit(cell, {
-      lostWorkers: this.#lostWorkers, members, drains, takeovers, breakers
-    }, ownership, {
+    this.#control = {
+      lostWorkers: new LostWorkerRecords(cell, ownership.clock),
+      members: new CellMembers(ownership.token, options.node),
+      drains: new DrainRecord(cell, ownership.clock),
+      takeovers: new TakeoverRecord(cell, ownership.clock),
+      breakers: new BreakerRecord(cell, ownership.clock, breaker)
+    }
+    const { lostWorkers, members, drains } = this.#control
+    this.#commits = new GroupCommit(cell, this.#control, ownership, {
       onStartStored: (task) => this.#tracker.start(task).catch(throwUncaught),
       onOwnershipLost: () => this.#handleOwnershipLost('another node has taken the cell over')
     }, options.linkMbps, signal)
@@ -148,7 +141,7 @@
       waitUntilStored: (worker) => this.#commits.waitUntilStored(worker),
       onFenced: () => this.#handleOwnershipLost('a worker has accepted a higher fencing token'),
       earlierLeasesEnd: () => ownership.earlierLeasesEnd ?? this.#longestLeasesEnd,
-      isRecordedAsLost: (id) => this.#lostWorkers.has(id),
+      isRecordedAsLost: (id) => lostWorkers.has(id),
       onLostWorkerFound: () => this.#commits.wake()
     })
     this.#cleanup = new JobCleanup(cell, store, options.keepEndedMs, (id) => {
@@ -179,19 +172,20 @@
     ])
     if (this.#isEnded || listed === undefined || control === undefined || progress === undefined) return
     const { predecessor } = this.#ownership
-    const followers = this.#members.readFollowers(control.rows, predecessor?.token ?? this.token - 1)
+    const { lostWorkers, members, drains, takeovers, breakers } = this.#control
+    const followers = members.readFollowers(control.rows, predecessor?.token ?? this.token - 1)
     const earlierLeasesEnd = await this.#determineEarlierLeasesEnd(followers)
     if (this.#isEnded) return
-    this.#members.restore(control.rows)
-    this.#drains.restore(control.rows)
-    this.#takeovers.restore(control.rows)
-    this.#takeovers.add(progress.version, earlierLeasesEnd)
+    members.restore(control.rows)
+    drains.restore(control.rows)
+    takeovers.restore(control.rows)
+    takeovers.add(progress.version, earlierLeasesEnd)
     this.#ownership.earlierLeasesEnd = earlierLeasesEnd
-    const lostWorkers = this.#lostWorkers.restore(control.rows, followers !== undefined, earlierLeasesEnd)
-    for (const worker of lostWorkers) this.#workerManager.addLost(worker)
+    const lost = lostWorkers.restore(control.rows, followers !== undefined, earlierLeasesEnd)
+    for (const worker of lost) this.#workerManager.addLost(worker)
     this.#restoreProgress(progress.rows)
     for (const worker of listed.workers) this.#workerManager.add(worker)
-    this.#breakers.restore(control.rows)
+    breakers.restore(control.rows)
     this.#recovered = true
     // The first leases wait for this commit.
     this.#commits.commitNow()
@@ -261,7 +255,7 @@
 
   /** Records a heartbeat of a follower. */
   recordHeartbeat (node: string, promise: TakeoverPromise | undefined): void {
-    this.#members.recordHeartbeat(node, promise)
+    this.#control.members.recordHeartbeat(node, promise)
   }
 
   /** Adds a node through which the policy service can be called. */
@@ -270,7 +264,7 @@
   }
 
   removeNode (id: string): void {
-    this.#members.remove(id)
+    this.#control.members.remove(id)
     this.#advice.removeNode(id)
   }
 
@@ -310,7 +304,7 @@
   #restoreProgress (rows: readonly StoredRow[]): void {
     for (const { key, value, version } of rows) {
       const progress = value === undefined ? undefined : decodeProgress(value)
-      const startedBy = this.#takeovers.startedBy(version)
+      const startedBy = this.#control.takeovers.startedBy(version)
       if (progress !== undefined) this.#addJob(progress.job ?? placeholderJob(key), progress, startedBy)
       else this.#dependencies.log.warn({ job: key }, 'progress record is malformed')
     }
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -60,11 +60,7 @@
 /** Stores the progress of all changed jobs in batches, one commit at a time. */
 export class GroupCommit {
   readonly #cell: Cell
-  readonly #lostWorkers: LostWorkerRecords
-  readonly #members: CellMembers
-  readonly #drains: DrainRecord
-  readonly #takeovers: TakeoverRecord
-  readonly #breakers: BreakerRecord
+  readonly #control: ControlRecords
   readonly #ownership: Ownership
   readonly #hooks: CommitHooks
   readonly #signal: AbortSignal
@@ -83,11 +79,7 @@
     cell: Cell, control: ControlRecords, ownership: Ownership, hooks: CommitHooks, linkMbps: number, signal: AbortSignal
   ) {
     this.#cell = cell
-    this.#lostWorkers = control.lostWorkers
-    this.#members = control.members
-    this.#drains = control.drains
-    this.#takeovers = control.takeovers
-    this.#breakers = control.breakers
+    this.#control = control
     this.#ownership = ownership
     this.#hooks = hooks
     this.#signal = signal
@@ -189,13 +181,11 @@
 
   #takeBatch (): Batch {
     const cell = this.#cell
+    const { lostWorkers, members, drains, takeovers, breakers } = this.#control
     // The row of the members tells the next owner that it may rely on the records of lost workers.
-    const members = this.#lostWorkers.hasUntrusted ? [] : this.#members.takeWrites()
-    const puts = [
-      ...members, ...this.#takeovers.takeWrites(), ...this.#drains.takeWrites(), ...this.#breakers.takeWrites(),
-      ...this.#lostWorkers.takeWrites()
-    ]
-    const maxRows = MAX_ROWS_PER_COMMIT - (this.#lostWorkers.hasRecords ? REMOVAL_ROWS : 0)
+    const trusted = lostWorkers.hasUntrusted ? [] : [members]
+    const puts = [...trusted, takeovers, drains, breakers, lostWorkers].flatMap((records) => records.takeWrites())
+    const maxRows = MAX_ROWS_PER_COMMIT - (lostWorkers.hasRecords ? REMOVAL_ROWS : 0)
     const batch: Batch = { puts, states: [], starts: [], endSequences: new Map(), foundWorkers: [] }
     let bytes = 0
     for (const job of this.#prioritizeDirtyJobs()) {
@@ -216,7 +206,7 @@
         if (storedEndSequence < processedEndSequence) batch.endSequences.set(worker, processedEndSequence)
       }
     }
-    batch.foundWorkers = this.#lostWorkers.takeRemovals(cell.dirty.size === 0, MAX_ROWS_PER_COMMIT - puts.length)
+    batch.foundWorkers = lostWorkers.takeRemovals(cell.dirty.size === 0, MAX_ROWS_PER_COMMIT - puts.length)
     return batch
   }
 
@@ -232,8 +222,8 @@
     for (const [worker, sequence] of batch.endSequences) {
       worker.storedEndSequence = Math.max(worker.storedEndSequence, sequence)
     }
-    this.#members.handleWritten()
-    this.#lostWorkers.handleRemoved(batch.foundWorkers)
+    this.#control.members.handleWritten()
+    this.#control.lostWorkers.handleRemoved(batch.foundWorkers)
     for (const { task, run } of batch.starts) {
       if (task.status === 'starting' && task.run === run && !task.orderSent) this.#hooks.onStartStored(task)
     }
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -100,10 +100,7 @@
    * may be reachable again.
    */
   addLost ({ entry, leaseEndsBy }: LostWorker): void {
-    const worker = new WorkerState(entry, leaseEndsBy)
-    worker.isRecordedAsLost = true
-    worker.unlistedSince = performance.now()
-    this.#dependencies.cell.workers.set(entry.id, worker)
+    const worker = this.#addUnlisted(entry, leaseEndsBy)
     if (entry.address !== '') this.#openSession(worker, entry)
   }
 
@@ -130,22 +127,24 @@
     if (this.#started) session.run().catch(throwUncaught)
   }
 
-  #createState (entry: WorkerEntry): WorkerState {
-    const worker = new WorkerState(entry, this.#context.earlierLeasesEnd())
+  /** Adds a worker that the registry has not listed to this owner. */
+  #addUnlisted (entry: WorkerEntry, leaseEndsBy?: number): WorkerState {
+    const worker = this.#createState(entry, leaseEndsBy)
+    worker.unlistedSince = performance.now()
+    this.#dependencies.cell.workers.set(entry.id, worker)
+    return worker
+  }
+
+  #createState (entry: WorkerEntry, leaseEndsBy = this.#context.earlierLeasesEnd()): WorkerState {
+    const worker = new WorkerState(entry, leaseEndsBy)
     worker.isRecordedAsLost = this.#context.isRecordedAsLost(entry.id)
     return worker
   }
 
   /** Adds a run started by an earlier owner to its worker, which may no longer be registered. */
   addInheritedRun (task: TaskInstance): void {
-    const { cell } = this.#dependencies
     const id = task.worker!
-    let worker = cell.workers.get(id)
-    if (worker === undefined) {
-      worker = this.#createState(placeholderEntry(id))
-      worker.unlistedSince = performance.now()
-      cell.workers.set(id, worker)
-    }
+    const worker = this.#dependencies.cell.workers.get(id) ?? this.#addUnlisted(placeholderEntry(id))
     worker.add(task)
   }
 
--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -174,9 +174,7 @@
    *
    * @returns What the successor needs to continue; undefined when the cell was released or the write failed.
    */
-  async transfer (
-    puts: Commit['puts'], successor?: { node: string, address: string }
-  ): Promise<Transfer | undefined> {
+  async transfer (puts: Commit['puts'], successor?: { node: string, address: string }): Promise<Transfer | undefined> {
     const current = this.#continuedRecord()
     const endedAt = this.clock.toStore(performance.now()) ?? null
     const record = successor === undefined
