--- a/packages/jobs/src/loadPatterns/drainingWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/drainingWorkers.test.ts
@@ -1,10 +1,9 @@
 import { expect } from 'chai'
 import type { Clock } from '@sinonjs/fake-timers'
-import { CONTROL_TABLE } from '../ownership/index.ts'
-import { CELL_PARTITION } from '../records/index.ts'
 import type { MemoryCell } from '../standins/index.ts'
 import { describeCells, submitInBackground } from './describeCells.ts'
 import { DISTURBED, TASKS, TASKS_PER_WORKER, countRunning, startLongRunningJob } from './longRunningJob.ts'
+import { handOver, putControlRow } from './owners.ts'
 
 /** Time from the start of a drain until the workers leave, in ms. */
 const DRAIN_MS = 6_000
@@ -29,13 +28,6 @@
   return DISTURBED.reduce((count, id) => count + cell.workers.workers.get(id)!.runs.size, 0)
 }
 
-/** Transfers the cell to another node. */
-async function handOver (cell: MemoryCell, clock: Clock): Promise<void> {
-  const handover = cell.owner!.cellNode.resign()
-  await clock.tickAsync(200)
-  await handover
-}
-
 describeCells('Workers that drain while the owner changes', [
   {
     // A new owner counted the time until they leave from its own takeover, so that they left with their tasks.
@@ -139,8 +131,7 @@
       await startLongRunningJob(cell, clock)
       drainWorkers(cell)
       await clock.tickAsync(1_000)
-      const puts = [{ table: CONTROL_TABLE, key: 'draining', value: Buffer.from('[["w0",null]]') }]
-      cell.rows.apply({ partition: CELL_PARTITION, expected: [], puts, removes: [] })
+      putControlRow(cell, 'draining', '[["w0",null]]')
       cell.killNode(cell.owner!.name)
       await clock.tickAsync(2_000)
       expect(countOnDraining(cell)).to.equal(DISTURBED.length * TASKS_PER_WORKER)
--- a/packages/jobs/src/loadPatterns/failingWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/failingWorkers.test.ts
@@ -1,9 +1,8 @@
 import { expect } from 'chai'
 import type { Clock } from '@sinonjs/fake-timers'
-import { CONTROL_TABLE } from '../ownership/index.ts'
-import { CELL_PARTITION } from '../records/index.ts'
 import type { MemoryCell, MemoryNode, PlanRunEnd } from '../standins/index.ts'
 import { describeCells, submitInBackground } from './describeCells.ts'
+import { putControlRow } from './owners.ts'
 
 /** Worker on which runs fail. */
 const FAILING = 'w0'
@@ -89,8 +88,7 @@
     run: async (cell, clock) => {
       const openUntilAt = cell.rows.nowMs + 20_000
       const row = [['w0', openUntilAt, 20_000], ['w1', openUntilAt, 20_000]]
-      const puts = [{ table: CONTROL_TABLE, key: 'breakers', value: Buffer.from(JSON.stringify(row)) }]
-      cell.rows.apply({ partition: CELL_PARTITION, expected: [], puts, removes: [] })
+      putControlRow(cell, 'breakers', JSON.stringify(row))
       cell.killNode(cell.owner!.name)
       await clock.tickAsync(2_000)
       for (let index = 0; index < 8; index++) submitJob(cell, index)
@@ -104,8 +102,7 @@
     options: { ...OPTIONS, planRunEnd: unknown.planRunEnd },
     run: async (cell, clock) => {
       await submitJobs(cell, clock, OWNED_MS)
-      const puts = [{ table: CONTROL_TABLE, key: 'breakers', value: Buffer.from('[["w0",null]]') }]
-      cell.rows.apply({ partition: CELL_PARTITION, expected: [], puts, removes: [] })
+      putControlRow(cell, 'breakers', '[["w0",null]]')
       cell.killNode(cell.owner!.name)
       await clock.tickAsync(3_000)
       const startsBefore = cell.checker.starts
--- a/packages/jobs/src/loadPatterns/isolatedOwner.test.ts
+++ b/packages/jobs/src/loadPatterns/isolatedOwner.test.ts
@@ -1,11 +1,9 @@
 import { expect } from 'chai'
 import type { Clock } from '@sinonjs/fake-timers'
-import { CONTROL_TABLE } from '../ownership/index.ts'
-import { CELL_PARTITION } from '../records/index.ts'
 import type { MemoryCell } from '../standins/index.ts'
 import { describeCells } from './describeCells.ts'
 import { TASK, startLongRunningTask } from './longRunningJob.ts'
-import { delayRecovery, findOwner, waitForOwner } from './owners.ts'
+import { delayRecovery, findOwner, handOver, putControlRow, waitForOwner } from './owners.ts'
 
 /** Isolates nodes together with a worker: neither reaches any other worker or node. */
 function isolate (cell: MemoryCell, nodes: Iterable<string>, worker: string): void {
@@ -28,9 +26,7 @@
   {
     name: 'a handover by the second owner',
     change: async (cell, clock) => {
-      const handover = findOwner(cell)!.cellNode.resign()
-      await clock.tickAsync(200)
-      await handover
+      await handOver(cell, clock, findOwner(cell)!)
     }
   },
   {
@@ -197,13 +193,8 @@
       cell.reachesWorker = (_node, id) => id !== entry.id
       const { id, pool, address, failureDomain, capacity, labels } = entry
       const record = { leasesEndAt: cell.rows.nowMs, pool, address, failureDomain, capacity, labels }
-      const rows = {
-        owner: { node, address: node, token: 2, sequence: 5, released: false },
-        [`lost-worker/${id}`]: record
-      }
-      const puts = Object.entries(rows).map(([key, row]) =>
-        ({ table: CONTROL_TABLE, key, value: Buffer.from(JSON.stringify(row)) }))
-      cell.rows.apply({ partition: CELL_PARTITION, expected: [], puts, removes: [] })
+      putControlRow(cell, 'owner', JSON.stringify({ node, address: node, token: 2, sequence: 5, released: false }))
+      putControlRow(cell, `lost-worker/${id}`, JSON.stringify(record))
       await clock.tickAsync(20_000)
       expect(cell.checker.violations).to.deep.equal([])
       expect(cell.checker.starts).to.equal(2)
--- a/packages/jobs/src/loadPatterns/lostWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/lostWorkers.test.ts
@@ -6,7 +6,7 @@
 import type { MemoryCell } from '../standins/index.ts'
 import { describeCells } from './describeCells.ts'
 import { DISTURBED, TASKS, countRunning, startLongRunningJob } from './longRunningJob.ts'
-import { delayRecovery, waitForOwner } from './owners.ts'
+import { delayRecovery, handOver, waitForOwner } from './owners.ts'
 
 /**
  * Time after the last disturbance in which a long-running task must run again if there is room, in ms. The operators
@@ -201,9 +201,7 @@
       loseWorkers(cell)
       for (let change = 0; change < 3; change++) {
         await clock.tickAsync(2_500)
-        const handover = cell.owner!.cellNode.resign()
-        await clock.tickAsync(200)
-        await handover
+        await handOver(cell, clock)
       }
       expect(countRunning(cell)).to.equal(TASKS)
     }
--- a/packages/jobs/src/loadPatterns/overdueTasks.test.ts
+++ b/packages/jobs/src/loadPatterns/overdueTasks.test.ts
@@ -1,9 +1,8 @@
 import { expect } from 'chai'
 import type { Clock } from '@sinonjs/fake-timers'
-import { CONTROL_TABLE } from '../ownership/index.ts'
-import { CELL_PARTITION } from '../records/index.ts'
 import type { MemoryCell, MemoryNode, PlanRunEnd } from '../standins/index.ts'
 import { describeCells, fetchState, submitInBackground } from './describeCells.ts'
+import { putControlRow } from './owners.ts'
 
 const JOB = '00000000000000a1'
 
@@ -100,8 +99,7 @@
     options: { planRunEnd: planRuns(undefined, ESTIMATED_MS) },
     run: async (cell, clock) => {
       await submit(cell, clock, OWNED_MS)
-      const puts = [{ table: CONTROL_TABLE, key: 'takeovers', value: Buffer.from('{}') }]
-      cell.rows.apply({ partition: CELL_PARTITION, expected: [], puts, removes: [] })
+      putControlRow(cell, 'takeovers', '{}')
       await changeOwners(cell, clock, 1, ({ name }) => cell.killNode(name))
       await clock.tickAsync(10_000)
       expect(await fetchState(cell, clock, JOB)).to.equal('completed')
