Give reads in the test of slow transfers a timeout above pauses of the process

Cause: the read of 0.5 s had a timeout of 250 ms, which also covers the first connection of the process and the code that it loads. With the failure printed and six copies of the file on one core, 14 of 18 reads ended with 'timed out after 250 ms'; on an idle machine 9 of 9 succeeded. The client is right to give up when nothing has arrived within its timeout.

The timeout is 1 s and the transfer 2 s, so that the transfer still takes twice the timeout, which is what the test is about.

--- a/packages/adapters/src/connectPlatform/test.ts
+++ b/packages/adapters/src/connectPlatform/test.ts
@@ -25,7 +25,9 @@
   afterEach(async () => { await platform.close() })
 
   describe('a read whose transfer over a slow link takes longer than the timeout', () => {
-    const size = 400_000
+    // A stalled machine must not count as a stalled transfer: the timeout is far above pauses of the test process.
+    const storeTimeoutMs = 1_000
+    const size = 1_600_000
     const put = { checks: [], writes: [{ kind: 'put' as const, key: 'a', value: 'x'.repeat(size) }] }
     const reads: Array<{ name: string, read: () => Promise<{ isRight: () => boolean }> }> = [
       { name: 'an object', read: () => platform.objects.get('large') },
@@ -38,7 +40,7 @@
         await server.objects.put('large', new Uint8Array(size))
         await server.table.transact(put)
         const link = new LinkProxy(new URL(server.url).host)
-        platform = connectPlatform({ platformUrl: `http://${await link.listen()}`, storeTimeoutMs: 250 })
+        platform = connectPlatform({ platformUrl: `http://${await link.listen()}`, storeTimeoutMs })
         link.setRate(800_000)
         expect((await read()).isRight()).to.equal(true)
         await link.close()
