Log what tells the causes of a waiting or stalled task apart

The line about a waiting step counted six causes as `unavailable` and three as `suspect`, did not tell whether its request for advice waited for a node or for an answer, and nothing was logged of tasks that are starting or being stopped.

The case of countObstacles' test for `unavailable` is replaced by one for each cause.

--- a/packages/jobs/src/model/AdviceState.ts
+++ b/packages/jobs/src/model/AdviceState.ts
@@ -9,13 +9,18 @@
   readonly #tickets = new Map<string, Ticket>()
   readonly #allowed = new Map<string, boolean>()
   #allowedCount = 0
-  /** A request for advice is waiting or in flight. */
-  pending = false
+  /** The request for advice that waits or is in flight, with monotonic times in ms; undefined when there is none. */
+  request: { requestedAt: number, sentAt?: number, node?: string } | undefined
   /** Monotonic time before which advice is not requested again, in ms; set after a failed call. */
   notBefore = 0
   /** Monotonic time at which the newest tickets expire, in ms; 0 before the first answer. */
   validUntil = 0
 
+  /** A request for advice is waiting or in flight. */
+  get pending (): boolean {
+    return this.request !== undefined
+  }
+
   /** Number of workers that the policy is known to allow. */
   get allowedCount (): number {
     return this.#allowedCount
--- a/packages/jobs/src/owner/AdviceDispatcher.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.ts
@@ -110,7 +110,7 @@
   }
 
   #enqueue (request: AdviceRequest): void {
-    request.step.advice.pending = true
+    request.step.advice.request = { requestedAt: this.#cell.now() }
     this.#queue.push(request)
     this.#dispatch()
   }
@@ -118,7 +118,7 @@
   #dispatch (): void {
     this.#queue = this.#queue.filter((request) => {
       const unneeded = request.step.job.isOver || request.step.job.cancelled
-      if (unneeded) request.step.advice.pending = false
+      if (unneeded) request.step.advice.request = undefined
       return !unneeded
     })
     this.#queue.sort((a, b) => Number(a.ahead) - Number(b.ahead) ||
@@ -150,6 +150,7 @@
     state.openCalls++
     state.slowCalls += slowCount
     const sentAt = this.#cell.now()
+    Object.assign(step.advice.request!, { sentAt, node: state.node.id })
     const stepKey: Pick<TaskKey, 'job' | 'occurrence' | 'step'> = {
       job: step.job.id,
       occurrence: step.occurrence,
@@ -160,7 +161,7 @@
     )
     state.openCalls--
     state.slowCalls -= slowCount
-    step.advice.pending = false
+    step.advice.request = undefined
     const now = this.#cell.now()
     this.#cell.metrics.recordDuration('advice_time', now - sentAt)
     outcome.caseOf({
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -20,6 +20,7 @@
 import { Rescheduler } from './Rescheduler.ts'
 import { GroupCommit, type ControlRecords } from './GroupCommit.ts'
 import { LostWorkerRecords } from './LostWorkerRecords.ts'
+import { StalledOrderLog } from './StalledOrderLog.ts'
 import { TablePoller } from './TablePoller.ts'
 import { Placer } from './Placer.ts'
 import { RunTracker } from './RunTracker.ts'
@@ -80,6 +81,7 @@
   readonly #placer: Placer
   readonly #tracker: RunTracker
   readonly #rescheduler: Rescheduler
+  readonly #stalledOrders: StalledOrderLog
   readonly #workerManager: WorkerManager
   readonly #control: ControlRecords
   readonly #commits: GroupCommit
@@ -133,11 +135,13 @@
       onOwnershipLost: () => this.#handleOwnershipLost('another node has taken the cell over')
     }, options.linkMbps, signal)
     const tracker = this.#tracker
+    const mayRenewLeases = () => ownership.mayGrantLeases && (ownership.unconfirmedMs < RENEWAL_GRACE_MS ||
+      (ownership.unconfirmedMs < STORE_OUTAGE_GRACE_MS && members.hasAllPromises))
+    this.#stalledOrders = new StalledOrderLog(cell, { hasSession: (id) => sessions.has(id), mayRenewLeases })
     this.#workerManager = new WorkerManager({ ...dependencies, cell, tracker, breaker, drains, sessions, signal }, {
       token: ownership.token,
       leaseMs: chooseLeaseMs(options.leaseLimitMs),
-      mayRenewLeases: () => ownership.mayGrantLeases && (ownership.unconfirmedMs < RENEWAL_GRACE_MS ||
-        (ownership.unconfirmedMs < STORE_OUTAGE_GRACE_MS && members.hasAllPromises)),
+      mayRenewLeases,
       waitUntilStored: (worker) => this.#commits.waitUntilStored(worker),
       onFenced: () => this.#handleOwnershipLost('a worker has accepted a higher fencing token'),
       earlierLeasesEnd: () => ownership.earlierLeasesEnd ?? this.#longestLeasesEnd,
@@ -427,6 +431,7 @@
     for (const job of this.cell.active) if (job.spec.occurrences > 0) this.#openDueOccurrences(job)
     this.#workerManager.tick(now)
     this.#rescheduler.tick(now)
+    this.#stalledOrders.tick(now)
     this.#advice.tick()
     this.#requestPlacement()
     this.cell.metrics.set('jobs_active', this.cell.active.size)
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -74,7 +74,9 @@
       if (blocked === undefined) continue
       const workers = pools.get(pool) ?? []
       this.#waitLog.record(blocked, workers, {
-        ...this.#workerChecks(blocked), reservedFor: (worker) => (this.#reserved.get(worker) ?? worker.claim)?.step
+        ...this.#workerChecks(blocked),
+        findHealthObstacle: (worker) => this.#breaker.findObstacle(worker.id, blocked),
+        reservedFor: (worker) => (this.#reserved.get(worker) ?? worker.claim)?.step
       }, now)
       this.#handleBlocked(blocked, workers, candidates, now)
       if (lateness === 0 && preemptionAttempts < MAX_PREEMPTION_ATTEMPTS) {
--- a/packages/jobs/src/owner/WaitLog.test.ts
+++ b/packages/jobs/src/owner/WaitLog.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import type { AdviceState } from '../model/AdviceState.ts'
 import type { StepInstance } from '../model/index.ts'
 import { makeStep, makeWorker, NOW } from '../placement/_test/makeState.ts'
 import { WaitLog } from './WaitLog.ts'
@@ -6,7 +7,9 @@
 /** Interval between the rounds of the cases, in ms. */
 const ROUND_MS = 50
 const KEEPER = makeStep()
-const CHECKS = { isHealthy: () => true, isReserved: () => true, reservedFor: () => KEEPER }
+const CHECKS = {
+  isHealthy: () => true, findHealthObstacle: () => undefined, isReserved: () => true, reservedFor: () => KEEPER
+}
 
 describe('WaitLog', () => {
   const cases: Array<{ name: string, steps: () => StepInstance[], durationMs: number, lines: number }> = [
@@ -19,6 +22,28 @@
       lines: 10
     }
   ]
+  const requests: Array<{ name: string, request: AdviceState['request'], fields: Record<string, unknown> }> = [
+    {
+      name: 'tells how long a request for advice waits for a node',
+      request: { requestedAt: NOW },
+      fields: { adviceQueuedMs: 2_000 }
+    },
+    {
+      name: 'tells which node has not answered a call for advice',
+      request: { requestedAt: NOW, sentAt: NOW + 500, node: 'n1' },
+      fields: { adviceOpenMs: 1_500, adviceNode: 'n1' }
+    }
+  ]
+  for (const { name, request, fields } of requests) {
+    it(name, () => {
+      const written: Array<Record<string, unknown>> = []
+      const log = new WaitLog({ info: (line) => written.push(line), warn: () => {} })
+      const step = makeStep()
+      step.advice.request = request
+      log.record(step.tasks[0]!, [makeWorker('w')], CHECKS, NOW + 2_000)
+      expect(written[0]).to.include(fields)
+    })
+  }
   for (const { name, steps, durationMs, lines } of cases) {
     it(name, () => {
       const written: Array<Record<string, unknown>> = []
--- a/packages/jobs/src/owner/WaitLog.ts
+++ b/packages/jobs/src/owner/WaitLog.ts
@@ -13,7 +13,8 @@
 /** Most steps that a line names in `reservedFor`. */
 const MAX_RESERVED_FOR = 3
 
-interface WorkerChecks extends Pick<Parameters<typeof countObstacles>[2], 'isHealthy' | 'isReserved'> {
+interface WorkerChecks extends Pick<Parameters<typeof countObstacles>[2], 'findHealthObstacle' | 'isReserved'> {
+  isHealthy: (worker: WorkerState) => boolean
   /** The step that a reserved worker is kept for. */
   reservedFor: (worker: WorkerState) => StepInstance | undefined
 }
@@ -45,11 +46,21 @@
       waitedMs: Math.round(now - since),
       workers: workers.length,
       obstacles,
+      ...describeRequest(step, now),
       ...obstacles.reserved === undefined ? {} : { reservedFor: nameKeepers(task, workers, checks, now) }
     }, 'step waits for a worker')
   }
 }
 
+/** How long the step's request for advice has waited for a node, or for which node's answer. */
+function describeRequest ({ advice: { request } }: StepInstance, now: number) {
+  if (request === undefined) return {}
+  const { requestedAt, sentAt, node } = request
+  return sentAt === undefined
+    ? { adviceQueuedMs: Math.round(now - requestedAt) }
+    : { adviceOpenMs: Math.round(now - sentAt), adviceNode: node }
+}
+
 /** Names the steps for which workers are kept that the task could use otherwise. */
 function nameKeepers (
   task: TaskInstance, workers: readonly WorkerState[], { isHealthy, isReserved, reservedFor }: WorkerChecks, now: number
--- a/packages/jobs/src/owner/WorkerCircuitBreaker.ts
+++ b/packages/jobs/src/owner/WorkerCircuitBreaker.ts
@@ -1,4 +1,5 @@
 import type { TaskInstance } from '../model/index.ts'
+import type { HealthObstacle } from '../placement/countObstacles/index.ts'
 
 /** Number of different jobs with failed tasks since the last success after which the breaker of a worker opens. */
 const FAILURE_THRESHOLD = 2
@@ -107,12 +108,17 @@
    * its last success.
    */
   mayStart (worker: string, task: TaskInstance): boolean {
+    return this.findObstacle(worker, task) === undefined
+  }
+
+  /** What keeps a task off a worker, if `mayStart` is false. */
+  findObstacle (worker: string, task: TaskInstance): HealthObstacle | undefined {
     const state = this.#states.get(worker)
-    if (state === undefined) return true
-    if (state.openUntil > performance.now()) return false
-    if (state.tripped && state.probe?.isAssigned === true && state.probe.worker === worker) return false
+    if (state === undefined) return undefined
+    if (state.openUntil > performance.now()) return 'breakerOpen'
+    if (state.tripped && state.probe?.isAssigned === true && state.probe.worker === worker) return 'probed'
     const isLastAttempt = !task.step.spec.longRunning && task.failures + 1 >= task.step.job.definition.queue.maxAttempts
-    return !isLastAttempt || state.failedJobs.size === 0
+    return isLastAttempt && state.failedJobs.size > 0 ? 'lastAttempt' : undefined
   }
 
   /** Whether tasks have failed on some worker since its last success. */
--- a/packages/jobs/src/placement/countObstacles/index.ts
+++ b/packages/jobs/src/placement/countObstacles/index.ts
@@ -3,14 +3,25 @@
 import { fitsWhenEmpty } from '../fitsWhenEmpty/index.ts'
 
 /** What keeps a task off a worker. */
-export type Obstacle = 'unavailable' | 'unsuitable' | 'notAllowed' | 'failedOn' | 'stepLimit' | 'noRoom' | 'suspect' |
-  'reserved' | 'notAsked' | 'ticketExpired'
+export type Obstacle = Unavailability | 'unsuitable' | 'notAllowed' | 'failedOn' | 'stepLimit' | 'noRoom' |
+  HealthObstacle | 'reserved' | 'notAsked' | 'ticketExpired'
+
+/** Why a worker accepts no tasks at all. */
+type Unavailability = 'draining' | 'unlisted' | 'notPolled' | 'unreachable' | 'recordedAsLost' | 'unownedRuns'
+
+/**
+ * What keeps a task off a worker with recent failures:
+ * - `breakerOpen`: the cooldown of its breaker lasts.
+ * - `probed`: another task runs there as a probe.
+ * - `lastAttempt`: a task has failed there since the last success, and this one has a single attempt left.
+ */
+export type HealthObstacle = 'breakerOpen' | 'probed' | 'lastAttempt'
 
 interface Options {
   /** Monotonic time, in ms. */
   now: number
-  /** Whether the worker's recent failures let the task start there. */
-  isHealthy: (worker: WorkerState) => boolean
+  /** What keeps the task off the worker because of its recent failures, if anything does. */
+  findHealthObstacle: (worker: WorkerState) => HealthObstacle | undefined
   /** Whether the worker is kept free for another task. */
   isReserved: (worker: WorkerState) => boolean
 }
@@ -37,23 +48,32 @@
 }
 
 function findObstacle (
-  task: TaskInstance, worker: WorkerState, tasksOfStep: number, { now, isHealthy, isReserved }: Options
+  task: TaskInstance, worker: WorkerState, tasksOfStep: number, { now, findHealthObstacle, isReserved }: Options
 ): Obstacle | undefined {
   const { step } = task
   const { maxPerWorker } = step.spec
-  if (!worker.acceptsTasks) return 'unavailable'
+  if (!worker.acceptsTasks) return findUnavailability(worker)
   if (!fitsWhenEmpty(step, worker)) return 'unsuitable'
   if (needsTicket(step) && step.advice.isAllowed(worker.id) === false) return 'notAllowed'
   if (task.failedOn.has(worker.id)) return 'failedOn'
   if (maxPerWorker > 0 && tasksOfStep >= maxPerWorker) return 'stepLimit'
   if (!worker.hasRoom(step.spec)) return 'noRoom'
-  if (!isHealthy(worker)) return 'suspect'
+  const healthObstacle = findHealthObstacle(worker)
+  if (healthObstacle !== undefined) return healthObstacle
   if (isReserved(worker)) return 'reserved'
   if (!needsTicket(step)) return undefined
   if (step.advice.isAllowed(worker.id) === undefined) return 'notAsked'
   return step.advice.ticket(worker.id, now) === undefined ? 'ticketExpired' : undefined
 }
 
+function findUnavailability (worker: WorkerState): Unavailability {
+  if (worker.entry.draining) return 'draining'
+  if (worker.unlistedSince !== undefined) return 'unlisted'
+  if (!worker.hasAnswered) return 'notPolled'
+  if (!worker.reachable) return 'unreachable'
+  return worker.isRecordedAsLost ? 'recordedAsLost' : 'unownedRuns'
+}
+
 function needsTicket ({ job }: StepInstance): boolean {
   return job.definition.queue.advice !== undefined
 }
--- a/packages/jobs/src/placement/countObstacles/test.ts
+++ b/packages/jobs/src/placement/countObstacles/test.ts
@@ -3,7 +3,7 @@
 import type { Step } from '../../types.ts'
 import type { WorkerState } from '../../workers/WorkerState.ts'
 import { makeStep, makeWorker, NOW } from '../_test/makeState.ts'
-import { countObstacles, type Obstacle } from './index.ts'
+import { countObstacles, type HealthObstacle, type Obstacle } from './index.ts'
 
 const advice = { decisionMs: 10, perWorkerMs: 1, validMs: 2_000 }
 
@@ -21,15 +21,36 @@
     /** Default: one that accepts tasks and is empty. */
     worker?: () => WorkerState,
     prepare?: (task: TaskInstance) => void,
-    isHealthy?: boolean,
+    healthObstacle?: HealthObstacle,
     isReserved?: boolean,
     obstacle: Obstacle | undefined
   }> = [
     { name: 'counts no worker that can take the task', obstacle: undefined },
+    { name: 'counts draining workers', worker: () => makeWorker('w', { draining: true }), obstacle: 'draining' },
     {
-      name: 'counts workers that accept no tasks',
-      worker: () => makeWorker('w', { draining: true }),
-      obstacle: 'unavailable'
+      name: 'counts workers that the registry does not list',
+      worker: () => makeWorker('w', {}, { unlistedSince: NOW }),
+      obstacle: 'unlisted'
+    },
+    {
+      name: 'counts workers that have not answered this owner yet',
+      worker: () => makeWorker('w', {}, { hasAnswered: false, reachable: false }),
+      obstacle: 'notPolled'
+    },
+    {
+      name: 'counts workers that do not answer any more',
+      worker: () => makeWorker('w', {}, { reachable: false }),
+      obstacle: 'unreachable'
+    },
+    {
+      name: 'counts workers that are recorded as lost',
+      worker: () => makeWorker('w', {}, { isRecordedAsLost: true }),
+      obstacle: 'recordedAsLost'
+    },
+    {
+      name: 'counts workers with runs that no job owns',
+      worker: () => makeWorker('w', {}, { hasUnownedRuns: true }),
+      obstacle: 'unownedRuns'
     },
     {
       name: 'counts workers without the required label',
@@ -53,7 +74,7 @@
       obstacle: 'stepLimit'
     },
     { name: 'counts workers without room', worker: makeFullWorker, obstacle: 'noRoom' },
-    { name: 'counts workers with recent failures', isHealthy: false, obstacle: 'suspect' },
+    { name: 'counts workers with recent failures', healthObstacle: 'breakerOpen', obstacle: 'breakerOpen' },
     { name: 'counts workers that are kept for other tasks', isReserved: true, obstacle: 'reserved' },
     {
       name: 'counts workers that the policy service was not asked about',
@@ -68,18 +89,18 @@
     {
       name: 'counts a worker with several obstacles for the one that lasts longest',
       worker: makeFullWorker,
-      isHealthy: false,
+      healthObstacle: 'breakerOpen',
       isReserved: true,
       obstacle: 'noRoom'
     }
   ]
-  for (const { name, step, worker, prepare, isHealthy = true, isReserved = false, obstacle } of cases) {
+  for (const { name, step, worker, prepare, healthObstacle, isReserved = false, obstacle } of cases) {
     it(name, () => {
       const queue = obstacle === 'notAllowed' || obstacle === 'notAsked' || obstacle === 'ticketExpired' ? { advice } : {}
       const task = makeStep(step, queue).tasks[0]!
       prepare?.(task)
       const counts = countObstacles(task, [(worker ?? (() => makeWorker('w')))()], {
-        now: NOW, isHealthy: () => isHealthy, isReserved: () => isReserved
+        now: NOW, findHealthObstacle: () => healthObstacle, isReserved: () => isReserved
       })
       expect(counts).to.deep.equal(obstacle === undefined ? {} : { [obstacle]: 1 })
     })
