Let no request for advice wait for more urgent ones for ever

Cause: requests for advice waited for a node in strict order of priority. A gang that waits for room on more workers asks again as soon as it is answered, since some worker could take one of its members. With one such gang more than there are nodes for slow calls (two gangs with 2 nodes, three with 4, five with 6) a freed node always has a more urgent request to take. Each round the less urgent step finds its request pending; its tickets have expired.

A request that has waited for 1.5 s now comes before all younger ones, by age. So each gets a node in a bounded time: after the requests that are older. One made ahead of room is overdue like any other; it kept the step from asking for itself.

The three cases of adviceQueue.test.ts fail before this change.

--- /dev/null
+++ b/packages/jobs/src/loadPatterns/adviceQueue.test.ts
@@ -0,0 +1,49 @@
+import { expect } from 'chai'
+import { done, sleep } from '@gypsumspring/protocol'
+import type { Adviser } from '../ports.ts'
+import { createQueue, createTicket, TICKET_VALID_MS } from '../standins/index.ts'
+import { describeCells, submitInBackground } from './describeCells.ts'
+
+/** Time that the policy service takes for a call, in ms. It handles one call at a time for each node. */
+const ADVICE_MS = 400
+
+/** Time in which a task must start for which there is room, in ms. */
+const MAX_WAIT_MS = 3_000
+
+const capacity = { cpuMillis: 64_000, memoryMb: 131_072, accelerators: 8 }
+const advice = { decisionMs: ADVICE_MS, perWorkerMs: 0, validMs: TICKET_VALID_MS }
+const matching = createQueue('matching', { priority: 1, stretch: 2.2, targetLatencyMs: 1_000, advice })
+const scoring = createQueue('scoring', { priority: 2, stretch: 4, targetLatencyMs: 3_000, advice })
+const WHOLE_WORKER = { cpuMillis: 31_000, memoryMb: 81_000, accelerators: 8 }
+const ONE_ACCELERATOR = { cpuMillis: 5_600, memoryMb: 11_000, accelerators: 1 }
+
+const GANG = '00000000000000a'
+const SINGLE = '00000000000000b2'
+
+class OneCallAdviser implements Adviser {
+  #freeAt = 0
+
+  async advise ({ job }: { job: string }, workers: string[]): ReturnType<Adviser['advise']> {
+    this.#freeAt = Math.max(this.#freeAt, performance.now()) + ADVICE_MS
+    await sleep(this.#freeAt - performance.now())
+    const allowed = job.startsWith(GANG) ? workers.filter((worker) => worker === 'w0') : workers
+    return done({ tickets: allowed.map((worker): [string, string] => [worker, createTicket(TICKET_VALID_MS)]) })
+  }
+}
+
+describeCells('Steps that wait for advice', [2, 4, 6].map((nodes) => ({
+  // Gangs that could not start asked again without a pause, and less urgent steps were never asked about.
+  name: `get it although more urgent gangs wait for room, with ${nodes} nodes`,
+  options: { nodes, workers: 3, capacity, createAdviser: () => new OneCallAdviser() },
+  run: async (cell, clock) => {
+    for (let index = 0; index < nodes; index++) {
+      submitInBackground(cell, `${GANG}${index}`, [
+        { count: 2, gang: true, demand: WHOLE_WORKER, estimatedRunMs: 4_000 }
+      ], matching)
+    }
+    await clock.tickAsync(2_000)
+    submitInBackground(cell, SINGLE, [{ demand: ONE_ACCELERATOR, estimatedRunMs: 4_000 }], scoring)
+    await clock.tickAsync(MAX_WAIT_MS)
+    expect(cell.checker.countRunning(`${SINGLE}.0.0.0`)).to.equal(1)
+  }
+})))
--- a/packages/jobs/src/owner/AdviceDispatcher.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.ts
@@ -22,6 +22,8 @@
   expectedMs: number
   /** The tickets are for workers that have no room yet, so the call may wait for others. */
   ahead: boolean
+  /** Monotonic time of the request, in ms. */
+  requestedAt: number
 }
 
 interface NodeState {
@@ -43,6 +45,12 @@
 /** Most fast calls in flight on one node; more would only wait in the queue of the service. */
 const MAX_FAST_CALLS_PER_NODE = 2
 
+/**
+ * Time after which a queued request comes before more urgent ones, in ms. Steps that wait for room ask again as soon as
+ * they are answered, so that those of urgent queues could take all nodes for good.
+ */
+const MAX_QUEUED_MS = 1_500
+
 /** Added to the expected duration of a call to get its timeout, in ms. */
 const TIMEOUT_MARGIN_MS = 600
 
@@ -60,7 +68,8 @@
 
 /**
  * Distributes calls to the policy service over the nodes. The service processes one call at a time per calling machine,
- * so requests are queued here by priority until a node is free, and a share of the nodes is reserved for fast calls.
+ * so requests are queued here by priority and, after a time, by age until a node is free. A share of the nodes is
+ * reserved for fast calls.
  */
 export class AdviceDispatcher {
   readonly #cell: Cell
@@ -109,9 +118,10 @@
     this.#enqueue({ step, timing, workers: named, expectedMs, ahead: true })
   }
 
-  #enqueue (request: AdviceRequest): void {
-    request.step.advice.request = { requestedAt: this.#cell.now() }
-    this.#queue.push(request)
+  #enqueue (request: Omit<AdviceRequest, 'requestedAt'>): void {
+    const requestedAt = this.#cell.now()
+    request.step.advice.request = { requestedAt }
+    this.#queue.push({ ...request, requestedAt })
     this.#dispatch()
   }
 
@@ -121,7 +131,9 @@
       if (unneeded) request.step.advice.request = undefined
       return !unneeded
     })
-    this.#queue.sort((a, b) => Number(a.ahead) - Number(b.ahead) ||
+    const overdueBefore = this.#cell.now() - MAX_QUEUED_MS
+    for (const request of this.#queue) if (request.requestedAt < overdueBefore) request.ahead = false
+    this.#queue.sort((a, b) => compareOverdue(a, b, overdueBefore) || Number(a.ahead) - Number(b.ahead) ||
       a.step.job.definition.queue.priority - b.step.job.definition.queue.priority)
     this.#queue = this.#queue.filter((request) => {
       const state = this.#chooseNode(request)
@@ -205,6 +217,11 @@
   }
 }
 
+/** Orders requests made before a time by age, and before all others. */
+function compareOverdue (a: AdviceRequest, b: AdviceRequest, overdueBefore: number): number {
+  return Math.min(a.requestedAt, overdueBefore) - Math.min(b.requestedAt, overdueBefore)
+}
+
 function expectDuration (timing: AdviceTiming, workers: number): number {
   return timing.decisionMs + timing.perWorkerMs * workers
 }
