Reserve no workers for gangs that have too few of them

The gang has three members that take a whole worker each, and the policy allows it two of ten workers.

Cause: a step that waits for room gets a worker reserved in each round, and a gang with too few workers waits for good. A worker that it could use is kept from the moment that any task runs there until the last of them has ended, in each round anew.

Now a gang gets a reservation only if its workers would hold all its members when nothing else ran there. Workers that the policy has not decided on yet count.

The new case of reservedWorker.test.ts fails before this change (the second small task waits). Not changed: reservations for gangs that can start once others have ended, which are what reservations are for.

--- a/packages/jobs/src/loadPatterns/reservedWorker.test.ts
+++ b/packages/jobs/src/loadPatterns/reservedWorker.test.ts
@@ -36,6 +36,24 @@
       expect(cell.checker.countRunning(`${FIRST}.0.0.1`), 'next large task').to.equal(1)
     }
   },
+  {
+    // A gang that too few workers are left for kept the small tasks off a worker with room for them.
+    name: 'is not kept for a gang that has too few workers',
+    options: { ...options, workers: 2 },
+    run: async (cell, clock) => {
+      const first = [{ count: 2, demand: SMALL, estimatedRunMs: 2 * LARGE_RUN_MS, maxPerWorker: 1 }]
+      submitInBackground(cell, FIRST, first, scoring)
+      await clock.tickAsync(500)
+      submitInBackground(cell, SECOND, [
+        { count: 3, gang: true, demand: WHOLE_WORKER, estimatedRunMs: LARGE_RUN_MS }
+      ], matching)
+      await clock.tickAsync(RESERVED_AFTER_MS)
+      const third = [{ count: 2, demand: SMALL, estimatedRunMs: LARGE_RUN_MS, maxPerWorker: 1 }]
+      submitInBackground(cell, THIRD, third, scoring)
+      await clock.tickAsync(500)
+      for (const task of [0, 1]) expect(cell.checker.countRunning(`${THIRD}.0.0.${task}`), `task ${task}`).to.equal(1)
+    }
+  },
   {
     name: 'takes no small tasks that would keep the large one waiting',
     options,
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -4,6 +4,7 @@
 import { chooseFailureDomain } from '../placement/chooseFailureDomain/index.ts'
 import { chooseReservation } from '../placement/chooseReservation/index.ts'
 import { computeKeptRoom } from '../placement/computeKeptRoom/index.ts'
+import { hasWorkersForGang } from '../placement/hasWorkersForGang/index.ts'
 import { orderSteps } from '../placement/orderSteps/index.ts'
 import type { Demand, Step } from '../types.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
@@ -218,6 +219,8 @@
     const { advice } = step.job.definition.queue
     if (advice !== undefined && !step.advice.pending) this.#requestAdvice(task, workers, candidates, now)
     if (now - task.waitingSince < RESERVE_AFTER_MS || this.#reserved.size >= workers.length * MAX_RESERVED_SHARE) return
+    // Room that is kept for a gang too large for its workers is of no use to anyone.
+    if (step.spec.gang && !hasWorkersForGang(step, workers)) return
     const candidate = chooseReservation(step, workers, this.#reserved)
     if (candidate === undefined) return
     this.#reserved.set(candidate, { step, keptRoom: computeKeptRoom(step, candidate, now) })
