Ask for advice only when a ticket is all that a task lacks

A gang that waits for room made calls to the policy service one after the other, 25 in 10 s with calls of 0.4 s, and took one node for slow calls for itself. With a few such gangs the calls of all other steps waited for theirs.

Cause: a step asked again whenever some worker could take one of its tasks apart from tickets. For a gang that is so while it waits for other workers, also with valid tickets for this one. The same holds for a task that waits until it may go back to a worker with recent failures.

Now a step asks if a worker could take the task that it has no valid ticket for.

--- a/packages/jobs/src/loadPatterns/adviceQueue.test.ts
+++ b/packages/jobs/src/loadPatterns/adviceQueue.test.ts
@@ -20,10 +20,13 @@
 const GANG = '00000000000000a'
 const SINGLE = '00000000000000b2'
 
+let calls = 0
+
 class OneCallAdviser implements Adviser {
   #freeAt = 0
 
   async advise ({ job }: { job: string }, workers: string[]): ReturnType<Adviser['advise']> {
+    calls++
     this.#freeAt = Math.max(this.#freeAt, performance.now()) + ADVICE_MS
     await sleep(this.#freeAt - performance.now())
     const allowed = job.startsWith(GANG) ? workers.filter((worker) => worker === 'w0') : workers
@@ -31,6 +34,24 @@
   }
 }
 
+/** Time over which calls are counted, in ms, and the longest time that a ticket is not used before it expires. */
+const COUNTED_MS = 10_000
+const TICKET_RENEWAL_MS = 500
+
+describeCells('A gang that waits for room', [
+  {
+    // It asked again as soon as it was answered, and took a node's time from other steps.
+    name: 'asks for advice only before its tickets expire',
+    options: { nodes: 4, workers: 3, capacity, createAdviser: () => new OneCallAdviser() },
+    run: async (cell, clock) => {
+      calls = 0
+      submitInBackground(cell, `${GANG}0`, [{ count: 2, gang: true, demand: WHOLE_WORKER }], matching)
+      await clock.tickAsync(COUNTED_MS)
+      expect(calls).to.be.within(2, Math.ceil(COUNTED_MS / (TICKET_VALID_MS - TICKET_RENEWAL_MS)))
+    }
+  }
+])
+
 describeCells('Steps that wait for advice', [2, 4, 6].map((nodes) => ({
   // Gangs that could not start asked again without a pause, and less urgent steps were never asked about.
   name: `get it although more urgent gangs wait for room, with ${nodes} nodes`,
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -226,12 +226,14 @@
     this.#reserved.set(candidate, { step, keptRoom: computeKeptRoom(step, candidate, now) })
   }
 
-  /** Requests advice if some worker could take the task now, apart from tickets, and otherwise renews its tickets. */
+  /** Requests advice if only a ticket keeps the task off some worker now, and otherwise renews its tickets. */
   #requestAdvice (
     task: TaskInstance, workers: readonly WorkerState[], candidates: readonly WorkerState[], now: number
   ): void {
     const { step } = task
-    const possible = chooseWorker(task, candidates, {
+    // A gang may have tickets for workers that could each take one of its members, and wait for others.
+    const withoutTicket = candidates.filter(({ id }) => step.advice.ticket(id, now + TICKET_MARGIN_MS) === undefined)
+    const possible = chooseWorker(task, withoutTicket, {
       ...this.#workerChecks(task),
       isHealthy: ({ id }) => this.#breaker.mayStart(id, task) || this.#breaker.mayProbe(id),
       now,
