Count the wait of a task for workers with recent failures through starts of others

Cause: the wait was counted from the first round in which the task could have been started on such a worker at once, and began anew with each round in which it could not. For 1 s after each start there no other may follow, so that the tasks of failing jobs, whose own wait is not interrupted, took all starts. An expired ticket interrupted the wait too.

Now the wait goes on while some worker would take the task but for failures, tickets and the time since the last start there.

The two new cases of hopelessJob.test.ts fail before this change. Tasks that have failed themselves are not affected: they count from their last run.

--- a/packages/jobs/src/loadPatterns/hopelessJob.test.ts
+++ b/packages/jobs/src/loadPatterns/hopelessJob.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { createQueue, MemoryCell } from '../standins/index.ts'
+import { createQueue, MemoryCell, TICKET_VALID_MS } from '../standins/index.ts'
 import { describeCells, fetchState, submitInBackground } from './describeCells.ts'
 
 /** Prefix of the ids of hopeless jobs. */
@@ -14,6 +14,31 @@
     : { reason: 'done', afterMs: 300 }
 }
 
+/** Less urgent than sound jobs, so that these come first when a worker may get a task. */
+const HOPELESS_QUEUE = createQueue('batch', { priority: 5, maxAttempts: 4 })
+
+/** Time that a task with one worker waits at most, in ms: 2 s since that has failures, and 1 s since its last start. */
+const MAX_WAIT_MS = 3_500
+
+describeCells('A sound job beside hopeless ones on its only worker', [
+  { name: 'without a policy', queue: createQueue('batch') },
+  {
+    name: 'with tickets that expire meanwhile',
+    queue: createQueue('batch', { advice: { decisionMs: 20, perWorkerMs: 0, validMs: TICKET_VALID_MS } })
+  }
+].map(({ name, queue }) => ({
+  // The wait of a task that had not failed itself began anew with each start of another one, and with expired tickets.
+  name: `starts after a short wait, ${name}`,
+  options: { ...failHopeless, workers: 1 },
+  run: async (cell, clock) => {
+    for (let index = 0; index < 8; index++) submitInBackground(cell, `${HOPELESS}${index}`, [{}], HOPELESS_QUEUE)
+    await clock.tickAsync(4_000)
+    submitInBackground(cell, SOUND, [{}], queue)
+    await clock.tickAsync(MAX_WAIT_MS)
+    expect(cell.checker.isDone(`${SOUND}.0.0.0`) || cell.checker.countRunning(`${SOUND}.0.0.0`) > 0).to.equal(true)
+  }
+})))
+
 describeCells('A hopeless job alone in the cell', [
   {
     // The last attempt waited for ever for a worker without failures, which no other job could show to be healthy.
--- a/packages/jobs/src/model/TrackedJob.ts
+++ b/packages/jobs/src/model/TrackedJob.ts
@@ -32,7 +32,10 @@
   readonly failedOn = new Set<string>()
   /** How often a run was stopped to make room for a more urgent task. */
   preemptions = 0
-  /** Monotonic time since which only workers with recent failures could take the task, in ms; undefined otherwise. */
+  /**
+   * Monotonic time since which only workers with recent failures could take the task, in ms; undefined otherwise, and
+   * not used for tasks that have failed themselves.
+   */
   heldBackSince: number | undefined
   /**
    * The run was stored by an earlier owner. The first poll of the worker fences that owner's orders, so its report
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -199,16 +199,15 @@
     task: TaskInstance, workers: readonly WorkerState[], now: number, rack?: string
   ): WorkerState | undefined {
     if (!this.#breaker.hasSuspects) return undefined
-    const worker = chooseWorker(task, workers, {
-      ...this.#workerChecks(task),
-      isHealthy: ({ id }) => this.#breaker.mayProbe(id),
-      now: now + TICKET_MARGIN_MS,
-      rack
-    })
-    task.heldBackSince = worker === undefined ? undefined : task.heldBackSince ?? now
-    if (task.heldBackSince === undefined) return undefined
-    const since = task.failures > 0 ? task.waitingSince : task.heldBackSince
-    return now - since >= RETRY_SAME_WORKER_MS ? worker : undefined
+    const checks = { ...this.#workerChecks(task), now: now + TICKET_MARGIN_MS, rack }
+    let since: number | undefined = task.waitingSince
+    if (task.failures === 0) {
+      // Tickets expire and other tasks start meanwhile, which must not let the wait begin anew.
+      const held = chooseWorker(task, workers, { ...checks, isHealthy: () => true, ignoreTickets: true })
+      since = task.heldBackSince = held === undefined ? undefined : task.heldBackSince ?? now
+    }
+    if (since === undefined || now - since < RETRY_SAME_WORKER_MS) return undefined
+    return chooseWorker(task, workers, { ...checks, isHealthy: ({ id }) => this.#breaker.mayProbe(id) })
   }
 
   /** Requests advice for a step whose task found no worker, and reserves a worker when the task has waited long. */
