--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -4,6 +4,7 @@
 import { chooseFailureDomain } from '../placement/chooseFailureDomain/index.ts'
 import { chooseReservation } from '../placement/chooseReservation/index.ts'
 import { computeKeptRoom } from '../placement/computeKeptRoom/index.ts'
+import { hasWorkersForGang } from '../placement/hasWorkersForGang/index.ts'
 import { orderSteps } from '../placement/orderSteps/index.ts'
 import type { Demand, Step } from '../types.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
@@ -74,7 +75,9 @@
       if (blocked === undefined) continue
       const workers = pools.get(pool) ?? []
       this.#waitLog.record(blocked, workers, {
-        ...this.#workerChecks(blocked), reservedFor: (worker) => (this.#reserved.get(worker) ?? worker.claim)?.step
+        ...this.#workerChecks(blocked),
+        findHealthObstacle: (worker) => this.#breaker.findObstacle(worker.id, blocked),
+        reservedFor: (worker) => (this.#reserved.get(worker) ?? worker.claim)?.step
       }, now)
       this.#handleBlocked(blocked, workers, candidates, now)
       if (lateness === 0 && preemptionAttempts < MAX_PREEMPTION_ATTEMPTS) {
@@ -196,16 +199,15 @@
     task: TaskInstance, workers: readonly WorkerState[], now: number, rack?: string
   ): WorkerState | undefined {
     if (!this.#breaker.hasSuspects) return undefined
-    const worker = chooseWorker(task, workers, {
-      ...this.#workerChecks(task),
-      isHealthy: ({ id }) => this.#breaker.mayProbe(id),
-      now: now + TICKET_MARGIN_MS,
-      rack
-    })
-    task.heldBackSince = worker === undefined ? undefined : task.heldBackSince ?? now
-    if (task.heldBackSince === undefined) return undefined
-    const since = task.failures > 0 ? task.waitingSince : task.heldBackSince
-    return now - since >= RETRY_SAME_WORKER_MS ? worker : undefined
+    const checks = { ...this.#workerChecks(task), now: now + TICKET_MARGIN_MS, rack }
+    let since: number | undefined = task.waitingSince
+    if (task.failures === 0) {
+      // Tickets expire and other tasks start meanwhile, which must not let the wait begin anew.
+      const held = chooseWorker(task, workers, { ...checks, isHealthy: () => true, ignoreTickets: true })
+      since = task.heldBackSince = held === undefined ? undefined : task.heldBackSince ?? now
+    }
+    if (since === undefined || now - since < RETRY_SAME_WORKER_MS) return undefined
+    return chooseWorker(task, workers, { ...checks, isHealthy: ({ id }) => this.#breaker.mayProbe(id) })
   }
 
   /** Requests advice for a step whose task found no worker, and reserves a worker when the task has waited long. */
@@ -216,17 +218,21 @@
     const { advice } = step.job.definition.queue
     if (advice !== undefined && !step.advice.pending) this.#requestAdvice(task, workers, candidates, now)
     if (now - task.waitingSince < RESERVE_AFTER_MS || this.#reserved.size >= workers.length * MAX_RESERVED_SHARE) return
+    // Room that is kept for a gang too large for its workers is of no use to anyone.
+    if (step.spec.gang && !hasWorkersForGang(step, workers)) return
     const candidate = chooseReservation(step, workers, this.#reserved)
     if (candidate === undefined) return
     this.#reserved.set(candidate, { step, keptRoom: computeKeptRoom(step, candidate, now) })
   }
 
-  /** Requests advice if some worker could take the task now, apart from tickets, and otherwise renews its tickets. */
+  /** Requests advice if only a ticket keeps the task off some worker now, and otherwise renews its tickets. */
   #requestAdvice (
     task: TaskInstance, workers: readonly WorkerState[], candidates: readonly WorkerState[], now: number
   ): void {
     const { step } = task
-    const possible = chooseWorker(task, candidates, {
+    // A gang may have tickets for workers that could each take one of its members, and wait for others.
+    const withoutTicket = candidates.filter(({ id }) => step.advice.ticket(id, now + TICKET_MARGIN_MS) === undefined)
+    const possible = chooseWorker(task, withoutTicket, {
       ...this.#workerChecks(task),
       isHealthy: ({ id }) => this.#breaker.mayStart(id, task) || this.#breaker.mayProbe(id),
       now,
