--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -246,6 +246,7 @@
   /** Changes the registry entry of a worker. */
   update (id: string, changes: Partial<WorkerEntry>): void {
     const worker = this.workers.get(id)!
+    if (changes.capacity !== undefined) this.checker.recordCapacityChange(id, worker.entry.capacity)
     worker.entry = { ...worker.entry, ...changes }
     this.#recordChange(id)
   }
