Send no start order to a worker that has shrunk below its tasks

A worker's capacity may shrink while it runs, and some workers start whatever they are told. Callers see a worker over its capacity, which harms all tasks on it.

A task is assigned while the worker has room. Its order is sent once the assignment is stored, and repeated until it is answered; neither looked at the capacity again. With a commit that takes 6 s, or an order that goes unanswered for 5 s, the order went out seconds after the shrunk capacity was known.

Before each order the owner now compares what is assigned to the worker with its capacity. If that is exceeded, it gives the start up: a task whose order was never sent waits again, one whose order may have arrived is stopped first, and a gang as a whole. What is assigned includes runs that are being stopped, and the task itself, so that it takes as many starts back as it needs to.

--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -2,7 +2,7 @@
 import { ORDER_RETRY_MS } from '../constants/index.ts'
 import type { TrackedJob, TaskInstance } from '../model/index.ts'
 import type { EndedRun, RunningTask, TaskKey, WorkerReport } from '../types.ts'
-import type { WorkerState } from '../workers/WorkerState.ts'
+import { NO_DEMAND, type WorkerState } from '../workers/WorkerState.ts'
 import type { Cell } from './Cell.ts'
 import { FillerPacer } from './FillerPacer.ts'
 import type { WorkerSession } from './WorkerSession.ts'
@@ -69,6 +69,11 @@
         this.#abortStart(task, uncertain)
         return
       }
+      if (this.#isOverCapacity(task)) {
+        this.#cell.metrics.count('starts_over_capacity')
+        this.#abortStart(task, uncertain)
+        return
+      }
       const outcome = await session.start({
         key: task.key, run, payload: task.step.job.spec.payload, checkpoint: task.checkpoint, ticket: task.ticket
       })
@@ -182,6 +187,11 @@
     if (step.spec.gang) this.#stopGang(step.tasks)
   }
 
+  /** Whether the task's worker has shrunk below what is assigned to it, since the task was assigned. */
+  #isOverCapacity ({ worker, step }: TaskInstance): boolean {
+    return this.#cell.workers.get(worker!)?.hasRoom({ demand: NO_DEMAND, fills: step.spec.fills }) === false
+  }
+
   /** Sets the newest ticket for the task's worker. Returns false when a ticket is required and none is valid. */
   #refreshTicket (task: TaskInstance): boolean {
     if (task.step.job.definition.queue.advice === undefined) return true
