Place tasks on workers that have none of a resource

Where a worker has no memory or no processors, the cost of placing a task there was 0 / 0, which is not a number and never the least. A task that needs nothing of that resource waited for ever although it had room. The new case failed before: none of three tasks started.

--- a/packages/jobs/src/loadPatterns/changingCapacity.test.ts
+++ b/packages/jobs/src/loadPatterns/changingCapacity.test.ts
@@ -281,7 +281,9 @@
   { name: 'no processors', capacity: { cpuMillis: 0, memoryMb: 4_000, accelerators: 0 }, memoryMb: 100, starts: 0 },
   { name: 'a fraction less than a task needs', capacity: { cpuMillis: 999.9, memoryMb: 4_000, accelerators: 0 }, memoryMb: 100, starts: 0 },
   { name: 'a fraction more than two tasks need', capacity: { cpuMillis: 2_000.5, memoryMb: 4_000, accelerators: 0 }, memoryMb: 100, starts: 2 },
-  { name: 'a fraction of an accelerator', capacity: { cpuMillis: 2_000, memoryMb: 4_000, accelerators: 0.5 }, memoryMb: 100, starts: 2 }
+  { name: 'a fraction of an accelerator', capacity: { cpuMillis: 2_000, memoryMb: 4_000, accelerators: 0.5 }, memoryMb: 100, starts: 2 },
+  // The cost of such a worker was not a number, so that it was never chosen.
+  { name: 'no memory for tasks that need none', capacity: { cpuMillis: 4_000, memoryMb: 0, accelerators: 0 }, memoryMb: 0, starts: 3 }
 ].map(({ name, capacity, memoryMb, starts }) => ({
   name: `gets the tasks that fit with ${name}`,
   options: { workers: 1, capacity: ofProcessors(4) },
--- a/packages/jobs/src/placement/chooseWorker/index.ts
+++ b/packages/jobs/src/placement/chooseWorker/index.ts
@@ -109,8 +109,8 @@
 function computeCost (step: StepInstance, worker: WorkerState): number {
   const { spec } = step
   const { capacity, labels } = worker.entry
-  const freeCpu = (unclaimedCpuMillis(worker) - spec.demand.cpuMillis) / capacity.cpuMillis
-  const freeMemory = (capacity.memoryMb - worker.usedMemoryMb - spec.demand.memoryMb) / capacity.memoryMb
+  const freeCpu = toShare(unclaimedCpuMillis(worker) - spec.demand.cpuMillis, capacity.cpuMillis)
+  const freeMemory = toShare(capacity.memoryMb - worker.usedMemoryMb - spec.demand.memoryMb, capacity.memoryMb)
   let cost = spec.fills ? -freeCpu : Math.max(freeCpu, 0) + freeMemory
   if (!spec.longRunning) cost += SLOWDOWN_WEIGHT * (worker.slowdown - 1)
   if (step.failureDomain !== undefined && step.failureDomain !== worker.entry.failureDomain) cost += OTHER_DOMAIN_COST
@@ -121,3 +121,8 @@
   }
   return cost
 }
+
+/** Share of a capacity that some resources are; 0 of a capacity of 0. */
+function toShare (resources: number, capacity: number): number {
+  return capacity > 0 ? resources / capacity : 0
+}
