Count no room on workers over a resource that a step doesn't need

countRoom orders the workers that a call for advice names. A worker over its accelerators, after it has shrunk, takes no task, but for a step without accelerators its processors counted as room, and it was named before workers that can take the task. By reading, with 30 such workers that the policy allows, a step may name only these in each call; no run has shown that. The new case failed before: 5 instead of 0.

--- a/packages/jobs/src/placement/countRoom/index.ts
+++ b/packages/jobs/src/placement/countRoom/index.ts
@@ -23,5 +23,6 @@
 }
 
 function countFits (free: number, demand: number): number {
-  return demand > 0 ? Math.floor(free / demand) : Infinity
+  if (demand > 0) return Math.floor(free / demand)
+  return free < 0 ? 0 : Infinity
 }
--- a/packages/jobs/src/placement/test.ts
+++ b/packages/jobs/src/placement/test.ts
@@ -5,6 +5,7 @@
 import { makeStep, makeWorker, NOW } from './_test/makeState.ts'
 import { chooseFailureDomain } from './chooseFailureDomain/index.ts'
 import { chooseWorker } from './chooseWorker/index.ts'
+import { countRoom } from './countRoom/index.ts'
 import { selectAdviceCandidates } from './selectAdviceCandidates/index.ts'
 import { orderSteps } from './orderSteps/index.ts'
 import { computeFillerPace } from './computeFillerPace/index.ts'
@@ -178,6 +179,21 @@
   })
 })
 
+describe('countRoom', () => {
+  const cases: Array<{ name: string, used: Partial<Step>, room: number }> = [
+    { name: 'counts what fits beside the tasks of a worker', used: { demand: demand(6_000) }, room: 2 },
+    { name: 'counts nothing on a worker over its processors', used: { demand: demand(9_000) }, room: 0 },
+    // Such a worker was named in calls for advice before those that could take the task.
+    { name: 'counts nothing on a worker over a resource of which the task needs none', used: { demand: demand(1_000, 100, 2) }, room: 0 }
+  ]
+  for (const { name, used, room } of cases) {
+    it(name, () => {
+      const worker = occupy(makeWorker('w0'), used)
+      expect(countRoom(makeStep({ count: 5, demand: demand(1_000) }), worker, 0)).to.equal(room)
+    })
+  }
+})
+
 describe('orderSteps', () => {
   it('orders by priority, then by whether the objective can still be met, then by due time', () => {
     const lost = makeStep({}, { name: 'lost' }, NOW - 60_000)
