Change capacities in random histories of faults

A third variant of the seeded fault histories changes the capacity of a worker with each event; the other variants draw the same faults as before.

--- a/packages/jobs/src/node/faults.test.ts
+++ b/packages/jobs/src/node/faults.test.ts
@@ -20,12 +20,14 @@
   readonly #random: SeededRandom
   /** Apart from the other faults, which are therefore the same with and without an inventory. */
   readonly #inventoryRandom: SeededRandom
+  readonly #capacityRandom: SeededRandom
   #jobs = 0
   #workers = 8
 
   constructor (seed: number, hasInventory: boolean) {
     this.#random = new SeededRandom(seed)
     this.#inventoryRandom = new SeededRandom(seed)
+    this.#capacityRandom = new SeededRandom(seed)
     this.cell = new MemoryCell({ nodes: 3, workers: 8, hasInventory, planRunEnd: (key) => this.#chooseOutcome(key) })
   }
 
@@ -40,6 +42,22 @@
     inventory.latencyMs = random.pick([10, 200])
   }
 
+  /** Changes the capacity of a worker, half of the time to one that is too small for some tasks. */
+  changeCapacity (): void {
+    const random = this.#capacityRandom
+    const worker = random.pick([...this.cell.workers.workers.values()].filter(({ alive }) => alive))
+    if (worker !== undefined) this.#setCapacity(worker, random.pick([0, 1.5, 4, 8, 16, 16]))
+  }
+
+  restoreCapacities (): void {
+    for (const worker of this.cell.workers.workers.values()) if (worker.alive) this.#setCapacity(worker, 16)
+  }
+
+  #setCapacity ({ entry }: MemoryWorker, processors: number): void {
+    const capacity = { cpuMillis: processors * 1_000, memoryMb: processors * 2_048, accelerators: 0 }
+    this.cell.workers.update(entry.id, { capacity })
+  }
+
   async runRandomEvent (): Promise<void> {
     const events = [
       () => this.#submit(),
@@ -142,8 +160,14 @@
   }
 }
 
-for (const hasInventory of [false, true]) {
-  describe(`a cell under overlapping faults ${hasInventory ? 'with' : 'without'} an inventory of machines`, () => {
+const variants = [
+  { name: 'without an inventory of machines', hasInventory: false, hasChangingCapacity: false },
+  { name: 'with an inventory of machines', hasInventory: true, hasChangingCapacity: false },
+  { name: 'with workers whose capacity changes', hasInventory: false, hasChangingCapacity: true }
+]
+
+for (const { name: variant, hasInventory, hasChangingCapacity } of variants) {
+  describe(`a cell under overlapping faults ${variant}`, () => {
     let clock: Clock
     beforeEach(() => { clock = install() })
     afterEach(() => clock.uninstall())
@@ -155,9 +179,11 @@
         if (hasInventory) scenario.disturbInventory()
         for (let now = 0; now < FAULT_PHASE_MS; now += EVENT_INTERVAL_MS) {
           await scenario.runRandomEvent()
+          if (hasChangingCapacity) scenario.changeCapacity()
           await clock.tickAsync(EVENT_INTERVAL_MS)
         }
         scenario.clearFaults()
+        if (hasChangingCapacity) scenario.restoreCapacities()
         await clock.tickAsync(RECOVERY_MS)
         expect(cell.checker.violations).to.deep.equal([])
         const states = [...scenario.accepted].map(async (id) => [id, await cell.show(id)] as const)
