--- a/packages/jobs/src/node/RemoteAdviser.ts
+++ b/packages/jobs/src/node/RemoteAdviser.ts
@@ -3,7 +3,7 @@
 import { decodeRelayed } from './relayedCalls.ts'
 
 /** Time allowed for the RPC to the other node, on top of that for the advice, in ms. */
-const RPC_OVERHEAD_MS = 200
+export const RPC_OVERHEAD_MS = 200
 
 /** Asks the policy service for advice through another node. */
 export class RemoteAdviser implements Adviser {
