Send no start orders while the worker registry doesn't answer

An owner whose reads of the registry fail doesn't learn that a worker has shrunk. After an outage of the store, assignments were stored, and their orders sent, before the registry was read again: the worker was over its capacity 6 s after it had shrunk.

Orders now wait while the last answer of the registry is older than 3 s. Then the capacity is compared as before each order. A partial outage in which the registry is unavailable and the owner's partition is not stops all starts, for capacities may change unseen.

The new case failed before: a start over the capacity.

--- a/packages/jobs/src/loadPatterns/changingCapacity.test.ts
+++ b/packages/jobs/src/loadPatterns/changingCapacity.test.ts
@@ -58,6 +58,17 @@
   return () => { isDelayed = false }
 }
 
+/** Delays reads of the registry that are sent from now on. */
+function delayRegistry (cell: MemoryCell, delayMs: number): void {
+  const { workers } = cell
+  const changes = workers.changes.bind(workers)
+  workers.changes = async (...args) => {
+    workers.changes = changes
+    await sleep(delayMs)
+    return await changes(...args)
+  }
+}
+
 /** Lets start orders to a worker have no effect. Returns a function that ends the fault. */
 function loseStartOrders (cell: MemoryCell, worker: string): () => void {
   const target = cell.workers.workers.get(worker)!
@@ -115,6 +126,26 @@
       expect(await fetchState(cell, clock, SECOND)).to.equal('completed')
     }
   },
+  {
+    // After an outage of the store, assignments were stored before the registry was read again.
+    name: 'gets no task while the owner may not know that it has shrunk',
+    options: { ...oneWorker, capacity: ofProcessors(2) },
+    run: async (cell, clock) => {
+      await occupy(cell, clock, 1)
+      const endDelay = delayProgress(cell, 5_500)
+      delayRegistry(cell, 7_000)
+      submitInBackground(cell, SECOND, [{}])
+      await clock.tickAsync(300)
+      resize(cell, 'w0', 1)
+      await clock.tickAsync(5_300)
+      endDelay()
+      await clock.tickAsync(1_000)
+      expect(isRunning(cell, FIRST)).to.equal(true)
+      expect(isRunning(cell, SECOND)).to.equal(false)
+      await clock.tickAsync(6_000)
+      expect(await fetchState(cell, clock, SECOND)).to.equal('completed')
+    }
+  },
   {
     name: 'gets no task whose start order went unanswered until after it had shrunk',
     options: { ...oneWorker, capacity: ofProcessors(2) },
--- a/packages/jobs/src/owner/Cell.ts
+++ b/packages/jobs/src/owner/Cell.ts
@@ -16,6 +16,8 @@
   /** Jobs that have not ended. */
   readonly active = new Set<TrackedJob>()
   readonly workers = new Map<string, WorkerState>()
+  /** Monotonic time of the last answer of the worker registry, in ms. */
+  registryReadAt = -Infinity
   /** Jobs whose progress differs from the stored record. */
   readonly dirty = new Set<TrackedJob>()
   readonly log: LogWriter
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -8,6 +8,12 @@
 import type { WorkerSession } from './WorkerSession.ts'
 import type { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
 
+/**
+ * Age of the last answer of the worker registry beyond which start orders wait, in ms: a worker may have shrunk since.
+ * The registry usually answers each second.
+ */
+const MAX_REGISTRY_AGE_MS = 3_000
+
 /** Weight of a new observation in the moving average of a worker's slowdown. */
 const SLOWDOWN_SMOOTHING = 0.2
 
@@ -64,6 +70,11 @@
     while (isCurrent()) {
       const session = this.#sessions.get(workerId!)
       if (session === undefined) return
+      if (this.#cell.now() - this.#cell.registryReadAt > MAX_REGISTRY_AGE_MS) {
+        this.#cell.metrics.count('starts_delayed', { reason: 'registry' })
+        await sleep(ORDER_RETRY_MS)
+        continue
+      }
       if (!this.#refreshTicket(task)) {
         this.#cell.metrics.count('tickets_expired')
         this.#abortStart(task, uncertain)
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -73,6 +73,7 @@
   /** Starts the sessions and follows the registry from a version on. */
   async run (version: number): Promise<void> {
     this.#started = true
+    this.#dependencies.cell.registryReadAt = performance.now()
     await Promise.all([
       ...[...this.#dependencies.sessions.values()].map((session) => session.run()), this.#watchRegistry(version)
     ])
@@ -193,7 +194,7 @@
   }
 
   async #watchRegistry (from: number): Promise<void> {
-    const { registry, signal } = this.#dependencies
+    const { cell, registry, signal } = this.#dependencies
     let version = from
     while (!signal.aborted) {
       const outcome = await registry.changes(version, REGISTRY_WAIT_MS)
@@ -202,6 +203,7 @@
         version = changes.version
         for (const worker of changes.workers) this.add(worker)
         for (const id of changes.removed) this.#markUnlisted(id)
+        cell.registryReadAt = performance.now()
         continue
       }
       await sleep(REGISTRY_RETRY_DELAY_MS)
@@ -216,6 +218,7 @@
     const present = new Set(listed.workers.map(({ id }) => id))
     for (const worker of listed.workers) this.add(worker)
     for (const id of cell.workers.keys()) if (!present.has(id)) this.#markUnlisted(id)
+    cell.registryReadAt = performance.now()
     return listed.version
   }
 
