Close RPC connections without traffic

When a connection goes silent for good, its client replaces it, but the server keeps its end: nothing arrives there any more, also no end of the connection, so that each such event leaves a socket for the life of the process. Found by reading; no process was seen to run out of sockets.

A server now closes a connection after 90 s without traffic. Clients close unused ones after 30 s while no call is pending, so that no call meets a connection that the server is closing.

Both new tests failed before: the server kept 2 connections instead of 1, and an unused one stayed open.

--- a/packages/protocol/src/rpc/RpcClient.ts
+++ b/packages/protocol/src/rpc/RpcClient.ts
@@ -4,7 +4,8 @@
 import type { Static } from '@sinclair/typebox'
 import type { MethodTable, rpcMethods } from '../rpcMessages/index.ts'
 import {
-  CONNECT_TIMEOUT_MS, DEFAULT_CALL_TIMEOUT_MS, INVALID_PARAMS, MAX_TIMEOUT_EXTENSION_MS, METHOD_NOT_FOUND
+  CONNECT_TIMEOUT_MS, DEFAULT_CALL_TIMEOUT_MS, IDLE_CONNECTION_MS, INVALID_PARAMS, MAX_TIMEOUT_EXTENSION_MS,
+  METHOD_NOT_FOUND
 } from './constants/index.ts'
 import { readFrames, writeFrame, type FrameProgress } from './_lib/readFrames.ts'
 
@@ -24,9 +25,12 @@
 export class RpcClient<Methods extends MethodTable = typeof rpcMethods> {
   readonly #host: string
   readonly #port: number
+  readonly #idleAfterMs: number
   #connection: Promise<RpcConnection> | undefined
 
-  constructor (address: string) {
+  /** @param idleAfterMs - Time after which an unused connection is closed, in ms. Default: `IDLE_CONNECTION_MS`. */
+  constructor (address: string, idleAfterMs = IDLE_CONNECTION_MS) {
+    this.#idleAfterMs = idleAfterMs
     const separator = address.lastIndexOf(':')
     this.#host = address.slice(0, separator).replace(/^\[|\]$/g, '')
     this.#port = Number(address.slice(separator + 1))
@@ -78,7 +82,12 @@
       })
       socket.once('connect', () => {
         clearTimeout(timer)
-        resolve(new RpcConnection(socket))
+        const connection = new RpcConnection(socket)
+        socket.setTimeout(this.#idleAfterMs, () => {
+          if (this.#connection === opening) this.#connection = undefined
+          connection.closeWhenIdle()
+        })
+        resolve(connection)
       })
     })
     return opening
--- a/packages/protocol/src/rpc/RpcServer.ts
+++ b/packages/protocol/src/rpc/RpcServer.ts
@@ -6,7 +6,7 @@
 } from 'json-rpc-2.0'
 import { describeSchemaErrors } from '../describeSchemaErrors/index.ts'
 import { rpcMethods, type MethodTable } from '../rpcMessages/index.ts'
-import { INVALID_PARAMS } from './constants/index.ts'
+import { ABANDONED_CONNECTION_MS, INVALID_PARAMS } from './constants/index.ts'
 import { readFrames, writeFrame, type FrameFault } from './_lib/readFrames.ts'
 
 export type RpcHandlers<Methods extends MethodTable = typeof rpcMethods> = {
@@ -23,6 +23,8 @@
   methods?: Methods
   /** Called for each fault of a connection, a request or a handler, for metrics and logs. Default: does nothing. */
   onFault?: (fault: RpcFault, detail: string) => void
+  /** Time after which a connection without any traffic is closed, in ms. Default: `ABANDONED_CONNECTION_MS`. */
+  abandonedAfterMs?: number
 }
 
 /** Serves the RPC methods of one process over TCP. Owns its listening socket and all accepted connections. */
@@ -31,9 +33,11 @@
   readonly #jsonRpcServer = new JSONRPCServer({ errorListener: () => {} })
   readonly #sockets = new Set<Socket>()
   readonly #onFault: (fault: RpcFault, detail: string) => void
+  readonly #abandonedAfterMs: number
 
   constructor (handlers: RpcHandlers<Methods>, options: ServerOptions<Methods> = {}) {
     this.#onFault = options.onFault ?? (() => {})
+    this.#abandonedAfterMs = options.abandonedAfterMs ?? ABANDONED_CONNECTION_MS
     this.#server = createServer((socket) => this.#accept(socket))
     const methods: MethodTable = options.methods ?? rpcMethods
     for (const [name, handler] of Object.entries(handlers)) {
@@ -49,6 +53,11 @@
     })
   }
 
+  /** Number of open connections. */
+  get connections (): number {
+    return this.#sockets.size
+  }
+
   /** Stops listening and closes all connections. */
   close (): Promise<void> {
     for (const socket of this.#sockets) socket.destroy()
@@ -78,6 +87,8 @@
   #accept (socket: Socket): void {
     this.#sockets.add(socket)
     socket.setNoDelay(true)
+    // The client may be gone, or the network between may drop everything, without an end of the connection.
+    socket.setTimeout(this.#abandonedAfterMs, () => socket.destroy())
     socket.once('close', () => this.#sockets.delete(socket))
     const peer = `${socket.remoteAddress}:${socket.remotePort}`
     const onMessage = (message: unknown) => { this.#receive(socket, message).catch((error) => { throw error }) }
--- a/packages/protocol/src/rpc/constants/index.ts
+++ b/packages/protocol/src/rpc/constants/index.ts
@@ -15,3 +15,12 @@
 
 /** JSON-RPC 2.0 error code for an unknown method. */
 export const METHOD_NOT_FOUND = -32601
+
+/** Time after which a client closes a connection over which nothing is sent or received, in ms. */
+export const IDLE_CONNECTION_MS = 30_000
+
+/**
+ * Time after which a server closes a connection on which nothing arrives or is sent, in ms; longer than for clients, so
+ * that only connections whose client is gone reach it.
+ */
+export const ABANDONED_CONNECTION_MS = 90_000
--- a/packages/protocol/src/rpc/test.ts
+++ b/packages/protocol/src/rpc/test.ts
@@ -2,7 +2,8 @@
 import split from 'split2'
 import { once } from 'node:events'
 import { expect } from 'chai'
-import { startProcess } from '@gypsumspring/standins'
+import { LinkProxy, startProcess } from '@gypsumspring/standins'
+import { sleep } from '../sleep/index.ts'
 import { RpcClient } from './RpcClient.ts'
 import { RpcServer, type RpcFault } from './RpcServer.ts'
 import { MAX_FRAME_BYTES } from './constants/index.ts'
@@ -225,3 +226,42 @@
     expect(peer.connections.length).to.equal(1)
   })
 })
+
+/** Guards against connections that a process keeps for ever because the other side never ends them. */
+describe('An RPC connection without traffic', () => {
+  const LIMIT_MS = 100
+  let server: RpcServer
+  let link: LinkProxy
+  let client: RpcClient
+  const call = () => client.call('config.fetch', params, { timeoutMs: 50 })
+
+  async function open (options: { abandonedAfterMs?: number, idleAfterMs?: number }): Promise<void> {
+    server = new RpcServer({ 'config.fetch': () => ({ index: null }) }, options)
+    link = new LinkProxy(`127.0.0.1:${await server.listen(0, '127.0.0.1')}`)
+    client = new RpcClient(await link.listen(), options.idleAfterMs)
+    expect((await call()).isRight()).to.equal(true)
+  }
+  afterEach(async () => {
+    client.close()
+    await link.close()
+    await server.close()
+  })
+
+  it('is closed by the server after its client has replaced it', async () => {
+    await open({ abandonedAfterMs: LIMIT_MS })
+    link.silence()
+    expect((await call()).isLeft()).to.equal(true)
+    for (let waitedMs = 0; waitedMs < 3 * LIMIT_MS; waitedMs += LIMIT_MS / 2) {
+      expect((await call()).isRight()).to.equal(true)
+      await sleep(LIMIT_MS / 2)
+    }
+    expect(server.connections).to.equal(1)
+  })
+
+  it('is closed by the client when it is not used, and reopened for the next call', async () => {
+    await open({ idleAfterMs: LIMIT_MS })
+    await sleep(3 * LIMIT_MS)
+    expect(server.connections).to.equal(0)
+    expect((await call()).isRight()).to.equal(true)
+  })
+})
