--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -2,12 +2,18 @@
 import { ORDER_RETRY_MS } from '../constants/index.ts'
 import type { TrackedJob, TaskInstance } from '../model/index.ts'
 import type { EndedRun, RunningTask, TaskKey, WorkerReport } from '../types.ts'
-import type { WorkerState } from '../workers/WorkerState.ts'
+import { NO_DEMAND, type WorkerState } from '../workers/WorkerState.ts'
 import type { Cell } from './Cell.ts'
 import { FillerPacer } from './FillerPacer.ts'
 import type { WorkerSession } from './WorkerSession.ts'
 import type { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
 
+/**
+ * Age of the last answer of the worker registry beyond which start orders wait, in ms: a worker may have shrunk since.
+ * The registry usually answers each second.
+ */
+const MAX_REGISTRY_AGE_MS = 3_000
+
 /** Weight of a new observation in the moving average of a worker's slowdown. */
 const SLOWDOWN_SMOOTHING = 0.2
 
@@ -64,11 +70,21 @@
     while (isCurrent()) {
       const session = this.#sessions.get(workerId!)
       if (session === undefined) return
+      if (this.#cell.now() - this.#cell.registryReadAt > MAX_REGISTRY_AGE_MS) {
+        this.#cell.metrics.count('starts_delayed', { reason: 'registry' })
+        await sleep(ORDER_RETRY_MS)
+        continue
+      }
       if (!this.#refreshTicket(task)) {
         this.#cell.metrics.count('tickets_expired')
         this.#abortStart(task, uncertain)
         return
       }
+      if (this.#isOverCapacity(task)) {
+        this.#cell.metrics.count('starts_over_capacity')
+        this.#abortStart(task, uncertain)
+        return
+      }
       const outcome = await session.start({
         key: task.key, run, payload: task.step.job.spec.payload, checkpoint: task.checkpoint, ticket: task.ticket
       })
@@ -182,6 +198,11 @@
     if (step.spec.gang) this.#stopGang(step.tasks)
   }
 
+  /** Whether the task's worker has shrunk below what is assigned to it, since the task was assigned. */
+  #isOverCapacity ({ worker, step }: TaskInstance): boolean {
+    return this.#cell.workers.get(worker!)?.hasRoom({ demand: NO_DEMAND, fills: step.spec.fills }) === false
+  }
+
   /** Sets the newest ticket for the task's worker. Returns false when a ticket is required and none is valid. */
   #refreshTicket (task: TaskInstance): boolean {
     if (task.step.job.definition.queue.advice === undefined) return true
