--- a/packages/bench/src/benchmarks.ts
+++ b/packages/bench/src/benchmarks.ts
@@ -2,6 +2,7 @@
 import { measurePacking } from './measurePacking/index.ts'
 import { measurePlacement } from './measurePlacement/index.ts'
 import { measurePlacementMemory } from './measurePlacementMemory/index.ts'
+import { measurePlacementRounds } from './measurePlacementRounds/index.ts'
 import { measureRouting } from './measureRouting/index.ts'
 import { measureScarcity } from './measureScarcity/index.ts'
 import { measureSlots } from './measureSlots/index.ts'
@@ -14,6 +15,7 @@
   placement: measurePlacement,
   packing: measurePacking,
   'placement-memory': measurePlacementMemory,
+  'placement-rounds': measurePlacementRounds,
   routing: measureRouting,
   slots: measureSlots,
   scarcity: measureScarcity,
