--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -17,6 +17,7 @@
 import { createRelayHandlers, encodeRelayed } from './relayedCalls.ts'
 import { RemoteAdviser } from './RemoteAdviser.ts'
 import { chooseTakeoverDelay, computeWeakness } from './takeoverDelay/index.ts'
+import { profileOwner } from './profileOwner.ts'
 import { watchEventLoopLag } from './watchEventLoopLag/index.ts'
 
 export interface CellNodeDependencies {
@@ -358,6 +359,7 @@
         this.#resolveOwnershipEnd?.()
       })
     this.#owner = owner
+    profileOwner(dependencies.log, () => this.#owner !== owner)
     owner.addNode({ id: this.#options.node, adviser: dependencies.adviser })
     owner.start().catch(throwUncaught)
     const mayHandOver = () => this.#owner === owner && !this.#isHandingOver
