--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -17,7 +17,6 @@
 import { createRelayHandlers, encodeRelayed } from './relayedCalls.ts'
 import { RemoteAdviser } from './RemoteAdviser.ts'
 import { chooseTakeoverDelay, computeWeakness } from './takeoverDelay/index.ts'
-import { profileOwner } from './profileOwner.ts'
 import { watchEventLoopLag } from './watchEventLoopLag/index.ts'
 
 export interface CellNodeDependencies {
@@ -359,7 +358,6 @@
         this.#resolveOwnershipEnd?.()
       })
     this.#owner = owner
-    profileOwner(dependencies.log, () => this.#owner !== owner)
     owner.addNode({ id: this.#options.node, adviser: dependencies.adviser })
     owner.start().catch(throwUncaught)
     const mayHandOver = () => this.#owner === owner && !this.#isHandingOver
