Look for a node once per kind of queued call for advice

Each call that was queued or answered looked for a free node for each queued request, which sorts the nodes each time. While many steps wait, hundreds of requests are queued and nearly none finds one. Sending calls only makes nodes busier, so that after one request has found none, others of its kind (slow or fast, ahead of room or not) find none either in the same pass.

--- a/packages/jobs/src/owner/AdviceDispatcher.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.ts
@@ -123,9 +123,16 @@
     })
     this.#queue.sort((a, b) => Number(a.ahead) - Number(b.ahead) ||
       a.step.job.definition.queue.priority - b.step.job.definition.queue.priority)
+    // Calls that are sent make no node free, so that a kind of call that finds none need not be tried again.
+    const kindsWithoutNode = new Set<string>()
     this.#queue = this.#queue.filter((request) => {
+      const kind = `${request.expectedMs > SLOW_ADVICE_MS} ${request.ahead}`
+      if (kindsWithoutNode.has(kind)) return true
       const state = this.#chooseNode(request)
-      if (state === undefined) return true
+      if (state === undefined) {
+        kindsWithoutNode.add(kind)
+        return true
+      }
       this.#send(state, request).catch(throwUncaught)
       return false
     })
