Keep the cell on a busy owner: hand over only from a machine that is slow

The timers of each owner were late, since the recovery of a cell with hundreds of waiting steps and lost workers kept it busy. The next owner, no faster, had to open all connections again, request all advice again (tickets and what the policy allows are not stored), and was busier than the one before.

Now a lagging owner hands over only if its process used less than half a processor (or half of its machine's part of one): then the machine is slow, and another one can be faster. A node that is busy with the cell keeps it.

--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -365,7 +365,9 @@
       this.#removeSilentFollowers()
       if (mayHandOver()) this.#handOverToStronger(owner)
     }, HEARTBEAT_INTERVAL_MS)
-    const lagTimer = watchEventLoopLag((lagMs) => { if (mayHandOver()) this.#standDown(owner, lagMs) })
+    const lagTimer = watchEventLoopLag(this.#options.processors, (lagMs, usedProcessors) => {
+      if (mayHandOver()) this.#standDown(owner, lagMs, usedProcessors)
+    })
     await ended
     clearInterval(sweepTimer)
     clearInterval(lagTimer)
@@ -405,10 +407,10 @@
     this.#handOverAndPause(owner)
   }
 
-  /** Hands the cell over because this node's event loop lags, if there is another node. */
-  #standDown (owner: CellOwner, lagMs: number): void {
+  /** Hands the cell over because this node's machine is slow, if there is another node. */
+  #standDown (owner: CellOwner, lagMs: number, usedProcessors: number): void {
     if (this.#followers.size === 0) return
-    const fields = { token: owner.token, lagMs: Math.round(lagMs) }
+    const fields = { token: owner.token, lagMs: Math.round(lagMs), usedProcessors: Number(usedProcessors.toFixed(2)) }
     this.#dependencies.log.warn(fields, 'this node is too slow to own the cell')
     this.#dependencies.metrics.count('stand_downs')
     this.#handOverAndPause(owner)
