--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -365,7 +365,7 @@
       this.#removeSilentFollowers()
       if (mayHandOver()) this.#handOverToStronger(owner)
     }, HEARTBEAT_INTERVAL_MS)
-    const lagTimer = watchEventLoopLag(this.#options.processors, (lagMs, used) => dependencies.log.warn({ lagMs: Math.round(lagMs), used: Number(used.toFixed(2)) }, 'owner lag sample'), (lagMs, usedProcessors) => {
+    const lagTimer = watchEventLoopLag(this.#options.processors, (lagMs, usedProcessors) => {
       if (mayHandOver()) this.#standDown(owner, lagMs, usedProcessors)
     })
     await ended
--- a/packages/jobs/src/node/watchEventLoopLag/index.ts
+++ b/packages/jobs/src/node/watchEventLoopLag/index.ts
@@ -35,7 +35,6 @@
  */
 export function watchEventLoopLag (
   processors: number,
-  onSample: (lagMs: number, usedProcessors: number) => void,
   onSlow: (lagMs: number, usedProcessors: number) => void,
   { readCpuMs = readOwnCpuMs }: Options = {}
 ): ReturnType<typeof setInterval> {
@@ -54,7 +53,6 @@
     usedProcessors += SMOOTHING_FACTOR * ((cpuMs - sampledCpuMs) / elapsedMs - usedProcessors)
     if (now >= warmUpEndsAt) averageMs += SMOOTHING_FACTOR * (lagMs - averageMs)
     sampledAt = now
-    if (Math.floor(now / 1000) !== Math.floor((now - elapsedMs) / 1000)) onSample(averageMs, usedProcessors)
     sampledCpuMs = cpuMs
     if (averageMs > MAX_AVERAGE_LAG_MS && usedProcessors < busyFrom) onSlow(averageMs, usedProcessors)
   }, SAMPLE_INTERVAL_MS)
