Check the cheap conditions of a reservation first

Each step that has waited long looks for a worker to reserve, over all workers of the pool. Now only workers with more free CPU than the best one so far are looked at more closely, and the tickets and the number of the step's tasks come last.

--- a/packages/jobs/src/placement/chooseReservation/index.ts
+++ b/packages/jobs/src/placement/chooseReservation/index.ts
@@ -13,14 +13,20 @@
 export function chooseReservation (
   step: StepInstance, workers: readonly WorkerState[], reserved: ReadonlyMap<WorkerState, unknown>
 ): WorkerState | undefined {
-  const counts = step.countByWorker()
+  const { maxPerWorker } = step.spec
+  const counts = maxPerWorker > 0 ? step.countByWorker() : undefined
+  const needsTicket = step.job.definition.queue.advice !== undefined
   let best: WorkerState | undefined
+  let mostFreeCpu = -Infinity
   for (const worker of workers) {
+    // The costlier checks come last: few workers have more free CPU than the best one so far.
+    const free = freeCpu(worker)
+    if (free <= mostFreeCpu || worker.hasRoom(step.spec)) continue
     if (!worker.acceptsTasks || reserved.has(worker) || !fitsWhenEmpty(step, worker)) continue
-    if (step.job.definition.queue.advice !== undefined && step.advice.isAllowed(worker.id) !== true) continue
-    if (step.spec.maxPerWorker > 0 && (counts.get(worker.id) ?? 0) >= step.spec.maxPerWorker) continue
-    if (worker.hasRoom(step.spec)) continue
-    if (best === undefined || freeCpu(worker) > freeCpu(best)) best = worker
+    if (needsTicket && step.advice.isAllowed(worker.id) !== true) continue
+    if (counts !== undefined && (counts.get(worker.id) ?? 0) >= maxPerWorker) continue
+    best = worker
+    mostFreeCpu = free
   }
   return best
 }
