Keep some nodes for slow calls for advice while fast ones abound

Of 182 calls for advice that failed, 177 were of the quick queue, 159 of them timeouts within 6 s of a takeover.

Cause: a slow call is sent through a node without calls in flight. Fast calls go through any node without slow ones, two at a time each. Hundreds of quick steps that wait ask again as soon as they are answered, so that no node is ever without calls.

Now, while slow calls wait, 30% of the nodes make no fast ones; as before, 30% make no slow ones. The calls in flight there end, and slow ones follow. Calls ahead of room don't count as waiting.

--- /dev/null
+++ b/packages/jobs/src/owner/AdviceDispatcher.test.ts
@@ -0,0 +1,58 @@
+import { install, type Clock } from '@sinonjs/fake-timers'
+import { expect } from 'chai'
+import { done, sleep } from '@gypsumspring/protocol'
+import type { StepInstance } from '../model/index.ts'
+import { makeStep, makeWorker } from '../placement/_test/makeState.ts'
+import type { Queue } from '../types.ts'
+import { AdviceDispatcher } from './AdviceDispatcher.ts'
+import { Cell } from './Cell.ts'
+
+const FAST: Partial<Queue> = { name: 'fast', priority: 0, advice: { decisionMs: 40, perWorkerMs: 0, validMs: 2_000 } }
+const SLOW: Partial<Queue> = { name: 'slow', priority: 1, advice: { decisionMs: 800, perWorkerMs: 0, validMs: 2_000 } }
+
+/** Time in which a slow call must have an answer, in ms: those in flight on its node end, and it takes 800 ms. */
+const ANSWER_MS = 1_000
+
+describe('AdviceDispatcher', () => {
+  let clock: Clock
+  beforeEach(() => { clock = install() })
+  afterEach(() => clock.uninstall())
+
+  const cases = [
+    { name: 'two nodes', nodes: 2 },
+    { name: 'three nodes', nodes: 3 },
+    { name: 'ten nodes', nodes: 10 }
+  ]
+  for (const { name, nodes } of cases) {
+    // Hundreds of urgent steps that waited for workers kept all nodes busy, and long-running tasks waited for 13 s.
+    it(`answers a slow request beside an endless backlog of fast ones on ${name}`, async () => {
+      const workers = [makeWorker('w')]
+      const nothing = () => {}
+      const fastSteps = Array.from({ length: nodes * 4 }, () => makeStep({}, FAST))
+      const requestFast = () => { for (const step of fastSteps) dispatcher.request(step, workers) }
+      const cell = new Cell(() => undefined, { info: nothing, warn: nothing },
+        { count: nothing, recordDuration: nothing, set: nothing }, { onChange: requestFast, onDirty: nothing })
+      const dispatcher = new AdviceDispatcher(cell)
+      for (let index = 0; index < nodes; index++) dispatcher.addNode({ id: `n${index}`, adviser: createAdviser() })
+      requestFast()
+      await clock.tickAsync(500)
+      const step: StepInstance = makeStep({}, SLOW)
+      dispatcher.request(step, workers)
+      await clock.tickAsync(ANSWER_MS)
+      expect(step.advice.isAllowed('w')).to.equal(true)
+    })
+  }
+
+  /** A service that handles one call of a node at a time and allows all workers. */
+  function createAdviser () {
+    let freeAt = 0
+    return {
+      advise: async ({ job }: { job: string }, workers: string[], timeoutMs: number) => {
+        const now = performance.now()
+        freeAt = Math.max(now, freeAt) + (timeoutMs > 1_000 ? 800 : 40)
+        await sleep(freeAt - now)
+        return done({ tickets: workers.map((worker): [string, string] => [worker, job]) })
+      }
+    }
+  }
+})
--- a/packages/jobs/src/owner/AdviceDispatcher.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.ts
@@ -37,6 +37,12 @@
 /** Share of the nodes that make no slow calls, so that fast calls never queue behind slow ones. */
 const RESERVED_NODE_SHARE = 0.3
 
+/**
+ * Share of the nodes that make no fast calls while slow ones wait. A slow call needs a node without calls in flight,
+ * and a backlog of fast ones leaves none.
+ */
+const SLOW_NODE_SHARE = 0.3
+
 /** Share of the nodes for slow calls that make none ahead of room, so that steps that can start at once find a node. */
 const AHEAD_FREE_SHARE = 0.5
 
@@ -145,12 +151,19 @@
     const reserved = nodes.length > 1 ? Math.ceil(nodes.length * RESERVED_NODE_SHARE) : 0
     const candidates = isSlow
       ? nodes.slice(reserved).filter(({ openCalls, pausedUntil }) => openCalls === 0 && pausedUntil <= now)
-      : nodes.filter(({ openCalls, slowCalls, pausedUntil }) => slowCalls === 0 &&
-        openCalls < MAX_FAST_CALLS_PER_NODE && pausedUntil <= now)
+      : nodes.slice(0, nodes.length - this.#countNodesForSlowCalls()).filter(({
+        openCalls, slowCalls, pausedUntil
+      }) => slowCalls === 0 && openCalls < MAX_FAST_CALLS_PER_NODE && pausedUntil <= now)
     if (ahead && candidates.length <= AHEAD_FREE_SHARE * (nodes.length - reserved)) return undefined
     return candidates.sort((a, b) => a.openCalls - b.openCalls)[0]
   }
 
+  /** Number of nodes, at the end of the list, that make no fast calls now. */
+  #countNodesForSlowCalls (): number {
+    const isSlowCallWaiting = this.#queue.some(({ expectedMs, ahead }) => expectedMs > SLOW_ADVICE_MS && !ahead)
+    return isSlowCallWaiting && this.#nodes.size > 1 ? Math.ceil(this.#nodes.size * SLOW_NODE_SHARE) : 0
+  }
+
   async #send (state: NodeState, request: AdviceRequest): Promise<void> {
     const { step, timing, workers, expectedMs } = request
     const slowCount = expectedMs > SLOW_ADVICE_MS ? 1 : 0
