--- a/packages/jobs/src/owner/AdviceDispatcher.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.ts
@@ -39,6 +39,12 @@
 /** Share of the nodes that make no slow calls, so that fast calls never queue behind slow ones. */
 const RESERVED_NODE_SHARE = 0.3
 
+/**
+ * Share of the nodes that make no fast calls while slow ones wait. A slow call needs a node without calls in flight,
+ * and a backlog of fast ones leaves none.
+ */
+const SLOW_NODE_SHARE = 0.3
+
 /** Share of the nodes for slow calls that make none ahead of room, so that steps that can start at once find a node. */
 const AHEAD_FREE_SHARE = 0.5
 
@@ -135,9 +141,16 @@
     for (const request of this.#queue) if (request.requestedAt < overdueBefore) request.ahead = false
     this.#queue.sort((a, b) => compareOverdue(a, b, overdueBefore) || Number(a.ahead) - Number(b.ahead) ||
       a.step.job.definition.queue.priority - b.step.job.definition.queue.priority)
+    // Calls that are sent make no node free, so that a kind of call that finds none need not be tried again.
+    const kindsWithoutNode = new Set<string>()
     this.#queue = this.#queue.filter((request) => {
+      const kind = `${request.expectedMs > SLOW_ADVICE_MS} ${request.ahead}`
+      if (kindsWithoutNode.has(kind)) return true
       const state = this.#chooseNode(request)
-      if (state === undefined) return true
+      if (state === undefined) {
+        kindsWithoutNode.add(kind)
+        return true
+      }
       this.#send(state, request).catch(throwUncaught)
       return false
     })
@@ -150,12 +163,19 @@
     const reserved = nodes.length > 1 ? Math.ceil(nodes.length * RESERVED_NODE_SHARE) : 0
     const candidates = isSlow
       ? nodes.slice(reserved).filter(({ openCalls, pausedUntil }) => openCalls === 0 && pausedUntil <= now)
-      : nodes.filter(({ openCalls, slowCalls, pausedUntil }) => slowCalls === 0 &&
-        openCalls < MAX_FAST_CALLS_PER_NODE && pausedUntil <= now)
+      : nodes.slice(0, nodes.length - this.#countNodesForSlowCalls()).filter(({
+        openCalls, slowCalls, pausedUntil
+      }) => slowCalls === 0 && openCalls < MAX_FAST_CALLS_PER_NODE && pausedUntil <= now)
     if (ahead && candidates.length <= AHEAD_FREE_SHARE * (nodes.length - reserved)) return undefined
     return candidates.sort((a, b) => a.openCalls - b.openCalls)[0]
   }
 
+  /** Number of nodes, at the end of the list, that make no fast calls now. */
+  #countNodesForSlowCalls (): number {
+    const isSlowCallWaiting = this.#queue.some(({ expectedMs, ahead }) => expectedMs > SLOW_ADVICE_MS && !ahead)
+    return isSlowCallWaiting && this.#nodes.size > 1 ? Math.ceil(this.#nodes.size * SLOW_NODE_SHARE) : 0
+  }
+
   async #send (state: NodeState, request: AdviceRequest): Promise<void> {
     const { step, timing, workers, expectedMs } = request
     const slowCount = expectedMs > SLOW_ADVICE_MS ? 1 : 0
