Give up tasks that crash each worker that starts them

The owner now counts them for each task, with what each end says about it: its order was the last one before the end, it was on trial, it was just present, or other workers ended at the same moment without an order of their own. Suspects start on trial: apart from each other, on the worker with fewest tasks, which gets no other task for 0.5 s. A suspect that ends its worker on trial too is given up and its job fails; so is one that was last three times, or that lost four workers within 5 s of each start (five with a common cause), which bounds the starts also when the evidence is poor. A run that ends by itself or lasts 5 s clears its task; a worker that answers again withdraws its evidence. Ends of draining workers don't count. max_attempts still counts failed runs only.

The counts are in the control row `crashes`, written before the next run of a task can be stored; each later owner goes on with them. Owners that don't know the row leave it as it is. Entries of tasks that are done are dropped at a takeover, and the row has 400 tasks at most.

New log line `task may have crashed its worker`, metrics worker_crashes, task_crashes, jobs_given_up and crash_suspects.

--- a/packages/jobs/src/model/TrackedJob.ts
+++ b/packages/jobs/src/model/TrackedJob.ts
@@ -43,6 +43,8 @@
   inheritedStartedBy: number | undefined
   /** A start order for the current run may have been sent. */
   orderSent = false
+  /** Monotonic time of the first start order for the current run, in ms; undefined if another owner sent it. */
+  orderedAt: number | undefined
   /** Ticket of the policy service for the worker; empty when the queue has no policy. */
   ticket = ''
   /** Whether a task whose run is being stopped gets a new run or is dropped with its job. No code reads it yet. */
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -15,6 +15,7 @@
 import { BreakerRecord } from './BreakerRecord.ts'
 import { Cell } from './Cell.ts'
 import { CellMembers, type TakeoverPromise } from './CellMembers.ts'
+import { CrashRecord } from './CrashRecord.ts'
 import { DrainRecord } from './DrainRecord.ts'
 import { JobCleanup } from './JobCleanup.ts'
 import { Rescheduler } from './Rescheduler.ts'
@@ -116,16 +117,18 @@
     const cell = this.cell
     const breaker = new WorkerCircuitBreaker()
     const sessions = new Map<string, WorkerSession>()
+    const crashes = new CrashRecord(cell)
     this.#advice = new AdviceDispatcher(cell)
-    this.#placer = new Placer(cell, this.#advice, breaker, (task) => this.#tracker.stop(task, 'wait'))
-    this.#tracker = new RunTracker(cell, breaker, sessions, (reason) => this.#handleOwnershipLost(reason))
+    this.#placer = new Placer(cell, this.#advice, breaker, crashes, (task) => this.#tracker.stop(task, 'wait'))
+    this.#tracker = new RunTracker(cell, breaker, crashes, sessions, (reason) => this.#handleOwnershipLost(reason))
     this.#rescheduler = new Rescheduler(cell, this.#tracker, options.stopTimeoutMs)
     this.#control = {
       lostWorkers: new LostWorkerRecords(cell, ownership.clock),
       members: new CellMembers(ownership.token, options.node),
       drains: new DrainRecord(cell, ownership.clock),
       takeovers: new TakeoverRecord(cell, ownership.clock),
-      breakers: new BreakerRecord(cell, ownership.clock, breaker)
+      breakers: new BreakerRecord(cell, ownership.clock, breaker),
+      crashes
     }
     const { lostWorkers, members, drains } = this.#control
     this.#commits = new GroupCommit(cell, this.#control, ownership, {
@@ -133,7 +136,9 @@
       onOwnershipLost: () => this.#handleOwnershipLost('another node has taken the cell over')
     }, options.linkMbps, signal)
     const tracker = this.#tracker
-    this.#workerManager = new WorkerManager({ ...dependencies, cell, tracker, breaker, drains, sessions, signal }, {
+    this.#workerManager = new WorkerManager({
+      ...dependencies, cell, tracker, breaker, drains, crashes, sessions, signal
+    }, {
       token: ownership.token,
       leaseMs: chooseLeaseMs(options.leaseLimitMs),
       mayRenewLeases: () => ownership.mayGrantLeases && (ownership.unconfirmedMs < RENEWAL_GRACE_MS ||
@@ -172,7 +177,7 @@
     ])
     if (this.#isEnded || listed === undefined || control === undefined || progress === undefined) return
     const { predecessor } = this.#ownership
-    const { lostWorkers, members, drains, takeovers, breakers } = this.#control
+    const { lostWorkers, members, drains, takeovers, breakers, crashes } = this.#control
     const followers = members.readFollowers(control.rows, predecessor?.token ?? this.token - 1)
     const earlierLeasesEnd = await this.#determineEarlierLeasesEnd(followers)
     if (this.#isEnded) return
@@ -184,6 +189,7 @@
     const lost = lostWorkers.restore(control.rows, followers !== undefined, earlierLeasesEnd)
     for (const worker of lost) this.#workerManager.addLost(worker)
     this.#restoreProgress(progress.rows)
+    crashes.restore(control.rows)
     for (const worker of listed.workers) this.#workerManager.add(worker)
     breakers.restore(control.rows)
     this.#recovered = true
@@ -426,6 +432,7 @@
     const now = performance.now()
     for (const job of this.cell.active) if (job.spec.occurrences > 0) this.#openDueOccurrences(job)
     this.#workerManager.tick(now)
+    this.#control.crashes.tick(now)
     this.#rescheduler.tick(now)
     this.#advice.tick()
     this.#requestPlacement()
--- /dev/null
+++ b/packages/jobs/src/owner/CrashRecord.ts
@@ -0,0 +1,244 @@
+import { Type, type Static } from '@sinclair/typebox'
+import type { TaskInstance } from '../model/index.ts'
+import { isCrashSuspect, isCulprit } from '../placement/isCulprit/index.ts'
+import { SURVIVAL_MS, judgeCrash, type CrashEvidence, type CrashWitness } from '../placement/judgeCrash/index.ts'
+import type { Commit, StoredRow } from '../ports.ts'
+import type { WorkerState } from '../workers/WorkerState.ts'
+import type { Cell } from './Cell.ts'
+import { ControlRow } from './ControlRow.ts'
+
+/** Time after the confirmed start of a suspect for which no other task starts on its worker, in ms. */
+const TRIAL_MS = 500
+
+/** Longest wait of a suspect for the trial of another one of its job, in ms. */
+const MAX_TRIAL_WAIT_MS = 1_000
+
+/** Time between the losses of two workers up to which they may have one cause, in ms: silent workers time out. */
+const COINCIDENCE_MS = 800
+
+/** A loss noticed within this time after a start order is explained by it, in ms; an open poll breaks at once. */
+const EXPLAINED_MS = 100
+
+/** Time for which the loss of a worker is remembered, in ms; longer than leases last. */
+const KEEP_LOSS_MS = 30_000
+
+/** Most tasks in the record, so that it stays below 50 kB. Those with least evidence are left out. */
+const MAX_TASKS = 400
+
+/** Cost of each task that the crash of a suspect's worker would end too, in units of one worker's capacity. */
+const COMPANY_COST = 2
+
+// The store holds indices into this list, so its order must not change.
+const EVIDENCE = ['common', 'present', 'last', 'alone'] as const
+
+/**
+ * For each task the occurrence, step and index after the id of its job, and for each worker that ended under it since
+ * it last survived a run, the worker's id and the evidence.
+ */
+const CrashesRow = Type.Array(Type.Tuple([
+  Type.String(), Type.Integer(), Type.Integer(), Type.Integer(),
+  Type.Array(Type.Tuple([Type.String(), Type.Integer({ minimum: 0, maximum: EVIDENCE.length - 1 })]))
+]))
+
+interface Crash {
+  worker: string
+  evidence: CrashEvidence
+}
+
+/**
+ * Counts for each task the workers that ended unplanned while it was there, and stores the counts with the next commit,
+ * so that the task's next run can't start before. Suspects start on trial: apart from other suspects, on workers that
+ * get no other task for a while.
+ */
+export class CrashRecord {
+  readonly #cell: Cell
+  readonly #row: ControlRow<typeof CrashesRow>
+  readonly #crashes = new Map<TaskInstance, Crash[]>()
+  /** The suspect that was started last on each worker. */
+  readonly #trials = new Map<string, TaskInstance>()
+  /** Workers that don't answer or have ended: since when, in monotonic ms, and whether an order explains it. */
+  readonly #losses = new Map<string, { at: number, isExplained: boolean }>()
+  #isChanged = false
+
+  constructor (cell: Cell) {
+    this.#cell = cell
+    this.#row = new ControlRow('crashes', CrashesRow, 'tasks on workers that crashed', cell.log)
+  }
+
+  /** Restores the counts of the known tasks from the rows of `CONTROL_TABLE`. */
+  restore (rows: readonly StoredRow[]): void {
+    for (const [job, occurrence, step, index, crashes] of this.#row.read(rows) ?? []) {
+      const task = this.#cell.findTask({ job, occurrence, step, index })
+      if (task === undefined || task.status === 'done' || task.step.job.isOver) continue
+      this.#crashes.set(task, crashes.map(([worker, evidence]) => ({ worker, evidence: EVIDENCE[evidence]! })))
+      if (task.isAssigned && this.isSuspect(task)) this.#trials.set(task.worker!, task)
+    }
+  }
+
+  /** Returns the row to write with the next commit, if a worker has ended under a task. */
+  takeWrites (): Commit['puts'] {
+    if (!this.#isChanged) return []
+    this.#isChanged = false
+    this.#prune()
+    const rows = [...this.#crashes].map(([{ key }, crashes]): Static<typeof CrashesRow>[number] => [
+      key.job, key.occurrence, key.step, key.index,
+      crashes.map(({ worker, evidence }) => [worker, EVIDENCE.indexOf(evidence)])
+    ])
+    return this.#row.toWrites(rows)
+  }
+
+  isSuspect (task: TaskInstance): boolean {
+    const crashes = this.#crashes.get(task)
+    return crashes !== undefined && isCrashSuspect(crashes.map(({ evidence }) => evidence))
+  }
+
+  /** Whether suspicions let a task start on a worker now. */
+  mayStart (task: TaskInstance, worker: WorkerState, now: number): boolean {
+    const trial = this.#trials.get(worker.id)
+    if (trial !== undefined && trial !== task && this.#isOnTrial(trial, worker.id, now)) return false
+    if (this.#crashes.size === 0 || !this.isSuspect(task)) return true
+    // Members of a gang are placed before any of them is assigned.
+    if ([...worker.tasks].some((other) => other.status === 'starting' && this.isSuspect(other))) return false
+    return now - task.waitingSince >= MAX_TRIAL_WAIT_MS || !this.#hasTrialOf(task, now)
+  }
+
+  /** Cost of a worker for a task, beside others, in units of one worker's capacity. */
+  computeCost (task: TaskInstance, worker: WorkerState): number {
+    if (this.#crashes.size === 0 || !this.isSuspect(task)) return 0
+    return COMPANY_COST * worker.tasks.size
+  }
+
+  /** Records an assignment. */
+  recordStart (task: TaskInstance, worker: WorkerState): void {
+    if (this.isSuspect(task)) this.#trials.set(worker.id, task)
+  }
+
+  /** Records that a worker doesn't answer any more, or answers again. */
+  recordReachability (worker: WorkerState): void {
+    if (worker.reachable) {
+      this.#losses.delete(worker.id)
+      this.#retract(worker.id)
+    } else this.#losses.set(worker.id, this.#toLoss(worker))
+  }
+
+  /** Clears a task whose run has ended by itself: it doesn't end each worker that starts it. */
+  clear (task: TaskInstance): void {
+    this.#crashes.delete(task)
+  }
+
+  /** Clears tasks that have survived a start, and forgets old losses. `now` is monotonic time in ms. */
+  tick (now: number): void {
+    for (const [task] of this.#crashes) {
+      const { status, startedAt, step } = task
+      if (status === 'done' || step.job.isOver || (status === 'running' && now - startedAt > SURVIVAL_MS &&
+        this.#cell.workers.get(task.worker!)?.reachable === true)) this.#crashes.delete(task)
+    }
+    for (const [id, { at }] of this.#losses) if (now - at > KEEP_LOSS_MS) this.#losses.delete(id)
+    // While a worker doesn't answer, it is open how the trial on it has ended.
+    for (const [id, task] of this.#trials) {
+      if (this.#cell.workers.get(id)?.reachable !== false && !this.#isOnTrial(task, id, now)) this.#trials.delete(id)
+    }
+    this.#cell.metrics.set('crash_suspects', [...this.#crashes.keys()].filter((task) => this.isSuspect(task)).length)
+  }
+
+  /**
+   * Records the unplanned end of a worker, before its tasks are requeued.
+   *
+   * @param isCertain - Whether the worker has ended. Otherwise it may answer again, and its record is withdrawn then.
+   * @returns The tasks that are to blame for the ends of several workers.
+   */
+  recordCrash (worker: WorkerState, isCertain: boolean): TaskInstance[] {
+    const loss = this.#losses.get(worker.id) ?? this.#toLoss(worker)
+    this.#losses.set(worker.id, loss)
+    const tasks = [...worker.tasks].filter(({ orderSent, step: { job } }) => orderSent && !job.isOver && !job.cancelled)
+    const unexplainedLosses = this.#countUnexplained(worker, loss.at)
+    const witnesses = tasks.map((task) => this.#toWitness(task, worker.id, loss.at))
+    const evidence = judgeCrash(witnesses, { unexplainedLosses, isCertain })
+    this.#trials.delete(worker.id)
+    this.#cell.metrics.count('worker_crashes', { cause: unexplainedLosses > 0 ? 'common' : 'single' })
+    const culprits = tasks.filter((task, index) =>
+      this.#add(task, worker.id, evidence[index], { ageMs: witnesses[index]!.ageMs, unexplainedLosses }))
+    return culprits
+  }
+
+  /** Adds evidence against a task. Returns whether the task is to be given up. */
+  #add (
+    task: TaskInstance, worker: string, evidence: CrashEvidence | undefined, fields: Record<string, unknown>
+  ): boolean {
+    if (evidence === undefined) {
+      if (Number(fields.ageMs) > SURVIVAL_MS) this.#crashes.delete(task)
+      return false
+    }
+    const crashes = [...this.#crashes.get(task) ?? [], { worker, evidence }]
+    this.#crashes.set(task, crashes)
+    this.#isChanged = true
+    this.#cell.metrics.count('task_crashes', { evidence })
+    if (this.isSuspect(task)) {
+      const { step, index, run } = task
+      const ageMs = fields.ageMs === undefined ? undefined : Math.round(Number(fields.ageMs))
+      this.#cell.log.warn({
+        job: step.job.id, task: `${step.name}.${index}`, run, worker, crashes: crashes.length, evidence, ...fields, ageMs
+      }, 'task may have crashed its worker')
+    }
+    return isCulprit(crashes.map((crash) => crash.evidence))
+  }
+
+  #toWitness (task: TaskInstance, worker: string, lostAt: number): CrashWitness {
+    const ageMs = task.orderedAt === undefined ? undefined : lostAt - task.orderedAt
+    // Until the trial is over, no other task has started there since.
+    const isOnTrial = this.#trials.get(worker) === task && this.isSuspect(task) && (ageMs ?? 0) <= TRIAL_MS
+    return { ageMs, isOnTrial }
+  }
+
+  #toLoss (worker: WorkerState): { at: number, isExplained: boolean } {
+    const at = worker.unreachableSince ?? this.#cell.now()
+    const isExplained = [...worker.tasks].some((task) => {
+      const { ageMs, isOnTrial } = this.#toWitness(task, worker.id, at)
+      return isOnTrial || (ageMs !== undefined && ageMs <= EXPLAINED_MS)
+    })
+    return { at, isExplained }
+  }
+
+  /** Number of other workers of the pool that were lost at about the same time without an order that explains it. */
+  #countUnexplained (worker: WorkerState, lostAt: number): number {
+    let count = 0
+    for (const [id, { at, isExplained }] of this.#losses) {
+      if (id !== worker.id && !isExplained && Math.abs(at - lostAt) <= COINCIDENCE_MS) count++
+    }
+    return count
+  }
+
+  /** Withdraws the evidence from a worker that has not ended. */
+  #retract (worker: string): void {
+    for (const [task, crashes] of this.#crashes) {
+      const others = crashes.filter((crash) => crash.worker !== worker)
+      if (others.length === crashes.length) continue
+      if (others.length === 0) this.#crashes.delete(task)
+      else this.#crashes.set(task, others)
+      this.#isChanged = true
+    }
+  }
+
+  #hasTrialOf ({ step }: TaskInstance, now: number): boolean {
+    for (const [id, task] of this.#trials) {
+      if (task.step.job === step.job && this.#isOnTrial(task, id, now)) return true
+    }
+    return false
+  }
+
+  /** Whether a suspect has just started on a worker, or may do so any moment. */
+  #isOnTrial (task: TaskInstance, worker: string, now: number): boolean {
+    if (task.worker !== worker || !this.#crashes.has(task)) return false
+    return task.status === 'starting' || (task.status === 'running' && now - task.startedAt < TRIAL_MS)
+  }
+
+  #prune (): void {
+    if (this.#crashes.size <= MAX_TASKS) return
+    const weakestFirst = [...this.#crashes].sort(([, a], [, b]) => toWeight(a) - toWeight(b))
+    for (const [task] of weakestFirst.slice(0, this.#crashes.size - MAX_TASKS)) this.#crashes.delete(task)
+  }
+}
+
+function toWeight (crashes: readonly Crash[]): number {
+  return crashes.reduce((sum, { evidence }) => sum + 1 + EVIDENCE.indexOf(evidence), 0)
+}
--- a/packages/jobs/src/owner/DrainRecord.ts
+++ b/packages/jobs/src/owner/DrainRecord.ts
@@ -48,6 +48,11 @@
     return leavesAt
   }
 
+  /** Whether a worker drains, or has left after draining. */
+  has (id: string): boolean {
+    return this.#leavesAt.has(id)
+  }
+
   /** Removes the record of a worker that has left or doesn't drain any more. */
   remove (id: string): void {
     if (this.#leavesAt.delete(id)) this.#isChanged = true
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -10,6 +10,7 @@
 import type { BreakerRecord } from './BreakerRecord.ts'
 import type { Cell } from './Cell.ts'
 import type { CellMembers } from './CellMembers.ts'
+import type { CrashRecord } from './CrashRecord.ts'
 import type { DrainRecord } from './DrainRecord.ts'
 import { REMOVAL_ROWS, toRowAddress, type LostWorkerRecords } from './LostWorkerRecords.ts'
 import type { TakeoverRecord } from './TakeoverRecord.ts'
@@ -48,6 +49,7 @@
   drains: DrainRecord
   takeovers: TakeoverRecord
   breakers: BreakerRecord
+  crashes: CrashRecord
 }
 
 export interface CommitHooks {
@@ -181,10 +183,12 @@
 
   #takeBatch (): Batch {
     const cell = this.#cell
-    const { lostWorkers, members, drains, takeovers, breakers } = this.#control
+    const { lostWorkers, members, drains, takeovers, breakers, crashes } = this.#control
     // The row of the members tells the next owner that it may rely on the records of lost workers.
     const trusted = lostWorkers.hasUntrusted ? [] : [members]
-    const puts = [...trusted, takeovers, drains, breakers, lostWorkers].flatMap((records) => records.takeWrites())
+    // The crashes come with or before the next runs of their tasks.
+    const records = [...trusted, takeovers, drains, breakers, crashes, lostWorkers]
+    const puts = records.flatMap((record) => record.takeWrites())
     const maxRows = MAX_ROWS_PER_COMMIT - (lostWorkers.hasRecords ? REMOVAL_ROWS : 0)
     const batch: Batch = { puts, states: [], starts: [], endSequences: new Map(), foundWorkers: [] }
     let bytes = 0
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -9,6 +9,7 @@
 import type { WorkerState } from '../workers/WorkerState.ts'
 import type { AdviceDispatcher } from './AdviceDispatcher.ts'
 import { readySteps, type Cell } from './Cell.ts'
+import type { CrashRecord } from './CrashRecord.ts'
 import { Preemptor } from './Preemptor.ts'
 import { WaitLog } from './WaitLog.ts'
 import type { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
@@ -33,6 +34,7 @@
   readonly #cell: Cell
   readonly #advice: AdviceDispatcher
   readonly #breaker: WorkerCircuitBreaker
+  readonly #crashes: CrashRecord
   readonly #preemptor: Preemptor
   readonly #waitLog: WaitLog
   /** Workers on which tasks of other steps leave room in this round, so that a waiting task can start there. */
@@ -42,12 +44,14 @@
 
   /** @param preempt stops the run of a task, which then waits for another run */
   constructor (
-    cell: Cell, advice: AdviceDispatcher, breaker: WorkerCircuitBreaker, preempt: (task: TaskInstance) => void
+    cell: Cell, advice: AdviceDispatcher, breaker: WorkerCircuitBreaker, crashes: CrashRecord,
+    preempt: (task: TaskInstance) => void
   ) {
     this.#preemptor = new Preemptor(cell, preempt)
     this.#cell = cell
     this.#advice = advice
     this.#breaker = breaker
+    this.#crashes = crashes
     this.#waitLog = new WaitLog(cell.log)
   }
 
@@ -154,6 +158,7 @@
     this.#cell.assign(task, worker, run)
     this.#preemptor.recordStart(task, worker)
     this.#breaker.recordStart(worker.id, task)
+    this.#crashes.recordStart(task, worker)
   }
 
   #chooseWorker (
@@ -169,7 +174,8 @@
     return {
       isHealthy: (worker: WorkerState) => this.#breaker.mayStart(worker.id, task),
       isReserved: (worker: WorkerState) => this.#isReserved(worker, task) ||
-        this.#preemptor.isClaimed(worker, task.step)
+        this.#preemptor.isClaimed(worker, task.step) || !this.#crashes.mayStart(task, worker, this.#cell.now()),
+      extraCost: (worker: WorkerState) => this.#crashes.computeCost(task, worker)
     }
   }
 
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -6,6 +6,7 @@
 import type { Cell } from './Cell.ts'
 import { FillerPacer } from './FillerPacer.ts'
 import type { WorkerSession } from './WorkerSession.ts'
+import type { CrashRecord } from './CrashRecord.ts'
 import type { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
 
 /** Weight of a new observation in the moving average of a worker's slowdown. */
@@ -15,6 +16,7 @@
 export class RunTracker {
   readonly #cell: Cell
   readonly #breaker: WorkerCircuitBreaker
+  readonly #crashes: CrashRecord
   readonly #sessions: ReadonlyMap<string, WorkerSession>
   readonly #onOwnershipLost: (reason: string) => void
   readonly #pacer: FillerPacer
@@ -23,11 +25,12 @@
   #closed = false
 
   constructor (
-    cell: Cell, breaker: WorkerCircuitBreaker, sessions: ReadonlyMap<string, WorkerSession>,
+    cell: Cell, breaker: WorkerCircuitBreaker, crashes: CrashRecord, sessions: ReadonlyMap<string, WorkerSession>,
     onOwnershipLost: (reason: string) => void
   ) {
     this.#cell = cell
     this.#breaker = breaker
+    this.#crashes = crashes
     this.#sessions = sessions
     this.#onOwnershipLost = onOwnershipLost
     this.#pacer = new FillerPacer(cell, sessions)
@@ -60,6 +63,7 @@
     const { run, worker: workerId } = task
     const isCurrent = () => !this.#closed && task.status === 'starting' && task.run === run && task.worker === workerId
     task.orderSent = true
+    task.orderedAt = this.#cell.now()
     let uncertain = false
     while (isCurrent()) {
       const session = this.#sessions.get(workerId!)
@@ -113,6 +117,13 @@
     for (const task of [...job.tasks()]) this.stop(task, 'drop')
   }
 
+  /** Handles the unplanned end of a worker: gives up the tasks that are to blame for it and requeues all others. */
+  handleCrash (worker: WorkerState, reason: string, isCertain: boolean): void {
+    const culprits = this.#crashes.recordCrash(worker, isCertain)
+    for (const task of culprits) this.#giveUp(task)
+    this.requeueLostTasks(worker, reason)
+  }
+
   /** Requeues all tasks of a worker on which nothing runs any more. `reason` is also a label of a metric. */
   requeueLostTasks (worker: WorkerState, reason: string): void {
     if (worker.tasks.size === 0) return
@@ -130,6 +141,15 @@
     for (const task of [...worker.tasks]) this.#cell.requeue(task)
   }
 
+  /** Ends the job of a task that crashes the workers that start it; each further start would cost one more. */
+  #giveUp ({ step, index }: TaskInstance): void {
+    const { job } = step
+    if (job.isOver || job.cancelled) return
+    this.#cell.metrics.count('jobs_given_up')
+    this.#cell.endJob(job, 'failed', `task ${step.name}.${index} has crashed several workers`)
+    this.stopJob(job)
+  }
+
   async #sendStop (task: TaskInstance): Promise<void> {
     const { run, worker: workerId, key } = task
     while (!this.#closed && task.status === 'stopping' && task.run === run) {
@@ -209,6 +229,7 @@
     const { step } = task
     step.job.started = true
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint
+    if (end.reason === 'done' || end.reason === 'failed') this.#crashes.clear(task)
     if (end.reason === 'done' && !step.spec.longRunning) {
       this.#recordSlowdown(worker, task)
       this.#breaker.recordResult(worker.id, task, true, this.#cell.now())
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -6,6 +6,7 @@
 import { AnswerLoss } from '../workers/AnswerLoss.ts'
 import { WorkerState } from '../workers/WorkerState.ts'
 import type { Cell } from './Cell.ts'
+import type { CrashRecord } from './CrashRecord.ts'
 import type { DrainRecord } from './DrainRecord.ts'
 import { EndedWorkerDetector } from './EndedWorkerDetector.ts'
 import type { RunTracker } from './RunTracker.ts'
@@ -32,6 +33,7 @@
   tracker: RunTracker
   breaker: WorkerCircuitBreaker
   drains: DrainRecord
+  crashes: CrashRecord
   /** Sessions by worker id; shared with the tracker, which sends orders through them. */
   sessions: Map<string, WorkerSession>
   /** Aborted when the owner ends. */
@@ -117,6 +119,7 @@
       onReport: (state, report, sentAt) => tracker.reconcile(state, report, sentAt),
       onExpired: (state) => this.#remove(state, 'another incarnation answers'),
       onReachabilityChange: (state) => {
+        this.#dependencies.crashes.recordReachability(state)
         cell.log.info({ worker: state.id, reachable: state.reachable }, 'worker reachability changed')
         if (!state.reachable) return
         cell.notifyChange()
@@ -156,7 +159,7 @@
     for (const worker of [...this.#dependencies.cell.workers.values()]) {
       if (worker.reachable) continue
       if (worker.leaseEndsBy < now) {
-        this.#dependencies.tracker.requeueLostTasks(worker, 'lease ended without an answer')
+        this.#handleLoss(worker, 'lease ended without an answer', false)
       }
       const unlistedMs = worker.unlistedSince === undefined ? 0 : now - worker.unlistedSince
       if (unlistedMs > UNLISTED_GRACE_MS && worker.tasks.size === 0) this.#remove(worker, 'not registered any more')
@@ -180,10 +183,23 @@
     cell.notifyChange()
   }
 
+  /**
+   * Handles the tasks of a worker that is lost.
+   *
+   * @param isCertain - Whether the worker has ended; without it, it may be out of reach.
+   */
+  #handleLoss (worker: WorkerState, reason: string, isCertain: boolean): void {
+    const { tracker, drains } = this.#dependencies
+    if (worker.tasks.size === 0) return
+    // A worker that drains is expected to leave.
+    if (drains.has(worker.id)) tracker.requeueLostTasks(worker, reason)
+    else tracker.handleCrash(worker, reason, isCertain)
+  }
+
   #remove (worker: WorkerState, reason: string): void {
-    const { cell, sessions, tracker, breaker, drains } = this.#dependencies
+    const { cell, sessions, breaker, drains } = this.#dependencies
     if (cell.workers.get(worker.id) !== worker) return
-    tracker.requeueLostTasks(worker, reason)
+    this.#handleLoss(worker, reason, true)
     sessions.get(worker.id)?.close()
     sessions.delete(worker.id)
     cell.workers.delete(worker.id)
--- a/packages/jobs/src/placement/chooseWorker/index.ts
+++ b/packages/jobs/src/placement/chooseWorker/index.ts
@@ -9,6 +9,8 @@
   isHealthy?: (worker: WorkerState) => boolean
   /** Whether the worker is reserved for another task. Default: none is. */
   isReserved?: (worker: WorkerState) => boolean
+  /** Additional cost of the worker, in units of one worker's capacity. Default: none. */
+  extraCost?: (worker: WorkerState) => number
   /** Rack label that the worker must have, for gangs placed on one rack. Default: any rack. */
   rack?: string
   /**
@@ -51,7 +53,7 @@
   let bestCost = Infinity
   for (const worker of workers) {
     if (!worker.hasRoom(step.spec) || !mayRunWithRoom(task, worker, counts, options)) continue
-    const cost = computeCost(step, worker)
+    const cost = computeCost(step, worker) + (options.extraCost?.(worker) ?? 0)
     if (cost < bestCost) {
       best = worker
       bestCost = cost
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -98,6 +98,8 @@
   #leaseTimer: ReturnType<typeof setTimeout> | undefined
   readonly #ends = new Notifier()
   alive = true
+  /** Another incarnation answers at the address of this one, which has ended. */
+  replaced = false
   /** Chooses the fault to inject into each call. */
   fault: (call: 'poll' | 'start' | 'stop' | 'pace') => WorkerFault = () => undefined
   /** Chooses the usage that is reported of a run. */
@@ -323,6 +325,7 @@
     timeoutMs = ORDER_TIMEOUT_MS
   ): Promise<Outcome<Value>> {
     await sleep(LATENCY_MS)
+    if (this.#worker.replaced) return notDone('session-expired', 'another incarnation answers')
     const fault = this.#worker.alive ? this.#worker.fault(name) : 'silent'
     const deadline = performance.now() + timeoutMs
     const noAnswer = () => timeOut(Math.max(0, deadline - performance.now()))
