Blame no task for the end of a tenth of the workers

When at least four workers and a tenth of the cell end at the same moment without an order that explains it, nothing counts against any task now, and with fewer of them only tasks that had started within the last second count.

A new owner took the workers that were lost before it as lost at its takeover, and so found a common cause for each; suspects started there again. Losses before the takeover don't count as simultaneous any more.

--- a/packages/jobs/src/loadPatterns/crashingTasks.test.ts
+++ b/packages/jobs/src/loadPatterns/crashingTasks.test.ts
@@ -40,6 +40,10 @@
   readonly #crashes = new Map<string, number>()
   /** Starts of tasks to blame after three workers had crashed under them. */
   readonly startsAfterThird = new Map<string, number>()
+  /** Tasks that started on a worker between the start and the crash of one under which two others had crashed. */
+  readonly startsBesideTrials: string[] = []
+  /** Workers on which a task runs under which two others have crashed. */
+  readonly #trialWorkers = new Set<string>()
   cell: MemoryCell | undefined
   onCulpritStart = () => {}
 
@@ -57,9 +61,11 @@
 
   readonly planRunEnd: PlanRunEnd = (key, _run, worker) => {
     const name = toName(key)
+    if (this.#trialWorkers.has(worker)) this.startsBesideTrials.push(name)
     const isLongRunning = this.cell!.isLongRunning(key.job, key.step)
     if (!this.isCulprit(key)) return isLongRunning ? undefined : { reason: 'done', afterMs: RUN_MS }
     if ((this.#crashes.get(name) ?? 0) >= 3) this.startsAfterThird.set(name, (this.startsAfterThird.get(name) ?? 0) + 1)
+    if ((this.#crashes.get(name) ?? 0) >= 2) this.#trialWorkers.add(worker)
     setTimeout(() => this.crash(worker), this.options.crashAfterMs ?? 10)
     this.onCulpritStart()
     return undefined
@@ -79,6 +85,11 @@
     }, DOWN_MS)
   }
 
+  /** Number of starts of tasks under which two workers had crashed. */
+  get trials (): number {
+    return this.#trialWorkers.size
+  }
+
   submit (steps: Array<Partial<Step>>): void {
     const id = (this.submitted.length + 1).toString(16).padStart(16, '0')
     this.submitted.push(id)
@@ -159,6 +170,12 @@
       await crashing.load(cell, clock)
       await crashing.expectGivenUp(clock)
     }),
+  createCase('run apart from others after two crashes', { crashAfterMs: 300 },
+    async (crashing, cell, clock) => {
+      await crashing.load(cell, clock)
+      expect(crashing.trials).to.be.greaterThan(0)
+      expect(crashing.startsBesideTrials).to.deep.equal([])
+    }),
   createCase('are given up if all tasks of their steps do so', { isCulprit: () => true },
     async (crashing, cell, clock) => {
       await crashing.load(cell, clock)
--- a/packages/jobs/src/owner/CrashRecord.ts
+++ b/packages/jobs/src/owner/CrashRecord.ts
@@ -149,11 +149,12 @@
    */
   recordCrash (worker: WorkerState, isCertain: boolean): TaskInstance[] {
     const loss = this.#losses.get(worker.id) ?? this.#toLoss(worker)
-    this.#losses.set(worker.id, loss)
+    // When a worker was lost that never answered this owner is not known.
+    if (worker.hasAnswered) this.#losses.set(worker.id, loss)
     const tasks = [...worker.tasks].filter(({ orderSent, step: { job } }) => orderSent && !job.isOver && !job.cancelled)
     const unexplainedLosses = this.#countUnexplained(worker, loss.at)
     const witnesses = tasks.map((task) => this.#toWitness(task, worker.id, loss.at))
-    const evidence = judgeCrash(witnesses, { unexplainedLosses, isCertain })
+    const evidence = judgeCrash(witnesses, { unexplainedLosses, workers: this.#cell.workers.size, isCertain })
     this.#trials.delete(worker.id)
     this.#cell.metrics.count('worker_crashes', { cause: unexplainedLosses > 0 ? 'common' : 'single' })
     const culprits = tasks.filter((task, index) =>
--- a/packages/jobs/src/placement/judgeCrash/index.ts
+++ b/packages/jobs/src/placement/judgeCrash/index.ts
@@ -1,6 +1,6 @@
 /**
  * What the end of a worker says about a task that was on it:
- * - `common`: other workers ended at about the same time, which the task doesn't explain.
+ * - `common`: it had just started, but other workers ended at about the same time, which it doesn't explain.
  * - `present`: the task was there; others were too.
  * - `last`: its start order was the last one before the end, or was sent together with the last one.
  * - `alone`: it was on trial, the only suspect that had just started there.
@@ -30,25 +30,33 @@
  */
 const MIN_COMMON_LOSSES = 1
 
+/** Share of the workers that end at the same time, as when a rack or a domain fails, after which no task is blamed. */
+const MASS_LOSS_SHARE = 0.1
+
+/** Least number of workers in `MASS_LOSS_SHARE`, for small cells. */
+const MIN_MASS_LOSSES = 4
+
 /**
  * Judges what the unplanned end of a worker says about each task on it.
  *
  * @param witnesses - The tasks with a run, or an order that may have created one.
  * @param options.unexplainedLosses - Other workers that ended at about the same time and had no order just before.
+ * @param options.workers - Number of workers in the cell.
  * @param options.isCertain - Whether another incarnation has shown that the worker has ended. Without it, the worker
  * may only be out of reach.
  * @returns The evidence for each task in their order; undefined if the end says nothing about it.
  */
 export function judgeCrash (
   witnesses: readonly CrashWitness[],
-  { unexplainedLosses, isCertain }: { unexplainedLosses: number, isCertain: boolean }
+  { unexplainedLosses, workers, isCertain }: { unexplainedLosses: number, workers: number, isCertain: boolean }
 ): Array<CrashEvidence | undefined> {
+  const isMassLoss = unexplainedLosses >= Math.max(MIN_MASS_LOSSES, MASS_LOSS_SHARE * workers)
   const isCommon = unexplainedLosses >= MIN_COMMON_LOSSES
   const onTrial = witnesses.filter(({ isOnTrial }) => isOnTrial)
   const youngest = Math.min(...witnesses.map(({ ageMs }) => ageMs ?? Infinity))
   return witnesses.map(({ ageMs, isOnTrial }) => {
-    if (ageMs !== undefined && ageMs > SURVIVAL_MS) return undefined
-    if (isCommon) return 'common'
+    if (isMassLoss || (ageMs !== undefined && ageMs > SURVIVAL_MS)) return undefined
+    if (isCommon) return ageMs === undefined || ageMs <= LAST_ORDER_MS ? 'common' : undefined
     if (!isCertain || (ageMs === undefined && !isOnTrial)) return 'present'
     if (onTrial.length === 1) {
       if (isOnTrial) return 'alone'
--- /dev/null
+++ b/packages/jobs/src/placement/judgeCrash/test.ts
@@ -0,0 +1,41 @@
+import { expect } from 'chai'
+import { judgeCrash, type CrashEvidence, type CrashWitness } from './index.ts'
+
+describe('judgeCrash', () => {
+  const cases: Array<{
+    name: string,
+    /** Ages in ms of the tasks on the worker; 'trial' for a suspect that has just started. */
+    ages: Array<number | undefined | 'trial'>,
+    unexplainedLosses?: number,
+    isCertain?: boolean,
+    evidence: Array<CrashEvidence | undefined>
+  }> = [
+    { name: 'finds the task whose order was the last one', ages: [15, 700, 2_000], evidence: ['last', 'present', 'present'] },
+    { name: 'can\'t tell tasks of one round apart', ages: [15, 40, 300], evidence: ['last', 'last', 'present'] },
+    { name: 'finds no last task long after the last order', ages: [1_500, 2_000], evidence: ['present', 'present'] },
+    { name: 'says nothing about tasks that have run for long', ages: [15, 6_000], evidence: ['last', undefined] },
+    { name: 'takes a suspect on trial for the cause', ages: ['trial', 2_000], evidence: ['alone', undefined] },
+    { name: 'still counts tasks that had just started beside a trial', ages: ['trial', 300], evidence: ['alone', 'present'] },
+    { name: 'can\'t tell two suspects on trial apart', ages: ['trial', 'trial'], evidence: ['last', 'last'] },
+    { name: 'finds a common cause if other workers ended too', ages: ['trial', 15], unexplainedLosses: 1, evidence: ['common', 'common'] },
+    {
+      name: 'blames no task that had run for a while for a common cause',
+      ages: [1_500, 300],
+      unexplainedLosses: 1,
+      evidence: [undefined, 'common']
+    },
+    { name: 'blames no task if a tenth of the workers end', ages: ['trial', 300], unexplainedLosses: 5, evidence: [undefined, undefined] },
+    { name: 'is cautious while the worker may only be out of reach', ages: ['trial', 15], isCertain: false, evidence: ['present', 'present'] },
+    { name: 'counts runs of an earlier owner as present', ages: [undefined, 15], evidence: ['present', 'last'] },
+    { name: 'finds nothing on a worker without tasks', ages: [], evidence: [] }
+  ]
+
+  for (const { name, ages, unexplainedLosses = 0, isCertain = true, evidence } of cases) {
+    it(name, () => {
+      const witnesses = ages.map((age): CrashWitness => age === 'trial'
+        ? { ageMs: 10, isOnTrial: true }
+        : { ageMs: age, isOnTrial: false })
+      expect(judgeCrash(witnesses, { unexplainedLosses, workers: 50, isCertain })).to.deep.equal(evidence)
+    })
+  }
+})
