Test and document tasks that crash workers

The cases of the record show that trials keep other tasks away, and that a gang, a long-running task and a task whose worker was only cut off are judged like others. The case of the cut fails when counts aren't withdrawn. One that other tasks stay off the workers of trials was not caught by the load test, which passes without that rule; the record's own test fails without it.

--- a/packages/jobs/src/loadPatterns/crashingTasks.test.ts
+++ b/packages/jobs/src/loadPatterns/crashingTasks.test.ts
@@ -4,6 +4,7 @@
 import type { MemoryCell, PlanRunEnd } from '../standins/index.ts'
 import type { Step, TaskKey } from '../types.ts'
 import { describeCells, fetchState, type LoadCase } from './describeCells.ts'
+import { TASK, startLongRunningTask } from './longRunningJob.ts'
 
 const RUN_MS = 800
 
@@ -30,6 +31,8 @@
   crashAfterMs?: number
   /** Whether a task crashes each worker that starts it. Default: the first task of each job to blame. */
   isCulprit?: (key: TaskKey) => boolean
+  /** Settings of the steps to blame. Default: those of all others. */
+  culpritStep?: Partial<Step>
 }
 
 /** Tasks that crash each worker that starts them, and workers that come back under new ids. */
@@ -90,10 +93,11 @@
     return this.#trialWorkers.size
   }
 
-  submit (steps: Array<Partial<Step>>): void {
+  submit (step: Partial<Step>): void {
     const id = (this.submitted.length + 1).toString(16).padStart(16, '0')
     this.submitted.push(id)
-    this.cell!.submit(id, steps).then((kind) => { if (kind === 'accepted') this.accepted.add(id) }).catch(throwUncaught)
+    const ownStep = this.isCulpritJob(id) ? this.options.culpritStep : undefined
+    this.cell!.submit(id, [{ ...step, ...ownStep }]).then((kind) => { if (kind === 'accepted') this.accepted.add(id) }).catch(throwUncaught)
   }
 
   /** Submits jobs for a while; `act` is called before each of them. */
@@ -103,7 +107,7 @@
     this.cell = cell
     for (let passedMs = 0; passedMs < LOAD_MS; passedMs += JOB_INTERVAL_MS) {
       act(passedMs)
-      this.submit([{ count: 4, estimatedRunMs: RUN_MS, ...step }])
+      this.submit({ count: 4, estimatedRunMs: RUN_MS, ...step })
       await clock.tickAsync(JOB_INTERVAL_MS)
     }
     await clock.tickAsync(SETTLE_MS)
@@ -172,7 +176,7 @@
     }),
   createCase('run apart from others after two crashes', { crashAfterMs: 300 },
     async (crashing, cell, clock) => {
-      await crashing.load(cell, clock)
+      await crashing.load(cell, clock, { count: 8 })
       expect(crashing.trials).to.be.greaterThan(0)
       expect(crashing.startsBesideTrials).to.deep.equal([])
     }),
@@ -181,6 +185,16 @@
       await crashing.load(cell, clock)
       await crashing.expectGivenUp(clock)
     }),
+  createCase('are given up if they are members of a gang', {},
+    async (crashing, cell, clock) => {
+      await crashing.load(cell, clock, { gang: true })
+      await crashing.expectGivenUp(clock)
+    }),
+  createCase('are given up if they would run for long', { culpritStep: { longRunning: true } },
+    async (crashing, cell, clock) => {
+      await crashing.load(cell, clock)
+      await crashing.expectGivenUp(clock)
+    }),
   ...[1, 8, 40, 2_900].map((delayMs) =>
     createCase(`are given up although owners are killed ${delayMs} ms after their starts`, {},
       async (crashing, cell, clock) => {
@@ -237,3 +251,28 @@
       await crashing.expectAllCompleted(clock)
     })
 ])
+
+/** Number of cuts, one more than the crashes after which a task is given up. */
+const CUTS = 5
+
+/** Time that a cut lasts, in ms; longer than leases. */
+const CUT_MS = 7_000
+
+describeCells('Tasks of workers that are cut off', [
+  {
+    // The owner can't tell a cut from a crash until the worker answers again.
+    name: 'go on although they lose one worker after another',
+    options: { workers: 4 },
+    run: async (cell, clock) => {
+      let worker = await startLongRunningTask(cell, clock)
+      for (let cuts = 0; cuts < CUTS; cuts++) {
+        worker.fault = () => 'silent'
+        await clock.tickAsync(CUT_MS)
+        worker.fault = () => undefined
+        worker = [...cell.workers.workers.values()].find(({ runs }) => runs.size > 0)!
+        await clock.tickAsync(1_000)
+      }
+      expect(cell.checker.countRunning(TASK)).to.equal(1)
+    }
+  }
+])
--- /dev/null
+++ b/packages/jobs/src/owner/CrashRecord.test.ts
@@ -0,0 +1,142 @@
+import { install, type Clock } from '@sinonjs/fake-timers'
+import { expect } from 'chai'
+import type { TaskInstance } from '../model/index.ts'
+import { makeStep, makeWorker } from '../placement/_test/makeState.ts'
+import { CONTROL_TABLE } from '../ownership/index.ts'
+import type { StoredRow } from '../ports.ts'
+import { CELL_PARTITION } from '../records/index.ts'
+import type { WorkerState } from '../workers/WorkerState.ts'
+import { Cell } from './Cell.ts'
+import { CrashRecord } from './CrashRecord.ts'
+
+/** Time from the start of a run to the crash of its worker, in ms. */
+const CRASH_MS = 10
+
+describe('CrashRecord', () => {
+  let clock: Clock
+  let cell: Cell
+  let record: CrashRecord
+  let tasks: TaskInstance[]
+
+  beforeEach(() => {
+    clock = install({ now: 1_000 })
+    clock.tick(20_000)
+    cell = createCell()
+    record = new CrashRecord(cell)
+    const { job } = makeStep({ count: 3 })
+    cell.jobs.set(job.id, job)
+    tasks = job.occurrences.get(0)![0]!.tasks
+  })
+  afterEach(() => clock.uninstall())
+
+  function createCell (): Cell {
+    const metrics = { count: () => {}, recordDuration: () => {}, set: () => {} }
+    const log = { info: () => {}, warn: () => {} }
+    return new Cell(() => undefined, log, metrics, { onChange: () => {}, onDirty: () => {} })
+  }
+
+  function addWorker (id: string): WorkerState {
+    const worker = makeWorker(id)
+    cell.workers.set(id, worker)
+    return worker
+  }
+
+  function start (task: TaskInstance, worker: WorkerState): void {
+    cell.assign(task, worker, task.run + 1)
+    record.recordStart(task, worker)
+    task.orderSent = true
+    task.orderedAt = performance.now()
+    task.status = 'running'
+    task.startedAt = performance.now()
+  }
+
+  /** Ends a worker soon after the start of a task, and returns the tasks to give up. */
+  function crash (task: TaskInstance, worker: WorkerState): TaskInstance[] {
+    start(task, worker)
+    clock.tick(CRASH_MS)
+    worker.reachable = false
+    record.recordReachability(worker)
+    clock.tick(3_000)
+    record.tick(performance.now())
+    const culprits = record.recordCrash(worker, true)
+    cell.workers.delete(worker.id)
+    for (const lost of [...worker.tasks]) cell.requeue(lost)
+    return culprits
+  }
+
+  function takeRow (): StoredRow[] {
+    return record.takeWrites().map(({ key, value }) => ({ table: CONTROL_TABLE, partition: CELL_PARTITION, key, value, version: 1 }))
+  }
+
+  const [first, second, third] = [0, 1, 2]
+
+  it('keeps other tasks off the worker of a suspect for a while', () => {
+    crash(tasks[first]!, addWorker('w0'))
+    const worker = addWorker('w1')
+    start(tasks[first]!, worker)
+    expect(record.mayStart(tasks[second]!, worker, performance.now())).to.equal(false)
+    clock.tick(600)
+    expect(record.mayStart(tasks[second]!, worker, performance.now())).to.equal(true)
+  })
+
+  it('has a suspect wait for the trial of another one of its job, for a second at most', () => {
+    start(tasks[second]!, addWorker('w0'))
+    crash(tasks[first]!, cell.workers.get('w0')!)
+    start(tasks[first]!, addWorker('w1'))
+    tasks[first]!.status = 'starting'
+    const idle = addWorker('w2')
+    expect(record.mayStart(tasks[second]!, idle, performance.now())).to.equal(false)
+    expect(record.mayStart(tasks[third]!, idle, performance.now())).to.equal(true)
+    clock.tick(1_000)
+    expect(record.mayStart(tasks[second]!, idle, performance.now())).to.equal(true)
+  })
+
+  it('prefers workers with few tasks for suspects only', () => {
+    crash(tasks[first]!, addWorker('w0'))
+    const worker = addWorker('w1')
+    start(tasks[second]!, worker)
+    expect(record.computeCost(tasks[first]!, worker)).to.be.greaterThan(record.computeCost(tasks[first]!, addWorker('w2')))
+    expect(record.computeCost(tasks[third]!, worker)).to.equal(0)
+  })
+
+  it('gives up a task that crashes a second worker on trial', () => {
+    expect(crash(tasks[first]!, addWorker('w0'))).to.deep.equal([])
+    expect(crash(tasks[first]!, addWorker('w1'))).to.deep.equal([tasks[first]])
+  })
+
+  it('gives up a task of which an earlier owner has counted the first crash', () => {
+    crash(tasks[first]!, addWorker('w0'))
+    const rows = takeRow()
+    record = new CrashRecord(cell)
+    record.restore(rows)
+    expect(crash(tasks[first]!, addWorker('w1'))).to.deep.equal([tasks[first]])
+  })
+
+  it('writes nothing without a new crash', () => {
+    crash(tasks[first]!, addWorker('w0'))
+    expect(takeRow()).to.have.length(1)
+    expect(takeRow()).to.have.length(0)
+  })
+
+  it('forgets the crashes of a task whose run has ended by itself', () => {
+    crash(tasks[first]!, addWorker('w0'))
+    record.clear(tasks[first]!)
+    expect(crash(tasks[first]!, addWorker('w1'))).to.deep.equal([])
+  })
+
+  it('forgets the crashes of a task that has run for 5 s', () => {
+    crash(tasks[first]!, addWorker('w0'))
+    start(tasks[first]!, addWorker('w1'))
+    clock.tick(5_100)
+    record.tick(performance.now())
+    expect(record.isSuspect(tasks[first]!)).to.equal(false)
+  })
+
+  it('withdraws what it has counted when the worker answers again', () => {
+    const worker = addWorker('w0')
+    crash(tasks[first]!, worker)
+    worker.reachable = true
+    record.recordReachability(worker)
+    expect(record.isSuspect(tasks[first]!)).to.equal(false)
+  })
+})
