--- a/packages/jobs/src/standins/PlacementRounds.ts
+++ b/packages/jobs/src/standins/PlacementRounds.ts
@@ -3,6 +3,7 @@
 import { TrackedJob, type TaskInstance } from '../model/index.ts'
 import { AdviceDispatcher } from '../owner/AdviceDispatcher.ts'
 import { Cell } from '../owner/Cell.ts'
+import { CrashRecord } from '../owner/CrashRecord.ts'
 import { Placer } from '../owner/Placer.ts'
 import { WorkerCircuitBreaker } from '../owner/WorkerCircuitBreaker.ts'
 import type { Adviser } from '../ports.ts'
@@ -76,7 +77,8 @@
       { info: nothing, warn: nothing }, { count: nothing, recordDuration: nothing, set: nothing },
       { onChange: nothing, onDirty: nothing })
     const advice = new AdviceDispatcher(this.cell)
-    this.#placer = new Placer(this.cell, advice, this.#breaker, (task) => this.cell.requeue(task))
+    const crashes = new CrashRecord(this.cell)
+    this.#placer = new Placer(this.cell, advice, this.#breaker, crashes, (task) => this.cell.requeue(task))
     for (let index = 0; index < options.workers; index++) this.#addWorker(index)
     for (let index = 0; index < NODES; index++) advice.addNode({ id: `n${index}`, adviser: new SteadyAdviser() })
   }
