--- a/packages/jobs/src/standins/InvariantChecker.ts
+++ b/packages/jobs/src/standins/InvariantChecker.ts
@@ -99,7 +99,7 @@
     return spec?.gang === true ? spec.count : 1
   }
 
-  /** Records that a worker has crashed with an end that no owner had acknowledged, so that it may not be known. */
+  /** Records that a worker has crashed, or its lease expired, before an end was acknowledged, which may be unknown. */
   recordLostEnd (name: string, reason: RunEndReason): void {
     if (reason === 'failed') this.#history(name).lostFailures++
   }
