Count the age of the workers' list from its reading

A new owner took the list of workers for as new as the end of its recovery, which may take seconds after it was read. It sent orders to a worker that had shrunk meanwhile while the registry didn't answer. The age now counts from the answer with the list. The new case failed before: a start 8 s after the worker had shrunk.

--- a/packages/jobs/src/loadPatterns/changingCapacity.test.ts
+++ b/packages/jobs/src/loadPatterns/changingCapacity.test.ts
@@ -4,7 +4,7 @@
 import { createQueue, TICKET_VALID_MS, type MemoryCell, type PlanRunEnd } from '../standins/index.ts'
 import { CELL_PARTITION } from '../records/index.ts'
 import { describeCells, fetchState, submitInBackground, type LoadCase } from './describeCells.ts'
-import { handOver, waitForOwner } from './owners.ts'
+import { delayRecovery, handOver, waitForOwner } from './owners.ts'
 
 const FIRST = '00000000000000a1'
 const SECOND = '00000000000000b2'
@@ -58,13 +58,13 @@
   return () => { isDelayed = false }
 }
 
-/** Delays reads of the registry that are sent from now on. */
+/** Lets the registry answer no reads of its changes for some time. */
 function delayRegistry (cell: MemoryCell, delayMs: number): void {
   const { workers } = cell
+  const answersAt = performance.now() + delayMs
   const changes = workers.changes.bind(workers)
   workers.changes = async (...args) => {
-    workers.changes = changes
-    await sleep(delayMs)
+    await sleep(Math.max(0, answersAt - performance.now()))
     return await changes(...args)
   }
 }
@@ -146,6 +146,28 @@
       expect(await fetchState(cell, clock, SECOND)).to.equal('completed')
     }
   },
+  {
+    // The list of workers that a new owner read was as old as its recovery was long.
+    name: 'gets no task while a new owner that recovers slowly may not know that it has shrunk',
+    options: { ...oneWorker, capacity: ofProcessors(2) },
+    run: async (cell, clock) => {
+      const endDelay = delayRecovery(cell, 6_000)
+      cell.killNode(cell.owner!.name)
+      await waitForOwner(cell, clock)
+      delayRegistry(cell, 9_000)
+      submitInBackground(cell, SECOND, [{ demand: ofProcessors(2) }])
+      await clock.tickAsync(500)
+      resize(cell, 'w0', 1)
+      await clock.tickAsync(7_500)
+      endDelay()
+      expect(cell.checker.starts).to.equal(0)
+      await clock.tickAsync(10_000)
+      expect(cell.checker.starts).to.equal(0)
+      resize(cell, 'w0', 2)
+      await clock.tickAsync(START_MS)
+      expect(isRunning(cell, SECOND)).to.equal(true)
+    }
+  },
   {
     name: 'gets no task whose start order went unanswered until after it had shrunk',
     options: { ...oneWorker, capacity: ofProcessors(2) },
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -10,7 +10,7 @@
 import {
   CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, decodeJob
 } from '../records/index.ts'
-import type { Job, JobState } from '../types.ts'
+import type { Job, JobState, WorkerEntry } from '../types.ts'
 import { AdviceDispatcher, type AdviceNode } from './AdviceDispatcher.ts'
 import { BreakerRecord } from './BreakerRecord.ts'
 import { Cell } from './Cell.ts'
@@ -162,11 +162,11 @@
 
   /** Restores the state of the cell from the store and the worker registry, and starts to schedule. */
   async start (): Promise<void> {
-    const { log, registry } = this.#dependencies
+    const { log } = this.#dependencies
     this.#committing = this.#commits.run().finally(() => { this.#commitsEnded = true })
     this.#committing.catch(throwUncaught)
     const [listed, control, progress] = await Promise.all([
-      this.#readUntilKnown(() => registry.list(), 'workers'),
+      this.#readWorkers(),
       this.#readUntilKnown(() => this.#readControl(), CONTROL_TABLE),
       this.#readUntilKnown(() => this.#dependencies.store.read(PROGRESS_TABLE, CELL_PARTITION), PROGRESS_TABLE)
     ])
@@ -291,6 +291,12 @@
     return await readWithRetry(read, what, this.#abortController.signal, this.#dependencies.metrics)
   }
 
+  async #readWorkers (): Promise<{ workers: WorkerEntry[], version: number } | undefined> {
+    const listed = await this.#readUntilKnown(() => this.#dependencies.registry.list(), 'workers')
+    this.cell.registryReadAt = performance.now()
+    return listed
+  }
+
   async #readControl (): Promise<Outcome<RowChanges>> {
     const sentAt = readInstant()
     const answer = await this.#dependencies.store.read(CONTROL_TABLE, CELL_PARTITION)
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -73,7 +73,6 @@
   /** Starts the sessions and follows the registry from a version on. */
   async run (version: number): Promise<void> {
     this.#started = true
-    this.#dependencies.cell.registryReadAt = performance.now()
     await Promise.all([
       ...[...this.#dependencies.sessions.values()].map((session) => session.run()), this.#watchRegistry(version)
     ])
