--- a/packages/jobs/src/owner/CrashRecord.test.ts
+++ b/packages/jobs/src/owner/CrashRecord.test.ts
@@ -65,7 +65,8 @@
   }
 
   function takeRow (): StoredRow[] {
-    return record.takeWrites().map(({ key, value }) => ({ table: CONTROL_TABLE, partition: CELL_PARTITION, key, value, version: 1 }))
+    const address = { table: CONTROL_TABLE, partition: CELL_PARTITION }
+    return record.takeWrites().map(({ key, value }) => ({ ...address, key, value, version: 1 }))
   }
 
   const [first, second, third] = [0, 1, 2]
