Place the other tasks of a step while a failed one waits

Tasks that could start on a worker with room were passed over for up to 2 s, after each failure of a task before them in their step, and no advice was requested on their behalf.

Cause: a round took a task that found no worker as evidence against all tasks of the step that failed on as few workers or fewer. It is the other way round: a task that has failed somewhere has fewer workers left than one that has not.

Now a task that has failed nowhere is skipped only after another such task, and stands for its step when it finds none. Tasks that have failed are skipped as before, after one with as many failures.

The new case of hopelessJob.test.ts fails before this change (task 2 has not started after 1.5 s on an idle worker). Not changed: of two failed tasks with failures on different workers the second one may still wait for the first, for 2 s at most.

--- a/packages/jobs/src/loadPatterns/hopelessJob.test.ts
+++ b/packages/jobs/src/loadPatterns/hopelessJob.test.ts
@@ -64,5 +64,19 @@
       await clock.tickAsync(4_000)
       expect(await fetchState(cell, clock, SOUND)).to.equal('completed')
     }
+  },
+  {
+    // The other tasks of its step were passed over while a failed task waited to go back to its only worker.
+    name: 'lets its other tasks start while a failed one waits',
+    options: {
+      workers: 1,
+      planRunEnd: ({ index }) => index === 0 ? { reason: 'failed', afterMs: 50 } : { reason: 'done', afterMs: 300 }
+    },
+    run: async (cell, clock) => {
+      const demand = { cpuMillis: 8_000, memoryMb: 0, accelerators: 0 }
+      submitInBackground(cell, `${HOPELESS}0`, [{ count: 3, demand }], createQueue('batch', { maxAttempts: 4 }))
+      await clock.tickAsync(1_500)
+      for (const task of [1, 2]) expect(cell.checker.isDone(`${HOPELESS}0.0.0.${task}`), `task ${task}`).to.equal(true)
+    }
   }
 ])
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -93,20 +93,24 @@
   /** Places the waiting tasks of a step. Returns one that found no worker, if any. */
   #placeTasks (step: StepInstance, workers: readonly WorkerState[], now: number): TaskInstance | undefined {
     let blocked: TaskInstance | undefined
+    let mostFailedOn = -1
     let isFirst = !step.spec.longRunning && step.tasks.length > 1 && !step.tasks.some(({ isAssigned }) => isAssigned)
     for (const task of step.tasks) {
       if (task.status !== 'waiting') continue
-      // Tasks of a step differ only in the workers on which they failed. Once one has found no worker, only tasks that
-      // failed on more workers are tried, since `#chooseFailedWorker` may find one of those workers for them.
-      if (blocked !== undefined && task.failedOn.size <= blocked.failedOn.size) continue
+      // Tasks of a step differ only in the workers on which they failed. Once one that has failed nowhere has found no
+      // worker, others like it are not tried. Those with failures are, since `#chooseFailedWorker` may find a worker.
+      if (task.failedOn.size === 0 ? blocked?.failedOn.size === 0 : task.failedOn.size <= mostFailedOn) continue
       let worker = this.#chooseWorker(task, workers, now)
       if (worker !== undefined && isFirst) {
         isFirst = false
         this.#chooseFailureDomain(task, workers, now)
         worker = this.#chooseWorker(task, workers, now) ?? worker
       }
-      if (worker === undefined) blocked = task
-      else this.#assign(task, worker, task.run + 1)
+      if (worker !== undefined) this.#assign(task, worker, task.run + 1)
+      else {
+        mostFailedOn = Math.max(mostFailedOn, task.failedOn.size)
+        if (blocked === undefined || task.failedOn.size === 0) blocked = task
+      }
     }
     return blocked
   }
