Reserve no workers that long-running tasks keep too small

Two effects, for as long as the long-running task lasts: small tasks were kept off a worker with room for them, and a large task got no run although another worker could have been kept for it.

Cause: the reservation goes to the worker with the most free CPU on which the task would fit if nothing ran there. A worker with one long-running task often has the most free CPU, and the choice is the same in each round. The check whether a gang has enough workers left such tasks out too.

Two new cases of reservedWorker.test.ts and one of hasWorkersForGang's test fail before this change.

--- a/packages/jobs/src/loadPatterns/reservedWorker.test.ts
+++ b/packages/jobs/src/loadPatterns/reservedWorker.test.ts
@@ -67,5 +67,35 @@
       await clock.tickAsync(LARGE_RUN_MS - 1_000)
       expect(cell.checker.countRunning(`${SECOND}.0.0.0`)).to.equal(1)
     }
+  },
+  {
+    // The room beside a long-running task was kept for a task that has no room before that one ends.
+    name: 'is not one that a long-running task keeps too small',
+    options: { ...options, planRunEnd: ({ job }) => job === FIRST ? undefined : { reason: 'done', afterMs: 500 } },
+    run: async (cell, clock) => {
+      submitInBackground(cell, FIRST, [{ demand: SMALL, longRunning: true }], scoring)
+      await clock.tickAsync(500)
+      submitInBackground(cell, SECOND, [{ demand: WHOLE_WORKER, estimatedRunMs: LARGE_RUN_MS }], matching)
+      await clock.tickAsync(RESERVED_AFTER_MS)
+      submitInBackground(cell, THIRD, [{ demand: SMALL, estimatedRunMs: 500 }], scoring)
+      await clock.tickAsync(1_000)
+      expect(cell.checker.isDone(`${THIRD}.0.0.0`)).to.equal(true)
+    }
+  },
+  {
+    // The worker with the long-running task has the most free CPU; small tasks took the room on the other one.
+    name: 'is another one than that of a long-running task',
+    options: { workers: 2, capacity, planRunEnd: ({ job }) => job === FIRST ? undefined : { reason: 'done', afterMs: 1_000 } },
+    run: async (cell, clock) => {
+      submitInBackground(cell, FIRST, [{ demand: SMALL, longRunning: true }], scoring)
+      await clock.tickAsync(500)
+      for (let round = 0; round < 50; round++) {
+        const id = `c${round.toString(16).padStart(15, '0')}`
+        submitInBackground(cell, id, [{ count: 4, demand: SMALL, estimatedRunMs: 1_000 }], scoring)
+        if (round === 10) submitInBackground(cell, SECOND, [{ demand: WHOLE_WORKER, estimatedRunMs: 1_000 }], matching)
+        await clock.tickAsync(200)
+      }
+      expect(cell.checker.isDone(`${SECOND}.0.0.0`)).to.equal(true)
+    }
   }
 ])
--- a/packages/jobs/src/placement/chooseReservation/index.ts
+++ b/packages/jobs/src/placement/chooseReservation/index.ts
@@ -1,9 +1,11 @@
 import type { StepInstance } from '../../model/index.ts'
 import type { WorkerState } from '../../workers/WorkerState.ts'
 import { fitsWhenEmpty } from '../fitsWhenEmpty/index.ts'
+import { keepLongRunning } from '../keepLongRunning/index.ts'
 
 /**
- * Chooses the worker that is expected to have room for a task of a step first: the allowed one with the most free CPU.
+ * Chooses the worker that is expected to have room for a task of a step first: the allowed one with the most free CPU,
+ * unless long-running tasks keep it too small.
  *
  * @param step - The step.
  * @param workers - All workers of the pool.
@@ -25,6 +27,7 @@
     if (!worker.acceptsTasks || reserved.has(worker) || !fitsWhenEmpty(step, worker)) continue
     if (needsTicket && step.advice.isAllowed(worker.id) !== true) continue
     if (counts !== undefined && (counts.get(worker.id) ?? 0) >= maxPerWorker) continue
+    if (!keepLongRunning(worker).hasRoom(step.spec)) continue
     best = worker
     mostFreeCpu = free
   }
--- a/packages/jobs/src/placement/hasWorkersForGang/index.ts
+++ b/packages/jobs/src/placement/hasWorkersForGang/index.ts
@@ -1,10 +1,12 @@
 import type { StepInstance } from '../../model/index.ts'
-import { WorkerState } from '../../workers/WorkerState.ts'
+import type { WorkerState } from '../../workers/WorkerState.ts'
 import { countRoom } from '../countRoom/index.ts'
 import { fitsWhenEmpty } from '../fitsWhenEmpty/index.ts'
+import { keepLongRunning } from '../keepLongRunning/index.ts'
 
 /**
- * Tells whether the tasks of a gang would have room at the same time if the workers ran nothing else.
+ * Tells whether the tasks of a gang would have room at the same time if the workers ran nothing
+ * else but long-running tasks.
  *
  * @param step - The step of the gang.
  * @param workers - All workers of the pool.
@@ -16,7 +18,7 @@
   for (const worker of workers) {
     if (!worker.acceptsTasks || !fitsWhenEmpty(step, worker)) continue
     if (needsTicket && step.advice.isAllowed(worker.id) === false) continue
-    room += countRoom(step, new WorkerState(worker.entry, 0), 0)
+    room += countRoom(step, keepLongRunning(worker), 0)
     if (room >= step.tasks.length) return true
   }
   return false
--- a/packages/jobs/src/placement/hasWorkersForGang/test.ts
+++ b/packages/jobs/src/placement/hasWorkersForGang/test.ts
@@ -9,9 +9,9 @@
 const advice = { decisionMs: 10, perWorkerMs: 1, validMs: 2_000 }
 
 /** Creates a worker that another task uses. */
-function makeBusyWorker (id: string): WorkerState {
+function makeBusyWorker (id: string, longRunning = false): WorkerState {
   const worker = makeWorker(id)
-  worker.add(makeStep({ demand }).tasks[0]!)
+  worker.add(makeStep({ demand, longRunning }).tasks[0]!)
   return worker
 }
 
@@ -26,7 +26,8 @@
   }> = [
     { name: 'counts several tasks on a worker', step: { count: 4 }, workers: ['a', 'b'].map((id) => makeWorker(id)), expected: true },
     { name: 'finds the workers too few', step: { count: 5 }, workers: ['a', 'b'].map((id) => makeWorker(id)), expected: false },
-    { name: 'counts what other tasks use', step: { count: 4 }, workers: ['a', 'b'].map(makeBusyWorker), expected: true },
+    { name: 'counts what other tasks use', step: { count: 4 }, workers: ['a', 'b'].map((id) => makeBusyWorker(id)), expected: true },
+    { name: 'leaves out what long-running tasks use', step: { count: 2 }, workers: [makeBusyWorker('a', true)], expected: false },
     { name: 'keeps to the limit of tasks on one worker', step: { count: 2, maxPerWorker: 1 }, workers: [makeWorker('a')], expected: false },
     { name: 'counts no draining worker', step: { count: 2 }, workers: [makeWorker('a', { draining: true })], expected: false },
     { name: 'counts workers that the policy has not decided on', step: { count: 2 }, workers: [makeWorker('a')], excluded: [], expected: true },
