Share out only the nodes in use among calls for advice

With two nodes, no step of a queue with slow calls got advice while the second node could not reach the policy service, although the first one could.

Cause: the nodes for slow calls were chosen by their position among all nodes, and a node that is paused after a failure kept its position. Now the shares are of the nodes that are not paused.

The case for node 1 in AdviceDispatcher.test.ts fails before this change. Calls of each kind still go to a failing node once a pause.

--- a/packages/jobs/src/owner/AdviceDispatcher.test.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.test.ts
@@ -1,8 +1,9 @@
 import { install, type Clock } from '@sinonjs/fake-timers'
 import { expect } from 'chai'
-import { done, sleep } from '@gypsumspring/protocol'
+import { done, notDone, sleep } from '@gypsumspring/protocol'
 import type { StepInstance } from '../model/index.ts'
 import { makeStep, makeWorker } from '../placement/_test/makeState.ts'
+import type { Adviser } from '../ports.ts'
 import type { Queue } from '../types.ts'
 import { AdviceDispatcher } from './AdviceDispatcher.ts'
 import { Cell } from './Cell.ts'
@@ -10,6 +11,8 @@
 const FAST: Partial<Queue> = { name: 'fast', priority: 0, advice: { decisionMs: 40, perWorkerMs: 0, validMs: 2_000 } }
 const SLOW: Partial<Queue> = { name: 'slow', priority: 1, advice: { decisionMs: 800, perWorkerMs: 0, validMs: 2_000 } }
 
+const failingAdviser: Adviser = { advise: async () => notDone('unavailable', 'the service is out of reach') }
+
 /** Time in which a slow call must have an answer, in ms: those in flight on its node end, and it takes 800 ms. */
 const ANSWER_MS = 1_000
 
@@ -43,6 +46,30 @@
     })
   }
 
+  for (const failing of [0, 1]) {
+    // The only node that made calls of a kind could not reach the service, and none of them got an answer.
+    it(`answers slow and fast requests through one of two nodes while node ${failing} fails`, async () => {
+      const steps = [makeStep({}, SLOW), makeStep({}, FAST)]
+      const dispatcher = createDispatcher(() => {})
+      for (const index of [0, 1]) {
+        dispatcher.addNode({ id: `n${index}`, adviser: index === failing ? failingAdviser : createAdviser() })
+      }
+      const workers = [makeWorker('w')]
+      for (let passedMs = 0; passedMs < 4_000; passedMs += 100) {
+        for (const step of steps) if (step.advice.isAllowed('w') === undefined) dispatcher.request(step, workers)
+        dispatcher.tick()
+        await clock.tickAsync(100)
+      }
+      expect(steps.map(({ advice }) => advice.isAllowed('w'))).to.deep.equal([true, true])
+    })
+  }
+
+  function createDispatcher (onChange: () => void): AdviceDispatcher {
+    const nothing = () => {}
+    return new AdviceDispatcher(new Cell(() => undefined, { info: nothing, warn: nothing },
+      { count: nothing, recordDuration: nothing, set: nothing }, { onChange, onDirty: nothing }))
+  }
+
   /** A service that handles one call of a node at a time and allows all workers. */
   function createAdviser () {
     let freeAt = 0
--- a/packages/jobs/src/owner/AdviceDispatcher.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.ts
@@ -159,21 +159,21 @@
   #chooseNode ({ expectedMs, ahead }: Pick<AdviceRequest, 'expectedMs' | 'ahead'>): NodeState | undefined {
     const isSlow = expectedMs > SLOW_ADVICE_MS
     const now = this.#cell.now()
-    const nodes = [...this.#nodes.values()]
+    // Shares are of the nodes in use: the only node for one kind of call may be the one that is paused.
+    const nodes = [...this.#nodes.values()].filter(({ pausedUntil }) => pausedUntil <= now)
     const reserved = nodes.length > 1 ? Math.ceil(nodes.length * RESERVED_NODE_SHARE) : 0
     const candidates = isSlow
-      ? nodes.slice(reserved).filter(({ openCalls, pausedUntil }) => openCalls === 0 && pausedUntil <= now)
-      : nodes.slice(0, nodes.length - this.#countNodesForSlowCalls()).filter(({
-        openCalls, slowCalls, pausedUntil
-      }) => slowCalls === 0 && openCalls < MAX_FAST_CALLS_PER_NODE && pausedUntil <= now)
+      ? nodes.slice(reserved).filter(({ openCalls }) => openCalls === 0)
+      : nodes.slice(0, nodes.length - this.#countNodesForSlowCalls(nodes.length))
+        .filter(({ openCalls, slowCalls }) => slowCalls === 0 && openCalls < MAX_FAST_CALLS_PER_NODE)
     if (ahead && candidates.length <= AHEAD_FREE_SHARE * (nodes.length - reserved)) return undefined
     return candidates.sort((a, b) => a.openCalls - b.openCalls)[0]
   }
 
-  /** Number of nodes, at the end of the list, that make no fast calls now. */
-  #countNodesForSlowCalls (): number {
+  /** Number of the nodes in use, at the end of their list, that make no fast calls now. */
+  #countNodesForSlowCalls (nodes: number): number {
     const isSlowCallWaiting = this.#queue.some(({ expectedMs, ahead }) => expectedMs > SLOW_ADVICE_MS && !ahead)
-    return isSlowCallWaiting && this.#nodes.size > 1 ? Math.ceil(this.#nodes.size * SLOW_NODE_SHARE) : 0
+    return isSlowCallWaiting && nodes > 1 ? Math.ceil(nodes * SLOW_NODE_SHARE) : 0
   }
 
   async #send (state: NodeState, request: AdviceRequest): Promise<void> {
