Send every second call for advice by age, the others by priority

While the service has more calls to make than it can within 1.5 s, as after a change of the owner with many jobs, all requests are overdue and the queue was one by age alone.

Now a request that comes first by age is followed by one by priority, for slow and for fast calls apart. Each request still gets its turn after those that are older, at half the rate.

The three new cases of AdviceDispatcher.test.ts fail before this change; those of adviceQueue.test.ts still pass.

--- a/packages/jobs/src/owner/AdviceDispatcher.test.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.test.ts
@@ -64,6 +64,24 @@
     })
   }
 
+  for (const nodes of [1, 2, 6]) {
+    // Old requests of less urgent steps all came before it, and an urgent step waited for 20 s.
+    it(`answers an urgent request beside a backlog of overdue ones on ${nodes} nodes`, async () => {
+      const workers = [makeWorker('w')]
+      const backlog = Array.from({ length: 100 }, () => makeStep({}, { ...SLOW, priority: 5 }))
+      const requestBacklog = () => { for (const step of backlog) dispatcher.request(step, workers) }
+      const dispatcher: AdviceDispatcher = createDispatcher(requestBacklog)
+      for (let index = 0; index < nodes; index++) dispatcher.addNode({ id: `n${index}`, adviser: createAdviser() })
+      requestBacklog()
+      await clock.tickAsync(5_000)
+      const urgent = makeStep({}, { ...SLOW, name: 'urgent', priority: 0 })
+      dispatcher.request(urgent, workers)
+      // The call in flight, an overdue one and its own take 800 ms each.
+      await clock.tickAsync(2_500)
+      expect(urgent.advice.isAllowed('w')).to.equal(true)
+    })
+  }
+
   function createDispatcher (onChange: () => void): AdviceDispatcher {
     const nothing = () => {}
     return new AdviceDispatcher(new Cell(() => undefined, { info: nothing, warn: nothing },
--- a/packages/jobs/src/owner/AdviceDispatcher.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.ts
@@ -52,8 +52,9 @@
 const MAX_FAST_CALLS_PER_NODE = 2
 
 /**
- * Time after which a queued request comes before more urgent ones, in ms. Steps that wait for room ask again as soon as
- * they are answered, so that those of urgent queues could take all nodes for good.
+ * Time after which a queued request is overdue, in ms. Steps that wait for room ask again as soon as they are answered,
+ * so that those of urgent queues could take all nodes for good. Every second request that is sent is the oldest overdue
+ * one, so that a backlog does not delay urgent requests by more than one call either.
  */
 const MAX_QUEUED_MS = 1_500
 
@@ -74,7 +75,7 @@
 
 /**
  * Distributes calls to the policy service over the nodes. The service processes one call at a time per calling machine,
- * so requests are queued here by priority and, after a time, by age until a node is free. A share of the nodes is
+ * so requests are queued here until a node is free, by priority and, every second time, by age. A share of the nodes is
  * reserved for fast calls.
  */
 export class AdviceDispatcher {
@@ -82,6 +83,8 @@
   readonly #nodes = new Map<string, NodeState>()
   /** Share of the workers asked about that the policy allowed, by queue, as a moving average. */
   readonly #allowedShares = new Map<string, number>()
+  /** Whether the last request that was sent had come first by age, for each lane. */
+  readonly #sentByAge = new Map<string, boolean>()
   #queue: AdviceRequest[] = []
 
   constructor (cell: Cell) {
@@ -139,10 +142,12 @@
     })
     const overdueBefore = this.#cell.now() - MAX_QUEUED_MS
     for (const request of this.#queue) if (request.requestedAt < overdueBefore) request.ahead = false
-    this.#queue.sort((a, b) => compareOverdue(a, b, overdueBefore) || Number(a.ahead) - Number(b.ahead) ||
+    const first = this.#chooseFirst(overdueBefore)
+    this.#queue.sort((a, b) => Number(first.has(b)) - Number(first.has(a)) || Number(a.ahead) - Number(b.ahead) ||
       a.step.job.definition.queue.priority - b.step.job.definition.queue.priority)
     // Calls that are sent make no node free, so that a kind of call that finds none need not be tried again.
     const kindsWithoutNode = new Set<string>()
+    const sent: AdviceRequest[] = []
     this.#queue = this.#queue.filter((request) => {
       const kind = `${request.expectedMs > SLOW_ADVICE_MS} ${request.ahead}`
       if (kindsWithoutNode.has(kind)) return true
@@ -151,16 +156,38 @@
         kindsWithoutNode.add(kind)
         return true
       }
+      sent.push(request)
       this.#send(state, request).catch(throwUncaught)
       return false
     })
+    for (const request of sent) this.#sentByAge.set(this.#toLane(request), first.has(request))
+  }
+
+  /** Chooses the oldest overdue request of each lane, unless the last one that was sent there had come first by age. */
+  #chooseFirst (overdueBefore: number): Set<AdviceRequest> {
+    const oldest = new Map<string, AdviceRequest>()
+    for (const request of this.#queue) {
+      const lane = this.#toLane(request)
+      if (request.requestedAt >= overdueBefore || this.#sentByAge.get(lane) === true) continue
+      if (request.requestedAt < (oldest.get(lane)?.requestedAt ?? Infinity)) oldest.set(lane, request)
+    }
+    return new Set(oldest.values())
+  }
+
+  /** Requests of one lane wait for the same nodes. */
+  #toLane ({ expectedMs }: AdviceRequest): string {
+    return expectedMs > SLOW_ADVICE_MS ? 'slow' : 'fast'
+  }
+
+  #listNodesInUse (): NodeState[] {
+    const now = this.#cell.now()
+    return [...this.#nodes.values()].filter(({ pausedUntil }) => pausedUntil <= now)
   }
 
   #chooseNode ({ expectedMs, ahead }: Pick<AdviceRequest, 'expectedMs' | 'ahead'>): NodeState | undefined {
     const isSlow = expectedMs > SLOW_ADVICE_MS
-    const now = this.#cell.now()
     // Shares are of the nodes in use: the only node for one kind of call may be the one that is paused.
-    const nodes = [...this.#nodes.values()].filter(({ pausedUntil }) => pausedUntil <= now)
+    const nodes = this.#listNodesInUse()
     const reserved = nodes.length > 1 ? Math.ceil(nodes.length * RESERVED_NODE_SHARE) : 0
     const candidates = isSlow
       ? nodes.slice(reserved).filter(({ openCalls }) => openCalls === 0)
@@ -237,11 +264,6 @@
   }
 }
 
-/** Orders requests made before a time by age, and before all others. */
-function compareOverdue (a: AdviceRequest, b: AdviceRequest, overdueBefore: number): number {
-  return Math.min(a.requestedAt, overdueBefore) - Math.min(b.requestedAt, overdueBefore)
-}
-
 function expectDuration (timing: AdviceTiming, workers: number): number {
   return timing.decisionMs + timing.perWorkerMs * workers
 }
