Leave the only node to a slow call for advice at its turn

Cause: a slow call needs a node without calls in flight, and a node makes two fast ones at a time. With several nodes some are set apart for slow calls, with a single one none is.

Now a request that comes first by age holds back all others while only one node is in use. The new case of AdviceDispatcher.test.ts fails before this change.

--- a/packages/jobs/src/owner/AdviceDispatcher.test.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.test.ts
@@ -82,6 +82,25 @@
     })
   }
 
+  // Fast calls never left the only node to a slow one.
+  it('answers a slow request beside an endless backlog of fast ones on one node', async () => {
+    const workers = [makeWorker('w')]
+    const fastSteps = Array.from({ length: 4 }, () => makeStep({}, FAST))
+    const requestFast = () => { for (const step of fastSteps) dispatcher.request(step, workers) }
+    const dispatcher: AdviceDispatcher = createDispatcher(requestFast)
+    dispatcher.addNode({ id: 'n0', adviser: createAdviser() })
+    requestFast()
+    await clock.tickAsync(500)
+    const step = makeStep({}, SLOW)
+    dispatcher.request(step, workers)
+    await clock.tickAsync(1_500 + ANSWER_MS)
+    expect(step.advice.isAllowed('w')).to.equal(true)
+    const fast = makeStep({}, FAST)
+    dispatcher.request(fast, workers)
+    await clock.tickAsync(ANSWER_MS)
+    expect(fast.advice.isAllowed('w')).to.equal(true)
+  })
+
   function createDispatcher (onChange: () => void): AdviceDispatcher {
     const nothing = () => {}
     return new AdviceDispatcher(new Cell(() => undefined, { info: nothing, warn: nothing },
--- a/packages/jobs/src/owner/AdviceDispatcher.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.ts
@@ -148,12 +148,15 @@
     // Calls that are sent make no node free, so that a kind of call that finds none need not be tried again.
     const kindsWithoutNode = new Set<string>()
     const sent: AdviceRequest[] = []
+    let isHeldBack = false
     this.#queue = this.#queue.filter((request) => {
       const kind = `${request.expectedMs > SLOW_ADVICE_MS} ${request.ahead}`
-      if (kindsWithoutNode.has(kind)) return true
+      if (isHeldBack || kindsWithoutNode.has(kind)) return true
       const state = this.#chooseNode(request)
       if (state === undefined) {
         kindsWithoutNode.add(kind)
+        // A backlog of fast calls would never leave the only node to a slow one.
+        isHeldBack = first.has(request) && this.#listNodesInUse().length === 1
         return true
       }
       sent.push(request)
@@ -176,6 +179,7 @@
 
   /** Requests of one lane wait for the same nodes. */
   #toLane ({ expectedMs }: AdviceRequest): string {
+    if (this.#listNodesInUse().length === 1) return 'all'
     return expectedMs > SLOW_ADVICE_MS ? 'slow' : 'fast'
   }
 
