Let a step stop others on the worker that is reserved for it

An urgent job whose tickets arrived more than 0.7 s after it waited got no room from less urgent tasks and waited for their end.

Cause: in one round a worker is reserved for the step first, and its room is then taken for kept also when tasks to stop for the same step are looked for. The worker with the most free CPU, often the only one, is left out.

The new case of scarceAccelerators.test.ts fails before this change.

--- a/packages/jobs/src/loadPatterns/scarceAccelerators.test.ts
+++ b/packages/jobs/src/loadPatterns/scarceAccelerators.test.ts
@@ -7,6 +7,9 @@
 /** Time that the policy service takes for a call, in ms. */
 const ADVICE_MS = 600
 
+/** Time of a call that takes longer than a task waits before a worker is reserved for it, in ms. */
+const LATE_ADVICE_MS = 900
+
 /** A gang of accelerators takes a whole worker; tasks of the other kind share it. */
 const WHOLE_WORKER = { cpuMillis: 31_000, memoryMb: 81_000, accelerators: 8 }
 const ONE_ACCELERATOR = { cpuMillis: 5_600, memoryMb: 11_000, accelerators: 1 }
@@ -16,8 +19,14 @@
 const scoring = createQueue('scoring', { priority: 2, stretch: 4, targetLatencyMs: 3_000 })
 
 class SlowAdviser implements Adviser {
+  readonly #durationMs: number
+
+  constructor (durationMs = ADVICE_MS) {
+    this.#durationMs = durationMs
+  }
+
   async advise (_step: unknown, workers: string[]): ReturnType<Adviser['advise']> {
-    await sleep(ADVICE_MS)
+    await sleep(this.#durationMs)
     return done({ tickets: workers.map((worker): [string, string] => [worker, createTicket(TICKET_VALID_MS)]) })
   }
 }
@@ -56,6 +65,20 @@
       expect(cell.checker.isDone(`${FIRST}.0.0.3`)).to.equal(true)
     }
   },
+  {
+    // The worker was reserved for the job by then, which kept the job itself from making room there.
+    name: 'stop less urgent tasks also for a job that gets its tickets late',
+    options: { ...options, createAdviser: () => new SlowAdviser(LATE_ADVICE_MS) },
+    run: async (cell, clock) => {
+      submitInBackground(cell, FIRST, [
+        { count: 4, demand: ONE_ACCELERATOR, estimatedRunMs: 6_000, savesProgress: true }
+      ], scoring)
+      await clock.tickAsync(500)
+      submitInBackground(cell, SECOND, [{ demand: WHOLE_WORKER, estimatedRunMs: 2_000 }], matching)
+      await clock.tickAsync(LATE_ADVICE_MS + 1_000)
+      expect(cell.checker.countRunning(`${SECOND}.0.0.0`)).to.equal(1)
+    }
+  },
   {
     name: 'leave tasks alone whose work would be lost',
     options,
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -189,7 +189,8 @@
   /** Whether a task would take up room on a worker that is kept for another one. */
   #isReserved (worker: WorkerState, { step }: TaskInstance): boolean {
     const reservation = this.#reserved.get(worker)
-    return reservation !== undefined && !worker.hasRoom(step.spec, reservation.keptRoom)
+    return reservation !== undefined && reservation.step !== step &&
+      !worker.hasRoom(step.spec, reservation.keptRoom)
   }
 
   /** After a wait, lets a task go back to a worker on which it failed when no other has room. */
