List the nodes in use once per pass over the queued calls for advice

The lane of each queued request listed them anew, which takes a time for each node and request while hundreds of requests are queued. No behaviour changes.

--- a/packages/jobs/src/owner/AdviceDispatcher.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.ts
@@ -142,7 +142,8 @@
     })
     const overdueBefore = this.#cell.now() - MAX_QUEUED_MS
     for (const request of this.#queue) if (request.requestedAt < overdueBefore) request.ahead = false
-    const first = this.#chooseFirst(overdueBefore)
+    const isOnlyNode = this.#listNodesInUse().length === 1
+    const first = this.#chooseFirst(overdueBefore, isOnlyNode)
     this.#queue.sort((a, b) => Number(first.has(b)) - Number(first.has(a)) || Number(a.ahead) - Number(b.ahead) ||
       a.step.job.definition.queue.priority - b.step.job.definition.queue.priority)
     // Calls that are sent make no node free, so that a kind of call that finds none need not be tried again.
@@ -156,33 +157,27 @@
       if (state === undefined) {
         kindsWithoutNode.add(kind)
         // A backlog of fast calls would never leave the only node to a slow one.
-        isHeldBack = first.has(request) && this.#listNodesInUse().length === 1
+        isHeldBack = first.has(request) && isOnlyNode
         return true
       }
       sent.push(request)
       this.#send(state, request).catch(throwUncaught)
       return false
     })
-    for (const request of sent) this.#sentByAge.set(this.#toLane(request), first.has(request))
+    for (const request of sent) this.#sentByAge.set(toLane(request, isOnlyNode), first.has(request))
   }
 
   /** Chooses the oldest overdue request of each lane, unless the last one that was sent there had come first by age. */
-  #chooseFirst (overdueBefore: number): Set<AdviceRequest> {
+  #chooseFirst (overdueBefore: number, isOnlyNode: boolean): Set<AdviceRequest> {
     const oldest = new Map<string, AdviceRequest>()
     for (const request of this.#queue) {
-      const lane = this.#toLane(request)
+      const lane = toLane(request, isOnlyNode)
       if (request.requestedAt >= overdueBefore || this.#sentByAge.get(lane) === true) continue
       if (request.requestedAt < (oldest.get(lane)?.requestedAt ?? Infinity)) oldest.set(lane, request)
     }
     return new Set(oldest.values())
   }
 
-  /** Requests of one lane wait for the same nodes. */
-  #toLane ({ expectedMs }: AdviceRequest): string {
-    if (this.#listNodesInUse().length === 1) return 'all'
-    return expectedMs > SLOW_ADVICE_MS ? 'slow' : 'fast'
-  }
-
   #listNodesInUse (): NodeState[] {
     const now = this.#cell.now()
     return [...this.#nodes.values()].filter(({ pausedUntil }) => pausedUntil <= now)
@@ -268,6 +263,12 @@
   }
 }
 
+/** Names the lane of a request. Requests of one lane wait for the same nodes. */
+function toLane ({ expectedMs }: AdviceRequest, isOnlyNode: boolean): string {
+  if (isOnlyNode) return 'all'
+  return expectedMs > SLOW_ADVICE_MS ? 'slow' : 'fast'
+}
+
 function expectDuration (timing: AdviceTiming, workers: number): number {
   return timing.decisionMs + timing.perWorkerMs * workers
 }
