Ask for advice on a gang only when all its members have room

Cause: a gang asked again whenever one of its members found a worker, although the others had none, as with a policy that allows it one worker. Each such call takes a turn. With dozens of gangs on two nodes for slow calls, also a queue in which each request gets its turn takes longer than tickets last.

Now a gang asks only if all its members would find workers at the same time apart from tickets. Otherwise its tickets are renewed, on nodes with no other call to make.

The new case of adviceQueue.test.ts, 40 gangs on three nodes, fails before.

--- a/packages/jobs/src/loadPatterns/adviceQueue.test.ts
+++ b/packages/jobs/src/loadPatterns/adviceQueue.test.ts
@@ -17,7 +17,7 @@
 const WHOLE_WORKER = { cpuMillis: 31_000, memoryMb: 81_000, accelerators: 8 }
 const ONE_ACCELERATOR = { cpuMillis: 5_600, memoryMb: 11_000, accelerators: 1 }
 
-const GANG = '00000000000000a'
+const GANG = '0000000000000a'
 const SINGLE = '00000000000000b2'
 
 let calls = 0
@@ -45,24 +45,31 @@
     options: { nodes: 4, workers: 3, capacity, createAdviser: () => new OneCallAdviser() },
     run: async (cell, clock) => {
       calls = 0
-      submitInBackground(cell, `${GANG}0`, [{ count: 2, gang: true, demand: WHOLE_WORKER }], matching)
+      submitInBackground(cell, `${GANG}00`, [{ count: 2, gang: true, demand: WHOLE_WORKER }], matching)
       await clock.tickAsync(COUNTED_MS)
       expect(calls).to.be.within(2, Math.ceil(COUNTED_MS / (TICKET_VALID_MS - TICKET_RENEWAL_MS)))
     }
   }
 ])
 
-describeCells('Steps that wait for advice', [2, 4, 6].map((nodes) => ({
+const crowds = [
   // Gangs that could not start asked again without a pause, and less urgent steps were never asked about.
-  name: `get it although more urgent gangs wait for room, with ${nodes} nodes`,
+  ...[2, 4, 6].map((nodes) => ({ nodes, gangs: nodes, askedMs: 2_000 })),
+  // Each gang asked again whenever one of its members found a worker, and the calls of all took longer than their turn.
+  { nodes: 3, gangs: 40, askedMs: 20_000 }
+]
+
+describeCells('Steps that wait for advice', crowds.map(({ nodes, gangs, askedMs }) => ({
+  name: `get it although ${gangs} more urgent gangs wait for room, with ${nodes} nodes`,
   options: { nodes, workers: 3, capacity, createAdviser: () => new OneCallAdviser() },
   run: async (cell, clock) => {
-    for (let index = 0; index < nodes; index++) {
-      submitInBackground(cell, `${GANG}${index}`, [
+    for (let index = 0; index < gangs; index++) {
+      submitInBackground(cell, `${GANG}${String(index).padStart(2, '0')}`, [
         { count: 2, gang: true, demand: WHOLE_WORKER, estimatedRunMs: 4_000 }
       ], matching)
     }
-    await clock.tickAsync(2_000)
+    // Time in which the policy service has been asked once about each gang.
+    await clock.tickAsync(askedMs)
     submitInBackground(cell, SINGLE, [{ demand: ONE_ACCELERATOR, estimatedRunMs: 4_000 }], scoring)
     await clock.tickAsync(MAX_WAIT_MS)
     expect(cell.checker.countRunning(`${SINGLE}.0.0.0`)).to.equal(1)
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -130,23 +130,28 @@
       ? [...new Set(workers.flatMap(({ entry }) => entry.labels)),
           undefined]
       : [undefined]
-    return racks.some((rack) => this.#tryPlaceGang(step, workers, run, now, rack)) ? undefined : step.tasks[0]
+    for (const rack of racks) {
+      const chosen = this.#chooseGangWorkers(step, (task) => this.#chooseWorker(task, workers, now, rack))
+      if (chosen === undefined) continue
+      for (const [index, worker] of chosen.entries()) this.#assign(step.tasks[index]!, worker, run)
+      return undefined
+    }
+    return step.tasks[0]
   }
 
-  #tryPlaceGang (step: StepInstance, workers: readonly WorkerState[], run: number, now: number,
-    rack: string | undefined): boolean {
-    const chosen: Array<[TaskInstance, WorkerState]> = []
+  /** Chooses workers that have room for all members of a gang at the same time; undefined if one member finds none. */
+  #chooseGangWorkers (
+    step: StepInstance, choose: (task: TaskInstance) => WorkerState | undefined
+  ): WorkerState[] | undefined {
+    const chosen: WorkerState[] = []
     for (const task of step.tasks) {
-      const worker = this.#chooseWorker(task, workers, now, rack)
-      if (worker === undefined) {
-        for (const [member, held] of chosen) releaseResources(member, held)
-        return false
-      }
+      const worker = choose(task)
+      if (worker === undefined) break
       holdResources(task, worker)
-      chosen.push([task, worker])
+      chosen.push(worker)
     }
-    for (const [task, worker] of chosen) this.#assign(task, worker, run)
-    return true
+    for (const [index, worker] of chosen.entries()) releaseResources(step.tasks[index]!, worker)
+    return chosen.length === step.tasks.length ? chosen : undefined
   }
 
   /** Logs one line per step and round: a line per task would exceed the log throughput under load. */
@@ -236,20 +241,23 @@
     this.#reserved.set(candidate, { step, keptRoom: computeKeptRoom(step, candidate, now) })
   }
 
-  /** Requests advice if only a ticket keeps the task off some worker now, and otherwise renews its tickets. */
+  /** Requests advice if tickets are all that the task, or its gang, lacks to start now, and otherwise renews them. */
   #requestAdvice (
     task: TaskInstance, workers: readonly WorkerState[], candidates: readonly WorkerState[], now: number
   ): void {
     const { step } = task
-    // A gang may have tickets for workers that could each take one of its members, and wait for others.
-    const withoutTicket = candidates.filter(({ id }) => step.advice.ticket(id, now + TICKET_MARGIN_MS) === undefined)
-    const possible = chooseWorker(task, withoutTicket, {
+    const options = {
       ...this.#workerChecks(task),
-      isHealthy: ({ id }) => this.#breaker.mayStart(id, task) || this.#breaker.mayProbe(id),
+      isHealthy: ({ id }: WorkerState) => this.#breaker.mayStart(id, task) || this.#breaker.mayProbe(id),
       now,
       ignoreTickets: true
-    })
-    if (possible !== undefined) this.#advice.request(step, workers)
+    }
+    const hasNoTicket = ({ id }: WorkerState) => step.advice.ticket(id, now + TICKET_MARGIN_MS) === undefined
+    const lacksOnlyTickets = step.spec.gang
+      // A member that finds a worker is of no use while the others wait for room.
+      ? this.#chooseGangWorkers(step, (member) => chooseWorker(member, candidates, options))?.some(hasNoTicket)
+      : chooseWorker(task, candidates.filter(hasNoTicket), options) !== undefined
+    if (lacksOnlyTickets === true) this.#advice.request(step, workers)
     else this.#advice.renew(step, workers)
   }
 }
