Store that a task has outlived its crashes

A task that had lost workers and then run on for hours could be given up after one more: the row of crashes was written when evidence was added, but not when it was cleared. The next owner restored it, took the task for a suspect on trial, and the loss of its worker around the takeover counted as `alone`.

Clearing evidence now marks the row as changed. Each clearing follows a crash that wrote the row, so the writes at most double.

The new case of CrashRecord.test.ts failed before; the other cases and those of loadPatterns/crashingTasks.test.ts pass.

--- a/packages/jobs/src/owner/CrashRecord.test.ts
+++ b/packages/jobs/src/owner/CrashRecord.test.ts
@@ -133,6 +133,19 @@
     expect(record.isSuspect(tasks[first]!)).to.equal(false)
   })
 
+  // A later owner counted crashes that the task had long survived, and gave its job up after one more.
+  it('lets a later owner forget the crashes of a task that has run for 5 s', () => {
+    crash(tasks[first]!, addWorker('w0'))
+    const stored = takeRow()
+    start(tasks[first]!, addWorker('w1'))
+    clock.tick(5_100)
+    record.tick(performance.now())
+    const [latest] = [...takeRow(), ...stored]
+    record = new CrashRecord(cell)
+    record.restore([latest!])
+    expect(record.isSuspect(tasks[first]!)).to.equal(false)
+  })
+
   it('withdraws what it has counted when the worker answers again', () => {
     const worker = addWorker('w0')
     crash(tasks[first]!, worker)
--- a/packages/jobs/src/owner/CrashRecord.ts
+++ b/packages/jobs/src/owner/CrashRecord.ts
@@ -75,7 +75,7 @@
     }
   }
 
-  /** Returns the row to write with the next commit, if a worker has ended under a task. */
+  /** Returns the row to write with the next commit, if the counts have changed. */
   takeWrites (): Commit['puts'] {
     if (!this.#isChanged) return []
     this.#isChanged = false
@@ -121,9 +121,10 @@
     } else this.#losses.set(worker.id, this.#toLoss(worker))
   }
 
-  /** Clears a task whose run has ended by itself: it doesn't end each worker that starts it. */
+  /** Clears a task whose run has ended by itself or lasted: it doesn't end each worker that starts it. */
   clear (task: TaskInstance): void {
-    this.#crashes.delete(task)
+    // Otherwise a later owner would restore evidence that the task has outlived.
+    if (this.#crashes.delete(task)) this.#isChanged = true
   }
 
   /** Clears tasks that have survived a start, and forgets old losses. `now` is monotonic time in ms. */
@@ -131,7 +132,7 @@
     for (const [task] of this.#crashes) {
       const { status, startedAt, step } = task
       if (status === 'done' || step.job.isOver || (status === 'running' && now - startedAt > SURVIVAL_MS &&
-        this.#cell.workers.get(task.worker!)?.reachable === true)) this.#crashes.delete(task)
+        this.#cell.workers.get(task.worker!)?.reachable === true)) this.clear(task)
     }
     for (const [id, { at }] of this.#losses) if (now - at > KEEP_LOSS_MS) this.#losses.delete(id)
     // While a worker doesn't answer, it is open how the trial on it has ended.
@@ -167,7 +168,7 @@
     task: TaskInstance, worker: string, evidence: CrashEvidence | undefined, fields: Record<string, unknown>
   ): boolean {
     if (evidence === undefined) {
-      if (Number(fields.ageMs) > SURVIVAL_MS) this.#crashes.delete(task)
+      if (Number(fields.ageMs) > SURVIVAL_MS) this.clear(task)
       return false
     }
     const crashes = [...this.#crashes.get(task) ?? [], { worker, evidence }]
