Count crashes that several tasks cause at the same time

Tasks that crash their workers at the same moment were started again and again: eight of one step after 300 ms, two of one step after 0.3, 0.7 or 1.5 s. Jobs were still running after 30 s, with up to eight starts after the third crash.

Each loss counted as unexplained for the others, and so as their common cause. Of such losses those of more than a tenth of the workers counted for nothing, and neither did tasks that had started more than 1 s ago. The tasks were requeued together and so started together again, which hid the next crash too.

A common cause now counts for each task that has started in the last 5 s, with the weight it had before: two make a suspect, five are needed without other evidence. The loss of a worker on which a suspect has started in the last 5 s is explained by it, so that suspects don't hide each other for long. Runs of an earlier owner, whose age is unknown, still don't count in a mass loss.

Two cases of judgeCrash asserted what hid the crashes: no evidence for a task that had run for 1.5 s, and none for any in a mass loss. They are replaced by cases that assert the evidence for each age. All four new load cases failed before.

--- a/packages/jobs/src/loadPatterns/crashingTasks.test.ts
+++ b/packages/jobs/src/loadPatterns/crashingTasks.test.ts
@@ -147,11 +147,12 @@
 const OPTIONS = { nodes: 9, workers: 16, capacity: { cpuMillis: 8_000, memoryMb: 32_768, accelerators: 0 } }
 
 function createCase (
-  name: string, options: Options, run: (crashing: CrashingTasks, cell: MemoryCell, clock: Clock) => Promise<void>
+  name: string, options: Options, run: (crashing: CrashingTasks, cell: MemoryCell, clock: Clock) => Promise<void>,
+  workers = OPTIONS.workers
 ): LoadCase {
   const crashing = new CrashingTasks(options)
   const { planRunEnd } = crashing
-  return { name, options: { ...OPTIONS, planRunEnd }, run: (cell, clock) => run(crashing, cell, clock) }
+  return { name, options: { ...OPTIONS, workers, planRunEnd }, run: (cell, clock) => run(crashing, cell, clock) }
 }
 
 /** Kills the owner some time after the first starts of tasks to blame. */
@@ -219,6 +220,21 @@
     })
 ])
 
+// Such tasks were lost and started again together: each crash hid the cause of the others, so that none ever counted.
+describeCells('Tasks that crash their workers at the same time as others', [
+  createCase('are given up if all eight of a step do so', { isCulprit: () => true, crashAfterMs: 300 },
+    async (crashing, cell, clock) => {
+      await crashing.load(cell, clock, { count: 8, maxPerWorker: 1 })
+      await crashing.expectGivenUp(clock)
+    }, 3 * OPTIONS.workers),
+  ...[300, 700, 1_500].map((crashAfterMs) =>
+    createCase(`are given up if two of a step do so after ${crashAfterMs} ms`,
+      { isCulprit: ({ index }) => index < 2, crashAfterMs }, async (crashing, cell, clock) => {
+        await crashing.load(cell, clock, { maxPerWorker: 1 })
+        await crashing.expectGivenUp(clock)
+      }, 3 * OPTIONS.workers))
+])
+
 // A count of ended workers alone would give up jobs that only shared them, or lost them to a common cause.
 describeCells('Workers that crash again and again without a task to blame', [
   createCase('have all jobs completed although they crash in waves', { isCulprit: () => false },
--- a/packages/jobs/src/owner/CrashRecord.ts
+++ b/packages/jobs/src/owner/CrashRecord.ts
@@ -16,7 +16,7 @@
 /** Time between the losses of two workers up to which they may have one cause, in ms: silent workers time out. */
 const COINCIDENCE_MS = 800
 
-/** A loss noticed within this time after a start order is explained by it, in ms; an open poll breaks at once. */
+/** A loss within this time after an order for a task that is no suspect is explained by it, in ms. */
 const EXPLAINED_MS = 100
 
 /** Time for which the loss of a worker is remembered, in ms; longer than leases last. */
@@ -196,7 +196,9 @@
     const at = worker.unreachableSince ?? this.#cell.now()
     const isExplained = [...worker.tasks].some((task) => {
       const { ageMs, isOnTrial } = this.#toWitness(task, worker.id, at)
-      return isOnTrial || (ageMs !== undefined && ageMs <= EXPLAINED_MS)
+      // Suspects whose workers are lost at the same moment must not hide each other.
+      const explainedMs = this.isSuspect(task) ? SURVIVAL_MS : EXPLAINED_MS
+      return isOnTrial || (ageMs !== undefined && ageMs <= explainedMs)
     })
     return { at, isExplained }
   }
--- a/packages/jobs/src/placement/judgeCrash/index.ts
+++ b/packages/jobs/src/placement/judgeCrash/index.ts
@@ -1,6 +1,6 @@
 /**
  * What the end of a worker says about a task that was on it:
- * - `common`: it had just started, but other workers ended at about the same time, which it doesn't explain.
+ * - `common`: it had started lately, but other workers ended at about the same time, which it doesn't explain.
  * - `present`: the task was there; others were too.
  * - `last`: its start order was the last one before the end, or was sent together with the last one.
  * - `alone`: it was on trial, the only suspect that had just started there.
@@ -30,7 +30,7 @@
  */
 const MIN_COMMON_LOSSES = 1
 
-/** Share of the workers that end at the same time, as when a rack or a domain fails, after which no task is blamed. */
+/** Share of the workers that end at the same time, as when a domain fails, after which no inherited run counts. */
 const MASS_LOSS_SHARE = 0.1
 
 /** Least number of workers in `MASS_LOSS_SHARE`, for small cells. */
@@ -55,8 +55,9 @@
   const onTrial = witnesses.filter(({ isOnTrial }) => isOnTrial)
   const youngest = Math.min(...witnesses.map(({ ageMs }) => ageMs ?? Infinity))
   return witnesses.map(({ ageMs, isOnTrial }) => {
-    if (isMassLoss || (ageMs !== undefined && ageMs > SURVIVAL_MS)) return undefined
-    if (isCommon) return ageMs === undefined || ageMs <= LAST_ORDER_MS ? 'common' : undefined
+    if (ageMs !== undefined && ageMs > SURVIVAL_MS) return undefined
+    if (isMassLoss && ageMs === undefined) return undefined
+    if (isCommon) return 'common'
     if (!isCertain || (ageMs === undefined && !isOnTrial)) return 'present'
     if (onTrial.length === 1) {
       if (isOnTrial) return 'alone'
--- a/packages/jobs/src/placement/judgeCrash/test.ts
+++ b/packages/jobs/src/placement/judgeCrash/test.ts
@@ -19,12 +19,17 @@
     { name: 'can\'t tell two suspects on trial apart', ages: ['trial', 'trial'], evidence: ['last', 'last'] },
     { name: 'finds a common cause if other workers ended too', ages: ['trial', 15], unexplainedLosses: 1, evidence: ['common', 'common'] },
     {
-      name: 'blames no task that had run for a while for a common cause',
-      ages: [1_500, 300],
+      name: 'finds a common cause for all tasks that have started lately, and for no others',
+      ages: [1_500, 300, 5_100],
       unexplainedLosses: 1,
-      evidence: [undefined, 'common']
+      evidence: ['common', 'common', undefined]
+    },
+    {
+      name: 'counts nothing against runs of an earlier owner if a tenth of the workers end',
+      ages: ['trial', 300, 5_100, undefined],
+      unexplainedLosses: 5,
+      evidence: ['common', 'common', undefined, undefined]
     },
-    { name: 'blames no task if a tenth of the workers end', ages: ['trial', 300], unexplainedLosses: 5, evidence: [undefined, undefined] },
     { name: 'is cautious while the worker may only be out of reach', ages: ['trial', 15], isCertain: false, evidence: ['present', 'present'] },
     { name: 'counts runs of an earlier owner as present', ages: [undefined, 15], evidence: ['present', 'last'] },
     { name: 'finds nothing on a worker without tasks', ages: [], evidence: [] }
