Let suspects of a gang share a worker after a wait

A gang whose members may run on one worker only was never started again once two of its members had lost workers: it was still running after 30 s with the worker idle. Two suspects never started on one worker, and the members of a gang are placed together, so waiting didn't help.

The longest wait for a trial, 1 s, now also ends this rule. Other trials still keep their workers. The new load case failed before; the other cases of crashingTasks.test.ts and those of CrashRecord.test.ts pass.

--- a/packages/jobs/src/loadPatterns/crashingTasks.test.ts
+++ b/packages/jobs/src/loadPatterns/crashingTasks.test.ts
@@ -268,6 +268,24 @@
     })
 ])
 
+describeCells('Gangs that have lost workers', [
+  // Two suspects could never start on one worker, so that their gang waited for ever.
+  createCase('complete on the only worker', { isCulprit: () => false },
+    async (crashing, cell, clock) => {
+      crashing.cell = cell
+      crashing.submit({ count: 2, gang: true, estimatedRunMs: RUN_MS })
+      for (const worker of ['w0', 'w0+']) {
+        for (let passedMs = 0; passedMs < SETTLE_MS; passedMs += 10) {
+          if (cell.workers.workers.get(worker)?.runs.size === 2) break
+          await clock.tickAsync(10)
+        }
+        crashing.crash(worker)
+      }
+      await clock.tickAsync(SETTLE_MS)
+      await crashing.expectAllCompleted(clock)
+    }, 1)
+])
+
 /** Number of cuts, one more than the crashes after which a task is given up. */
 const CUTS = 5
 
--- a/packages/jobs/src/owner/CrashRecord.ts
+++ b/packages/jobs/src/owner/CrashRecord.ts
@@ -97,9 +97,11 @@
     const trial = this.#trials.get(worker.id)
     if (trial !== undefined && trial !== task && this.#isOnTrial(trial, worker.id, now)) return false
     if (this.#crashes.size === 0 || !this.isSuspect(task)) return true
+    // Others may never start apart: a gang may have one worker for several members.
+    if (now - task.waitingSince >= MAX_TRIAL_WAIT_MS) return true
     // Members of a gang are placed before any of them is assigned.
     if ([...worker.tasks].some((other) => other.status === 'starting' && this.isSuspect(other))) return false
-    return now - task.waitingSince >= MAX_TRIAL_WAIT_MS || !this.#hasTrialOf(task, now)
+    return !this.#hasTrialOf(task, now)
   }
 
   /** Cost of a worker for a task, beside others, in units of one worker's capacity. */
