--- a/packages/jobs/src/loadPatterns/crashingTasks.test.ts
+++ b/packages/jobs/src/loadPatterns/crashingTasks.test.ts
@@ -147,11 +147,12 @@
 const OPTIONS = { nodes: 9, workers: 16, capacity: { cpuMillis: 8_000, memoryMb: 32_768, accelerators: 0 } }
 
 function createCase (
-  name: string, options: Options, run: (crashing: CrashingTasks, cell: MemoryCell, clock: Clock) => Promise<void>
+  name: string, options: Options, run: (crashing: CrashingTasks, cell: MemoryCell, clock: Clock) => Promise<void>,
+  workers = OPTIONS.workers
 ): LoadCase {
   const crashing = new CrashingTasks(options)
   const { planRunEnd } = crashing
-  return { name, options: { ...OPTIONS, planRunEnd }, run: (cell, clock) => run(crashing, cell, clock) }
+  return { name, options: { ...OPTIONS, workers, planRunEnd }, run: (cell, clock) => run(crashing, cell, clock) }
 }
 
 /** Kills the owner some time after the first starts of tasks to blame. */
@@ -219,6 +220,21 @@
     })
 ])
 
+// Such tasks were lost and started again together: each crash hid the cause of the others, so that none ever counted.
+describeCells('Tasks that crash their workers at the same time as others', [
+  createCase('are given up if all eight of a step do so', { isCulprit: () => true, crashAfterMs: 300 },
+    async (crashing, cell, clock) => {
+      await crashing.load(cell, clock, { count: 8, maxPerWorker: 1 })
+      await crashing.expectGivenUp(clock)
+    }, 3 * OPTIONS.workers),
+  ...[300, 700, 1_500].map((crashAfterMs) =>
+    createCase(`are given up if two of a step do so after ${crashAfterMs} ms`,
+      { isCulprit: ({ index }) => index < 2, crashAfterMs }, async (crashing, cell, clock) => {
+        await crashing.load(cell, clock, { maxPerWorker: 1 })
+        await crashing.expectGivenUp(clock)
+      }, 3 * OPTIONS.workers))
+])
+
 // A count of ended workers alone would give up jobs that only shared them, or lost them to a common cause.
 describeCells('Workers that crash again and again without a task to blame', [
   createCase('have all jobs completed although they crash in waves', { isCulprit: () => false },
@@ -252,6 +268,24 @@
     })
 ])
 
+describeCells('Gangs that have lost workers', [
+  // Two suspects could never start on one worker, so that their gang waited for ever.
+  createCase('complete on the only worker', { isCulprit: () => false },
+    async (crashing, cell, clock) => {
+      crashing.cell = cell
+      crashing.submit({ count: 2, gang: true, estimatedRunMs: RUN_MS })
+      for (const worker of ['w0', 'w0+']) {
+        for (let passedMs = 0; passedMs < SETTLE_MS; passedMs += 10) {
+          if (cell.workers.workers.get(worker)?.runs.size === 2) break
+          await clock.tickAsync(10)
+        }
+        crashing.crash(worker)
+      }
+      await clock.tickAsync(SETTLE_MS)
+      await crashing.expectAllCompleted(clock)
+    }, 1)
+])
+
 /** Number of cuts, one more than the crashes after which a task is given up. */
 const CUTS = 5
 
--- a/packages/jobs/src/owner/CrashRecord.ts
+++ b/packages/jobs/src/owner/CrashRecord.ts
@@ -16,7 +16,7 @@
 /** Time between the losses of two workers up to which they may have one cause, in ms: silent workers time out. */
 const COINCIDENCE_MS = 800
 
-/** A loss noticed within this time after a start order is explained by it, in ms; an open poll breaks at once. */
+/** A loss within this time after an order for a task that is no suspect is explained by it, in ms. */
 const EXPLAINED_MS = 100
 
 /** Time for which the loss of a worker is remembered, in ms; longer than leases last. */
@@ -75,7 +75,7 @@
     }
   }
 
-  /** Returns the row to write with the next commit, if a worker has ended under a task. */
+  /** Returns the row to write with the next commit, if the counts have changed. */
   takeWrites (): Commit['puts'] {
     if (!this.#isChanged) return []
     this.#isChanged = false
@@ -97,9 +97,11 @@
     const trial = this.#trials.get(worker.id)
     if (trial !== undefined && trial !== task && this.#isOnTrial(trial, worker.id, now)) return false
     if (this.#crashes.size === 0 || !this.isSuspect(task)) return true
+    // Others may never start apart: a gang may have one worker for several members.
+    if (now - task.waitingSince >= MAX_TRIAL_WAIT_MS) return true
     // Members of a gang are placed before any of them is assigned.
     if ([...worker.tasks].some((other) => other.status === 'starting' && this.isSuspect(other))) return false
-    return now - task.waitingSince >= MAX_TRIAL_WAIT_MS || !this.#hasTrialOf(task, now)
+    return !this.#hasTrialOf(task, now)
   }
 
   /** Cost of a worker for a task, beside others, in units of one worker's capacity. */
@@ -121,9 +123,10 @@
     } else this.#losses.set(worker.id, this.#toLoss(worker))
   }
 
-  /** Clears a task whose run has ended by itself: it doesn't end each worker that starts it. */
+  /** Clears a task whose run has ended by itself or lasted: it doesn't end each worker that starts it. */
   clear (task: TaskInstance): void {
-    this.#crashes.delete(task)
+    // Otherwise a later owner would restore evidence that the task has outlived.
+    if (this.#crashes.delete(task)) this.#isChanged = true
   }
 
   /** Clears tasks that have survived a start, and forgets old losses. `now` is monotonic time in ms. */
@@ -131,7 +134,7 @@
     for (const [task] of this.#crashes) {
       const { status, startedAt, step } = task
       if (status === 'done' || step.job.isOver || (status === 'running' && now - startedAt > SURVIVAL_MS &&
-        this.#cell.workers.get(task.worker!)?.reachable === true)) this.#crashes.delete(task)
+        this.#cell.workers.get(task.worker!)?.reachable === true)) this.clear(task)
     }
     for (const [id, { at }] of this.#losses) if (now - at > KEEP_LOSS_MS) this.#losses.delete(id)
     // While a worker doesn't answer, it is open how the trial on it has ended.
@@ -167,7 +170,7 @@
     task: TaskInstance, worker: string, evidence: CrashEvidence | undefined, fields: Record<string, unknown>
   ): boolean {
     if (evidence === undefined) {
-      if (Number(fields.ageMs) > SURVIVAL_MS) this.#crashes.delete(task)
+      if (Number(fields.ageMs) > SURVIVAL_MS) this.clear(task)
       return false
     }
     const crashes = [...this.#crashes.get(task) ?? [], { worker, evidence }]
@@ -195,7 +198,9 @@
     const at = worker.unreachableSince ?? this.#cell.now()
     const isExplained = [...worker.tasks].some((task) => {
       const { ageMs, isOnTrial } = this.#toWitness(task, worker.id, at)
-      return isOnTrial || (ageMs !== undefined && ageMs <= EXPLAINED_MS)
+      // Suspects whose workers are lost at the same moment must not hide each other.
+      const explainedMs = this.isSuspect(task) ? SURVIVAL_MS : EXPLAINED_MS
+      return isOnTrial || (ageMs !== undefined && ageMs <= explainedMs)
     })
     return { at, isExplained }
   }
