Ask for advice only on room that no more urgent step is to take up

Cause: when a worker became free, each step that could use it asked for a ticket, with 30 to 40 steps of gangs before the others. All but the first asked in vain, since the room was gone when their answers came.

Now the room that a step lacks nothing but tickets for counts as taken in the rest of the round, if the policy is known to allow the worker. Less urgent steps ask about other room only. Fast calls cost less than this and are left as they were.

The new case of adviceQueue.test.ts fails before.

--- a/packages/jobs/src/loadPatterns/adviceQueue.test.ts
+++ b/packages/jobs/src/loadPatterns/adviceQueue.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { done, sleep } from '@gypsumspring/protocol'
+import { done, notDone, sleep } from '@gypsumspring/protocol'
 import type { Adviser } from '../ports.ts'
 import { createQueue, createTicket, TICKET_VALID_MS } from '../standins/index.ts'
 import { describeCells, submitInBackground } from './describeCells.ts'
@@ -21,12 +21,14 @@
 const SINGLE = '00000000000000b2'
 
 let calls = 0
+let isAvailable = true
 
 class OneCallAdviser implements Adviser {
   #freeAt = 0
 
   async advise ({ job }: { job: string }, workers: string[]): ReturnType<Adviser['advise']> {
     calls++
+    if (!isAvailable) return notDone('unavailable', 'the policy service is not available')
     this.#freeAt = Math.max(this.#freeAt, performance.now()) + ADVICE_MS
     await sleep(this.#freeAt - performance.now())
     const allowed = job.startsWith(GANG) ? workers.filter((worker) => worker === 'w0') : workers
@@ -75,3 +77,32 @@
     expect(cell.checker.countRunning(`${SINGLE}.0.0.0`)).to.equal(1)
   }
 })))
+
+describeCells('Steps that wait for the same room', [
+  {
+    // All of them asked as soon as the room was free, and others got their turn only after their calls.
+    name: 'leave others their turn for advice after an outage of the policy service',
+    options: {
+      nodes: 3,
+      workers: 3,
+      capacity,
+      createAdviser: () => new OneCallAdviser(),
+      planRunEnd: () => ({ reason: 'done', afterMs: 5_000 })
+    },
+    run: async (cell, clock) => {
+      for (let index = 0; index < 40; index++) {
+        submitInBackground(cell, `${GANG}${String(index).padStart(2, '0')}`, [
+          { demand: WHOLE_WORKER, estimatedRunMs: 5_000 }
+        ], matching)
+      }
+      // Time in which the policy service has been asked once about each step.
+      await clock.tickAsync(20_000)
+      isAvailable = false
+      await clock.tickAsync(2 * TICKET_VALID_MS + 5_000)
+      isAvailable = true
+      submitInBackground(cell, SINGLE, [{ demand: ONE_ACCELERATOR, estimatedRunMs: 5_000 }], scoring)
+      await clock.tickAsync(MAX_WAIT_MS)
+      expect(cell.checker.countRunning(`${SINGLE}.0.0.0`)).to.equal(1)
+    }
+  }
+])
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -1,5 +1,6 @@
-import { TICKET_MARGIN_MS } from '../constants/index.ts'
+import { SLOW_ADVICE_MS, TICKET_MARGIN_MS } from '../constants/index.ts'
 import type { StepInstance, TaskInstance } from '../model/index.ts'
+import { addDemand } from '../placement/addDemand/index.ts'
 import { chooseWorker, filterRunnable } from '../placement/chooseWorker/index.ts'
 import { chooseFailureDomain } from '../placement/chooseFailureDomain/index.ts'
 import { chooseReservation } from '../placement/chooseReservation/index.ts'
@@ -7,7 +8,7 @@
 import { hasWorkersForGang } from '../placement/hasWorkersForGang/index.ts'
 import { orderSteps } from '../placement/orderSteps/index.ts'
 import type { Demand, Step } from '../types.ts'
-import type { WorkerState } from '../workers/WorkerState.ts'
+import { NO_DEMAND, type WorkerState } from '../workers/WorkerState.ts'
 import type { AdviceDispatcher } from './AdviceDispatcher.ts'
 import { readySteps, type Cell } from './Cell.ts'
 import type { CrashRecord } from './CrashRecord.ts'
@@ -40,6 +41,8 @@
   readonly #waitLog: WaitLog
   /** Workers on which tasks of other steps leave room in this round, so that a waiting task can start there. */
   readonly #reserved = new Map<WorkerState, Reservation>()
+  /** Room of this round that steps will take up once they have the tickets that they lack. */
+  readonly #awaitingTickets = new Map<WorkerState, Demand>()
   /** Tasks of the current step that were placed in this round. */
   readonly #placedTasks: TaskInstance[] = []
 
@@ -66,6 +69,7 @@
       else pool.push(worker)
     }
     this.#reserved.clear()
+    this.#awaitingTickets.clear()
     const ordered = orderSteps([...readySteps(this.#cell)], now)
     const minimumDemand = findMinimumDemand(ordered.map(({ step }) => step))
     const candidatesByPool = new Map([...pools].map(([pool, workers]) => [pool, workers.filter((worker) =>
@@ -232,7 +236,7 @@
   ): void {
     const { step } = task
     const { advice } = step.job.definition.queue
-    if (advice !== undefined && !step.advice.pending) this.#requestAdvice(task, workers, candidates, now)
+    if (advice !== undefined) this.#requestAdvice(task, workers, candidates, now)
     if (now - task.waitingSince < RESERVE_AFTER_MS || this.#reserved.size >= workers.length * MAX_RESERVED_SHARE) return
     // Room that is kept for a gang too large for its workers is of no use to anyone.
     if (step.spec.gang && !hasWorkersForGang(step, workers)) return
@@ -246,19 +250,50 @@
     task: TaskInstance, workers: readonly WorkerState[], candidates: readonly WorkerState[], now: number
   ): void {
     const { step } = task
+    const { pending } = step.advice
+    const isSlow = step.job.definition.queue.advice!.decisionMs > SLOW_ADVICE_MS
+    // Fast calls cost less than finding out which room they are for.
+    if (pending && !isSlow) return
+    const chosen = this.#chooseWithoutTickets(task, candidates, now)
+    if (chosen !== undefined && isSlow) this.#awaitTickets(step, chosen)
+    if (pending) return
+    if (chosen !== undefined) this.#advice.request(step, workers)
+    else this.#advice.renew(step, workers)
+  }
+
+  /**
+   * Chooses workers for a task, or for all members of its gang, that it lacks nothing but tickets for. Room that more
+   * urgent steps will take up counts as taken, since otherwise all steps would ask for tickets for the same room.
+   */
+  #chooseWithoutTickets (
+    task: TaskInstance, candidates: readonly WorkerState[], now: number
+  ): WorkerState[] | undefined {
+    const { step } = task
+    const checks = this.#workerChecks(task)
     const options = {
-      ...this.#workerChecks(task),
+      ...checks,
       isHealthy: ({ id }: WorkerState) => this.#breaker.mayStart(id, task) || this.#breaker.mayProbe(id),
+      isReserved: (worker: WorkerState) => checks.isReserved(worker) ||
+        !worker.hasRoom(step.spec, this.#awaitingTickets.get(worker)),
       now,
       ignoreTickets: true
     }
     const hasNoTicket = ({ id }: WorkerState) => step.advice.ticket(id, now + TICKET_MARGIN_MS) === undefined
-    const lacksOnlyTickets = step.spec.gang
-      // A member that finds a worker is of no use while the others wait for room.
-      ? this.#chooseGangWorkers(step, (member) => chooseWorker(member, candidates, options))?.some(hasNoTicket)
-      : chooseWorker(task, candidates.filter(hasNoTicket), options) !== undefined
-    if (lacksOnlyTickets === true) this.#advice.request(step, workers)
-    else this.#advice.renew(step, workers)
+    if (!step.spec.gang) {
+      const worker = chooseWorker(task, candidates.filter(hasNoTicket), options)
+      return worker && [worker]
+    }
+    // A member that finds a worker is of no use while the others wait for room.
+    const chosen = this.#chooseGangWorkers(step, (member) => chooseWorker(member, candidates, options))
+    return chosen?.some(hasNoTicket) === true ? chosen : undefined
+  }
+
+  /** Counts room as taken for the rest of the round on the workers that the policy is known to allow. */
+  #awaitTickets (step: StepInstance, workers: readonly WorkerState[]): void {
+    for (const worker of workers) {
+      if (step.advice.isAllowed(worker.id) !== true) continue
+      this.#awaitingTickets.set(worker, addDemand(this.#awaitingTickets.get(worker) ?? NO_DEMAND, step.spec, 1))
+    }
   }
 }
 
--- a/packages/jobs/src/placement/computeKeptRoom/index.ts
+++ b/packages/jobs/src/placement/computeKeptRoom/index.ts
@@ -1,6 +1,7 @@
 import type { StepInstance, TaskInstance } from '../../model/index.ts'
-import type { Demand, Step } from '../../types.ts'
+import type { Demand } from '../../types.ts'
 import { NO_DEMAND, type WorkerState } from '../../workers/WorkerState.ts'
+import { addDemand } from '../addDemand/index.ts'
 
 /**
  * Computes the room that has to stay free on a worker for a task that waits until others there have ended. What is free
@@ -19,14 +20,14 @@
   for (const task of byEnd) {
     if (worker.hasRoom(spec, change)) break
     ending.push(task)
-    change = add(change, task.step.spec, -1)
+    change = addDemand(change, task.step.spec, -1)
   }
   // Some of them are too small to matter: there is room without their end as soon as the larger ones have ended.
   for (const task of ending) {
-    const rest = add(change, task.step.spec, 1)
+    const rest = addDemand(change, task.step.spec, 1)
     if (worker.hasRoom(spec, rest)) change = rest
   }
-  const { cpuMillis, memoryMb, accelerators } = add(change, spec, 1)
+  const { cpuMillis, memoryMb, accelerators } = addDemand(change, spec, 1)
   return {
     cpuMillis: Math.max(0, cpuMillis), memoryMb: Math.max(0, memoryMb), accelerators: Math.max(0, accelerators)
   }
@@ -39,11 +40,3 @@
   if (longRunning) return Number.MAX_SAFE_INTEGER
   return status === 'running' ? Math.max(now, startedAt + estimatedRunMs) : now + estimatedRunMs
 }
-
-function add (change: Demand, { demand, fills }: Step, sign: 1 | -1): Demand {
-  return {
-    cpuMillis: change.cpuMillis + (fills ? 0 : sign * demand.cpuMillis),
-    memoryMb: change.memoryMb + sign * demand.memoryMb,
-    accelerators: change.accelerators + sign * demand.accelerators
-  }
-}
