Refuse no requests because of a single slow answer

Callers of an endpoint got 'deadline-too-short' for 17 to 19 of 60 requests that would have been answered within a tenth of a second: the first answer of an entry or runner that had just started was slow.

Cause: the router estimates the wait from the median of the answers so far, even if there is only one. With 8 tokens and a first answer of 480 ms it expects 16.7 requests per second and refuses what is behind 35 queued ones. After a first answer of 3500 ms it refuses all that don't get a token at once, and when a token becomes free it ends queued requests as 'deadline-passed'.

Refusals depend on latencies only from 11 answers on, from which the slowest one no longer is the 90th percentile. Until then requests are refused at once only if the drain rate was measured while requests waited; otherwise they wait in the queue, whose limit still holds, and end at their deadline.

The new test fails before: of 60 requests 17 (first answer 480 ms) and 52 (3500 ms) are refused as deadline-too-short; after, none. With the change to admission alone the case of 3500 ms still fails, with deadline-passed.

--- a/packages/core/src/createEndpointRouter/_lib/WaitEstimator.ts
+++ b/packages/core/src/createEndpointRouter/_lib/WaitEstimator.ts
@@ -1,5 +1,7 @@
 import type { CallerRequest, RequestClass } from '../../types.ts'
-import { DEFAULT_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS, MIN_RETRY_AFTER_MS, WAIT_MARGIN } from '../constants/index.ts'
+import {
+  DEFAULT_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS, MIN_RETRY_AFTER_MS, REFUSAL_MIN_SAMPLES, WAIT_MARGIN
+} from '../constants/index.ts'
 import { DrainMeter } from './DrainMeter.ts'
 import type { LatencyWindow } from './LatencyWindow.ts'
 import type { QueuedRequest, RequestQueue } from './RequestQueue.ts'
@@ -40,9 +42,15 @@
     return WAIT_MARGIN * (preferred / rate + same / (rate * this.#drain.remainingShare(request.class)))
   }
 
-  /** Whether a request that has to wait is expected to be answered before its deadline. */
+  /** Whether a request that has to wait is expected to meet its deadline; true while too little is known. */
   meetsDeadline (request: CallerRequest, tokens: number, now: number): boolean {
-    return now + this.waitMs(request, tokens) + this.#latencies.percentile(0.9) <= request.deadline
+    if (!this.#hasEnoughSamples && this.#measuredRate(tokens) === undefined) return true
+    return now + this.waitMs(request, tokens) + this.#latencyMs(0.9) <= request.deadline
+  }
+
+  /** Whether a request that is sent now is expected to meet its deadline; true while too little is known. */
+  meetsDeadlineIfSent (request: CallerRequest, now: number): boolean {
+    return now + this.#latencyMs(0.5) <= request.deadline
   }
 
   /** Time until enough of the queue has drained, with jitter so that refused callers don't all retry at once. */
@@ -58,8 +66,20 @@
   #rate (tokens: number): number | undefined {
     if (tokens === 0) return undefined
     const medianMs = this.#latencies.percentile(0.5)
-    const measured = this.#drain.rate(tokens, medianMs)
-    if (measured !== undefined) return measured
-    return medianMs > 0 ? tokens / medianMs : undefined
+    return this.#measuredRate(tokens) ?? (medianMs > 0 ? tokens / medianMs : undefined)
+  }
+
+  #measuredRate (tokens: number): number | undefined {
+    return this.#drain.rate(tokens, this.#latencies.percentile(0.5))
+  }
+
+  /** Whether enough answers are known that a single slow one does not decide. */
+  get #hasEnoughSamples (): boolean {
+    return this.#latencies.count >= REFUSAL_MIN_SAMPLES
+  }
+
+  /** Latency percentile in ms that a refusal may depend on; 0 while too few answers are known. */
+  #latencyMs (share: number): number {
+    return this.#hasEnoughSamples ? this.#latencies.percentile(share) : 0
   }
 }
--- a/packages/core/src/createEndpointRouter/constants/index.ts
+++ b/packages/core/src/createEndpointRouter/constants/index.ts
@@ -18,6 +18,8 @@
 
 /** Number of latencies kept for the mean and the percentiles. */
 export const LATENCY_WINDOW_SIZE = 256
+/** Answers needed before a request is refused because of them; the 90th percentile of fewer is the slowest answer. */
+export const REFUSAL_MIN_SAMPLES = 11
 /** Number of latencies needed before requests are hedged. */
 export const HEDGE_MIN_SAMPLES = 64
 export const HEDGE_PERCENTILE = 0.95
--- a/packages/core/src/createEndpointRouter/index.ts
+++ b/packages/core/src/createEndpointRouter/index.ts
@@ -216,7 +216,7 @@
     while (passedOver.size <= MAX_PASSED_OVER && this.#pool.free > 0) {
       const request = this.#queue.peek(passedOver)
       if (request === undefined) break
-      if (now + this.#latencies.percentile(0.5) > request.deadline && this.#queue.size > 1) {
+      if (!this.#waitEstimator.meetsDeadlineIfSent(request, now) && this.#queue.size > 1) {
         // The request would miss its deadline; its slot can serve another request in time.
         actions.push(...this.#endWithoutResponse(request, 'deadline-passed', now))
         continue
--- a/packages/core/src/createEndpointRouter/test.ts
+++ b/packages/core/src/createEndpointRouter/test.ts
@@ -108,6 +108,28 @@
     expect(answers(router.submit(request({ arrivedAt: now, deadline: now + 60_000 }), now))).to.deep.equal([])
   })
 
+  // Guards against refusing most of a burst because the first answer of a process that had just started was slow.
+  for (const firstAnswerMs of [480, 3_500]) {
+    it(`answers a burst that it serves in time after a single earlier answer that took ${firstAnswerMs} ms`, () => {
+      const router = setUp({ r1: 4, r2: 4 })
+      for (const { request: id, runner } of sends(router.submit(request(), 0))) {
+        router.finish(id, runner, 'answered', firstAnswerMs)
+      }
+      const deadline = firstAnswerMs + 3_000
+      const actions = Array.from({ length: 60 }, () =>
+        router.submit(request({ arrivedAt: firstAnswerMs, deadline }), firstAnswerMs)).flat()
+      let running = sends(actions)
+      for (let now = firstAnswerMs + 5; now <= deadline; now += 5) {
+        const next = running.flatMap((send) => router.finish(send.request, send.runner, 'answered', now))
+        next.push(...router.tick(now))
+        running = sends(next)
+        actions.push(...next)
+      }
+      const outcomes = answers(actions).map((answer) => answer.outcome === 'not-run' ? answer.reason : answer.outcome)
+      expect(outcomes).to.deep.equal(Array.from({ length: 60 }, () => 'answered'))
+    })
+  }
+
   it('does not prefer a runner because it fails quickly, and uses it again when it recovers', () => {
     const router = setUp({ bad: 4, r1: 4, r2: 4, r3: 4 })
     const chosen = serveMany(router, 300, 0, (runner) => {
