Keep answers that arrived while the process was paused

A call to the store, the object store or a worker failed with 'timed out' (unknown effect) although its answer had arrived in time, if the process paused meanwhile: stopped, or without a core on a busy machine.

Cause: after a pause the event loop runs due timers before it reads from sockets, so that the deadline aborts a request whose answer waits in the socket's buffer. The deadline now aborts in the phase after the input that waits has been read; while the process is not paused that is the same turn of the event loop.

--- a/packages/adapters/src/_lib/Deadline.ts
+++ b/packages/adapters/src/_lib/Deadline.ts
@@ -12,6 +12,8 @@
 export class Deadline {
   readonly #controller = new AbortController()
   #timer: ReturnType<typeof setTimeout> | undefined
+  /** Set between the end of the timeout and the abort. */
+  #immediate: ReturnType<typeof setImmediate> | undefined
   readonly #parentSignal: AbortSignal | undefined
   #timeoutMs = 0
   #expired = false
@@ -42,21 +44,29 @@
 
   /** Moves the deadline to `timeoutMs` from now. Does nothing once the signal has aborted. */
   restart (timeoutMs: number): void {
-    clearTimeout(this.#timer)
+    this.#clearTimers()
     if (this.signal.aborted) return
     this.#timeoutMs = timeoutMs
     this.#timer = setTimeout(() => {
-      this.#expired = true
-      this.#abort()
+      // After a pause of the process, timers run before input that has already arrived; immediates run after it.
+      this.#immediate = setImmediate(() => {
+        this.#expired = true
+        this.#abort()
+      })
     }, timeoutMs)
   }
 
   /** Stops the timer and detaches from the parent signal. */
   clear (): void {
-    clearTimeout(this.#timer)
+    this.#clearTimers()
     this.#parentSignal?.removeEventListener('abort', this.#abort)
   }
 
+  #clearTimers (): void {
+    clearTimeout(this.#timer)
+    clearImmediate(this.#immediate)
+  }
+
   readonly #abort = (): void => {
     this.clear()
     this.#controller.abort(new RequestAbortedError(this.reason, this.message))
--- a/packages/adapters/src/_lib/startRawServer.ts
+++ b/packages/adapters/src/_lib/startRawServer.ts
@@ -2,9 +2,10 @@
 
 /**
  * What a raw server does once the head of a request has arrived: send `bytes` and keep the connection open (`hold`) or
- * close it (`end`), or send nothing and reset the connection (`reset`).
+ * close it (`end`), or send nothing and reset the connection (`reset`). After that it blocks the test process for
+ * `pauseMs`, as a pause of the process does.
  */
-export type RawResponse = { bytes?: string | Buffer, action: 'hold' | 'end' | 'reset' }
+export type RawResponse = { bytes?: string | Buffer, action: 'hold' | 'end' | 'reset', pauseMs?: number }
 
 /**
  * Starts a TCP server for tests that answers every request with fixed bytes, so that it can send responses that a
@@ -27,6 +28,8 @@
       if (response.action === 'reset') socket.resetAndDestroy()
       else if (response.action === 'end') socket.end(response.bytes ?? '')
       else if (response.bytes !== undefined) socket.write(response.bytes)
+      const pausedUntil = performance.now() + (response.pauseMs ?? 0)
+      while (performance.now() < pausedUntil);
     })
   })
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
--- a/packages/adapters/src/connectPlatform/test.ts
+++ b/packages/adapters/src/connectPlatform/test.ts
@@ -91,6 +91,19 @@
       })
     }
 
+    // Guards against giving up answers that arrived while the process was paused, because timers run before input.
+    for (const { name, storeTimeoutMs, pauseMs } of [
+      { name: 'longer than the timeout', storeTimeoutMs: 300, pauseMs: 400 },
+      { name: 'several times the timeout', storeTimeoutMs: 300, pauseMs: 1_500 }
+    ]) {
+      it(`reports an answer that arrives while the process pauses for ${name}`, async () => {
+        const server = await startRawServer({ bytes: rawHttpResponse(200, '{"versions":[1]}'), action: 'hold', pauseMs })
+        platform = connectPlatform({ platformUrl: `http://${server.address}`, storeTimeoutMs })
+        expect((await platform.table.transact(transaction)).extract()).to.deep.equal({ versions: [1] })
+        await server.close()
+      })
+    }
+
     it('reports a refused connection as not-done', async () => {
       const server = await startRawServer({ action: 'hold' })
       await server.close()
