Send no copy of a read whose answer arrived during a pause

A node that had paused sent a second copy of a read of the store although the answer to the first one had arrived, and routed later calls through peers, or gave up an answer whose parts had kept arriving.

Cause: after a pause the event loop runs due timers before it reads from sockets, so that the read is overdue while its answer waits in the socket's buffer. A timer that is late now decides only after the input that waits has been read; timers that are on time decide at once as before.

The new test, with a pause of twice the limit, fails before with one overdue copy and passes after. Deciding every timer later was tried too: on the paused clock of the other tests it shifts each decision by 1 ms, and three cases fail.

--- a/packages/jobs/src/readHedged/index.ts
+++ b/packages/jobs/src/readHedged/index.ts
@@ -4,6 +4,9 @@
 /** Maximum number of copies of one read. */
 const MAX_COPIES = 3
 
+/** Lag of a timer above which the process counts as paused, in ms; above the resolution of timers, 1 ms. */
+const MAX_TIMER_LAG_MS = 2
+
 interface Options {
   /** Time without any part of an answer after which a copy is overdue, in ms. */
   overdueAfterMs: number
@@ -38,9 +41,22 @@
     let copies = 0
     let arriving: AbortController | undefined
     let timer: ReturnType<typeof setTimeout> | undefined
+    let immediate: ReturnType<typeof setImmediate> | undefined
+    const clearTimers = () => {
+      clearTimeout(timer)
+      clearImmediate(immediate)
+    }
+    const startTimer = (onEnd: () => void, delayMs: number) => {
+      const dueAt = performance.now() + delayMs
+      timer = setTimeout(() => {
+        // After a pause of the process, timers run before input that has already arrived; immediates run after it.
+        if (performance.now() - dueAt > MAX_TIMER_LAG_MS) immediate = setImmediate(onEnd)
+        else onEnd()
+      }, delayMs)
+    }
     const settle = (outcome: Outcome<Value> | undefined) => {
       isSettled = true
-      clearTimeout(timer)
+      clearTimers()
       signal.removeEventListener('abort', onAbort)
       resolve(outcome)
     }
@@ -54,7 +70,7 @@
       const sentAt = performance.now()
       let hasBegun = false
       copies++
-      timer = setTimeout(() => {
+      startTimer(() => {
         if (onOverdue(sentAt) && copies < MAX_COPIES) send()
         else settle(undefined)
       }, overdueAfterMs)
@@ -66,8 +82,8 @@
           copy.abort()
           return
         }
-        clearTimeout(timer)
-        timer = setTimeout(onStall, stallTimeoutMs)
+        clearTimers()
+        startTimer(onStall, stallTimeoutMs)
       }
       read({ onProgress: recordPart, signal: copy.signal }).then((outcome) => {
         if (outcome.isRight() && !hasBegun) recordPart()
--- a/packages/jobs/src/readHedged/test.ts
+++ b/packages/jobs/src/readHedged/test.ts
@@ -1,3 +1,5 @@
+import { once } from 'node:events'
+import { connect, createServer, type AddressInfo } from 'node:net'
 import { install, type Clock } from '@sinonjs/fake-timers'
 import { expect } from 'chai'
 import { done, sleep, throwUncaught, unknownEffect, type Outcome } from '@gypsumspring/protocol'
@@ -99,6 +101,34 @@
     })
   }
 
+  // Guards against a second transfer of an answer that arrived while the process was paused: timers run before input.
+  it('keeps to an answer that arrives while the process pauses', async () => {
+    clock.uninstall()
+    const server = createServer((socket) => {
+      socket.write('answer')
+      const pausedUntil = performance.now() + 2 * OVERDUE_AFTER_MS
+      while (performance.now() < pausedUntil);
+    })
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    const { port } = server.address() as AddressInfo
+    let overdue = 0
+    const outcome = await readHedged<string>(async ({ onProgress }) => {
+      const socket = connect(port, '127.0.0.1')
+      const [bytes] = await once(socket, 'data') as [Buffer]
+      onProgress!()
+      socket.destroy()
+      return done(bytes.toString())
+    }, {
+      overdueAfterMs: OVERDUE_AFTER_MS,
+      stallTimeoutMs: STALL_TIMEOUT_MS,
+      onOverdue: () => ++overdue > 0,
+      onProgress: () => {},
+      signal: new AbortController().signal
+    })
+    server.close()
+    expect([outcome?.extract(), overdue]).to.deep.equal(['answer', 0])
+  })
+
   it('sends no copy when its caller wants none, and ends when its signal aborts', async () => {
     const controller = new AbortController()
     const sentAt: number[] = []
