--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -10,11 +10,12 @@
 import {
   CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, decodeJob
 } from '../records/index.ts'
-import type { Job, JobState } from '../types.ts'
+import type { Job, JobState, WorkerEntry } from '../types.ts'
 import { AdviceDispatcher, type AdviceNode } from './AdviceDispatcher.ts'
 import { BreakerRecord } from './BreakerRecord.ts'
 import { Cell } from './Cell.ts'
 import { CellMembers, type TakeoverPromise } from './CellMembers.ts'
+import { CrashRecord } from './CrashRecord.ts'
 import { DrainRecord } from './DrainRecord.ts'
 import { JobCleanup } from './JobCleanup.ts'
 import { Rescheduler } from './Rescheduler.ts'
@@ -118,16 +119,18 @@
     const cell = this.cell
     const breaker = new WorkerCircuitBreaker()
     const sessions = new Map<string, WorkerSession>()
+    const crashes = new CrashRecord(cell)
     this.#advice = new AdviceDispatcher(cell)
-    this.#placer = new Placer(cell, this.#advice, breaker, (task) => this.#tracker.stop(task, 'wait'))
-    this.#tracker = new RunTracker(cell, breaker, sessions, (reason) => this.#handleOwnershipLost(reason))
+    this.#placer = new Placer(cell, this.#advice, breaker, crashes, (task) => this.#tracker.stop(task, 'wait'))
+    this.#tracker = new RunTracker(cell, breaker, crashes, sessions, (reason) => this.#handleOwnershipLost(reason))
     this.#rescheduler = new Rescheduler(cell, this.#tracker, options.stopTimeoutMs)
     this.#control = {
       lostWorkers: new LostWorkerRecords(cell, ownership.clock),
       members: new CellMembers(ownership.token, options.node),
       drains: new DrainRecord(cell, ownership.clock),
       takeovers: new TakeoverRecord(cell, ownership.clock),
-      breakers: new BreakerRecord(cell, ownership.clock, breaker)
+      breakers: new BreakerRecord(cell, ownership.clock, breaker),
+      crashes
     }
     const { lostWorkers, members, drains } = this.#control
     this.#commits = new GroupCommit(cell, this.#control, ownership, {
@@ -138,7 +141,9 @@
     const mayRenewLeases = () => ownership.mayGrantLeases && (ownership.unconfirmedMs < RENEWAL_GRACE_MS ||
       (ownership.unconfirmedMs < STORE_OUTAGE_GRACE_MS && members.hasAllPromises))
     this.#stalledOrders = new StalledOrderLog(cell, { hasSession: (id) => sessions.has(id), mayRenewLeases })
-    this.#workerManager = new WorkerManager({ ...dependencies, cell, tracker, breaker, drains, sessions, signal }, {
+    this.#workerManager = new WorkerManager({
+      ...dependencies, cell, tracker, breaker, drains, crashes, sessions, signal
+    }, {
       token: ownership.token,
       leaseMs: chooseLeaseMs(options.leaseLimitMs),
       mayRenewLeases,
@@ -166,17 +171,17 @@
 
   /** Restores the state of the cell from the store and the worker registry, and starts to schedule. */
   async start (): Promise<void> {
-    const { log, registry } = this.#dependencies
+    const { log } = this.#dependencies
     this.#committing = this.#commits.run().finally(() => { this.#commitsEnded = true })
     this.#committing.catch(throwUncaught)
     const [listed, control, progress] = await Promise.all([
-      this.#readUntilKnown(() => registry.list(), 'workers'),
+      this.#readWorkers(),
       this.#readUntilKnown(() => this.#readControl(), CONTROL_TABLE),
       this.#readUntilKnown(() => this.#dependencies.store.read(PROGRESS_TABLE, CELL_PARTITION), PROGRESS_TABLE)
     ])
     if (this.#isEnded || listed === undefined || control === undefined || progress === undefined) return
     const { predecessor } = this.#ownership
-    const { lostWorkers, members, drains, takeovers, breakers } = this.#control
+    const { lostWorkers, members, drains, takeovers, breakers, crashes } = this.#control
     const followers = members.readFollowers(control.rows, predecessor?.token ?? this.token - 1)
     const earlierLeasesEnd = await this.#determineEarlierLeasesEnd(followers)
     if (this.#isEnded) return
@@ -188,6 +193,7 @@
     const lost = lostWorkers.restore(control.rows, followers !== undefined, earlierLeasesEnd)
     for (const worker of lost) this.#workerManager.addLost(worker)
     this.#restoreProgress(progress.rows)
+    crashes.restore(control.rows)
     for (const worker of listed.workers) this.#workerManager.add(worker)
     breakers.restore(control.rows)
     this.#recovered = true
@@ -295,6 +301,12 @@
     return await readWithRetry(read, what, this.#abortController.signal, this.#dependencies.metrics)
   }
 
+  async #readWorkers (): Promise<{ workers: WorkerEntry[], version: number } | undefined> {
+    const listed = await this.#readUntilKnown(() => this.#dependencies.registry.list(), 'workers')
+    this.cell.registryReadAt = performance.now()
+    return listed
+  }
+
   async #readControl (): Promise<Outcome<RowChanges>> {
     const sentAt = readInstant()
     const answer = await this.#dependencies.store.read(CONTROL_TABLE, CELL_PARTITION)
@@ -430,6 +442,7 @@
     const now = performance.now()
     for (const job of this.cell.active) if (job.spec.occurrences > 0) this.#openDueOccurrences(job)
     this.#workerManager.tick(now)
+    this.#control.crashes.tick(now)
     this.#rescheduler.tick(now)
     this.#stalledOrders.tick(now)
     this.#advice.tick()
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -1,5 +1,6 @@
-import { TICKET_MARGIN_MS } from '../constants/index.ts'
+import { SLOW_ADVICE_MS, TICKET_MARGIN_MS } from '../constants/index.ts'
 import type { StepInstance, TaskInstance } from '../model/index.ts'
+import { addDemand } from '../placement/addDemand/index.ts'
 import { chooseWorker, filterRunnable } from '../placement/chooseWorker/index.ts'
 import { chooseFailureDomain } from '../placement/chooseFailureDomain/index.ts'
 import { chooseReservation } from '../placement/chooseReservation/index.ts'
@@ -7,9 +8,10 @@
 import { hasWorkersForGang } from '../placement/hasWorkersForGang/index.ts'
 import { orderSteps } from '../placement/orderSteps/index.ts'
 import type { Demand, Step } from '../types.ts'
-import type { WorkerState } from '../workers/WorkerState.ts'
+import { NO_DEMAND, type WorkerState } from '../workers/WorkerState.ts'
 import type { AdviceDispatcher } from './AdviceDispatcher.ts'
 import { readySteps, type Cell } from './Cell.ts'
+import type { CrashRecord } from './CrashRecord.ts'
 import { Preemptor } from './Preemptor.ts'
 import { WaitLog } from './WaitLog.ts'
 import type { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
@@ -34,21 +36,26 @@
   readonly #cell: Cell
   readonly #advice: AdviceDispatcher
   readonly #breaker: WorkerCircuitBreaker
+  readonly #crashes: CrashRecord
   readonly #preemptor: Preemptor
   readonly #waitLog: WaitLog
   /** Workers on which tasks of other steps leave room in this round, so that a waiting task can start there. */
   readonly #reserved = new Map<WorkerState, Reservation>()
+  /** Room of this round that steps will take up once they have the tickets that they lack. */
+  readonly #awaitingTickets = new Map<WorkerState, Demand>()
   /** Tasks of the current step that were placed in this round. */
   readonly #placedTasks: TaskInstance[] = []
 
   /** @param preempt stops the run of a task, which then waits for another run */
   constructor (
-    cell: Cell, advice: AdviceDispatcher, breaker: WorkerCircuitBreaker, preempt: (task: TaskInstance) => void
+    cell: Cell, advice: AdviceDispatcher, breaker: WorkerCircuitBreaker, crashes: CrashRecord,
+    preempt: (task: TaskInstance) => void
   ) {
     this.#preemptor = new Preemptor(cell, preempt)
     this.#cell = cell
     this.#advice = advice
     this.#breaker = breaker
+    this.#crashes = crashes
     this.#waitLog = new WaitLog(cell.log)
   }
 
@@ -62,6 +69,7 @@
       else pool.push(worker)
     }
     this.#reserved.clear()
+    this.#awaitingTickets.clear()
     const ordered = orderSteps([...readySteps(this.#cell)], now)
     const minimumDemand = findMinimumDemand(ordered.map(({ step }) => step))
     const candidatesByPool = new Map([...pools].map(([pool, workers]) => [pool, workers.filter((worker) =>
@@ -89,20 +97,24 @@
   /** Places the waiting tasks of a step. Returns one that found no worker, if any. */
   #placeTasks (step: StepInstance, workers: readonly WorkerState[], now: number): TaskInstance | undefined {
     let blocked: TaskInstance | undefined
+    let mostFailedOn = -1
     let isFirst = !step.spec.longRunning && step.tasks.length > 1 && !step.tasks.some(({ isAssigned }) => isAssigned)
     for (const task of step.tasks) {
       if (task.status !== 'waiting') continue
-      // Tasks of a step differ only in the workers on which they failed. Once one has found no worker, only tasks that
-      // failed on more workers are tried, since `#chooseFailedWorker` may find one of those workers for them.
-      if (blocked !== undefined && task.failedOn.size <= blocked.failedOn.size) continue
+      // Tasks of a step differ only in the workers on which they failed. Once one that has failed nowhere has found no
+      // worker, others like it are not tried. Those with failures are, since `#chooseFailedWorker` may find a worker.
+      if (task.failedOn.size === 0 ? blocked?.failedOn.size === 0 : task.failedOn.size <= mostFailedOn) continue
       let worker = this.#chooseWorker(task, workers, now)
       if (worker !== undefined && isFirst) {
         isFirst = false
         this.#chooseFailureDomain(task, workers, now)
         worker = this.#chooseWorker(task, workers, now) ?? worker
       }
-      if (worker === undefined) blocked = task
-      else this.#assign(task, worker, task.run + 1)
+      if (worker !== undefined) this.#assign(task, worker, task.run + 1)
+      else {
+        mostFailedOn = Math.max(mostFailedOn, task.failedOn.size)
+        if (blocked === undefined || task.failedOn.size === 0) blocked = task
+      }
     }
     return blocked
   }
@@ -122,23 +134,28 @@
       ? [...new Set(workers.flatMap(({ entry }) => entry.labels)),
           undefined]
       : [undefined]
-    return racks.some((rack) => this.#tryPlaceGang(step, workers, run, now, rack)) ? undefined : step.tasks[0]
+    for (const rack of racks) {
+      const chosen = this.#chooseGangWorkers(step, (task) => this.#chooseWorker(task, workers, now, rack))
+      if (chosen === undefined) continue
+      for (const [index, worker] of chosen.entries()) this.#assign(step.tasks[index]!, worker, run)
+      return undefined
+    }
+    return step.tasks[0]
   }
 
-  #tryPlaceGang (step: StepInstance, workers: readonly WorkerState[], run: number, now: number,
-    rack: string | undefined): boolean {
-    const chosen: Array<[TaskInstance, WorkerState]> = []
+  /** Chooses workers that have room for all members of a gang at the same time; undefined if one member finds none. */
+  #chooseGangWorkers (
+    step: StepInstance, choose: (task: TaskInstance) => WorkerState | undefined
+  ): WorkerState[] | undefined {
+    const chosen: WorkerState[] = []
     for (const task of step.tasks) {
-      const worker = this.#chooseWorker(task, workers, now, rack)
-      if (worker === undefined) {
-        for (const [member, held] of chosen) releaseResources(member, held)
-        return false
-      }
+      const worker = choose(task)
+      if (worker === undefined) break
       holdResources(task, worker)
-      chosen.push([task, worker])
+      chosen.push(worker)
     }
-    for (const [task, worker] of chosen) this.#assign(task, worker, run)
-    return true
+    for (const [index, worker] of chosen.entries()) releaseResources(step.tasks[index]!, worker)
+    return chosen.length === step.tasks.length ? chosen : undefined
   }
 
   /** Logs one line per step and round: a line per task would exceed the log throughput under load. */
@@ -157,6 +174,7 @@
     this.#cell.assign(task, worker, run)
     this.#preemptor.recordStart(task, worker)
     this.#breaker.recordStart(worker.id, task)
+    this.#crashes.recordStart(task, worker)
   }
 
   #chooseWorker (
@@ -172,14 +190,16 @@
     return {
       isHealthy: (worker: WorkerState) => this.#breaker.mayStart(worker.id, task),
       isReserved: (worker: WorkerState) => this.#isReserved(worker, task) ||
-        this.#preemptor.isClaimed(worker, task.step)
+        this.#preemptor.isClaimed(worker, task.step) || !this.#crashes.mayStart(task, worker, this.#cell.now()),
+      extraCost: (worker: WorkerState) => this.#crashes.computeCost(task, worker)
     }
   }
 
   /** Whether a task would take up room on a worker that is kept for another one. */
   #isReserved (worker: WorkerState, { step }: TaskInstance): boolean {
     const reservation = this.#reserved.get(worker)
-    return reservation !== undefined && !worker.hasRoom(step.spec, reservation.keptRoom)
+    return reservation !== undefined && reservation.step !== step &&
+      !worker.hasRoom(step.spec, reservation.keptRoom)
   }
 
   /** After a wait, lets a task go back to a worker on which it failed when no other has room. */
@@ -216,7 +236,7 @@
   ): void {
     const { step } = task
     const { advice } = step.job.definition.queue
-    if (advice !== undefined && !step.advice.pending) this.#requestAdvice(task, workers, candidates, now)
+    if (advice !== undefined) this.#requestAdvice(task, workers, candidates, now)
     if (now - task.waitingSince < RESERVE_AFTER_MS || this.#reserved.size >= workers.length * MAX_RESERVED_SHARE) return
     // Room that is kept for a gang too large for its workers is of no use to anyone.
     if (step.spec.gang && !hasWorkersForGang(step, workers)) return
@@ -225,21 +245,55 @@
     this.#reserved.set(candidate, { step, keptRoom: computeKeptRoom(step, candidate, now) })
   }
 
-  /** Requests advice if only a ticket keeps the task off some worker now, and otherwise renews its tickets. */
+  /** Requests advice if tickets are all that the task, or its gang, lacks to start now, and otherwise renews them. */
   #requestAdvice (
     task: TaskInstance, workers: readonly WorkerState[], candidates: readonly WorkerState[], now: number
   ): void {
     const { step } = task
-    // A gang may have tickets for workers that could each take one of its members, and wait for others.
-    const withoutTicket = candidates.filter(({ id }) => step.advice.ticket(id, now + TICKET_MARGIN_MS) === undefined)
-    const possible = chooseWorker(task, withoutTicket, {
-      ...this.#workerChecks(task),
-      isHealthy: ({ id }) => this.#breaker.mayStart(id, task) || this.#breaker.mayProbe(id),
+    const { pending } = step.advice
+    const isSlow = step.job.definition.queue.advice!.decisionMs > SLOW_ADVICE_MS
+    // Fast calls cost less than finding out which room they are for.
+    if (pending && !isSlow) return
+    const chosen = this.#chooseWithoutTickets(task, candidates, now)
+    if (chosen !== undefined && isSlow) this.#awaitTickets(step, chosen)
+    if (pending) return
+    if (chosen !== undefined) this.#advice.request(step, workers)
+    else this.#advice.renew(step, workers)
+  }
+
+  /**
+   * Chooses workers for a task, or for all members of its gang, that it lacks nothing but tickets for. Room that more
+   * urgent steps will take up counts as taken, since otherwise all steps would ask for tickets for the same room.
+   */
+  #chooseWithoutTickets (
+    task: TaskInstance, candidates: readonly WorkerState[], now: number
+  ): WorkerState[] | undefined {
+    const { step } = task
+    const checks = this.#workerChecks(task)
+    const options = {
+      ...checks,
+      isHealthy: ({ id }: WorkerState) => this.#breaker.mayStart(id, task) || this.#breaker.mayProbe(id),
+      isReserved: (worker: WorkerState) => checks.isReserved(worker) ||
+        !worker.hasRoom(step.spec, this.#awaitingTickets.get(worker)),
       now,
       ignoreTickets: true
-    })
-    if (possible !== undefined) this.#advice.request(step, workers)
-    else this.#advice.renew(step, workers)
+    }
+    const hasNoTicket = ({ id }: WorkerState) => step.advice.ticket(id, now + TICKET_MARGIN_MS) === undefined
+    if (!step.spec.gang) {
+      const worker = chooseWorker(task, candidates.filter(hasNoTicket), options)
+      return worker && [worker]
+    }
+    // A member that finds a worker is of no use while the others wait for room.
+    const chosen = this.#chooseGangWorkers(step, (member) => chooseWorker(member, candidates, options))
+    return chosen?.some(hasNoTicket) === true ? chosen : undefined
+  }
+
+  /** Counts room as taken for the rest of the round on the workers that the policy is known to allow. */
+  #awaitTickets (step: StepInstance, workers: readonly WorkerState[]): void {
+    for (const worker of workers) {
+      if (step.advice.isAllowed(worker.id) !== true) continue
+      this.#awaitingTickets.set(worker, addDemand(this.#awaitingTickets.get(worker) ?? NO_DEMAND, step.spec, 1))
+    }
   }
 }
 
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -2,12 +2,19 @@
 import { ORDER_RETRY_MS } from '../constants/index.ts'
 import type { TrackedJob, TaskInstance } from '../model/index.ts'
 import type { EndedRun, RunningTask, TaskKey, WorkerReport } from '../types.ts'
-import type { WorkerState } from '../workers/WorkerState.ts'
+import { NO_DEMAND, type WorkerState } from '../workers/WorkerState.ts'
 import type { Cell } from './Cell.ts'
 import { FillerPacer } from './FillerPacer.ts'
 import type { WorkerSession } from './WorkerSession.ts'
+import type { CrashRecord } from './CrashRecord.ts'
 import type { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
 
+/**
+ * Age of the last answer of the worker registry beyond which start orders wait, in ms: a worker may have shrunk since.
+ * The registry usually answers each second.
+ */
+const MAX_REGISTRY_AGE_MS = 3_000
+
 /** Weight of a new observation in the moving average of a worker's slowdown. */
 const SLOWDOWN_SMOOTHING = 0.2
 
@@ -15,6 +22,7 @@
 export class RunTracker {
   readonly #cell: Cell
   readonly #breaker: WorkerCircuitBreaker
+  readonly #crashes: CrashRecord
   readonly #sessions: ReadonlyMap<string, WorkerSession>
   readonly #onOwnershipLost: (reason: string) => void
   readonly #pacer: FillerPacer
@@ -23,11 +31,12 @@
   #closed = false
 
   constructor (
-    cell: Cell, breaker: WorkerCircuitBreaker, sessions: ReadonlyMap<string, WorkerSession>,
+    cell: Cell, breaker: WorkerCircuitBreaker, crashes: CrashRecord, sessions: ReadonlyMap<string, WorkerSession>,
     onOwnershipLost: (reason: string) => void
   ) {
     this.#cell = cell
     this.#breaker = breaker
+    this.#crashes = crashes
     this.#sessions = sessions
     this.#onOwnershipLost = onOwnershipLost
     this.#pacer = new FillerPacer(cell, sessions)
@@ -60,15 +69,26 @@
     const { run, worker: workerId } = task
     const isCurrent = () => !this.#closed && task.status === 'starting' && task.run === run && task.worker === workerId
     task.orderSent = true
+    task.orderedAt = this.#cell.now()
     let uncertain = false
     while (isCurrent()) {
       const session = this.#sessions.get(workerId!)
       if (session === undefined) return
+      if (this.#cell.now() - this.#cell.registryReadAt > MAX_REGISTRY_AGE_MS) {
+        this.#cell.metrics.count('starts_delayed', { reason: 'registry' })
+        await sleep(ORDER_RETRY_MS)
+        continue
+      }
       if (!this.#refreshTicket(task)) {
         this.#cell.metrics.count('tickets_expired')
         this.#abortStart(task, uncertain)
         return
       }
+      if (this.#isOverCapacity(task)) {
+        this.#cell.metrics.count('starts_over_capacity')
+        this.#abortStart(task, uncertain)
+        return
+      }
       const outcome = await session.start({
         key: task.key, run, payload: task.step.job.spec.payload, checkpoint: task.checkpoint, ticket: task.ticket
       })
@@ -113,6 +133,13 @@
     for (const task of [...job.tasks()]) this.stop(task, 'drop')
   }
 
+  /** Handles the unplanned end of a worker: gives up the tasks that are to blame for it and requeues all others. */
+  handleCrash (worker: WorkerState, reason: string, isCertain: boolean): void {
+    const culprits = this.#crashes.recordCrash(worker, isCertain)
+    for (const task of culprits) this.#giveUp(task)
+    this.requeueLostTasks(worker, reason)
+  }
+
   /** Requeues all tasks of a worker on which nothing runs any more. `reason` is also a label of a metric. */
   requeueLostTasks (worker: WorkerState, reason: string): void {
     if (worker.tasks.size === 0) return
@@ -130,6 +157,15 @@
     for (const task of [...worker.tasks]) this.#cell.requeue(task)
   }
 
+  /** Ends the job of a task that crashes the workers that start it; each further start would cost one more. */
+  #giveUp ({ step, index }: TaskInstance): void {
+    const { job } = step
+    if (job.isOver || job.cancelled) return
+    this.#cell.metrics.count('jobs_given_up')
+    this.#cell.endJob(job, 'failed', `task ${step.name}.${index} has crashed several workers`)
+    this.stopJob(job)
+  }
+
   async #sendStop (task: TaskInstance): Promise<void> {
     const { run, worker: workerId, key } = task
     while (!this.#closed && task.status === 'stopping' && task.run === run) {
@@ -182,6 +218,11 @@
     if (step.spec.gang) this.#stopGang(step.tasks)
   }
 
+  /** Whether the task's worker has shrunk below what is assigned to it, since the task was assigned. */
+  #isOverCapacity ({ worker, step }: TaskInstance): boolean {
+    return this.#cell.workers.get(worker!)?.hasRoom({ demand: NO_DEMAND, fills: step.spec.fills }) === false
+  }
+
   /** Sets the newest ticket for the task's worker. Returns false when a ticket is required and none is valid. */
   #refreshTicket (task: TaskInstance): boolean {
     if (task.step.job.definition.queue.advice === undefined) return true
@@ -209,6 +250,7 @@
     const { step } = task
     step.job.started = true
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint
+    if (end.reason === 'done' || end.reason === 'failed') this.#crashes.clear(task)
     if (end.reason === 'done' && !step.spec.longRunning) {
       this.#recordSlowdown(worker, task)
       this.#breaker.recordResult(worker.id, task, true, this.#cell.now())
--- a/packages/jobs/src/placement/chooseWorker/index.ts
+++ b/packages/jobs/src/placement/chooseWorker/index.ts
@@ -9,6 +9,8 @@
   isHealthy?: (worker: WorkerState) => boolean
   /** Whether the worker is reserved for another task. Default: none is. */
   isReserved?: (worker: WorkerState) => boolean
+  /** Additional cost of the worker, in units of one worker's capacity. Default: none. */
+  extraCost?: (worker: WorkerState) => number
   /** Rack label that the worker must have, for gangs placed on one rack. Default: any rack. */
   rack?: string
   /**
@@ -51,7 +53,7 @@
   let bestCost = Infinity
   for (const worker of workers) {
     if (!worker.hasRoom(step.spec) || !mayRunWithRoom(task, worker, counts, options)) continue
-    const cost = computeCost(step, worker)
+    const cost = computeCost(step, worker) + (options.extraCost?.(worker) ?? 0)
     if (cost < bestCost) {
       best = worker
       bestCost = cost
@@ -109,8 +111,8 @@
 function computeCost (step: StepInstance, worker: WorkerState): number {
   const { spec } = step
   const { capacity, labels } = worker.entry
-  const freeCpu = (unclaimedCpuMillis(worker) - spec.demand.cpuMillis) / capacity.cpuMillis
-  const freeMemory = (capacity.memoryMb - worker.usedMemoryMb - spec.demand.memoryMb) / capacity.memoryMb
+  const freeCpu = toShare(unclaimedCpuMillis(worker) - spec.demand.cpuMillis, capacity.cpuMillis)
+  const freeMemory = toShare(capacity.memoryMb - worker.usedMemoryMb - spec.demand.memoryMb, capacity.memoryMb)
   let cost = spec.fills ? -freeCpu : Math.max(freeCpu, 0) + freeMemory
   if (!spec.longRunning) cost += SLOWDOWN_WEIGHT * (worker.slowdown - 1)
   if (step.failureDomain !== undefined && step.failureDomain !== worker.entry.failureDomain) cost += OTHER_DOMAIN_COST
@@ -121,3 +123,8 @@
   }
   return cost
 }
+
+/** Share of a capacity that some resources are; 0 of a capacity of 0. */
+function toShare (resources: number, capacity: number): number {
+  return capacity > 0 ? resources / capacity : 0
+}
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -98,6 +98,8 @@
   #leaseTimer: ReturnType<typeof setTimeout> | undefined
   readonly #ends = new Notifier()
   alive = true
+  /** Another incarnation answers at the address of this one, which has ended. */
+  replaced = false
   /** Chooses the fault to inject into each call. */
   fault: (call: 'poll' | 'start' | 'stop' | 'pace') => WorkerFault = () => undefined
   /** Chooses the usage that is reported of a run. */
@@ -124,7 +126,15 @@
       this.#gangs.leave(run)
     }
     this.runs.clear()
-    for (const { key, reason } of this.ended) this.#checker.recordLostEnd(toTaskName(key), reason)
+    this.#loseEnds()
+  }
+
+  /** Records that acknowledging the listed ends does not show any more that the owner knows them. */
+  #loseEnds (): void {
+    for (const { sequence, key, reason } of this.ended) {
+      if (sequence > this.#lapsedSequence) this.#checker.recordLostEnd(toTaskName(key), reason)
+    }
+    this.#lapsedSequence = this.#sequence
   }
 
   /** Checks a fencing token, and remembers the highest one. */
@@ -139,7 +149,7 @@
     this.#leaseUntil = until
     clearTimeout(this.#leaseTimer)
     this.#leaseTimer = setTimeout(() => {
-      this.#lapsedSequence = this.#sequence
+      this.#loseEnds()
       for (const run of [...this.runs.values()]) this.#end(run, 'lapsed')
     }, until - this.clockMs)
   }
@@ -246,6 +256,7 @@
   /** Changes the registry entry of a worker. */
   update (id: string, changes: Partial<WorkerEntry>): void {
     const worker = this.workers.get(id)!
+    if (changes.capacity !== undefined) this.checker.recordCapacityChange(id, worker.entry.capacity)
     worker.entry = { ...worker.entry, ...changes }
     this.#recordChange(id)
   }
@@ -323,6 +334,7 @@
     timeoutMs = ORDER_TIMEOUT_MS
   ): Promise<Outcome<Value>> {
     await sleep(LATENCY_MS)
+    if (this.#worker.replaced) return notDone('session-expired', 'another incarnation answers')
     const fault = this.#worker.alive ? this.#worker.fault(name) : 'silent'
     const deadline = performance.now() + timeoutMs
     const noAnswer = () => timeOut(Math.max(0, deadline - performance.now()))
