Rename what classifies crashes of workers in the usual terms

judgeCrash is classifyCrash, isCulprit is isCrashCause, a witness is an affected run, and a suspect on trial is isolated. Names, comments, test names and docs only.

--- a/packages/jobs/src/loadPatterns/crashingTasks.test.ts
+++ b/packages/jobs/src/loadPatterns/crashingTasks.test.ts
@@ -15,7 +15,7 @@
 const JOB_INTERVAL_MS = 60
 
 /** Each job of this many has tasks that crash their workers. */
-const CULPRIT_INTERVAL = 25
+const CRASHING_INTERVAL = 25
 
 /** Time in which jobs arrive, in ms. */
 const LOAD_MS = 6_000
@@ -27,12 +27,12 @@
 const MAX_STARTS_AFTER_THIRD = 2
 
 interface Options {
-  /** Time from the start of a run to be blamed to the end of its worker, in ms. */
+  /** Time from the start of a crashing run to the end of its worker, in ms. */
   crashAfterMs?: number
-  /** Whether a task crashes each worker that starts it. Default: the first task of each job to blame. */
-  isCulprit?: (key: TaskKey) => boolean
-  /** Settings of the steps to blame. Default: those of all others. */
-  culpritStep?: Partial<Step>
+  /** Whether a task crashes each worker that starts it. Default: the first task of each crashing job. */
+  isCrashing?: (key: TaskKey) => boolean
+  /** Settings of the steps with crashing tasks. Default: those of all others. */
+  crashingStep?: Partial<Step>
 }
 
 /** Tasks that crash each worker that starts them, and workers that come back under new ids. */
@@ -41,36 +41,36 @@
   readonly submitted: string[] = []
   readonly accepted = new Set<string>()
   readonly #crashes = new Map<string, number>()
-  /** Starts of tasks to blame after three workers had crashed under them. */
+  /** Starts of crashing tasks after three workers had crashed under them. */
   readonly startsAfterThird = new Map<string, number>()
   /** Tasks that started on a worker between the start and the crash of one under which two others had crashed. */
-  readonly startsBesideTrials: string[] = []
+  readonly startsBesideIsolated: string[] = []
   /** Workers on which a task runs under which two others have crashed. */
-  readonly #trialWorkers = new Set<string>()
+  readonly #isolatedWorkers = new Set<string>()
   cell: MemoryCell | undefined
-  onCulpritStart = () => {}
+  onCrashingStart = () => {}
 
   constructor (options: Options = {}) {
     this.options = options
   }
 
-  isCulpritJob (id: string): boolean {
-    return Number.parseInt(id, 16) % CULPRIT_INTERVAL === 0
+  isCrashingJob (id: string): boolean {
+    return Number.parseInt(id, 16) % CRASHING_INTERVAL === 0
   }
 
-  isCulprit (key: TaskKey): boolean {
-    return this.isCulpritJob(key.job) && (this.options.isCulprit?.(key) ?? key.index === 0)
+  isCrashing (key: TaskKey): boolean {
+    return this.isCrashingJob(key.job) && (this.options.isCrashing?.(key) ?? key.index === 0)
   }
 
   readonly planRunEnd: PlanRunEnd = (key, _run, worker) => {
     const name = toName(key)
-    if (this.#trialWorkers.has(worker)) this.startsBesideTrials.push(name)
+    if (this.#isolatedWorkers.has(worker)) this.startsBesideIsolated.push(name)
     const isLongRunning = this.cell!.isLongRunning(key.job, key.step)
-    if (!this.isCulprit(key)) return isLongRunning ? undefined : { reason: 'done', afterMs: RUN_MS }
+    if (!this.isCrashing(key)) return isLongRunning ? undefined : { reason: 'done', afterMs: RUN_MS }
     if ((this.#crashes.get(name) ?? 0) >= 3) this.startsAfterThird.set(name, (this.startsAfterThird.get(name) ?? 0) + 1)
-    if ((this.#crashes.get(name) ?? 0) >= 2) this.#trialWorkers.add(worker)
+    if ((this.#crashes.get(name) ?? 0) >= 2) this.#isolatedWorkers.add(worker)
     setTimeout(() => this.crash(worker), this.options.crashAfterMs ?? 10)
-    this.onCulpritStart()
+    this.onCrashingStart()
     return undefined
   }
 
@@ -89,14 +89,14 @@
   }
 
   /** Number of starts of tasks under which two workers had crashed. */
-  get trials (): number {
-    return this.#trialWorkers.size
+  get isolations (): number {
+    return this.#isolatedWorkers.size
   }
 
   submit (step: Partial<Step>): void {
     const id = (this.submitted.length + 1).toString(16).padStart(16, '0')
     this.submitted.push(id)
-    const ownStep = this.isCulpritJob(id) ? this.options.culpritStep : undefined
+    const ownStep = this.isCrashingJob(id) ? this.options.crashingStep : undefined
     this.cell!.submit(id, [{ ...step, ...ownStep }]).then((kind) => { if (kind === 'accepted') this.accepted.add(id) }).catch(throwUncaught)
   }
 
@@ -124,13 +124,13 @@
     return states
   }
 
-  /** Checks that exactly the jobs to blame were given up, and in time. */
+  /** Checks that exactly the crashing jobs were given up, and in time. */
   async expectGivenUp (clock: Clock): Promise<void> {
     const states = await this.listStates(clock)
     const failed = states.get('failed') ?? []
     expect(failed.length).to.be.greaterThan(0)
-    expect(failed.filter((id) => !this.isCulpritJob(id)), 'given up without need').to.deep.equal([])
-    expect(states.get('completed')!.filter((id) => this.isCulpritJob(id)), 'completed').to.deep.equal([])
+    expect(failed.filter((id) => !this.isCrashingJob(id)), 'given up without need').to.deep.equal([])
+    expect(states.get('completed')!.filter((id) => this.isCrashingJob(id)), 'completed').to.deep.equal([])
     expect([...states.keys()].sort()).to.deep.equal(['completed', 'failed'])
     for (const [name, starts] of this.startsAfterThird) expect(starts, name).to.be.at.most(MAX_STARTS_AFTER_THIRD)
   }
@@ -155,10 +155,10 @@
   return { name, options: { ...OPTIONS, workers, planRunEnd }, run: (cell, clock) => run(crashing, cell, clock) }
 }
 
-/** Kills the owner some time after the first starts of tasks to blame. */
+/** Kills the owner some time after the first starts of crashing tasks. */
 function killOwnerAfterStarts (crashing: CrashingTasks, cell: MemoryCell, delayMs: number, kills: number): void {
   let left = kills
-  crashing.onCulpritStart = () => {
+  crashing.onCrashingStart = () => {
     if (left-- > 0) setTimeout(() => { if (cell.owner !== undefined) cell.killNode(cell.owner.name) }, delayMs)
   }
 }
@@ -178,10 +178,10 @@
   createCase('run apart from others after two crashes', { crashAfterMs: 300 },
     async (crashing, cell, clock) => {
       await crashing.load(cell, clock, { count: 8 })
-      expect(crashing.trials).to.be.greaterThan(0)
-      expect(crashing.startsBesideTrials).to.deep.equal([])
+      expect(crashing.isolations).to.be.greaterThan(0)
+      expect(crashing.startsBesideIsolated).to.deep.equal([])
     }),
-  createCase('are given up if all tasks of their steps do so', { isCulprit: () => true },
+  createCase('are given up if all tasks of their steps do so', { isCrashing: () => true },
     async (crashing, cell, clock) => {
       await crashing.load(cell, clock)
       await crashing.expectGivenUp(clock)
@@ -191,7 +191,7 @@
       await crashing.load(cell, clock, { gang: true })
       await crashing.expectGivenUp(clock)
     }),
-  createCase('are given up if they would run for long', { culpritStep: { longRunning: true } },
+  createCase('are given up if they would run for long', { crashingStep: { longRunning: true } },
     async (crashing, cell, clock) => {
       await crashing.load(cell, clock)
       await crashing.expectGivenUp(clock)
@@ -222,22 +222,22 @@
 
 // Such tasks were lost and started again together: each crash hid the cause of the others, so that none ever counted.
 describeCells('Tasks that crash their workers at the same time as others', [
-  createCase('are given up if all eight of a step do so', { isCulprit: () => true, crashAfterMs: 300 },
+  createCase('are given up if all eight of a step do so', { isCrashing: () => true, crashAfterMs: 300 },
     async (crashing, cell, clock) => {
       await crashing.load(cell, clock, { count: 8, maxPerWorker: 1 })
       await crashing.expectGivenUp(clock)
     }, 3 * OPTIONS.workers),
   ...[300, 700, 1_500].map((crashAfterMs) =>
     createCase(`are given up if two of a step do so after ${crashAfterMs} ms`,
-      { isCulprit: ({ index }) => index < 2, crashAfterMs }, async (crashing, cell, clock) => {
+      { isCrashing: ({ index }) => index < 2, crashAfterMs }, async (crashing, cell, clock) => {
         await crashing.load(cell, clock, { maxPerWorker: 1 })
         await crashing.expectGivenUp(clock)
       }, 3 * OPTIONS.workers))
 ])
 
 // A count of ended workers alone would give up jobs that only shared them, or lost them to a common cause.
-describeCells('Workers that crash again and again without a task to blame', [
-  createCase('have all jobs completed although they crash in waves', { isCulprit: () => false },
+describeCells('Workers that crash again and again, but not because of a task', [
+  createCase('have all jobs completed although they crash in waves', { isCrashing: () => false },
     async (crashing, cell, clock) => {
       await crashing.load(cell, clock, {}, (passedMs) => {
         if (passedMs % 1_200 !== 600) return
@@ -246,7 +246,7 @@
       })
       await crashing.expectAllCompleted(clock)
     }),
-  createCase('have all jobs completed although one crashes every 0.3 s', { isCulprit: () => false },
+  createCase('have all jobs completed although one crashes every 0.3 s', { isCrashing: () => false },
     async (crashing, cell, clock) => {
       await crashing.load(cell, clock, {}, (passedMs) => {
         if (passedMs % 300 !== 0) return
@@ -256,7 +256,7 @@
       })
       await crashing.expectAllCompleted(clock)
     }),
-  createCase('have all jobs completed although the owner is killed after each wave', { isCulprit: () => false },
+  createCase('have all jobs completed although the owner is killed after each wave', { isCrashing: () => false },
     async (crashing, cell, clock) => {
       await crashing.load(cell, clock, {}, (passedMs) => {
         if (passedMs % 1_800 !== 600) return
@@ -270,7 +270,7 @@
 
 describeCells('Gangs that have lost workers', [
   // Two suspects could never start on one worker, so that their gang waited for ever.
-  createCase('complete on the only worker', { isCulprit: () => false },
+  createCase('complete on the only worker', { isCrashing: () => false },
     async (crashing, cell, clock) => {
       crashing.cell = cell
       crashing.submit({ count: 2, gang: true, estimatedRunMs: RUN_MS })
--- a/packages/jobs/src/owner/CrashRecord.test.ts
+++ b/packages/jobs/src/owner/CrashRecord.test.ts
@@ -58,10 +58,10 @@
     record.recordReachability(worker)
     clock.tick(3_000)
     record.tick(performance.now())
-    const culprits = record.recordCrash(worker, true)
+    const causes = record.recordCrash(worker, true)
     cell.workers.delete(worker.id)
     for (const lost of [...worker.tasks]) cell.requeue(lost)
-    return culprits
+    return causes
   }
 
   function takeRow (): StoredRow[] {
@@ -80,7 +80,7 @@
     expect(record.mayStart(tasks[second]!, worker, performance.now())).to.equal(true)
   })
 
-  it('has a suspect wait for the trial of another one of its job, for a second at most', () => {
+  it('has a suspect wait for another isolated one of its job, for a second at most', () => {
     start(tasks[second]!, addWorker('w0'))
     crash(tasks[first]!, cell.workers.get('w0')!)
     start(tasks[first]!, addWorker('w1'))
@@ -100,7 +100,7 @@
     expect(record.computeCost(tasks[third]!, worker)).to.equal(0)
   })
 
-  it('gives up a task that crashes a second worker on trial', () => {
+  it('gives up a task that crashes a second worker in isolation', () => {
     expect(crash(tasks[first]!, addWorker('w0'))).to.deep.equal([])
     expect(crash(tasks[first]!, addWorker('w1'))).to.deep.equal([tasks[first]])
   })
--- a/packages/jobs/src/owner/CrashRecord.ts
+++ b/packages/jobs/src/owner/CrashRecord.ts
@@ -1,17 +1,17 @@
 import { Type, type Static } from '@sinclair/typebox'
 import type { TaskInstance } from '../model/index.ts'
-import { isCrashSuspect, isCulprit } from '../placement/isCulprit/index.ts'
-import { SURVIVAL_MS, judgeCrash, type CrashEvidence, type CrashWitness } from '../placement/judgeCrash/index.ts'
+import { isCrashSuspect, isCrashCause } from '../placement/isCrashCause/index.ts'
+import { SURVIVAL_MS, classifyCrash, type CrashEvidence, type AffectedRun } from '../placement/classifyCrash/index.ts'
 import type { Commit, StoredRow } from '../ports.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 import type { Cell } from './Cell.ts'
 import { ControlRow } from './ControlRow.ts'
 
 /** Time after the confirmed start of a suspect for which no other task starts on its worker, in ms. */
-const TRIAL_MS = 500
+const ISOLATION_MS = 500
 
-/** Longest wait of a suspect for the trial of another one of its job, in ms. */
-const MAX_TRIAL_WAIT_MS = 1_000
+/** Longest wait of a suspect for another isolated one of its job, in ms. */
+const MAX_ISOLATION_WAIT_MS = 1_000
 
 /** Time between the losses of two workers up to which they may have one cause, in ms: silent workers time out. */
 const COINCIDENCE_MS = 800
@@ -26,7 +26,7 @@
 const MAX_TASKS = 400
 
 /** Cost of each task that the crash of a suspect's worker would end too, in units of one worker's capacity. */
-const COMPANY_COST = 2
+const NEIGHBOR_COST = 2
 
 // The store holds indices into this list, so its order must not change.
 const EVIDENCE = ['common', 'present', 'last', 'alone'] as const
@@ -47,7 +47,7 @@
 
 /**
  * Counts for each task the workers that ended unplanned while it was there, and stores the counts with the next commit,
- * so that the task's next run can't start before. Suspects start on trial: apart from other suspects, on workers that
+ * so that the task's next run can't start before. Suspects start isolated: apart from other suspects, on workers that
  * get no other task for a while.
  */
 export class CrashRecord {
@@ -55,7 +55,7 @@
   readonly #row: ControlRow<typeof CrashesRow>
   readonly #crashes = new Map<TaskInstance, Crash[]>()
   /** The suspect that was started last on each worker. */
-  readonly #trials = new Map<string, TaskInstance>()
+  readonly #isolated = new Map<string, TaskInstance>()
   /** Workers that don't answer or have ended: since when, in monotonic ms, and whether an order explains it. */
   readonly #losses = new Map<string, { at: number, isExplained: boolean }>()
   #isChanged = false
@@ -71,7 +71,7 @@
       const task = this.#cell.findTask({ job, occurrence, step, index })
       if (task === undefined || task.status === 'done' || task.step.job.isOver) continue
       this.#crashes.set(task, crashes.map(([worker, evidence]) => ({ worker, evidence: EVIDENCE[evidence]! })))
-      if (task.isAssigned && this.isSuspect(task)) this.#trials.set(task.worker!, task)
+      if (task.isAssigned && this.isSuspect(task)) this.#isolated.set(task.worker!, task)
     }
   }
 
@@ -94,25 +94,25 @@
 
   /** Whether suspicions let a task start on a worker now. */
   mayStart (task: TaskInstance, worker: WorkerState, now: number): boolean {
-    const trial = this.#trials.get(worker.id)
-    if (trial !== undefined && trial !== task && this.#isOnTrial(trial, worker.id, now)) return false
+    const suspect = this.#isolated.get(worker.id)
+    if (suspect !== undefined && suspect !== task && this.#isIsolated(suspect, worker.id, now)) return false
     if (this.#crashes.size === 0 || !this.isSuspect(task)) return true
     // Others may never start apart: a gang may have one worker for several members.
-    if (now - task.waitingSince >= MAX_TRIAL_WAIT_MS) return true
+    if (now - task.waitingSince >= MAX_ISOLATION_WAIT_MS) return true
     // Members of a gang are placed before any of them is assigned.
     if ([...worker.tasks].some((other) => other.status === 'starting' && this.isSuspect(other))) return false
-    return !this.#hasTrialOf(task, now)
+    return !this.#hasIsolatedSuspectOf(task, now)
   }
 
   /** Cost of a worker for a task, beside others, in units of one worker's capacity. */
   computeCost (task: TaskInstance, worker: WorkerState): number {
     if (this.#crashes.size === 0 || !this.isSuspect(task)) return 0
-    return COMPANY_COST * worker.tasks.size
+    return NEIGHBOR_COST * worker.tasks.size
   }
 
   /** Records an assignment. */
   recordStart (task: TaskInstance, worker: WorkerState): void {
-    if (this.isSuspect(task)) this.#trials.set(worker.id, task)
+    if (this.isSuspect(task)) this.#isolated.set(worker.id, task)
   }
 
   /** Records that a worker doesn't answer any more, or answers again. */
@@ -137,9 +137,9 @@
         this.#cell.workers.get(task.worker!)?.reachable === true)) this.clear(task)
     }
     for (const [id, { at }] of this.#losses) if (now - at > KEEP_LOSS_MS) this.#losses.delete(id)
-    // While a worker doesn't answer, it is open how the trial on it has ended.
-    for (const [id, task] of this.#trials) {
-      if (this.#cell.workers.get(id)?.reachable !== false && !this.#isOnTrial(task, id, now)) this.#trials.delete(id)
+    // While a worker doesn't answer, it is open whether its suspect has survived.
+    for (const [id, task] of this.#isolated) {
+      if (this.#cell.workers.get(id)?.reachable !== false && !this.#isIsolated(task, id, now)) this.#isolated.delete(id)
     }
     this.#cell.metrics.set('crash_suspects', [...this.#crashes.keys()].filter((task) => this.isSuspect(task)).length)
   }
@@ -148,7 +148,7 @@
    * Records the unplanned end of a worker, before its tasks are requeued.
    *
    * @param isCertain - Whether the worker has ended. Otherwise it may answer again, and its record is withdrawn then.
-   * @returns The tasks that are to blame for the ends of several workers.
+   * @returns The tasks that cause the ends of several workers.
    */
   recordCrash (worker: WorkerState, isCertain: boolean): TaskInstance[] {
     const loss = this.#losses.get(worker.id) ?? this.#toLoss(worker)
@@ -156,13 +156,13 @@
     if (worker.hasAnswered) this.#losses.set(worker.id, loss)
     const tasks = [...worker.tasks].filter(({ orderSent, step: { job } }) => orderSent && !job.isOver && !job.cancelled)
     const unexplainedLosses = this.#countUnexplained(worker, loss.at)
-    const witnesses = tasks.map((task) => this.#toWitness(task, worker.id, loss.at))
-    const evidence = judgeCrash(witnesses, { unexplainedLosses, workers: this.#cell.workers.size, isCertain })
-    this.#trials.delete(worker.id)
+    const runs = tasks.map((task) => this.#toAffectedRun(task, worker.id, loss.at))
+    const evidence = classifyCrash(runs, { unexplainedLosses, workers: this.#cell.workers.size, isCertain })
+    this.#isolated.delete(worker.id)
     this.#cell.metrics.count('worker_crashes', { cause: unexplainedLosses > 0 ? 'common' : 'single' })
-    const culprits = tasks.filter((task, index) =>
-      this.#add(task, worker.id, evidence[index], { ageMs: witnesses[index]!.ageMs, unexplainedLosses }))
-    return culprits
+    const causes = tasks.filter((task, index) =>
+      this.#add(task, worker.id, evidence[index], { ageMs: runs[index]!.ageMs, unexplainedLosses }))
+    return causes
   }
 
   /** Adds evidence against a task. Returns whether the task is to be given up. */
@@ -184,23 +184,23 @@
         job: step.job.id, task: `${step.name}.${index}`, run, worker, crashes: crashes.length, evidence, ...fields, ageMs
       }, 'task may have crashed its worker')
     }
-    return isCulprit(crashes.map((crash) => crash.evidence))
+    return isCrashCause(crashes.map((crash) => crash.evidence))
   }
 
-  #toWitness (task: TaskInstance, worker: string, lostAt: number): CrashWitness {
+  #toAffectedRun (task: TaskInstance, worker: string, lostAt: number): AffectedRun {
     const ageMs = task.orderedAt === undefined ? undefined : lostAt - task.orderedAt
-    // Until the trial is over, no other task has started there since.
-    const isOnTrial = this.#trials.get(worker) === task && this.isSuspect(task) && (ageMs ?? 0) <= TRIAL_MS
-    return { ageMs, isOnTrial }
+    // While it is isolated, no other task has started there since.
+    const isIsolated = this.#isolated.get(worker) === task && this.isSuspect(task) && (ageMs ?? 0) <= ISOLATION_MS
+    return { ageMs, isIsolated }
   }
 
   #toLoss (worker: WorkerState): { at: number, isExplained: boolean } {
     const at = worker.unreachableSince ?? this.#cell.now()
     const isExplained = [...worker.tasks].some((task) => {
-      const { ageMs, isOnTrial } = this.#toWitness(task, worker.id, at)
+      const { ageMs, isIsolated } = this.#toAffectedRun(task, worker.id, at)
       // Suspects whose workers are lost at the same moment must not hide each other.
       const explainedMs = this.isSuspect(task) ? SURVIVAL_MS : EXPLAINED_MS
-      return isOnTrial || (ageMs !== undefined && ageMs <= explainedMs)
+      return isIsolated || (ageMs !== undefined && ageMs <= explainedMs)
     })
     return { at, isExplained }
   }
@@ -225,17 +225,17 @@
     }
   }
 
-  #hasTrialOf ({ step }: TaskInstance, now: number): boolean {
-    for (const [id, task] of this.#trials) {
-      if (task.step.job === step.job && this.#isOnTrial(task, id, now)) return true
+  #hasIsolatedSuspectOf ({ step }: TaskInstance, now: number): boolean {
+    for (const [id, task] of this.#isolated) {
+      if (task.step.job === step.job && this.#isIsolated(task, id, now)) return true
     }
     return false
   }
 
   /** Whether a suspect has just started on a worker, or may do so any moment. */
-  #isOnTrial (task: TaskInstance, worker: string, now: number): boolean {
+  #isIsolated (task: TaskInstance, worker: string, now: number): boolean {
     if (task.worker !== worker || !this.#crashes.has(task)) return false
-    return task.status === 'starting' || (task.status === 'running' && now - task.startedAt < TRIAL_MS)
+    return task.status === 'starting' || (task.status === 'running' && now - task.startedAt < ISOLATION_MS)
   }
 
   #prune (): void {
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -133,10 +133,10 @@
     for (const task of [...job.tasks()]) this.stop(task, 'drop')
   }
 
-  /** Handles the unplanned end of a worker: gives up the tasks that are to blame for it and requeues all others. */
+  /** Handles the unplanned end of a worker: gives up the tasks that cause such ends and requeues all others. */
   handleCrash (worker: WorkerState, reason: string, isCertain: boolean): void {
-    const culprits = this.#crashes.recordCrash(worker, isCertain)
-    for (const task of culprits) this.#giveUp(task)
+    const causes = this.#crashes.recordCrash(worker, isCertain)
+    for (const task of causes) this.#giveUp(task)
     this.requeueLostTasks(worker, reason)
   }
 
--- a/packages/jobs/src/placement/judgeCrash/index.ts
+++ b/packages/jobs/src/placement/classifyCrash/index.ts
@@ -3,16 +3,16 @@
  * - `common`: it had started lately, but other workers ended at about the same time, which it doesn't explain.
  * - `present`: the task was there; others were too.
  * - `last`: its start order was the last one before the end, or was sent together with the last one.
- * - `alone`: it was on trial, the only suspect that had just started there.
+ * - `alone`: it was isolated, the only suspect that had just started there.
  */
 export type CrashEvidence = 'common' | 'present' | 'last' | 'alone'
 
 /** A task on a worker that has ended unplanned. */
-export interface CrashWitness {
+export interface AffectedRun {
   /** Time from the start order to the end of the worker, in ms; undefined for a run of an earlier owner. */
   ageMs: number | undefined
   /** The task was under suspicion from earlier ends of workers when it was started. */
-  isOnTrial: boolean
+  isIsolated: boolean
 }
 
 /** A run that lasted longer doesn't count against its task, in ms: the start was not what ended the worker. */
@@ -26,7 +26,7 @@
 
 /**
  * Other workers that end at the same time without an order that explains it and so show a common cause. A rack of few
- * machines must count; a second task to blame, which ends its worker at the same moment, has an order of its own.
+ * machines must count; a second task that does so and ends its worker at the same moment, has an order of its own.
  */
 const MIN_COMMON_LOSSES = 1
 
@@ -37,30 +37,30 @@
 const MIN_MASS_LOSSES = 4
 
 /**
- * Judges what the unplanned end of a worker says about each task on it.
+ * Classifies what the unplanned end of a worker says about each task on it.
  *
- * @param witnesses - The tasks with a run, or an order that may have created one.
+ * @param runs - The tasks with a run, or an order that may have created one.
  * @param options.unexplainedLosses - Other workers that ended at about the same time and had no order just before.
  * @param options.workers - Number of workers in the cell.
  * @param options.isCertain - Whether another incarnation has shown that the worker has ended. Without it, the worker
  * may only be out of reach.
  * @returns The evidence for each task in their order; undefined if the end says nothing about it.
  */
-export function judgeCrash (
-  witnesses: readonly CrashWitness[],
+export function classifyCrash (
+  runs: readonly AffectedRun[],
   { unexplainedLosses, workers, isCertain }: { unexplainedLosses: number, workers: number, isCertain: boolean }
 ): Array<CrashEvidence | undefined> {
   const isMassLoss = unexplainedLosses >= Math.max(MIN_MASS_LOSSES, MASS_LOSS_SHARE * workers)
   const isCommon = unexplainedLosses >= MIN_COMMON_LOSSES
-  const onTrial = witnesses.filter(({ isOnTrial }) => isOnTrial)
-  const youngest = Math.min(...witnesses.map(({ ageMs }) => ageMs ?? Infinity))
-  return witnesses.map(({ ageMs, isOnTrial }) => {
+  const isolated = runs.filter(({ isIsolated }) => isIsolated)
+  const youngest = Math.min(...runs.map(({ ageMs }) => ageMs ?? Infinity))
+  return runs.map(({ ageMs, isIsolated }) => {
     if (ageMs !== undefined && ageMs > SURVIVAL_MS) return undefined
     if (isMassLoss && ageMs === undefined) return undefined
     if (isCommon) return 'common'
-    if (!isCertain || (ageMs === undefined && !isOnTrial)) return 'present'
-    if (onTrial.length === 1) {
-      if (isOnTrial) return 'alone'
+    if (!isCertain || (ageMs === undefined && !isIsolated)) return 'present'
+    if (isolated.length === 1) {
+      if (isIsolated) return 'alone'
       return ageMs !== undefined && ageMs <= LAST_ORDER_MS ? 'present' : undefined
     }
     return ageMs !== undefined && ageMs <= Math.min(LAST_ORDER_MS, youngest + SAME_ROUND_MS) ? 'last' : 'present'
--- a/packages/jobs/src/placement/judgeCrash/test.ts
+++ b/packages/jobs/src/placement/classifyCrash/test.ts
@@ -1,11 +1,11 @@
 import { expect } from 'chai'
-import { judgeCrash, type CrashEvidence, type CrashWitness } from './index.ts'
+import { classifyCrash, type CrashEvidence, type AffectedRun } from './index.ts'
 
-describe('judgeCrash', () => {
+describe('classifyCrash', () => {
   const cases: Array<{
     name: string,
-    /** Ages in ms of the tasks on the worker; 'trial' for a suspect that has just started. */
-    ages: Array<number | undefined | 'trial'>,
+    /** Ages in ms of the tasks on the worker; 'isolated' for a suspect that has just started. */
+    ages: Array<number | undefined | 'isolated'>,
     unexplainedLosses?: number,
     isCertain?: boolean,
     evidence: Array<CrashEvidence | undefined>
@@ -14,10 +14,10 @@
     { name: 'can\'t tell tasks of one round apart', ages: [15, 40, 300], evidence: ['last', 'last', 'present'] },
     { name: 'finds no last task long after the last order', ages: [1_500, 2_000], evidence: ['present', 'present'] },
     { name: 'says nothing about tasks that have run for long', ages: [15, 6_000], evidence: ['last', undefined] },
-    { name: 'takes a suspect on trial for the cause', ages: ['trial', 2_000], evidence: ['alone', undefined] },
-    { name: 'still counts tasks that had just started beside a trial', ages: ['trial', 300], evidence: ['alone', 'present'] },
-    { name: 'can\'t tell two suspects on trial apart', ages: ['trial', 'trial'], evidence: ['last', 'last'] },
-    { name: 'finds a common cause if other workers ended too', ages: ['trial', 15], unexplainedLosses: 1, evidence: ['common', 'common'] },
+    { name: 'takes an isolated suspect for the cause', ages: ['isolated', 2_000], evidence: ['alone', undefined] },
+    { name: 'still counts tasks that had just started beside an isolated suspect', ages: ['isolated', 300], evidence: ['alone', 'present'] },
+    { name: 'can\'t tell two isolated suspects apart', ages: ['isolated', 'isolated'], evidence: ['last', 'last'] },
+    { name: 'finds a common cause if other workers ended too', ages: ['isolated', 15], unexplainedLosses: 1, evidence: ['common', 'common'] },
     {
       name: 'finds a common cause for all tasks that have started lately, and for no others',
       ages: [1_500, 300, 5_100],
@@ -26,21 +26,21 @@
     },
     {
       name: 'counts nothing against runs of an earlier owner if a tenth of the workers end',
-      ages: ['trial', 300, 5_100, undefined],
+      ages: ['isolated', 300, 5_100, undefined],
       unexplainedLosses: 5,
       evidence: ['common', 'common', undefined, undefined]
     },
-    { name: 'is cautious while the worker may only be out of reach', ages: ['trial', 15], isCertain: false, evidence: ['present', 'present'] },
+    { name: 'is cautious while the worker may only be out of reach', ages: ['isolated', 15], isCertain: false, evidence: ['present', 'present'] },
     { name: 'counts runs of an earlier owner as present', ages: [undefined, 15], evidence: ['present', 'last'] },
     { name: 'finds nothing on a worker without tasks', ages: [], evidence: [] }
   ]
 
   for (const { name, ages, unexplainedLosses = 0, isCertain = true, evidence } of cases) {
     it(name, () => {
-      const witnesses = ages.map((age): CrashWitness => age === 'trial'
-        ? { ageMs: 10, isOnTrial: true }
-        : { ageMs: age, isOnTrial: false })
-      expect(judgeCrash(witnesses, { unexplainedLosses, workers: 50, isCertain })).to.deep.equal(evidence)
+      const runs = ages.map((age): AffectedRun => age === 'isolated'
+        ? { ageMs: 10, isIsolated: true }
+        : { ageMs: age, isIsolated: false })
+      expect(classifyCrash(runs, { unexplainedLosses, workers: 50, isCertain })).to.deep.equal(evidence)
     })
   }
 })
--- a/packages/jobs/src/placement/isCulprit/index.ts
+++ b/packages/jobs/src/placement/isCrashCause/index.ts
@@ -1,9 +1,9 @@
-import type { CrashEvidence } from '../judgeCrash/index.ts'
+import type { CrashEvidence } from '../classifyCrash/index.ts'
 
 /** Workers that must have ended under a task before it may be given up; a single end may have any cause. */
 const MIN_CRASHES = 2
 
-/** Ends of workers right after an order for the task that suffice without a trial. */
+/** Ends of workers right after an order for the task that suffice without isolation. */
 const MIN_CRASHES_AS_LAST = 3
 
 /**
@@ -16,7 +16,7 @@
 const MAX_COMMON_CRASHES = 5
 
 /**
- * Whether a task is to run apart from others, so that a further end of a worker shows whether it is to blame.
+ * Whether a task is to run apart from others, so that a further end of a worker shows whether it is the cause.
  *
  * @param crashes - Evidence of each unplanned end of a worker under the task since it last survived a run.
  */
@@ -29,7 +29,7 @@
  *
  * @param crashes - Evidence of each unplanned end of a worker under the task since it last survived a run.
  */
-export function isCulprit (crashes: readonly CrashEvidence[]): boolean {
+export function isCrashCause (crashes: readonly CrashEvidence[]): boolean {
   const own = crashes.filter((evidence) => evidence !== 'common').length
   if (own >= MIN_CRASHES && crashes.includes('alone')) return true
   if (crashes.filter(isDirect).length >= MIN_CRASHES_AS_LAST) return true
