Give up no task of an earlier owner whose time on its worker is not known

The job was a gang without such a task. Two of its workers had been lost with other owners; the third, w24, was restarted some seconds after a takeover, and the new owner gave the job up at once: 'task may have crashed its worker', evidence alone, no ageMs.

Cause: a run of a suspect that an earlier owner had started counted as isolated for as long as its worker was there, since its unknown age was taken for 0.

Such a run still keeps other tasks off its worker, but the end of the worker counts as present only.

--- a/packages/jobs/src/owner/CrashRecord.test.ts
+++ b/packages/jobs/src/owner/CrashRecord.test.ts
@@ -113,6 +113,19 @@
     expect(crash(tasks[first]!, addWorker('w1'))).to.deep.equal([tasks[first]])
   })
 
+  // Jobs were given up because their workers ended some seconds after a takeover.
+  it('gives up no task of an earlier owner whose time on its second worker is not known', () => {
+    crash(tasks[first]!, addWorker('w0'))
+    const worker = addWorker('w1')
+    start(tasks[first]!, worker)
+    tasks[first]!.orderedAt = undefined
+    const rows = takeRow()
+    record = new CrashRecord(cell)
+    record.restore(rows)
+    clock.tick(4_000)
+    expect(record.recordCrash(worker, true)).to.deep.equal([])
+  })
+
   it('writes nothing without a new crash', () => {
     crash(tasks[first]!, addWorker('w0'))
     expect(takeRow()).to.have.length(1)
--- a/packages/jobs/src/owner/CrashRecord.ts
+++ b/packages/jobs/src/owner/CrashRecord.ts
@@ -190,7 +190,8 @@
   #toAffectedRun (task: TaskInstance, worker: string, lostAt: number): AffectedRun {
     const ageMs = task.orderedAt === undefined ? undefined : lostAt - task.orderedAt
     // While it is isolated, no other task has started there since.
-    const isIsolated = this.#isolated.get(worker) === task && this.isSuspect(task) && (ageMs ?? 0) <= ISOLATION_MS
+    const isIsolated = this.#isolated.get(worker) === task && this.isSuspect(task) && ageMs !== undefined &&
+      ageMs <= ISOLATION_MS
     return { ageMs, isIsolated }
   }
 
