Drop conditions on isolated runs that can't hold any more

The decisions are the same; 127 tests of the crashes, the owner and the placement pass, with unchanged assertions.

--- a/packages/jobs/src/owner/CrashRecord.ts
+++ b/packages/jobs/src/owner/CrashRecord.ts
@@ -160,9 +160,8 @@
     const evidence = classifyCrash(runs, { unexplainedLosses, workers: this.#cell.workers.size, isCertain })
     this.#isolated.delete(worker.id)
     this.#cell.metrics.count('worker_crashes', { cause: unexplainedLosses > 0 ? 'common' : 'single' })
-    const causes = tasks.filter((task, index) =>
+    return tasks.filter((task, index) =>
       this.#add(task, worker.id, evidence[index], { ageMs: runs[index]!.ageMs, unexplainedLosses }))
-    return causes
   }
 
   /** Adds evidence against a task. Returns whether the task is to be given up. */
@@ -198,15 +197,15 @@
   #toLoss (worker: WorkerState): { at: number, isExplained: boolean } {
     const at = worker.unreachableSince ?? this.#cell.now()
     const isExplained = [...worker.tasks].some((task) => {
-      const { ageMs, isIsolated } = this.#toAffectedRun(task, worker.id, at)
+      const { ageMs } = this.#toAffectedRun(task, worker.id, at)
       // Suspects whose workers are lost at the same moment must not hide each other.
       const explainedMs = this.isSuspect(task) ? SURVIVAL_MS : EXPLAINED_MS
-      return isIsolated || (ageMs !== undefined && ageMs <= explainedMs)
+      return ageMs !== undefined && ageMs <= explainedMs
     })
     return { at, isExplained }
   }
 
-  /** Number of other workers of the pool that were lost at about the same time without an order that explains it. */
+  /** Number of other workers that were lost at about the same time without an order that explains it. */
   #countUnexplained (worker: WorkerState, lostAt: number): number {
     let count = 0
     for (const [id, { at, isExplained }] of this.#losses) {
--- a/packages/jobs/src/placement/classifyCrash/index.ts
+++ b/packages/jobs/src/placement/classifyCrash/index.ts
@@ -58,7 +58,7 @@
     if (ageMs !== undefined && ageMs > SURVIVAL_MS) return undefined
     if (isMassLoss && ageMs === undefined) return undefined
     if (isCommon) return 'common'
-    if (!isCertain || (ageMs === undefined && !isIsolated)) return 'present'
+    if (!isCertain || ageMs === undefined) return 'present'
     if (isolated.length === 1) {
       if (isIsolated) return 'alone'
       return ageMs !== undefined && ageMs <= LAST_ORDER_MS ? 'present' : undefined
