Use the nodes reserved for fast calls for slow ones while there are none

Two nodes were left, one of them was reserved for fast calls that didn't come any more, and the other made at most 2.4 slow calls a second for a backlog that took 33 s. 5 s after the last request for a fast call only one node is reserved now, and none of two.

The new case on two nodes failed before: 3 of 12 requests had no answer after 7.5 s.

--- a/packages/jobs/src/owner/AdviceDispatcher.test.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.test.ts
@@ -82,6 +82,28 @@
     })
   }
 
+  const idleCases = [
+    { name: 'two nodes', nodes: 2, calls: 12 },
+    { name: 'six nodes', nodes: 6, calls: 38 }
+  ]
+  for (const { name, nodes, calls } of idleCases) {
+    // One of two nodes made no slow calls although there were no fast ones any more, and slow requests waited for 30 s.
+    it(`uses the nodes reserved for fast calls for slow ones while there are none, on ${name}`, async () => {
+      const workers = [makeWorker('w')]
+      const dispatcher = createDispatcher(() => {})
+      for (let index = 0; index < nodes; index++) dispatcher.addNode({ id: `n${index}`, adviser: createAdviser() })
+      dispatcher.request(makeStep({}, FAST), workers)
+      const steps = Array.from({ length: calls }, () => makeStep({}, SLOW))
+      for (const step of steps) dispatcher.request(step, workers)
+      // Calls of 800 ms: on the nodes for slow calls alone, 9 and 36 would be answered in this time.
+      for (let passedMs = 0; passedMs < 7_500; passedMs += 100) {
+        dispatcher.tick()
+        await clock.tickAsync(100)
+      }
+      expect(steps.filter(({ advice }) => advice.isAllowed('w') === undefined)).to.have.length(0)
+    })
+  }
+
   // Fast calls never left the only node to a slow one.
   it('answers a slow request beside an endless backlog of fast ones on one node', async () => {
     const workers = [makeWorker('w')]
--- a/packages/jobs/src/owner/AdviceDispatcher.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.ts
@@ -39,6 +39,12 @@
 /** Share of the nodes that make no slow calls, so that fast calls never queue behind slow ones. */
 const RESERVED_NODE_SHARE = 0.3
 
+/**
+ * Time after the last request for a fast call from which only one node, and none of two, is reserved for such calls, in
+ * ms. The next fast call may then wait for a slow one of about 1 s, so that this must be rare.
+ */
+const FAST_CALLS_ENDED_MS = 5_000
+
 /**
  * Share of the nodes that make no fast calls while slow ones wait. A slow call needs a node without calls in flight,
  * and a backlog of fast ones leaves none.
@@ -86,9 +92,12 @@
   /** Whether the last request that was sent had come first by age, for each lane. */
   readonly #sentByAge = new Map<string, boolean>()
   #queue: AdviceRequest[] = []
+  /** Monotonic time of the last request for a fast call, or at first of the start of the owner, in ms. */
+  #fastRequestedAt: number
 
   constructor (cell: Cell) {
     this.#cell = cell
+    this.#fastRequestedAt = cell.now()
   }
 
   addNode (node: AdviceNode): void {
@@ -130,6 +139,7 @@
   #enqueue (request: Omit<AdviceRequest, 'requestedAt'>): void {
     const requestedAt = this.#cell.now()
     request.step.advice.request = { requestedAt }
+    if (request.expectedMs <= SLOW_ADVICE_MS) this.#fastRequestedAt = requestedAt
     this.#queue.push({ ...request, requestedAt })
     this.#dispatch()
   }
@@ -187,7 +197,7 @@
     const isSlow = expectedMs > SLOW_ADVICE_MS
     // Shares are of the nodes in use: the only node for one kind of call may be the one that is paused.
     const nodes = this.#listNodesInUse()
-    const reserved = nodes.length > 1 ? Math.ceil(nodes.length * RESERVED_NODE_SHARE) : 0
+    const reserved = this.#countReservedNodes(nodes.length)
     const candidates = isSlow
       ? nodes.slice(reserved).filter(({ openCalls }) => openCalls === 0)
       : nodes.slice(0, nodes.length - this.#countNodesForSlowCalls(nodes.length))
@@ -196,6 +206,12 @@
     return candidates.sort((a, b) => a.openCalls - b.openCalls)[0]
   }
 
+  /** Number of the nodes in use, at the start of their list, that make no slow calls now. */
+  #countReservedNodes (nodes: number): number {
+    if (this.#cell.now() - this.#fastRequestedAt > FAST_CALLS_ENDED_MS) return nodes > 2 ? 1 : 0
+    return nodes > 1 ? Math.ceil(nodes * RESERVED_NODE_SHARE) : 0
+  }
+
   /** Number of the nodes in use, at the end of their list, that make no fast calls now. */
   #countNodesForSlowCalls (nodes: number): number {
     const isSlowCallWaiting = this.#queue.some(({ expectedMs, ahead }) => expectedMs > SLOW_ADVICE_MS && !ahead)
