Withdraw requests for advice whose room was taken meanwhile

A request was checked for room only when it was made. Each round now withdraws those that have lost it; a step that asks again keeps its age, and the workers to name are selected again when the call is sent.

The new case failed before: the step with room did not start within 3 s.

--- a/packages/jobs/src/loadPatterns/adviceQueue.test.ts
+++ b/packages/jobs/src/loadPatterns/adviceQueue.test.ts
@@ -106,3 +106,27 @@
     }
   }
 ])
+
+/** Prefix of jobs that the policy allows on all workers. */
+const LONG = '0000000000000c'
+const NO_ACCELERATOR = { cpuMillis: 5_600, memoryMb: 11_000, accelerators: 0 }
+
+describeCells('Steps whose room was taken while they waited for advice', [
+  {
+    // Calls about 40 steps without room were made first, and a step that had room waited for 24 s.
+    name: 'leave others their turn',
+    options: { nodes: 2, workers: 3, capacity, createAdviser: () => new OneCallAdviser() },
+    run: async (cell, clock) => {
+      for (let index = 0; index < 40; index++) {
+        submitInBackground(cell, `${LONG}${String(index).padStart(2, '0')}`, [
+          { demand: WHOLE_WORKER, estimatedRunMs: 60_000 }
+        ], matching)
+      }
+      // Three of the steps start, and then the workers have no accelerators left.
+      await clock.tickAsync(2_000)
+      submitInBackground(cell, SINGLE, [{ demand: NO_ACCELERATOR, estimatedRunMs: 5_000 }], scoring)
+      await clock.tickAsync(MAX_WAIT_MS)
+      expect(cell.checker.countRunning(`${SINGLE}.0.0.0`)).to.equal(1)
+    }
+  }
+])
--- a/packages/jobs/src/model/AdviceState.ts
+++ b/packages/jobs/src/model/AdviceState.ts
@@ -10,7 +10,9 @@
   readonly #allowed = new Map<string, boolean>()
   #allowedCount = 0
   /** The request for advice that waits or is in flight, with monotonic times in ms; undefined when there is none. */
-  request: { requestedAt: number, sentAt?: number, node?: string } | undefined
+  request: { requestedAt: number, ahead: boolean, sentAt?: number, node?: string } | undefined
+  /** Monotonic time of the first request since the last answer, in ms. */
+  requestedSince: number | undefined
   /** Monotonic time before which advice is not requested again, in ms; set after a failed call. */
   notBefore = 0
   /** Monotonic time at which the newest tickets expire, in ms; 0 before the first answer. */
@@ -30,6 +32,7 @@
   record (named: readonly string[], tickets: ReadonlyArray<readonly [string, string]>, until: number): void {
     const granted = new Map(tickets)
     this.validUntil = until
+    this.requestedSince = undefined
     for (const worker of named) {
       const ticket = granted.get(worker)
       if (ticket !== undefined && this.#allowed.get(worker) !== true) this.#allowedCount++
--- a/packages/jobs/src/owner/AdviceDispatcher.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.ts
@@ -18,12 +18,18 @@
   timing: AdviceTiming
   /** Ids of the workers that the policy service is asked about. */
   workers: string[]
+  /** Selects these workers again, after a wait in which others may have got or lost room. */
+  reselect: () => string[]
   /** Expected duration of the call, in ms. */
   expectedMs: number
   /** The tickets are for workers that have no room yet, so the call may wait for others. */
   ahead: boolean
-  /** Monotonic time of the request, in ms. */
+  /** Monotonic time of the step's first request since its last answer, in ms. */
   requestedAt: number
+  /** Monotonic time at which the call was sent, in ms; undefined before. */
+  sentAt?: number
+  /** Node that makes the call. */
+  node?: string
 }
 
 interface NodeState {
@@ -76,6 +82,9 @@
 /** Weight of a new answer in the moving average of the allowed share. */
 const ALLOWED_SHARE_SMOOTHING = 0.1
 
+/** Wait in the queue after which the workers to name are selected again, in ms; a round is rarely further away. */
+const RESELECT_AFTER_MS = 100
+
 /** Delay before a step requests advice again after a failed call, in ms. */
 const RETRY_DELAY_MS = 100
 
@@ -115,9 +124,12 @@
   request (step: StepInstance, workers: readonly WorkerState[]): void {
     const { advice: timing, name } = step.job.definition.queue
     if (timing === undefined || step.advice.pending || step.advice.notBefore > this.#cell.now()) return
-    const named = selectAdviceCandidates(step, workers, this.#allowedShares.get(name) ?? INITIAL_ALLOWED_SHARE)
+    const select = () =>
+      selectAdviceCandidates(step, workers, this.#allowedShares.get(name) ?? INITIAL_ALLOWED_SHARE)
+    const named = select()
     if (named.length === 0) return
-    this.#enqueue({ step, timing, workers: named, expectedMs: expectDuration(timing, named.length), ahead: false })
+    const expectedMs = expectDuration(timing, named.length)
+    this.#enqueue({ step, timing, workers: named, reselect: select, expectedMs, ahead: false })
   }
 
   /**
@@ -133,22 +145,34 @@
     const named = workers.filter(({ id, acceptsTasks }) => acceptsTasks && step.advice.isAllowed(id) === true)
       .slice(0, MAX_ADVICE_WORKERS).map(({ id }) => id)
     if (named.length === 0 || this.#chooseNode({ expectedMs, ahead: true }) === undefined) return
-    this.#enqueue({ step, timing, workers: named, expectedMs, ahead: true })
+    this.#enqueue({ step, timing, workers: named, reselect: () => named, expectedMs, ahead: true })
+  }
+
+  /**
+   * Withdraws a request for room that others have taken, unless the call is made already. If the step requests advice
+   * again, its age counts from the first request.
+   */
+  withdraw ({ advice }: StepInstance): void {
+    const { request } = advice
+    if (request?.sentAt === undefined && request?.ahead === false) advice.request = undefined
   }
 
-  #enqueue (request: Omit<AdviceRequest, 'requestedAt'>): void {
-    const requestedAt = this.#cell.now()
-    request.step.advice.request = { requestedAt }
-    if (request.expectedMs <= SLOW_ADVICE_MS) this.#fastRequestedAt = requestedAt
-    this.#queue.push({ ...request, requestedAt })
+  #enqueue (fields: Omit<AdviceRequest, 'requestedAt'>): void {
+    const now = this.#cell.now()
+    const { advice } = fields.step
+    advice.requestedSince ??= now
+    const request = { ...fields, requestedAt: advice.requestedSince }
+    advice.request = request
+    if (request.expectedMs <= SLOW_ADVICE_MS) this.#fastRequestedAt = now
+    this.#queue.push(request)
     this.#dispatch()
   }
 
   #dispatch (): void {
     this.#queue = this.#queue.filter((request) => {
-      const unneeded = request.step.job.isOver || request.step.job.cancelled
-      if (unneeded) request.step.advice.request = undefined
-      return !unneeded
+      const { advice, job } = request.step
+      if (job.isOver || job.cancelled) advice.request = undefined
+      return advice.request === request
     })
     const overdueBefore = this.#cell.now() - MAX_QUEUED_MS
     for (const request of this.#queue) if (request.requestedAt < overdueBefore) request.ahead = false
@@ -219,12 +243,13 @@
   }
 
   async #send (state: NodeState, request: AdviceRequest): Promise<void> {
-    const { step, timing, workers, expectedMs } = request
+    const { step, timing, expectedMs } = request
+    const workers = chooseNamed(request, this.#cell.now())
     const slowCount = expectedMs > SLOW_ADVICE_MS ? 1 : 0
     state.openCalls++
     state.slowCalls += slowCount
     const sentAt = this.#cell.now()
-    Object.assign(step.advice.request!, { sentAt, node: state.node.id })
+    Object.assign(request, { sentAt, node: state.node.id })
     const stepKey: Pick<TaskKey, 'job' | 'occurrence' | 'step'> = {
       job: step.job.id,
       occurrence: step.occurrence,
@@ -285,6 +310,12 @@
   return expectedMs > SLOW_ADVICE_MS ? 'slow' : 'fast'
 }
 
+/** Returns the workers to name now; those of the request if none could be selected any more. */
+function chooseNamed ({ workers, reselect, requestedAt }: AdviceRequest, now: number): string[] {
+  const selected = now - requestedAt > RESELECT_AFTER_MS ? reselect() : workers
+  return selected.length > 0 ? selected : workers
+}
+
 function expectDuration (timing: AdviceTiming, workers: number): number {
   return timing.decisionMs + timing.perWorkerMs * workers
 }
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -256,7 +256,10 @@
     if (pending && !isSlow) return
     const chosen = this.#chooseWithoutTickets(task, candidates, now)
     if (chosen !== undefined && isSlow) this.#awaitTickets(step, chosen)
-    if (pending) return
+    if (pending) {
+      if (chosen === undefined) this.#advice.withdraw(step)
+      return
+    }
     if (chosen !== undefined) this.#advice.request(step, workers)
     else this.#advice.renew(step, workers)
   }
--- a/packages/jobs/src/owner/WaitLog.test.ts
+++ b/packages/jobs/src/owner/WaitLog.test.ts
@@ -25,12 +25,12 @@
   const requests: Array<{ name: string, request: AdviceState['request'], fields: Record<string, unknown> }> = [
     {
       name: 'tells how long a request for advice waits for a node',
-      request: { requestedAt: NOW },
+      request: { ahead: false, requestedAt: NOW },
       fields: { adviceQueuedMs: 2_000 }
     },
     {
       name: 'tells which node has not answered a call for advice',
-      request: { requestedAt: NOW, sentAt: NOW + 500, node: 'n1' },
+      request: { ahead: false, requestedAt: NOW, sentAt: NOW + 500, node: 'n1' },
       fields: { adviceOpenMs: 1_500, adviceNode: 'n1' }
     }
   ]
