Keep the cell running when the progress of a job is larger than a row

Found by reading what one message can do to the owner: a job with 2,000 tasks, or one with 8 occurrences of 500 tasks that are due at once, has a progress row of more than 65,536 bytes when its tasks run. The store refuses it, and the owner repeated the same commit for ever, as did each successor: nothing in the cell started or ended any more.

- Only as many of its occurrences are open at a time as fit; the others follow as these end.
- Should a row be too large all the same, its job fails instead of all others waiting.

--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,6 +1,7 @@
 export * from './constants/index.ts'
 export * from './node/CellNode.ts'
 export type { Acceptance, JobService } from './node/JobService.ts'
+export { countOpenOccurrences } from './model/index.ts'
 export { cellMethods } from './node/messages.ts'
 export { FailoverStore, type Peer } from './node/FailoverStore.ts'
 export { RemoteAdviser, RPC_OVERHEAD_MS } from './node/RemoteAdviser.ts'
--- a/packages/jobs/src/loadPatterns/describeCells.ts
+++ b/packages/jobs/src/loadPatterns/describeCells.ts
@@ -48,9 +48,9 @@
 
 /** Submits a job without waiting for the answer; the call proceeds as the clock is advanced. */
 export function submitInBackground (
-  cell: MemoryCell, id: string, steps: Array<Partial<Step>>, queue?: Queue
+  cell: MemoryCell, id: string, steps: Array<Partial<Step>>, queue?: Queue, occurrences?: number
 ): void {
-  cell.submit(id, steps, { queue }).catch(throwUncaught)
+  cell.submit(id, steps, { queue, occurrences }).catch(throwUncaught)
 }
 
 /** Returns the state of a job as shown to callers, while the clock is advanced. */
--- a/packages/jobs/src/model/progress.ts
+++ b/packages/jobs/src/model/progress.ts
@@ -73,6 +73,29 @@
   return Buffer.from(JSON.stringify(row))
 }
 
+/** Largest number of bytes of a task, an occurrence and a finished step in a row. Ids of workers have 12 characters. */
+const TASK_BYTES = 80
+const OCCURRENCE_BYTES = 6
+const FINISHED_STEP_BYTES = 10
+
+/** Bytes of a row apart from the definition of the job, its tasks, occurrences and steps. */
+const BASE_BYTES = 500
+
+/**
+ * Counts the occurrences of a job that may be open at a time, so that its progress fits into one row.
+ *
+ * @param job - The job.
+ * @param maxRowBytes - Largest row that the store accepts, in bytes.
+ * @returns The number of occurrences; 0 if not even one fits.
+ */
+export function countOpenOccurrences (job: Job, maxRowBytes: number): number {
+  const { steps, occurrences } = job.spec
+  const definition = Buffer.byteLength(JSON.stringify(job))
+  const freeBytes = maxRowBytes - BASE_BYTES - definition - OCCURRENCE_BYTES * occurrences
+  const tasks = steps.reduce((sum, { count }) => sum + count, 0)
+  return Math.max(0, Math.floor(freeBytes / (TASK_BYTES * tasks + FINISHED_STEP_BYTES * steps.length)))
+}
+
 function encodeTask (task: TaskInstance): ProgressRow[4][number] {
   const { occurrence, step, index } = task.key
   return [
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -1,5 +1,5 @@
 import { throwUncaught, sleep, type Outcome } from '@gypsumspring/protocol'
-import { TrackedJob, decodeProgress, type Progress } from '../model/index.ts'
+import { TrackedJob, countOpenOccurrences, decodeProgress, type Progress } from '../model/index.ts'
 import { RENEWAL_GRACE_MS, STORE_OUTAGE_GRACE_MS, TICK_MS } from '../constants/index.ts'
 import { readInstant } from '../instant/index.ts'
 import { CONTROL_TABLE, type Ownership, type Predecessor, type Transfer } from '../ownership/index.ts'
@@ -58,6 +58,8 @@
   keepEndedMs: number
   /** Bandwidth of this node's network link, in Mbit/s. */
   linkMbps: number
+  /** Largest value of a row that the store accepts, in bytes. */
+  maxRowBytes: number
 }
 
 /** Longest wait for the commit in flight when the owner stops, in ms; the store may be unavailable. */
@@ -91,6 +93,8 @@
   readonly #cleanup: JobCleanup
   /** Ids of cancelled jobs, also of those whose job row was not read yet. */
   readonly #cancelledIds = new Set<string>()
+  /** Number of occurrences that may be open at a time, by job. */
+  readonly #openOccurrences = new WeakMap<TrackedJob, number>()
   readonly #abortController = new AbortController()
   readonly #onEnd: (reason: string) => void
   #recovered = false
@@ -135,8 +139,9 @@
     const { lostWorkers, members, drains } = this.#control
     this.#commits = new GroupCommit(cell, this.#control, ownership, {
       onStartStored: (task) => this.#tracker.start(task).catch(throwUncaught),
+      onRowTooLarge: (job) => this.#failTooLarge(job),
       onOwnershipLost: () => this.#handleOwnershipLost('another node has taken the cell over')
-    }, options.linkMbps, signal)
+    }, options, signal)
     const tracker = this.#tracker
     const mayRenewLeases = () => ownership.mayGrantLeases && (ownership.unconfirmedMs < RENEWAL_GRACE_MS ||
       (ownership.unconfirmedMs < STORE_OUTAGE_GRACE_MS && members.hasAllPromises))
@@ -412,16 +417,33 @@
     return toLongestLeaseMs(chooseLeaseMs(this.#options.leaseLimitMs))
   }
 
-  /** Creates the tasks of all occurrences that are due and were not opened yet. */
+  /** Ends a job whose progress can't be stored. It would keep the progress of all other jobs from being stored. */
+  #failTooLarge (job: TrackedJob): void {
+    this.cell.log.warn({ job: job.id, maxBytes: this.#options.maxRowBytes }, 'progress is too large for a row')
+    this.cell.endJob(job, 'failed', 'its progress is too large for a row')
+    this.#tracker.stopJob(job)
+  }
+
+  /** Creates the tasks of occurrences that are due and were not opened yet, as far as their progress can be stored. */
   #openDueOccurrences (tracked: TrackedJob): void {
     const now = Date.now()
+    const maxOpen = tracked.spec.occurrences > 1 ? this.#countOpenOccurrences(tracked) : 1
     for (let occurrence = 0; occurrence < tracked.occurrenceCount; occurrence++) {
-      if (tracked.dueAt(occurrence) > now) return
+      if (tracked.dueAt(occurrence) > now || tracked.occurrences.size >= maxOpen) return
       if (tracked.finishedOccurrences.has(occurrence) || tracked.occurrences.has(occurrence)) continue
       tracked.openOccurrence(occurrence, performance.now())
     }
   }
 
+  #countOpenOccurrences (tracked: TrackedJob): number {
+    let count = this.#openOccurrences.get(tracked)
+    if (count === undefined) {
+      count = Math.max(1, countOpenOccurrences(tracked.definition, this.#options.maxRowBytes))
+      this.#openOccurrences.set(tracked, count)
+    }
+    return count
+  }
+
   #requestPlacement (): void {
     if (this.#placementRequested || !this.#recovered || this.#isEnded) return
     this.#placementRequested = true
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -30,6 +30,13 @@
 /** Bytes on the wire for each byte of a row, which is sent in base64. */
 const BASE64_EXPANSION = 4 / 3
 
+interface Options {
+  /** Bandwidth of this node's network link, in Mbit/s; limits the size of a commit. */
+  linkMbps: number
+  /** Largest value of a row that the store accepts, in bytes. */
+  maxRowBytes: number
+}
+
 interface Batch {
   puts: Array<{ table: string, key: string, value: Uint8Array }>
   /** Jobs of the batch with the state that is written for them. */
@@ -55,6 +62,8 @@
 export interface CommitHooks {
   /** Called when a task assignment is stored, so that its start order may be sent. */
   onStartStored (task: TaskInstance): void
+  /** Called for a job whose row the store would refuse; it has to end the job. */
+  onRowTooLarge (job: TrackedJob): void
   /** Called when another node has taken over the cell. */
   onOwnershipLost (): void
 }
@@ -67,6 +76,7 @@
   readonly #hooks: CommitHooks
   readonly #signal: AbortSignal
   readonly #maxBytes: number
+  readonly #maxRowBytes: number
   /** Ids of ended jobs whose progress records are to be removed. */
   readonly #pendingRemovals: string[] = []
   readonly #workWaiters = new Notifier()
@@ -76,16 +86,16 @@
   /** The next commit is made at once, also if nothing has changed. */
   #isDue = true
 
-  /** @param linkMbps - Bandwidth of this node's network link, in Mbit/s; limits the size of a commit. */
   constructor (
-    cell: Cell, control: ControlRecords, ownership: Ownership, hooks: CommitHooks, linkMbps: number, signal: AbortSignal
+    cell: Cell, control: ControlRecords, ownership: Ownership, hooks: CommitHooks, options: Options, signal: AbortSignal
   ) {
     this.#cell = cell
     this.#control = control
     this.#ownership = ownership
     this.#hooks = hooks
     this.#signal = signal
-    const transferableBytes = linkMbps * BYTES_PER_MS_AND_MBPS * MAX_COMMIT_TRANSFER_MS / BASE64_EXPANSION
+    this.#maxRowBytes = options.maxRowBytes
+    const transferableBytes = options.linkMbps * BYTES_PER_MS_AND_MBPS * MAX_COMMIT_TRANSFER_MS / BASE64_EXPANSION
     this.#maxBytes = Math.min(MAX_BYTES_PER_COMMIT, transferableBytes)
     signal.addEventListener('abort', () => {
       this.wake()
@@ -194,8 +204,8 @@
     let bytes = 0
     for (const job of this.#prioritizeDirtyJobs()) {
       if (batch.puts.length >= maxRows || bytes > this.#maxBytes) break
+      const value = this.#encode(job)
       cell.dirty.delete(job)
-      const value = encodeProgress(job)
       bytes += value.length
       batch.puts.push({ table: PROGRESS_TABLE, key: job.id, value })
       batch.states.push([job, job.state])
@@ -214,6 +224,13 @@
     return batch
   }
 
+  #encode (job: TrackedJob): Uint8Array {
+    const value = encodeProgress(job)
+    if (value.length <= this.#maxRowBytes) return value
+    this.#hooks.onRowTooLarge(job)
+    return encodeProgress(job)
+  }
+
   /** Sorts by queue priority when more jobs wait than fit into one commit, as happens while the store is slow. */
   #prioritizeDirtyJobs (): Iterable<TrackedJob> {
     const { dirty } = this.#cell
--- a/packages/jobs/src/standins/MemoryCell.ts
+++ b/packages/jobs/src/standins/MemoryCell.ts
@@ -4,7 +4,7 @@
 import type { Adviser, MetricsRecorder, LogWriter } from '../ports.ts'
 import type { Job, JobSpec, Queue, Step, WorkerEntry } from '../types.ts'
 import { MemoryInventory } from './MemoryInventory.ts'
-import { MemoryRecordStore, MemoryRows } from './MemoryRecordStore.ts'
+import { MAX_ROW_BYTES, MemoryRecordStore, MemoryRows } from './MemoryRecordStore.ts'
 import { MemoryWorkers, createTicket, type MemoryWorker, type PlanRunEnd } from './MemoryWorkers.ts'
 
 interface Options {
@@ -115,6 +115,7 @@
       leaseLimitMs: 6_000,
       stopTimeoutMs: 900,
       keepEndedMs: 120_000,
+      maxRowBytes: MAX_ROW_BYTES,
       ...this.#options.weakNodes?.includes(name) === true
         ? { processors: 0.3, linkMbps: 7 }
         : {
@@ -144,9 +145,12 @@
   /** Submits a job through a node that is up, and returns the kind of the answer. */
   async submit (id: string, steps: Array<Partial<Step>>, options: {
     node?: string,
-    queue?: Queue
+    queue?: Queue,
+    /** How many times the steps run, all of them due at once. Default: once. */
+    occurrences?: number
   } = {}): Promise<string> {
-    const spec: JobSpec = { payload: id, steps: steps.map(createStep), occurrences: 0, firstRunAt: 0, intervalMs: 0 }
+    const { occurrences = 0 } = options
+    const spec: JobSpec = { payload: id, steps: steps.map(createStep), occurrences, firstRunAt: 0, intervalMs: 0 }
     const queue = options.queue ?? this.queues[0]!
     this.checker.registerJob(id, spec, queue.maxAttempts)
     this.#specs.set(id, spec)
--- a/packages/jobs/src/standins/MemoryRecordStore.ts
+++ b/packages/jobs/src/standins/MemoryRecordStore.ts
@@ -25,6 +25,9 @@
 /** Timeout of a call without an answer, in ms. */
 const TIMEOUT_MS = 1_500
 
+/** Largest value of a row that the store accepts, in bytes, as the platform has it. */
+export const MAX_ROW_BYTES = 65_536
+
 /** In-memory rows shared by several nodes. Each node accesses them through its own store with its own faults. */
 export class MemoryRows {
   readonly rows = new Map<string, StoredRow>()
@@ -98,6 +101,7 @@
     const fault = this.fault('commit', commit.partition)
     await sleep(this.#latencyMs)
     if (fault === 'refused') return notDone('unavailable', 'the store refused the call')
+    if (commit.puts.some(({ value }) => value.length > MAX_ROW_BYTES)) return notDone('invalid', 'a row is too large')
     if (fault === 'late') setTimeout(() => this.#shared.apply(commit), LATE_MS)
     const result = fault === undefined || fault === 'lost' ? this.#shared.apply(commit) : undefined
     if (fault === undefined) return done(result!)
