Log once a second how much the owner does and how long it takes

The line has the number, sum and maximum of each recorded duration, and the processor time of the process.

--- /dev/null
+++ b/packages/jobs/src/loadPatterns/malformedRows.test.ts
@@ -0,0 +1,68 @@
+import fc from 'fast-check'
+import { install, type Clock } from '@sinonjs/fake-timers'
+import { expect } from 'chai'
+import { CONTROL_TABLE, OWNER_KEY } from '../ownership/index.ts'
+import { CANCELS_TABLE, JOBS_TABLE, PROGRESS_TABLE } from '../records/index.ts'
+import { MemoryCell } from '../standins/index.ts'
+import { fetchState, submitInBackground } from './describeCells.ts'
+
+const RUNNING = '00000000000000a1'
+const MALFORMED = '00000000000000c3'
+const LATER = '00000000000000b2'
+
+/** A value that replaces one part of a valid row. */
+const replacement = fc.oneof(
+  fc.constantFrom(null, true, '', 'x', [], {}, 0, -1, 0.5, 1e9, 1e308, 2 ** 53),
+  fc.jsonValue({ maxDepth: 2 })
+)
+
+/** Replaces the part of a JSON value that a path of numbers leads to; each number chooses among the entries there. */
+function replacePart (value: unknown, path: readonly number[], part: unknown): unknown {
+  const [choice, ...rest] = path
+  if (choice === undefined || typeof value !== 'object' || value === null) return part
+  const keys = Object.keys(value)
+  if (keys.length === 0) return part
+  const key = keys[choice % keys.length]!
+  const replaced = replacePart((value as Record<string, unknown>)[key], rest, part)
+  if (Array.isArray(value)) return value.with(Number(key), replaced)
+  return { ...value, [key]: replaced }
+}
+
+/** Lists the rows of a cell that a new owner reads, without its own record. */
+function listRows (cell: MemoryCell) {
+  const tables = new Set([CONTROL_TABLE, PROGRESS_TABLE, JOBS_TABLE, CANCELS_TABLE])
+  return [...cell.rows.rows.values()].filter(({ table, key }) => tables.has(table) && key !== OWNER_KEY)
+}
+
+describe('A malformed row', () => {
+  let clock: Clock
+  beforeEach(() => { clock = install() })
+  afterEach(() => clock.uninstall())
+
+  // One row that an owner could not use would end each owner that reads it, and nothing would be scheduled any more.
+  it('ends no owner and delays no other job', async () => {
+    const paths = fc.array(fc.nat({ max: 50 }), { maxLength: 6 })
+    await fc.assert(fc.asyncProperty(fc.nat(), paths, replacement, async (choice, path, part) => {
+      const cell = new MemoryCell({ nodes: 3, workers: 3 })
+      await clock.tickAsync(2_000)
+      submitInBackground(cell, RUNNING, [{ count: 2, estimatedRunMs: 20_000 }, { after: [0] }])
+      submitInBackground(cell, MALFORMED, [{ count: 2, estimatedRunMs: 20_000 }, { after: [0] }], undefined, 3)
+      await clock.tickAsync(1_500)
+      const rows = listRows(cell).filter(({ key }) => key !== RUNNING)
+      const row = rows[choice % rows.length]!
+      const value = replacePart(JSON.parse(Buffer.from(row.value!).toString()), path, part)
+      const { table, partition, key } = row
+      cell.rows.apply({
+        partition, expected: [], puts: [{ table, key, value: Buffer.from(JSON.stringify(value)) }], removes: []
+      })
+      cell.killNode(cell.owner!.name)
+      await clock.tickAsync(4_000)
+      submitInBackground(cell, LATER, [{ estimatedRunMs: 500 }])
+      await clock.tickAsync(4_000)
+      expect(await fetchState(cell, clock, LATER)).to.equal('completed')
+      const stopped = cell.stop()
+      await clock.tickAsync(5_000)
+      await stopped
+    }), { seed: Number(process.env.SEED ?? 31), numRuns: Number(process.env.RUNS ?? 300), endOnFailure: true })
+  }).timeout(600_000)
+})
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -24,6 +24,7 @@
 import { StalledOrderLog } from './StalledOrderLog.ts'
 import { TablePoller } from './TablePoller.ts'
 import { Placer } from './Placer.ts'
+import { OwnerLoadLog } from './OwnerLoadLog.ts'
 import { RunTracker } from './RunTracker.ts'
 import { TakeoverRecord } from './TakeoverRecord.ts'
 import { WorkerManager } from './WorkerManager.ts'
@@ -85,6 +86,7 @@
   readonly #tracker: RunTracker
   readonly #rescheduler: Rescheduler
   readonly #stalledOrders: StalledOrderLog
+  readonly #load: OwnerLoadLog
   readonly #workerManager: WorkerManager
   readonly #control: ControlRecords
   readonly #commits: GroupCommit
@@ -116,7 +118,8 @@
     this.#options = options
     this.#ownership = ownership
     this.#onEnd = onEnd
-    this.cell = new Cell(() => dependencies.configuration.current(), log, metrics, {
+    this.#load = new OwnerLoadLog(metrics, log)
+    this.cell = new Cell(() => dependencies.configuration.current(), log, this.#load, {
       onChange: () => this.#requestPlacement(),
       onDirty: () => this.#commits.wake()
     })
@@ -453,6 +456,7 @@
       const startedAt = performance.now()
       this.#placer.run()
       const endedAt = performance.now()
+      this.cell.metrics.recordDuration('placement_time', endedAt - startedAt)
       this.#nextPlacementAt = endedAt + PLACEMENT_PAUSE_FACTOR * (endedAt - startedAt)
     }
     const delayMs = this.#nextPlacementAt - performance.now()
@@ -471,6 +475,7 @@
     this.#requestPlacement()
     this.cell.metrics.set('jobs_active', this.cell.active.size)
     this.cell.metrics.set('workers', this.cell.workers.size)
+    this.#load.tick(now, { token: this.token, jobs: this.cell.active.size, workers: this.cell.workers.size })
   }
 }
 
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -110,7 +110,9 @@
       if (!this.#isDue && this.#cell.dirty.size === 0 && !this.#hasUnstoredEnds()) await this.#waitForWork()
       if (this.#isOver) return
       this.#isDue = false
+      const takenAt = performance.now()
       const batch = this.#takeBatch()
+      this.#cell.metrics.recordDuration('commit_encode_time', performance.now() - takenAt)
       const found = batch.foundWorkers.map(toRowAddress)
       const removable = Math.min(MAX_REMOVALS_PER_COMMIT, MAX_ROWS_PER_COMMIT - batch.puts.length - found.length)
       const ended = this.#pendingRemovals.splice(0, Math.max(0, removable))
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -49,6 +49,7 @@
 
   /** Updates the task state from a worker's report. `sentAt` is the monotonic time of the request, in ms. */
   reconcile (worker: WorkerState, report: WorkerReport, sentAt: number): void {
+    const receivedAt = performance.now()
     worker.hasAnswered = true
     for (const end of report.ended) {
       if (end.sequence <= worker.processedEndSequence) continue
@@ -62,6 +63,7 @@
       if (!present.has(task) && isExpectedInReport(task, sentAt)) this.#handleMissingRun(worker, task)
     }
     this.#pacer.adjust(worker, report.running)
+    this.#cell.metrics.recordDuration('report_time', performance.now() - receivedAt)
   }
 
   /** Sends the start order of a stored assignment, and repeats it until the worker answers. */
@@ -89,9 +91,11 @@
         this.#abortStart(task, uncertain)
         return
       }
+      const sentAt = performance.now()
       const outcome = await session.start({
         key: task.key, run, payload: task.step.job.spec.payload, checkpoint: task.checkpoint, ticket: task.ticket
       })
+      this.#cell.metrics.recordDuration('start_order_time', performance.now() - sentAt)
       if (!isCurrent()) return
       const result = valueOf(outcome)
       if (result === undefined) {
--- a/packages/jobs/src/ownership/index.ts
+++ b/packages/jobs/src/ownership/index.ts
@@ -15,7 +15,7 @@
 
 /** Table that holds the row of the owner. */
 export const CONTROL_TABLE = 'control'
-const OWNER_KEY = 'owner'
+export const OWNER_KEY = 'owner'
 
 /** The last owner before a new one that may have granted task leases. */
 const Predecessor = Type.Object({
