Let polls wait longer in cells of more than 200 workers

Polls return at once when a run ends, so that a longer wait only delays the signs of an idle or silent worker; while answers are lost the waits are as before.

--- a/packages/jobs/src/constants/index.ts
+++ b/packages/jobs/src/constants/index.ts
@@ -46,9 +46,16 @@
  */
 export const OUTAGE_PROMISE_MS = 2_500
 
-/** Maximum time that a poll waits for a run to end, in ms; bounds the age of the last report of an idle worker. */
+/** Time that a poll waits for a run to end, in ms; bounds the age of the last report of an idle worker. */
 export const POLL_WAIT_MS = 500
 
+/**
+ * Polls of idle workers per second above which they wait longer, and the longest wait, in ms. A poll takes the owner
+ * 0.15 to 0.3 ms of a processor. Task leases must outlast several polls.
+ */
+export const MAX_IDLE_POLLS_PER_S = 400
+export const MAX_POLL_WAIT_MS = 1_500
+
 /**
  * Maximum time that a poll of a worker with tasks waits while many answers are lost, in ms. The end of a run is noticed
  * only after a lost poll has timed out.
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -1,6 +1,6 @@
 import { failureOf, throwUncaught, sleep, valueOf } from '@gypsumspring/protocol'
 import type { TaskInstance } from '../model/index.ts'
-import { UNLISTED_GRACE_MS } from '../constants/index.ts'
+import { MAX_IDLE_POLLS_PER_S, MAX_POLL_WAIT_MS, POLL_WAIT_MS, UNLISTED_GRACE_MS } from '../constants/index.ts'
 import type { WorkerConnector, WorkerInventory, WorkerRegistry } from '../ports.ts'
 import type { WorkerEntry } from '../types.ts'
 import { AnswerLoss } from '../workers/AnswerLoss.ts'
@@ -113,6 +113,7 @@
       token,
       leaseMs,
       answerLoss: this.#answerLoss,
+      pollWaitMs: () => choosePollWaitMs(cell.workers.size),
       mayRenewLeases,
       waitUntilStored,
       onFenced,
@@ -243,6 +244,11 @@
   }
 }
 
+/** Time that the polls of a cell with this number of workers wait for a run to end, in ms. */
+function choosePollWaitMs (workers: number): number {
+  return Math.round(Math.min(Math.max(POLL_WAIT_MS, 1_000 * workers / MAX_IDLE_POLLS_PER_S), MAX_POLL_WAIT_MS))
+}
+
 /** Stands for the entry of a worker whose runs are known, but which the registry doesn't list or hasn't listed yet. */
 function placeholderEntry (id: string): WorkerEntry {
   return {
--- a/packages/jobs/src/owner/WorkerSession.ts
+++ b/packages/jobs/src/owner/WorkerSession.ts
@@ -15,6 +15,8 @@
   leaseMs: number
   /** Shared by the sessions of all workers. */
   answerLoss: AnswerLoss
+  /** Time that polls wait for a run to end while no answers are lost, in ms. */
+  pollWaitMs (): number
   /** Whether task leases may still be renewed; false some time after the owner lost contact with the store. */
   mayRenewLeases (): boolean
   /** Called with each report of the worker. `sentAt` is the monotonic time of the request, in ms. */
@@ -97,7 +99,8 @@
   get #pollWaitMs (): number {
     // Its leases can be renewed again as soon as the record is removed.
     if (this.state.isRecordedAsLost) return RECORDED_POLL_WAIT_MS
-    return this.#context.answerLoss.isHigh && this.state.tasks.size > 0 ? LOSSY_POLL_WAIT_MS : POLL_WAIT_MS
+    if (!this.#context.answerLoss.isHigh) return this.#context.pollWaitMs()
+    return this.state.tasks.size > 0 ? LOSSY_POLL_WAIT_MS : POLL_WAIT_MS
   }
 
   /** Extends the lease. Returns its end on the worker's clock, or undefined when none may be granted. */
