Tell followers the addresses of 16 relays at most

Each answer to a heartbeat listed all followers that reach the store, sorted anew: with 97 nodes 388 lists of 96 addresses a second, and with 300 nodes 1,200 lists of 299. A call tries two relays, so that a few are enough. The list is made four times a second.

--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -192,7 +192,7 @@
 
   #listRelayPeers (): Peer[] {
     if (this.#owner === undefined) return this.#relayCandidates
-    return this.#followers.listWithStoreAccess().map(({ peer }) => peer)
+    return this.#followers.listRelays().map(({ peer }) => peer)
   }
 
   /** Probes the store at intervals, so that `JobService.canAccept` is current even when no other calls are made. */
@@ -458,7 +458,7 @@
     if (this.#followers.recordHeartbeat(heartbeat, peer)) {
       owner.addNode({ id: heartbeat.node, adviser: new RemoteAdviser(peer) })
     }
-    const peers = this.#followers.listWithStoreAccess().map((follower) => follower.peer.address)
+    const peers = this.#followers.listRelays().map((follower) => follower.peer.address)
     return { isOwner: true, token: owner.token, peers, time: readInstant(), needsPromise: owner.needsPromises }
   }
 
