Search only the workers that a step has tickets for

A step whose queue has a policy has tickets for some 20 of 380 workers, but each task was tried on all candidates of its pool, up to four times. Decisions are the same but for ties, which the order of tickets decides now.

--- a/packages/jobs/src/model/AdviceState.ts
+++ b/packages/jobs/src/model/AdviceState.ts
@@ -47,6 +47,12 @@
     return ticket !== undefined && ticket.until > now ? ticket.value : undefined
   }
 
+  /** Ids of the workers for which there is a ticket that has not expired at `now`. */
+  * ticketedWorkers (now: number): Iterable<string> {
+    if (this.validUntil <= now) return
+    for (const [worker, { until }] of this.#tickets) if (until > now) yield worker
+  }
+
   dropTicket (worker: string): void {
     this.#tickets.delete(worker)
   }
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -25,6 +25,13 @@
 /** Most steps in one round for which others are looked at that could be stopped; the most urgent ones come first. */
 const MAX_PREEMPTION_ATTEMPTS = 4
 
+/** Workers of a pool with room for the smallest waiting task. */
+interface Candidates {
+  all: readonly WorkerState[]
+  /** Those for which the step has a ticket, or all if its queue has no policy. */
+  ticketed: readonly WorkerState[]
+}
+
 /** Room on a worker that is kept for a task of a step. */
 interface Reservation {
   step: StepInstance
@@ -77,7 +84,8 @@
     let preemptionAttempts = 0
     for (const { step, lateness } of ordered) {
       const pool = this.#cell.poolOf(step.job.definition)
-      const candidates = candidatesByPool.get(pool) ?? []
+      const all = candidatesByPool.get(pool) ?? []
+      const candidates = { all, ticketed: this.#filterTicketed(step, all, now) }
       const blocked = step.spec.gang ? this.#placeGang(step, candidates, now) : this.#placeTasks(step, candidates, now)
       this.#logPlaced(step, now)
       if (blocked === undefined) continue
@@ -87,15 +95,28 @@
         findHealthObstacle: (worker) => this.#breaker.findObstacle(worker.id, blocked),
         reservedFor: (worker) => (this.#reserved.get(worker) ?? worker.claim)?.step
       }, now)
-      this.#handleBlocked(blocked, workers, candidates, now)
+      this.#handleBlocked(blocked, workers, all, now)
       if (lateness === 0 && preemptionAttempts < MAX_PREEMPTION_ATTEMPTS) {
         if (this.#preemptor.makeRoom(blocked, workers, this.#workerChecks(blocked), now)) preemptionAttempts++
       }
     }
   }
 
+  /** Filters the workers that the step has tickets for: a few of a large cell, which need not be searched for them. */
+  #filterTicketed (step: StepInstance, all: readonly WorkerState[], now: number): readonly WorkerState[] {
+    const { advice } = step.job.definition.queue
+    if (advice === undefined) return all
+    const pool = this.#cell.poolOf(step.job.definition)
+    const ticketed: WorkerState[] = []
+    for (const id of step.advice.ticketedWorkers(now + TICKET_MARGIN_MS)) {
+      const worker = this.#cell.workers.get(id)
+      if (worker?.acceptsTasks === true && worker.entry.pool === pool) ticketed.push(worker)
+    }
+    return ticketed
+  }
+
   /** Places the waiting tasks of a step. Returns one that found no worker, if any. */
-  #placeTasks (step: StepInstance, workers: readonly WorkerState[], now: number): TaskInstance | undefined {
+  #placeTasks (step: StepInstance, candidates: Candidates, now: number): TaskInstance | undefined {
     let blocked: TaskInstance | undefined
     let mostFailedOn = -1
     let isFirst = !step.spec.longRunning && step.tasks.length > 1 && !step.tasks.some(({ isAssigned }) => isAssigned)
@@ -104,11 +125,11 @@
       // Tasks of a step differ only in the workers on which they failed. Once one that has failed nowhere has found no
       // worker, others like it are not tried. Those with failures are, since `#chooseFailedWorker` may find a worker.
       if (task.failedOn.size === 0 ? blocked?.failedOn.size === 0 : task.failedOn.size <= mostFailedOn) continue
-      let worker = this.#chooseWorker(task, workers, now)
+      let worker = this.#chooseWorker(task, candidates, now)
       if (worker !== undefined && isFirst) {
         isFirst = false
-        this.#chooseFailureDomain(task, workers, now)
-        worker = this.#chooseWorker(task, workers, now) ?? worker
+        this.#chooseFailureDomain(task, candidates.ticketed, now)
+        worker = this.#chooseWorker(task, candidates, now) ?? worker
       }
       if (worker !== undefined) this.#assign(task, worker, task.run + 1)
       else {
@@ -127,15 +148,15 @@
   }
 
   /** Places all tasks of a gang or none. Returns one of them when there is no room for all. */
-  #placeGang (step: StepInstance, workers: readonly WorkerState[], now: number): TaskInstance | undefined {
+  #placeGang (step: StepInstance, candidates: Candidates, now: number): TaskInstance | undefined {
     if (step.tasks.some(({ status }) => status !== 'waiting')) return undefined
     const run = Math.max(...step.tasks.map((task) => task.run)) + 1
     const racks = step.spec.sameRack
-      ? [...new Set(workers.flatMap(({ entry }) => entry.labels)),
+      ? [...new Set(candidates.ticketed.flatMap(({ entry }) => entry.labels)),
           undefined]
       : [undefined]
     for (const rack of racks) {
-      const chosen = this.#chooseGangWorkers(step, (task) => this.#chooseWorker(task, workers, now, rack))
+      const chosen = this.#chooseGangWorkers(step, (task) => this.#chooseWorker(task, candidates, now, rack))
       if (chosen === undefined) continue
       for (const [index, worker] of chosen.entries()) this.#assign(step.tasks[index]!, worker, run)
       return undefined
@@ -178,11 +199,12 @@
   }
 
   #chooseWorker (
-    task: TaskInstance, workers: readonly WorkerState[], now: number, rack?: string
+    task: TaskInstance, candidates: Candidates, now: number, rack?: string
   ): WorkerState | undefined {
-    return chooseWorker(task, workers, {
+    return chooseWorker(task, candidates.ticketed, {
       ...this.#workerChecks(task), now: now + TICKET_MARGIN_MS, rack
-    }) ?? this.#chooseFailedWorker(task, workers, now, rack) ?? this.#chooseSuspectWorker(task, workers, now, rack)
+    }) ?? this.#chooseFailedWorker(task, candidates, now, rack) ??
+      this.#chooseSuspectWorker(task, candidates, now, rack)
   }
 
   /** Checks that keep a task off workers that have room for it. */
@@ -204,11 +226,11 @@
 
   /** After a wait, lets a task go back to a worker on which it failed when no other has room. */
   #chooseFailedWorker (
-    task: TaskInstance, workers: readonly WorkerState[], now: number, rack?: string
+    task: TaskInstance, candidates: Candidates, now: number, rack?: string
   ): WorkerState | undefined {
     if (task.failedOn.size === 0 || now - task.waitingSince < RETRY_SAME_WORKER_MS) return undefined
     task.failedOn.clear()
-    return this.#chooseWorker(task, workers, now, rack)
+    return this.#chooseWorker(task, candidates, now, rack)
   }
 
   /**
@@ -216,18 +238,18 @@
    * failures may be the fault of the task's own job, and no other task may come that would show the workers as healthy.
    */
   #chooseSuspectWorker (
-    task: TaskInstance, workers: readonly WorkerState[], now: number, rack?: string
+    task: TaskInstance, { all, ticketed }: Candidates, now: number, rack?: string
   ): WorkerState | undefined {
     if (!this.#breaker.hasSuspects) return undefined
     const checks = { ...this.#workerChecks(task), now: now + TICKET_MARGIN_MS, rack }
     let since: number | undefined = task.waitingSince
     if (task.failures === 0) {
       // Tickets expire and other tasks start meanwhile, which must not let the wait begin anew.
-      const held = chooseWorker(task, workers, { ...checks, isHealthy: () => true, ignoreTickets: true })
+      const held = chooseWorker(task, all, { ...checks, isHealthy: () => true, ignoreTickets: true })
       since = task.heldBackSince = held === undefined ? undefined : task.heldBackSince ?? now
     }
     if (since === undefined || now - since < RETRY_SAME_WORKER_MS) return undefined
-    return chooseWorker(task, workers, { ...checks, isHealthy: ({ id }) => this.#breaker.mayProbe(id) })
+    return chooseWorker(task, ticketed, { ...checks, isHealthy: ({ id }) => this.#breaker.mayProbe(id) })
   }
 
   /** Requests advice for a step whose task found no worker, and reserves a worker when the task has waited long. */
