Skip jobs whose steps wait for steps that do not exist

A row of the store, or a message of another node, with such a job ended each owner that read it (TypeError in isReady), one after the other, and nothing in the cell was scheduled any more. Only the callers' interface checked the order of steps. The decoders of both kinds of rows and the owner check it now, with one function.

--- a/packages/jobs/src/model/progress.ts
+++ b/packages/jobs/src/model/progress.ts
@@ -1,6 +1,7 @@
 import { parseJson } from '@gypsumspring/protocol'
 import { Type, type Static } from '@sinclair/typebox'
 import { Value } from '@sinclair/typebox/value'
+import { findStepOutOfOrder } from '../records/findStepOutOfOrder/index.ts'
 import { Job, type JobState } from '../types.ts'
 import type { TaskInstance, TrackedJob } from './TrackedJob.ts'
 
@@ -119,6 +120,7 @@
   const row = parseJson(bytes)
   if (!Value.Check(ProgressRow, row)) return undefined
   const [state, endedAt, finishedOccurrences, finishedSteps, tasks, job] = row
+  if (job !== null && findStepOutOfOrder(job.spec.steps) >= 0) return undefined
   return {
     job: job ?? undefined,
     state: STATES[state]!,
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -10,6 +10,7 @@
 import {
   CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, decodeJob
 } from '../records/index.ts'
+import { findStepOutOfOrder } from '../records/findStepOutOfOrder/index.ts'
 import type { Job, JobState, WorkerEntry } from '../types.ts'
 import { AdviceDispatcher, type AdviceNode } from './AdviceDispatcher.ts'
 import { BreakerRecord } from './BreakerRecord.ts'
@@ -238,6 +239,10 @@
   /** Adds a job that is already stored. */
   accept (job: Job): void {
     if (!this.#recovered || this.#isEnded || this.cell.jobs.has(job.id)) return
+    if (findStepOutOfOrder(job.spec.steps) >= 0) {
+      this.#dependencies.log.warn({ job: job.id }, 'job that another node has announced is malformed')
+      return
+    }
     this.#addJob(job, undefined)
     this.#requestPlacement()
   }
--- a/packages/jobs/src/records/index.ts
+++ b/packages/jobs/src/records/index.ts
@@ -4,6 +4,7 @@
 import { JOB_PARTITIONS } from '../constants/index.ts'
 import { hashText } from '../hashText/index.ts'
 import { Job } from '../types.ts'
+import { findStepOutOfOrder } from './findStepOutOfOrder/index.ts'
 
 /** Table of accepted jobs, each written once by the node that accepted it. */
 export const JOBS_TABLE = 'jobs'
@@ -54,7 +55,8 @@
  * @returns The job, or undefined when the bytes are not a valid job.
  */
 export function decodeJob (bytes: Uint8Array): Job | undefined {
-  return decodeRow(Job, bytes)
+  const job = decodeRow(Job, bytes)
+  return job !== undefined && findStepOutOfOrder(job.spec.steps) < 0 ? job : undefined
 }
 
 /**
