Spread accepted jobs over 64 partitions

A partition executes its transactions one after the other, 400 ms each then, so that 16 partitions execute 40 a second, of which copies of unanswered writes take a part. Ruled out: the owner, which has nothing to do with accepting, and the total rate of the store (3,200 writes a second).

A new owner reads 128 partitions instead of 32, eight at a time. During a rolling upgrade an owner of the former version does not read the new partitions when it starts; it still hears of their jobs by the feed.

--- a/packages/jobs/src/constants/index.ts
+++ b/packages/jobs/src/constants/index.ts
@@ -10,8 +10,11 @@
 /** Maximum number of tasks of a job, for the same reason. */
 export const MAX_TASKS_PER_JOB = 1500
 
-/** Number of partitions that accepted jobs are spread over, since a partition executes its writes sequentially. */
-export const JOB_PARTITIONS = 16
+/**
+ * Number of partitions that accepted jobs are spread over, since a partition executes its writes sequentially: 64 of
+ * them execute 160 a second while the store takes 400 ms for each. A new owner reads all of them.
+ */
+export const JOB_PARTITIONS = 64
 
 /**
  * Maximum lease of the tasks on a worker, in ms. A longer lease survives longer network partitions; a shorter one
--- a/packages/jobs/src/owner/TablePoller.ts
+++ b/packages/jobs/src/owner/TablePoller.ts
@@ -5,7 +5,7 @@
 import { READ_RETRY_DELAY_MS } from './readWithRetry.ts'
 
 /** Partitions that are read concurrently. With more, answers of workers would queue behind the rows of all jobs. */
-const MAX_CONCURRENT_READS = 4
+const MAX_CONCURRENT_READS = 8
 
 /**
  * Reads a table that other nodes write: first all rows, then changes at intervals. Nodes also notify the owner
--- a/packages/jobs/src/standins/MemoryRecordStore.ts
+++ b/packages/jobs/src/standins/MemoryRecordStore.ts
@@ -28,6 +28,9 @@
 /** Largest value of a row that the store accepts, in bytes, as the platform has it. */
 export const MAX_ROW_BYTES = 65_536
 
+/** A partition refuses transactions when those that wait take longer than this, in ms, as the platform's does. */
+const MAX_QUEUED_MS = 1_000
+
 /** In-memory rows shared by several nodes. Each node accesses them through its own store with its own faults. */
 export class MemoryRows {
   readonly rows = new Map<string, StoredRow>()
@@ -36,6 +39,10 @@
   /** Oldest version after which changes can still be read. */
   oldest = 0
   readonly changed = new Notifier()
+  /** Duration of a transaction in ms. Each partition executes its transactions one after the other. */
+  transactionMs = 0
+  /** Monotonic time until which the transactions of each partition take, in ms. */
+  readonly #busyUntil = new Map<string, number>()
 
   /** Reading of the store's steady clock, which differs from the clocks of the processes. */
   get nowMs (): number {
@@ -71,6 +78,15 @@
     return { kind: 'committed', version: this.version, nowMs: this.nowMs }
   }
 
+  /** Returns the time until a transaction that is sent now is executed, in ms; undefined if too many wait already. */
+  queueTransaction (partition: string): number | undefined {
+    const now = performance.now()
+    const waitMs = Math.max(0, (this.#busyUntil.get(partition) ?? 0) - now)
+    if (waitMs > MAX_QUEUED_MS) return undefined
+    this.#busyUntil.set(partition, now + waitMs + this.transactionMs)
+    return waitMs + this.transactionMs
+  }
+
   /** Drops the history, as the platform does from time to time. */
   compact (): void {
     this.oldest = this.version
@@ -99,7 +115,9 @@
 
   async commit (commit: Commit): Promise<Outcome<CommitResult>> {
     const fault = this.fault('commit', commit.partition)
-    await sleep(this.#latencyMs)
+    const queuedMs = this.#shared.queueTransaction(commit.partition)
+    await sleep(this.#latencyMs + (queuedMs ?? 0))
+    if (queuedMs === undefined) return notDone('overloaded', 'too many transactions of the partition wait')
     if (fault === 'refused') return notDone('unavailable', 'the store refused the call')
     if (commit.puts.some(({ value }) => value.length > MAX_ROW_BYTES)) return notDone('invalid', 'a row is too large')
     if (fault === 'late') setTimeout(() => this.#shared.apply(commit), LATE_MS)
