Read the owner's record once more before a delayed claim

The partition executes these transactions one after the other, before the first commits of the new owner.

--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -72,6 +72,12 @@
 /** Average latency of a read above which the store counts as slow, in ms; usually a read takes 6 to 11 ms. */
 const SLOW_STORE_MS = 50
 
+/**
+ * Delay of a takeover from which the record of the owner is read once more before the claim, in ms. Another of many nodes
+ * may own the cell by then, and failed claims delay its first commits: a partition executes one at a time.
+ */
+const MIN_RECHECK_MS = 30
+
 /** Longest time after which the store may apply a write that it has not answered, in ms. */
 const LATE_WRITE_MS = 15_000
 
@@ -321,7 +327,9 @@
 
   /** Claims the cell and, if the claim succeeds, runs as its owner. */
   async #takeOver (previous: OwnerRow, predecessorEnded: boolean): Promise<void> {
-    await sleep(chooseTakeoverDelay(this.#options, previous.version))
+    const delayMs = chooseTakeoverDelay(this.#options, previous.version)
+    await sleep(delayMs)
+    if (delayMs >= MIN_RECHECK_MS && await this.#isOwnerRowNewerThan(previous)) return
     const { node, address } = this.#options
     const claim = await Ownership.claim(this.#store, CELL_PARTITION, previous, { node, address }, predecessorEnded)
     const ownership = valueOf(claim)
@@ -334,6 +342,12 @@
     await this.#runAsOwner(ownership, previous.record?.node)
   }
 
+  /** Whether the owner's record is known to have changed, so that a claim could only fail. */
+  async #isOwnerRowNewerThan ({ version }: OwnerRow): Promise<boolean> {
+    const current = valueOf(await readOwner(this.#store, CELL_PARTITION))
+    return current !== undefined && current.version !== version
+  }
+
   /** Runs as the owner of the cell until the ownership is lost or handed over. */
   async #runAsOwner (ownership: Ownership, previous: string | undefined): Promise<void> {
     const { token, predecessor } = ownership
