--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -73,8 +73,8 @@
 const SLOW_STORE_MS = 50
 
 /**
- * Delay of a takeover from which the record of the owner is read once more before the claim, in ms. Another of many nodes
- * may own the cell by then, and failed claims delay its first commits: a partition executes one at a time.
+ * Delay of a takeover from which the owner's record is read again before the claim, in ms. Another of many nodes may
+ * own the cell by then, and failed claims delay its first commits: a partition executes one at a time.
  */
 const MIN_RECHECK_MS = 30
 
