Leave undici's error handling before a request is sent again

A connection attempt that fails with ECONNRESET is repeated once; exchange did that inside undici's callback, which then failed assert(client[kSize] === 0). Errors and ends are handled in the next microtask now.

--- a/packages/adapters/src/_lib/exchange.ts
+++ b/packages/adapters/src/_lib/exchange.ts
@@ -45,7 +45,10 @@
   return await new Promise((resolve) => new Exchange(client, pool, request, deadline, maxBytes, resolve).send())
 }
 
-/** One request on one connection, as undici's handler of the response. */
+/**
+ * One request on one connection, as undici's handler of the response. undici calls it while it updates its own state,
+ * so that whatever uses the connection again waits for the next microtask.
+ */
 class Exchange implements Dispatcher.DispatchHandler {
   readonly #client: Client
   readonly #pool: ConnectionPool
@@ -98,7 +101,7 @@
     this.#recordProgress()
     if (this.#response.size > this.#maxBytes) {
       this.#settle(done({ status: this.#response.status, bytes: undefined }))
-      this.#abort?.(new Error('the response body is too large'))
+      queueMicrotask(() => this.#abort?.(new Error('the response body is too large')))
       return false
     }
     chunks.push(chunk)
@@ -108,11 +111,17 @@
   onComplete (): void {
     const { status, chunks, size } = this.#response
     const [first = Buffer.alloc(0)] = chunks
-    this.#settle(done({ status, bytes: chunks.length > 1 ? Buffer.concat(chunks, size) : first }))
-    this.#pool.release(this.#client)
+    queueMicrotask(() => {
+      this.#settle(done({ status, bytes: chunks.length > 1 ? Buffer.concat(chunks, size) : first }))
+      this.#pool.release(this.#client)
+    })
   }
 
   onError (error: Error & { code?: string }): void {
+    queueMicrotask(() => this.#handleError(error))
+  }
+
+  #handleError (error: Error & { code?: string }): void {
     if (this.#settled) {
       this.#pool.release(this.#client)
       return
