--- a/packages/jobs/src/node/watchEventLoopLag/index.ts
+++ b/packages/jobs/src/node/watchEventLoopLag/index.ts
@@ -1,3 +1,5 @@
+import { readOwnCpuMs } from '../../readOwnCpuMs/index.ts'
+
 /** Interval at which the lag of the event loop is sampled, in ms. */
 const SAMPLE_INTERVAL_MS = 100
 
@@ -57,8 +59,3 @@
     if (averageMs > MAX_AVERAGE_LAG_MS && usedProcessors < busyFrom) onSlow(averageMs, usedProcessors)
   }, SAMPLE_INTERVAL_MS)
 }
-
-function readOwnCpuMs (): number {
-  const { user, system } = process.cpuUsage()
-  return (user + system) / 1000
-}
--- a/packages/jobs/src/owner/OwnerLoadLog.ts
+++ b/packages/jobs/src/owner/OwnerLoadLog.ts
@@ -1,4 +1,5 @@
 import type { LogWriter, MetricsRecorder } from '../ports.ts'
+import { readOwnCpuMs } from '../readOwnCpuMs/index.ts'
 
 /** Interval of the log lines, in ms. */
 const LOG_INTERVAL_MS = 1_000
@@ -71,8 +72,3 @@
     this.#cpuMs = cpuMs
   }
 }
-
-function readOwnCpuMs (): number {
-  const { user, system } = process.cpuUsage()
-  return (user + system) / 1000
-}
