Log when a worker has started again under its id

Workers tell when they started (born); their registrations and reports are decoded, and a change is logged with the numbers of the ends that the owner has stored and that the worker lists. The log line of a run that is missing on its worker has the last end that was read there. With these, an end that was acknowledged unread can be told from a late call or an expired lease.

No decision changes.

--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -307,7 +307,8 @@
 
   #handleMissingRun (worker: WorkerState, task: TaskInstance): void {
     const { run, status } = task
-    this.#cell.log.info({ ...toLogFields(task), worker: worker.id, run, was: status }, 'run is not on its worker')
+    const { id, startedAt, processedEndSequence: lastEnd } = worker
+    this.#cell.log.info({ ...toLogFields(task), worker: id, startedAt, run, was: status, lastEnd }, 'run is not on its worker')
     this.#cell.requeue(task)
     if (task.step.spec.gang) this.#stopGang(task.step.tasks)
   }
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -2,7 +2,7 @@
 import type { TaskInstance } from '../model/index.ts'
 import { MAX_IDLE_POLLS_PER_S, MAX_POLL_WAIT_MS, POLL_WAIT_MS, UNLISTED_GRACE_MS } from '../constants/index.ts'
 import type { WorkerConnector, WorkerInventory, WorkerRegistry } from '../ports.ts'
-import type { WorkerEntry } from '../types.ts'
+import type { WorkerEntry, WorkerReport } from '../types.ts'
 import { AnswerLoss } from '../workers/AnswerLoss.ts'
 import { WorkerState } from '../workers/WorkerState.ts'
 import type { Cell } from './Cell.ts'
@@ -117,7 +117,10 @@
       mayRenewLeases,
       waitUntilStored,
       onFenced,
-      onReport: (state, report, sentAt) => tracker.reconcile(state, report, sentAt),
+      onReport: (state, report, sentAt) => {
+        this.#recordIncarnation(state, report)
+        tracker.reconcile(state, report, sentAt)
+      },
       onExpired: (state) => this.#remove(state, 'another incarnation answers'),
       onReachabilityChange: (state) => {
         this.#dependencies.crashes.recordReachability(state)
@@ -131,6 +134,25 @@
     if (this.#started) session.run().catch(throwUncaught)
   }
 
+  #recordIncarnation (worker: WorkerState, { startedAt, clockMs, running, ended }: WorkerReport): void {
+    if (startedAt === undefined || startedAt === worker.startedAt) return
+    const { startedAt: previousStartedAt, processedEndSequence, storedEndSequence } = worker
+    worker.startedAt = startedAt
+    if (previousStartedAt === undefined) return
+    this.#dependencies.cell.metrics.count('workers_restarted')
+    this.#dependencies.cell.log.warn({
+      worker: worker.id,
+      startedAt,
+      previousStartedAt,
+      clockMs,
+      // The poll that was answered acknowledged ends up to the stored one, by the count of the previous incarnation.
+      storedEnd: storedEndSequence,
+      processedEnd: processedEndSequence,
+      listedEnds: ended.map(({ sequence }) => sequence),
+      running: running.length
+    }, 'worker has started again under its id')
+  }
+
   /** Adds a worker that the registry has not listed to this owner. */
   #addUnlisted (entry: WorkerEntry, leaseEndsBy?: number): WorkerState {
     const worker = this.#createState(entry, leaseEndsBy)
--- a/packages/jobs/src/types.ts
+++ b/packages/jobs/src/types.ts
@@ -112,8 +112,13 @@
 
 /** Registry entry of a worker. */
 export interface WorkerEntry {
-  /** Identifies one incarnation: a restarted worker registers with a new id. */
+  /** Identifies the worker. A restarted worker may keep its id; `startedAt` tells its incarnations apart. */
   id: string
+  /**
+   * Unix time at which this incarnation started by the worker's own clock, in ms; undefined when the platform doesn't
+   * tell. Clocks step, so that a later incarnation may have the earlier time.
+   */
+  startedAt?: number
   pool: string
   address: string
   failureDomain: string
@@ -166,6 +171,8 @@
 
 /** Answer of a worker to a poll: its runs, and the ended runs that the owner has not acknowledged. */
 export interface WorkerReport {
+  /** Start of the incarnation that answers, as in its `WorkerEntry`. */
+  startedAt?: number
   /** Reading of the worker's monotonic clock, in ms. */
   clockMs: number
   running: RunningTask[]
--- a/packages/jobs/src/workers/WorkerState.ts
+++ b/packages/jobs/src/workers/WorkerState.ts
@@ -7,6 +7,8 @@
 /** The owner's view of one incarnation of a worker. */
 export class WorkerState {
   entry: WorkerEntry
+  /** Start of the incarnation that has answered last, by the worker's own clock, in Unix ms; undefined if not told. */
+  startedAt: number | undefined
   /** Tasks whose runs use resources of the worker, including runs that may not have been started. */
   readonly tasks = new Set<TaskInstance>()
   usedCpuMillis = 0
