Reproduce tasks that run again after a worker restarted under its id

Simulated workers start again under their ids, with empty lists, counts from 1, and a clock that begins anew; late orders arrive at the incarnation that has the id by then.

--- /dev/null
+++ b/packages/jobs/src/loadPatterns/restartedWorkers.test.ts
@@ -0,0 +1,84 @@
+import { expect } from 'chai'
+import type { Clock } from '@sinonjs/fake-timers'
+import type { MemoryCell, WorkerFault } from '../standins/index.ts'
+import { describeCells, fetchState, submitInBackground } from './describeCells.ts'
+
+const WORKERS = 6
+const RESTARTED = ['w0', 'w1', 'w2']
+
+/** Interval of the jobs, in ms; each has four tasks of 500 ms. */
+const JOB_INTERVAL_MS = 60
+const JOBS = 100
+
+/** How workers start again under their ids while short jobs arrive. */
+interface Restart {
+  name: string
+  /** Times from the end of a worker until it has started again, in ms: one for each restart. */
+  downMs: number[]
+  /** Change of the wall clock at the restart, in ms. Default: none. */
+  clockStepMs?: number
+  /** Fault of every third order to the workers before they end. */
+  orderFault?: WorkerFault
+  /** Time from the restart until the owner is killed, in ms. Default: it lives. */
+  ownerEndsAfterMs?: number
+}
+
+const restarts: Restart[] = [
+  { name: 'soon after its end', downMs: [60] },
+  { name: 'after polls of it have failed', downMs: [2_500] },
+  { name: 'twice', downMs: [120, 700] },
+  { name: 'with a clock that has stepped back', downMs: [150], clockStepMs: -60_000 },
+  { name: 'after orders whose answers were lost', downMs: [200], orderFault: 'lost' },
+  { name: 'before late orders arrive', downMs: [200], orderFault: 'late' },
+  { name: 'together with an end of the owner', downMs: [100], ownerEndsAfterMs: 0 },
+  { name: 'soon before an end of the owner', downMs: [100], ownerEndsAfterMs: 300 }
+]
+
+function disturbOrders (cell: MemoryCell, fault: WorkerFault): void {
+  let orders = 0
+  for (const id of RESTARTED) {
+    cell.workers.workers.get(id)!.fault = (call) => call === 'start' && ++orders % 3 === 0 ? fault : undefined
+  }
+}
+
+async function restartWorkers (cell: MemoryCell, clock: Clock, restart: Restart): Promise<void> {
+  const { downMs, clockStepMs = 0, orderFault, ownerEndsAfterMs } = restart
+  if (orderFault !== undefined) disturbOrders(cell, orderFault)
+  await clock.tickAsync(1_500)
+  for (const ms of downMs) {
+    for (const id of RESTARTED) cell.workers.workers.get(id)!.crash()
+    await clock.tickAsync(ms)
+    for (const id of RESTARTED) cell.restartWorker(id, { startedAt: Date.now() + clockStepMs })
+  }
+  if (ownerEndsAfterMs === undefined) return
+  await clock.tickAsync(ownerEndsAfterMs)
+  cell.killNode(cell.owner!.name)
+}
+
+function toJobId (index: number): string {
+  return index.toString(16).padStart(16, '0')
+}
+
+async function submitJobs (cell: MemoryCell, clock: Clock): Promise<void> {
+  for (let index = 0; index < JOBS; index++) {
+    submitInBackground(cell, toJobId(index), [{ count: 4, estimatedRunMs: 500 }])
+    await clock.tickAsync(JOB_INTERVAL_MS)
+  }
+}
+
+describeCells('A worker that starts again under its id', restarts.map((restart) => ({
+  // Guards against acknowledging the ends of a new incarnation by the count of its predecessor: they were never read,
+  // and tasks that had succeeded were started again.
+  name: `${restart.name} runs no task again that has succeeded`,
+  options: { workers: WORKERS },
+  run: async (cell, clock) => {
+    const restarted = restartWorkers(cell, clock, restart)
+    await submitJobs(cell, clock)
+    await restarted
+    await clock.tickAsync(20_000)
+    for (let index = 0; index < JOBS; index++) {
+      expect(await fetchState(cell, clock, toJobId(index))).to.be.oneOf(['completed', undefined])
+    }
+    expect(cell.checker.violations).to.deep.equal([])
+  }
+})))
--- a/packages/jobs/src/standins/MemoryCell.ts
+++ b/packages/jobs/src/standins/MemoryCell.ts
@@ -5,7 +5,7 @@
 import type { Job, JobSpec, Queue, Step, WorkerEntry } from '../types.ts'
 import { MemoryInventory } from './MemoryInventory.ts'
 import { MAX_ROW_BYTES, MemoryRecordStore, MemoryRows } from './MemoryRecordStore.ts'
-import { MemoryWorkers, createTicket, type MemoryWorker, type PlanRunEnd } from './MemoryWorkers.ts'
+import { LEASE_LIMIT_MS, MemoryWorkers, createTicket, type MemoryWorker, type PlanRunEnd } from './MemoryWorkers.ts'
 
 interface Options {
   /** Nodes of the cell. Default: 3. */
@@ -75,6 +75,7 @@
   addWorker (id: string, changes: Partial<WorkerEntry> = {}, machine = `m-${id}`): MemoryWorker {
     const entry: WorkerEntry = {
       id,
+      startedAt: Date.now(),
       pool: 'pool',
       address: `${id}:1`,
       failureDomain: 'a',
@@ -90,6 +91,18 @@
     return worker
   }
 
+  /**
+   * Starts a worker again under its id.
+   *
+   * @param changes - Fields of its registry entry that change. Default: only the time of its start.
+   */
+  restartWorker (id: string, changes: Partial<WorkerEntry> = {}): MemoryWorker {
+    const [machine] = [...this.inventory.machines].find(([, worker]) => worker.entry.id === id)!
+    const worker = this.workers.restart(id, { startedAt: Date.now(), ...changes })
+    this.inventory.machines.set(machine, worker)
+    return worker
+  }
+
   startNode (name: string, seeds: string[] = []): MemoryNode {
     const store = new MemoryRecordStore(this.rows, { latencyMs: this.#options.storeLatencyMs })
     const isUp = () => this.nodes.get(name) === node && node.up
@@ -112,7 +125,7 @@
       node: name,
       address: name,
       seeds,
-      leaseLimitMs: 6_000,
+      leaseLimitMs: LEASE_LIMIT_MS,
       stopTimeoutMs: 900,
       keepEndedMs: 120_000,
       maxRowBytes: MAX_ROW_BYTES,
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -9,7 +9,8 @@
  * Injected fault of one call to a worker:
  * - `silent`: the call has no effect and times out.
  * - `lost`: the call takes effect, but the answer is lost.
- * - `late`: the call takes effect after `LATE_MS` and is never answered.
+ * - `late`: the call takes effect after `LATE_MS` and is never answered. An order takes effect on the incarnation that
+ *   has the worker's id by then.
  * - `unhealthy`: the worker refuses the call.
  */
 export type WorkerFault = 'silent' | 'lost' | 'late' | 'unhealthy' | undefined
@@ -78,9 +79,16 @@
   return `${key.job}.${key.occurrence}.${key.step}.${run}`
 }
 
+/** Longest lease that workers grant, in ms; as long as the nodes of `MemoryCell` assume it to be. */
+export const LEASE_LIMIT_MS = 6_000
+
 /** One simulated incarnation of a worker with leases, fencing and a list of ended runs. */
 export class MemoryWorker {
   entry: WorkerEntry
+  /** Longest lease that the worker grants, in ms. */
+  leaseLimitMs = LEASE_LIMIT_MS
+  /** Offset of the worker's clock from the process clock, in ms. */
+  readonly #clockOffsetMs: number
   readonly runs = new Map<string, SimulatedRun>()
   readonly #highestRun = new Map<string, number>()
   readonly #checker: InvariantChecker
@@ -105,7 +113,11 @@
   /** Chooses the usage that is reported of a run. */
   usage: (key: TaskKey) => number = () => 0
 
-  constructor (entry: WorkerEntry, checker: InvariantChecker, gangs: Gangs, planRunEnd: PlanRunEnd) {
+  /** @param clockMs - Reading of the worker's clock at its start, in ms. */
+  constructor (
+    entry: WorkerEntry, checker: InvariantChecker, gangs: Gangs, planRunEnd: PlanRunEnd, clockMs: number
+  ) {
+    this.#clockOffsetMs = clockMs - performance.now()
     this.#gangs = gangs
     this.entry = entry
     this.#checker = checker
@@ -113,7 +125,7 @@
   }
 
   get clockMs (): number {
-    return performance.now() + CLOCK_OFFSET_MS
+    return performance.now() + this.#clockOffsetMs
   }
 
   /** Ends all runs without reporting them. */
@@ -144,8 +156,10 @@
     return true
   }
 
-  extendLease (until: number | undefined): void {
-    if (until === undefined || until <= this.#leaseUntil) return
+  extendLease (requestedUntil: number | undefined): void {
+    if (requestedUntil === undefined) return
+    const until = Math.min(requestedUntil, this.clockMs + this.leaseLimitMs)
+    if (until <= this.#leaseUntil) return
     this.#leaseUntil = until
     clearTimeout(this.#leaseTimer)
     this.#leaseTimer = setTimeout(() => {
@@ -212,7 +226,7 @@
       percent,
       usage: this.usage(key)
     }))
-    return { clockMs: this.clockMs, running, ended: [...this.ended] }
+    return { clockMs: this.clockMs, startedAt: this.entry.startedAt, running, ended: [...this.ended] }
   }
 
   #end (run: SimulatedRun, reason: RunEndReason): void {
@@ -231,8 +245,12 @@
   return String(performance.now() + validMs)
 }
 
-/** Offset of the worker clocks from the process clock, in ms, so that code that assumes equal clocks fails. */
-const CLOCK_OFFSET_MS = 1_000_000
+/**
+ * Reading of the clock of a worker at its first start, in ms, and after a restart under its id: code that assumes equal
+ * clocks fails, and the times of a predecessor are far in the future.
+ */
+const FIRST_CLOCK_MS = 1_000_000
+const RESTARTED_CLOCK_MS = 1
 
 /** Time that a run takes to stop, in ms. */
 const STOP_MS = 300
@@ -242,17 +260,35 @@
   readonly workers = new Map<string, MemoryWorker>()
   readonly checker = new InvariantChecker()
   readonly #gangs = new Gangs()
+  readonly #planRunEnds = new Map<string, PlanRunEnd>()
   readonly #unlisted = new Set<string>()
   #version = 1
   #changes: Array<{ version: number, id: string }> = []
 
   add (entry: WorkerEntry, planRunEnd: PlanRunEnd): MemoryWorker {
-    const worker = new MemoryWorker(entry, this.checker, this.#gangs, planRunEnd)
+    const worker = new MemoryWorker(entry, this.checker, this.#gangs, planRunEnd, FIRST_CLOCK_MS)
     this.workers.set(entry.id, worker)
+    this.#planRunEnds.set(entry.id, planRunEnd)
     this.#recordChange(entry.id)
     return worker
   }
 
+  /**
+   * Starts a worker again under its id, after a crash of the incarnation before if it is still alive.
+   *
+   * @param changes - Fields of the registry entry that differ from those of the incarnation before.
+   */
+  restart (id: string, changes: Partial<WorkerEntry> = {}): MemoryWorker {
+    const previous = this.workers.get(id)!
+    if (previous.alive) previous.crash()
+    const entry = { ...previous.entry, draining: false, leavesInMs: undefined, ...changes }
+    const worker = new MemoryWorker(entry, this.checker, this.#gangs, this.#planRunEnds.get(id)!, RESTARTED_CLOCK_MS)
+    worker.leaseLimitMs = previous.leaseLimitMs
+    this.workers.set(id, worker)
+    this.#recordChange(id)
+    return worker
+  }
+
   /** Changes the registry entry of a worker. */
   update (id: string, changes: Partial<WorkerEntry>): void {
     const worker = this.workers.get(id)!
@@ -286,7 +322,7 @@
 
   open (entry: WorkerEntry): WorkerClient {
     if (entry.address === '') throw new Error(`worker ${entry.id} has no address`)
-    return new MemoryWorkerClient(this.workers.get(entry.id)!)
+    return new MemoryWorkerClient(this, entry.id)
   }
 
   #listed (): WorkerEntry[] {
@@ -298,52 +334,64 @@
   }
 }
 
+/** Client of the incarnation that has the worker's id at the time of each call. */
 class MemoryWorkerClient implements WorkerClient {
-  readonly #worker: MemoryWorker
+  readonly #workers: MemoryWorkers
+  readonly #id: string
+
+  constructor (workers: MemoryWorkers, id: string) {
+    this.#workers = workers
+    this.#id = id
+  }
 
-  constructor (worker: MemoryWorker) {
-    this.#worker = worker
+  get #worker (): MemoryWorker {
+    return this.#workers.workers.get(this.#id)!
   }
 
   poll ({
     token, acknowledged, leaseUntil,
     waitMs = 0
   }: Parameters<WorkerClient['poll']>[0]): Promise<Outcome<WorkerReport>> {
-    return this.#call('poll', token, async () => {
-      this.#worker.extendLease(leaseUntil)
-      return done(await this.#worker.report(acknowledged, waitMs))
+    return this.#call('poll', token, async (worker) => {
+      worker.extendLease(leaseUntil)
+      return done(await worker.report(acknowledged, waitMs))
     }, waitMs + POLL_TIMEOUT_MARGIN_MS)
   }
 
   async start (order: StartOrder, token: number, leaseUntil: number): Promise<Outcome<StartResult>> {
-    return await this.#call<StartResult>('start', token, () => done(this.#worker.start(order, leaseUntil)))
+    return await this.#call<StartResult>('start', token, (worker) => done(worker.start(order, leaseUntil)))
   }
 
   stop (order: RunOrder, token: number): Promise<Outcome<void>> {
-    return this.#call('stop', token, () => done(this.#worker.stop(order)))
+    return this.#call('stop', token, (worker) => done(worker.stop(order)))
   }
 
   pace (order: RunOrder, percent: number, token: number): Promise<Outcome<void>> {
-    return this.#call('pace', token, () => done(this.#worker.pace(order, percent)))
+    return this.#call('pace', token, (worker) => done(worker.pace(order, percent)))
   }
 
   close (): void {}
 
   async #call<Value> (
-    name: 'poll' | 'start' | 'stop' | 'pace', token: number, act: () => Outcome<Value> | Promise<Outcome<Value>>,
-    timeoutMs = ORDER_TIMEOUT_MS
+    name: 'poll' | 'start' | 'stop' | 'pace', token: number,
+    act: (worker: MemoryWorker) => Outcome<Value> | Promise<Outcome<Value>>, timeoutMs = ORDER_TIMEOUT_MS
   ): Promise<Outcome<Value>> {
     await sleep(LATENCY_MS)
-    if (this.#worker.replaced) return notDone('session-expired', 'another incarnation answers')
-    const fault = this.#worker.alive ? this.#worker.fault(name) : 'silent'
+    const worker = this.#worker
+    if (worker.replaced) return notDone('session-expired', 'another incarnation answers')
+    const fault = worker.alive ? worker.fault(name) : 'silent'
     const deadline = performance.now() + timeoutMs
     const noAnswer = () => timeOut(Math.max(0, deadline - performance.now()))
     if (fault === 'silent') return await noAnswer()
     if (fault === 'late') {
-      setTimeout(() => { if (this.#worker.alive && this.#worker.acceptsToken(token)) act() }, LATE_MS)
+      setTimeout(() => {
+        // A poll is bound to the connection of its incarnation.
+        const target = name === 'poll' ? worker : this.#worker
+        if (target.alive && target.acceptsToken(token)) act(target)
+      }, LATE_MS)
       return await noAnswer()
     }
-    if (!this.#worker.acceptsToken(token)) {
+    if (!worker.acceptsToken(token)) {
       return name === 'start'
         ? done({ kind: 'refused', reason: 'stale-token' } as Value)
         : notDone('stale-epoch',
@@ -357,9 +405,9 @@
         } as Value)
         : notDone('unavailable', 'the worker is unhealthy')
     }
-    const outcome = await act()
+    const outcome = await act(worker)
     await sleep(LATENCY_MS)
-    return fault === 'lost' || !this.#worker.alive ? await noAnswer() : outcome
+    return fault === 'lost' || !worker.alive ? await noAnswer() : outcome
   }
 }
 
