Treat a restart of a worker under its id as a new incarnation

Callers saw tasks run again that had succeeded, with the end acknowledged.

Cause: the state of a worker was kept by its id. When the worker started again under that id, the owner went on with the numbers of the ends of the incarnation before. The poll acknowledged ends that nobody had read, the worker dropped them, its report showed neither run nor end, and the task was started again. Ends that were still listed were skipped as known.

Now a report with another start time ends the state and the session of the incarnation before. Runs that the new one lists stay where they are, all others are lost as by a crash. A start order without an answer may still reach the new incarnation, which doesn't know that its run was ended: it is stopped there first, which makes the worker refuse it. While a worker has not answered the last poll, polls acknowledge nothing, since another incarnation may answer. A report without a start time, from a worker that has told one, counts as malformed.

Six of the eight cases of restartedWorkers.test.ts failed before (242 starts after success); the two with an end of the owner passed, since the next owner counts from 0. Their times now pass once instead of twice, which changes no case's result before. 685 tests of jobs and platform pass.

--- a/packages/jobs/src/loadPatterns/restartedWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/restartedWorkers.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import type { Clock } from '@sinonjs/fake-timers'
+import { sleep } from '@gypsumspring/protocol'
 import type { MemoryCell, WorkerFault } from '../standins/index.ts'
 import { describeCells, fetchState, submitInBackground } from './describeCells.ts'
 
@@ -41,17 +42,18 @@
   }
 }
 
-async function restartWorkers (cell: MemoryCell, clock: Clock, restart: Restart): Promise<void> {
+/** Ends and restarts the workers while the clock is advanced. */
+async function restartWorkers (cell: MemoryCell, restart: Restart): Promise<void> {
   const { downMs, clockStepMs = 0, orderFault, ownerEndsAfterMs } = restart
   if (orderFault !== undefined) disturbOrders(cell, orderFault)
-  await clock.tickAsync(1_500)
+  await sleep(1_500)
   for (const ms of downMs) {
     for (const id of RESTARTED) cell.workers.workers.get(id)!.crash()
-    await clock.tickAsync(ms)
+    await sleep(ms)
     for (const id of RESTARTED) cell.restartWorker(id, { startedAt: Date.now() + clockStepMs })
   }
   if (ownerEndsAfterMs === undefined) return
-  await clock.tickAsync(ownerEndsAfterMs)
+  await sleep(ownerEndsAfterMs)
   cell.killNode(cell.owner!.name)
 }
 
@@ -72,7 +74,7 @@
   name: `${restart.name} runs no task again that has succeeded`,
   options: { workers: WORKERS },
   run: async (cell, clock) => {
-    const restarted = restartWorkers(cell, clock, restart)
+    const restarted = restartWorkers(cell, restart)
     await submitJobs(cell, clock)
     await restarted
     await clock.tickAsync(20_000)
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -10,7 +10,7 @@
 import type { DrainRecord } from './DrainRecord.ts'
 import { EndedWorkerDetector } from './EndedWorkerDetector.ts'
 import type { RunTracker } from './RunTracker.ts'
-import { WorkerSession, type WorkerSessionContext } from './WorkerSession.ts'
+import { WorkerSession, toLongestLeaseMs, type WorkerSessionContext } from './WorkerSession.ts'
 import type { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
 import type { LostWorker } from './LostWorkerRecords.ts'
 import { readWithRetry } from './readWithRetry.ts'
@@ -112,15 +112,14 @@
     const session = new WorkerSession(worker, connector.open(entry), {
       token,
       leaseMs,
+      log: cell.log,
       answerLoss: this.#answerLoss,
       pollWaitMs: () => choosePollWaitMs(cell.workers.size),
       mayRenewLeases,
       waitUntilStored,
       onFenced,
-      onReport: (state, report, sentAt) => {
-        this.#recordIncarnation(state, report)
-        tracker.reconcile(state, report, sentAt)
-      },
+      onReport: (state, report, sentAt) => tracker.reconcile(state, report, sentAt),
+      onRestart: (state, report) => this.#handleRestart(state, report),
       onExpired: (state) => this.#remove(state, 'another incarnation answers'),
       onReachabilityChange: (state) => {
         this.#dependencies.crashes.recordReachability(state)
@@ -134,23 +133,33 @@
     if (this.#started) session.run().catch(throwUncaught)
   }
 
-  #recordIncarnation (worker: WorkerState, { startedAt, clockMs, running, ended }: WorkerReport): void {
-    if (startedAt === undefined || startedAt === worker.startedAt) return
-    const { startedAt: previousStartedAt, processedEndSequence, storedEndSequence } = worker
-    worker.startedAt = startedAt
-    if (previousStartedAt === undefined) return
-    this.#dependencies.cell.metrics.count('workers_restarted')
-    this.#dependencies.cell.log.warn({
+  /** Replaces a worker by its next incarnation, which knows nothing of it and has shown itself with a report. */
+  #handleRestart (worker: WorkerState, report: WorkerReport): void {
+    const { cell, tracker, drains } = this.#dependencies
+    if (cell.workers.get(worker.id) !== worker) return
+    const { entry, unlistedSince, startedAt: previousStartedAt, storedEndSequence, processedEndSequence } = worker
+    cell.metrics.count('workers_restarted')
+    cell.log.warn({
       worker: worker.id,
-      startedAt,
+      startedAt: report.startedAt,
       previousStartedAt,
-      clockMs,
-      // The poll that was answered acknowledged ends up to the stored one, by the count of the previous incarnation.
+      tasks: worker.tasks.size,
+      clockMs: report.clockMs,
+      // Numbers of the previous incarnation; the poll that was answered has acknowledged ends up to the stored one.
       storedEnd: storedEndSequence,
       processedEnd: processedEndSequence,
-      listedEnds: ended.map(({ sequence }) => sequence),
-      running: running.length
+      listedEnds: report.ended.map(({ sequence }) => sequence),
+      running: report.running.length
     }, 'worker has started again under its id')
+    const next = this.#createState(entry, performance.now() + toLongestLeaseMs(this.#context.leaseMs))
+    next.startedAt = report.startedAt
+    this.#closeSession(worker)
+    cell.workers.set(worker.id, next)
+    this.#openSession(next, entry)
+    tracker.handleRestart(worker, next, report, drains.has(worker.id))
+    drains.remove(worker.id)
+    this.#update(next, entry)
+    next.unlistedSince = unlistedSince
   }
 
   /** Adds a worker that the registry has not listed to this owner. */
@@ -220,17 +229,23 @@
   }
 
   #remove (worker: WorkerState, reason: string): void {
-    const { cell, sessions, breaker, drains } = this.#dependencies
+    const { cell, drains } = this.#dependencies
     if (cell.workers.get(worker.id) !== worker) return
     this.#handleLoss(worker, reason, true)
-    sessions.get(worker.id)?.close()
-    sessions.delete(worker.id)
+    this.#closeSession(worker)
     cell.workers.delete(worker.id)
-    breaker.remove(worker.id)
     drains.remove(worker.id)
     cell.log.info({ worker: worker.id, reason }, 'worker removed')
   }
 
+  /** Ends the contact with an incarnation of a worker, and forgets how tasks fared on it. */
+  #closeSession ({ id }: WorkerState): void {
+    const { sessions, breaker } = this.#dependencies
+    sessions.get(id)?.close()
+    sessions.delete(id)
+    breaker.remove(id)
+  }
+
   async #watchRegistry (from: number): Promise<void> {
     const { cell, registry, signal } = this.#dependencies
     let version = from
--- a/packages/jobs/src/owner/WorkerSession.ts
+++ b/packages/jobs/src/owner/WorkerSession.ts
@@ -2,7 +2,7 @@
 import {
   CLOCK_DRIFT, LEASE_SLACK_MS, LOSSY_POLL_WAIT_MS, POLL_WAIT_MS, ORDER_RETRY_MS, TASK_LEASE_MS
 } from '../constants/index.ts'
-import type { StartResult, WorkerClient } from '../ports.ts'
+import type { LogWriter, StartResult, WorkerClient } from '../ports.ts'
 import type { RunOrder, StartOrder, WorkerReport } from '../types.ts'
 import type { AnswerLoss } from '../workers/AnswerLoss.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
@@ -13,6 +13,7 @@
   token: number
   /** Duration of task leases, in ms; at most what workers accept. */
   leaseMs: number
+  log: LogWriter
   /** Shared by the sessions of all workers. */
   answerLoss: AnswerLoss
   /** Time that polls wait for a run to end while no answers are lost, in ms. */
@@ -25,6 +26,8 @@
   waitUntilStored (worker: WorkerState): Promise<void>
   /** Called when the worker has already accepted a higher token, from a newer owner. */
   onFenced (worker: WorkerState): void
+  /** Called with a report of another incarnation, which has started under the worker's id. */
+  onRestart (worker: WorkerState, report: WorkerReport): void
   /** Called when this incarnation of the worker no longer exists. */
   onExpired (worker: WorkerState): void
   onReachabilityChange (worker: WorkerState): void
@@ -42,6 +45,7 @@
   #clockReading: { workerMs: number, at: number } | undefined
   /** End of the last lease that was granted, on the worker's clock in ms. */
   #lastLeaseEnd: number | undefined
+  #hasLoggedMissingStart = false
   #closed = false
 
   constructor (state: WorkerState, client: WorkerClient, context: WorkerSessionContext) {
@@ -56,7 +60,8 @@
       const isFirst = this.#clockReading === undefined || !this.state.reachable
       const outcome = await this.#client.poll({
         token: this.#context.token,
-        acknowledged: this.state.storedEndSequence,
+        // Another incarnation may answer, which numbers its ends anew.
+        acknowledged: isFirst ? 0 : this.state.storedEndSequence,
         // While the worker doesn't answer, leases are not renewed, so that its tasks count as lost after a known time.
         leaseUntil: this.state.reachable ? this.#renewLease() : undefined,
         waitMs: isFirst || this.state.storedEndSequence < this.state.processedEndSequence ? 0 : this.#pollWaitMs
@@ -65,7 +70,8 @@
       // Polls of a worker that does not answer at all say nothing about single lost answers.
       if (this.state.reachable) this.#context.answerLoss.record(failureOf(outcome)?.certainty === 'unknown')
       const report = valueOf(outcome)
-      if (report === undefined) await this.#handleFailure(outcome)
+      if (report === undefined || !this.#tellsIncarnation(report)) await this.#handleFailure(outcome)
+      else if (this.#isRestarted(report)) this.#context.onRestart(this.state, report)
       else await this.#handleReport(report, sentAt, isFirst)
     }
   }
@@ -128,8 +134,23 @@
     this.#context.onReachabilityChange(this.state)
   }
 
+  /** A worker that has told its start tells it with each report; without it, the report may be of any incarnation. */
+  #tellsIncarnation ({ startedAt }: WorkerReport): boolean {
+    if (startedAt !== undefined || this.state.startedAt === undefined) return true
+    if (!this.#hasLoggedMissingStart) {
+      this.#context.log.warn({ worker: this.state.id }, 'report of a worker lacks its start time and was ignored')
+    }
+    this.#hasLoggedMissingStart = true
+    return false
+  }
+
+  #isRestarted ({ startedAt }: WorkerReport): boolean {
+    return this.state.startedAt !== undefined && this.state.startedAt !== startedAt
+  }
+
   async #handleReport (report: WorkerReport, sentAt: number, isFirst: boolean): Promise<void> {
     const now = performance.now()
+    this.state.startedAt = report.startedAt
     this.#clockReading = { workerMs: report.clockMs, at: now }
     // The first poll fences earlier owners, so that all their leases were granted before this answer.
     if (!this.state.hasAnswered) {
--- a/packages/jobs/src/workers/WorkerState.ts
+++ b/packages/jobs/src/workers/WorkerState.ts
@@ -1,5 +1,5 @@
 import type { StepInstance, TaskInstance } from '../model/index.ts'
-import type { Demand, WorkerEntry } from '../types.ts'
+import type { Demand, RunOrder, WorkerEntry } from '../types.ts'
 
 /** No resources. */
 export const NO_DEMAND: Demand = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
@@ -7,7 +7,7 @@
 /** The owner's view of one incarnation of a worker. */
 export class WorkerState {
   entry: WorkerEntry
-  /** Start of the incarnation that has answered last, by the worker's own clock, in Unix ms; undefined if not told. */
+  /** Start of this incarnation by the worker's own clock, in Unix ms; undefined until it has told one. */
   startedAt: number | undefined
   /** Tasks whose runs use resources of the worker, including runs that may not have been started. */
   readonly tasks = new Set<TaskInstance>()
@@ -37,6 +37,8 @@
    * earlier owner. Their resource usage is unknown, so the worker gets no tasks until they have ended.
    */
   hasUnownedRuns = false
+  /** Start orders that were sent to the worker in vain, and may still be carried out, by the name of their run. */
+  readonly unansweredStarts = new Map<string, { order: RunOrder, sentAt: number }>()
   /** Moving average of observed over estimated run time; 1 when unknown. */
   slowdown = 1
 
