Count crashes of workers that come back under their ids

A task that crashes each worker that starts it was never given up when the workers came back under their ids: it was started again for good.

When the worker answered again, the owner took it for the one it had counted as lost, and withdrew the evidence.

Evidence now belongs to an incarnation (id and start), also in the stored row. Evidence of an owner that did not know the start is still withdrawn when the worker answers.

--- a/packages/jobs/src/loadPatterns/crashingTasks.test.ts
+++ b/packages/jobs/src/loadPatterns/crashingTasks.test.ts
@@ -27,6 +27,8 @@
 const MAX_STARTS_AFTER_THIRD = 2
 
 interface Options {
+  /** Whether workers come back under their ids. Default: under new ones. */
+  keepsIds?: boolean
   /** Time from the start of a crashing run to the end of its worker, in ms. */
   crashAfterMs?: number
   /** Whether a task crashes each worker that starts it. Default: the first task of each crashing job. */
@@ -35,7 +37,7 @@
   crashingStep?: Partial<Step>
 }
 
-/** Tasks that crash each worker that starts them, and workers that come back under new ids. */
+/** Tasks that crash each worker that starts them, and workers that come back. */
 class CrashingTasks {
   readonly options: Options
   readonly submitted: string[] = []
@@ -47,6 +49,8 @@
   readonly startsBesideIsolated: string[] = []
   /** Workers on which a task runs under which two others have crashed. */
   readonly #isolatedWorkers = new Set<string>()
+  /** Number of starts of tasks under which two workers had crashed. */
+  isolations = 0
   cell: MemoryCell | undefined
   onCrashingStart = () => {}
 
@@ -68,7 +72,10 @@
     const isLongRunning = this.cell!.isLongRunning(key.job, key.step)
     if (!this.isCrashing(key)) return isLongRunning ? undefined : { reason: 'done', afterMs: RUN_MS }
     if ((this.#crashes.get(name) ?? 0) >= 3) this.startsAfterThird.set(name, (this.startsAfterThird.get(name) ?? 0) + 1)
-    if ((this.#crashes.get(name) ?? 0) >= 2) this.#isolatedWorkers.add(worker)
+    if ((this.#crashes.get(name) ?? 0) >= 2) {
+      this.#isolatedWorkers.add(worker)
+      this.isolations++
+    }
     setTimeout(() => this.crash(worker), this.options.crashAfterMs ?? 10)
     this.onCrashingStart()
     return undefined
@@ -81,6 +88,11 @@
     for (const name of worker.runs.keys()) this.#crashes.set(name, (this.#crashes.get(name) ?? 0) + 1)
     worker.crash()
     setTimeout(() => {
+      if (this.options.keepsIds === true) {
+        this.#isolatedWorkers.delete(id)
+        this.cell!.restartWorker(id)
+        return
+      }
       worker.replaced = true
       const { address, failureDomain, labels } = worker.entry
       this.cell!.addWorker(`${id}+`, { address, failureDomain, labels })
@@ -88,11 +100,6 @@
     }, DOWN_MS)
   }
 
-  /** Number of starts of tasks under which two workers had crashed. */
-  get isolations (): number {
-    return this.#isolatedWorkers.size
-  }
-
   submit (step: Partial<Step>): void {
     const id = (this.submitted.length + 1).toString(16).padStart(16, '0')
     this.submitted.push(id)
@@ -163,62 +170,66 @@
   }
 }
 
+const RETURNS = [{ returns: 'under new ids', keepsIds: false }, { returns: 'under their ids', keepsIds: true }]
+
 // Such tasks were started again and again, each time on another worker, whose other tasks were lost with it.
-describeCells('Tasks that crash each worker that starts them', [
-  createCase('are given up before their third start after three crashes, and all others complete', {},
-    async (crashing, cell, clock) => {
-      await crashing.load(cell, clock)
-      await crashing.expectGivenUp(clock)
-    }),
-  createCase('are given up although they take a while to crash it', { crashAfterMs: 300 },
-    async (crashing, cell, clock) => {
-      await crashing.load(cell, clock)
-      await crashing.expectGivenUp(clock)
-    }),
-  createCase('run apart from others after two crashes', { crashAfterMs: 300 },
-    async (crashing, cell, clock) => {
-      await crashing.load(cell, clock, { count: 8 })
-      expect(crashing.isolations).to.be.greaterThan(0)
-      expect(crashing.startsBesideIsolated).to.deep.equal([])
-    }),
-  createCase('are given up if all tasks of their steps do so', { isCrashing: () => true },
-    async (crashing, cell, clock) => {
-      await crashing.load(cell, clock)
-      await crashing.expectGivenUp(clock)
-    }),
-  createCase('are given up if they are members of a gang', {},
-    async (crashing, cell, clock) => {
-      await crashing.load(cell, clock, { gang: true })
-      await crashing.expectGivenUp(clock)
-    }),
-  createCase('are given up if they would run for long', { crashingStep: { longRunning: true } },
-    async (crashing, cell, clock) => {
-      await crashing.load(cell, clock)
-      await crashing.expectGivenUp(clock)
-    }),
-  ...[1, 8, 40, 2_900].map((delayMs) =>
-    createCase(`are given up although owners are killed ${delayMs} ms after their starts`, {},
+for (const { returns, keepsIds } of RETURNS) {
+  describeCells(`Tasks that crash each worker that starts them, where workers return ${returns}`, [
+    createCase('are given up before their third start after three crashes, and all others complete', { keepsIds },
       async (crashing, cell, clock) => {
-        killOwnerAfterStarts(crashing, cell, delayMs, 5)
         await crashing.load(cell, clock)
         await crashing.expectGivenUp(clock)
-      })),
-  createCase('are given up although the owner is replaced each second', {},
-    async (crashing, cell, clock) => {
-      await crashing.load(cell, clock, {}, (passedMs) => {
-        if (passedMs % 1_020 === 0) cell.owner?.cellNode.resign().catch(throwUncaught)
-      })
-      await crashing.expectGivenUp(clock)
-    }),
-  createCase('are given up although the store doesn\'t answer for a while', {},
-    async (crashing, cell, clock) => {
-      await crashing.load(cell, clock, {}, (passedMs) => {
-        if (passedMs === 2_400) for (const { store } of cell.nodes.values()) store.fault = () => 'silent'
-        if (passedMs === 4_800) for (const { store } of cell.nodes.values()) store.fault = () => undefined
+      }),
+    createCase('are given up although they take a while to crash it', { keepsIds, crashAfterMs: 300 },
+      async (crashing, cell, clock) => {
+        await crashing.load(cell, clock)
+        await crashing.expectGivenUp(clock)
+      }),
+    createCase('run apart from others after two crashes', { keepsIds, crashAfterMs: 300 },
+      async (crashing, cell, clock) => {
+        await crashing.load(cell, clock, { count: 8 })
+        expect(crashing.isolations).to.be.greaterThan(0)
+        expect(crashing.startsBesideIsolated).to.deep.equal([])
+      }),
+    createCase('are given up if all tasks of their steps do so', { keepsIds, isCrashing: () => true },
+      async (crashing, cell, clock) => {
+        await crashing.load(cell, clock)
+        await crashing.expectGivenUp(clock)
+      }),
+    createCase('are given up if they are members of a gang', { keepsIds },
+      async (crashing, cell, clock) => {
+        await crashing.load(cell, clock, { gang: true })
+        await crashing.expectGivenUp(clock)
+      }),
+    createCase('are given up if they would run for long', { keepsIds, crashingStep: { longRunning: true } },
+      async (crashing, cell, clock) => {
+        await crashing.load(cell, clock)
+        await crashing.expectGivenUp(clock)
+      }),
+    ...[1, 8, 40, 2_900].map((delayMs) =>
+      createCase(`are given up although owners are killed ${delayMs} ms after their starts`, { keepsIds },
+        async (crashing, cell, clock) => {
+          killOwnerAfterStarts(crashing, cell, delayMs, 5)
+          await crashing.load(cell, clock)
+          await crashing.expectGivenUp(clock)
+        })),
+    createCase('are given up although the owner is replaced each second', { keepsIds },
+      async (crashing, cell, clock) => {
+        await crashing.load(cell, clock, {}, (passedMs) => {
+          if (passedMs % 1_020 === 0) cell.owner?.cellNode.resign().catch(throwUncaught)
+        })
+        await crashing.expectGivenUp(clock)
+      }),
+    createCase('are given up although the store doesn\'t answer for a while', { keepsIds },
+      async (crashing, cell, clock) => {
+        await crashing.load(cell, clock, {}, (passedMs) => {
+          if (passedMs === 2_400) for (const { store } of cell.nodes.values()) store.fault = () => 'silent'
+          if (passedMs === 4_800) for (const { store } of cell.nodes.values()) store.fault = () => undefined
+        })
+        await crashing.expectGivenUp(clock)
       })
-      await crashing.expectGivenUp(clock)
-    })
-])
+  ])
+}
 
 // Such tasks were lost and started again together: each crash hid the cause of the others, so that none ever counted.
 describeCells('Tasks that crash their workers at the same time as others', [
--- a/packages/jobs/src/owner/CrashRecord.ts
+++ b/packages/jobs/src/owner/CrashRecord.ts
@@ -33,7 +33,7 @@
 
 /**
  * For each task the occurrence, step and index after the id of its job, and for each worker that ended under it since
- * it last survived a run, the worker's id and the evidence.
+ * it last survived a run, the worker's incarnation and the evidence.
  */
 const CrashesRow = Type.Array(Type.Tuple([
   Type.String(), Type.Integer(), Type.Integer(), Type.Integer(),
@@ -41,6 +41,7 @@
 ]))
 
 interface Crash {
+  /** Incarnation of the worker. */
   worker: string
   evidence: CrashEvidence
 }
@@ -56,7 +57,7 @@
   readonly #crashes = new Map<TaskInstance, Crash[]>()
   /** The suspect that was started last on each worker. */
   readonly #isolated = new Map<string, TaskInstance>()
-  /** Workers that don't answer or have ended: since when, in monotonic ms, and whether an order explains it. */
+  /** Incarnations that don't answer or have ended: since when, in monotonic ms, and whether an order explains it. */
   readonly #losses = new Map<string, { at: number, isExplained: boolean }>()
   #isChanged = false
 
@@ -118,9 +119,11 @@
   /** Records that a worker doesn't answer any more, or answers again. */
   recordReachability (worker: WorkerState): void {
     if (worker.reachable) {
-      this.#losses.delete(worker.id)
+      this.#losses.delete(worker.incarnation)
+      this.#retract(worker.incarnation)
+      // What was counted before the worker had told its start: it may have been this incarnation.
       this.#retract(worker.id)
-    } else this.#losses.set(worker.id, this.#toLoss(worker))
+    } else this.#losses.set(worker.incarnation, this.#toLoss(worker))
   }
 
   /** Clears a task whose run has ended by itself or lasted: it doesn't end each worker that starts it. */
@@ -136,7 +139,7 @@
       if (status === 'done' || step.job.isOver || (status === 'running' && now - startedAt > SURVIVAL_MS &&
         this.#cell.workers.get(task.worker!)?.reachable === true)) this.clear(task)
     }
-    for (const [id, { at }] of this.#losses) if (now - at > KEEP_LOSS_MS) this.#losses.delete(id)
+    for (const [incarnation, { at }] of this.#losses) if (now - at > KEEP_LOSS_MS) this.#losses.delete(incarnation)
     // While a worker doesn't answer, it is open whether its suspect has survived.
     for (const [id, task] of this.#isolated) {
       if (this.#cell.workers.get(id)?.reachable !== false && !this.#isIsolated(task, id, now)) this.#isolated.delete(id)
@@ -151,9 +154,9 @@
    * @returns The tasks that cause the ends of several workers.
    */
   recordCrash (worker: WorkerState, isCertain: boolean): TaskInstance[] {
-    const loss = this.#losses.get(worker.id) ?? this.#toLoss(worker)
+    const loss = this.#losses.get(worker.incarnation) ?? this.#toLoss(worker)
     // When a worker was lost that never answered this owner is not known.
-    if (worker.hasAnswered) this.#losses.set(worker.id, loss)
+    if (worker.hasAnswered) this.#losses.set(worker.incarnation, loss)
     const tasks = [...worker.tasks].filter(({ orderSent, step: { job } }) => orderSent && !job.isOver && !job.cancelled)
     const unexplainedLosses = this.#countUnexplained(worker, loss.at)
     const runs = tasks.map((task) => this.#toAffectedRun(task, worker.id, loss.at))
@@ -161,7 +164,7 @@
     this.#isolated.delete(worker.id)
     this.#cell.metrics.count('worker_crashes', { cause: unexplainedLosses > 0 ? 'common' : 'single' })
     return tasks.filter((task, index) =>
-      this.#add(task, worker.id, evidence[index], { ageMs: runs[index]!.ageMs, unexplainedLosses }))
+      this.#add(task, worker.incarnation, evidence[index], { ageMs: runs[index]!.ageMs, unexplainedLosses }))
   }
 
   /** Adds evidence against a task. Returns whether the task is to be given up. */
@@ -208,16 +211,16 @@
   /** Number of other workers that were lost at about the same time without an order that explains it. */
   #countUnexplained (worker: WorkerState, lostAt: number): number {
     let count = 0
-    for (const [id, { at, isExplained }] of this.#losses) {
-      if (id !== worker.id && !isExplained && Math.abs(at - lostAt) <= COINCIDENCE_MS) count++
+    for (const [incarnation, { at, isExplained }] of this.#losses) {
+      if (incarnation !== worker.incarnation && !isExplained && Math.abs(at - lostAt) <= COINCIDENCE_MS) count++
     }
     return count
   }
 
-  /** Withdraws the evidence from a worker that has not ended. */
-  #retract (worker: string): void {
+  /** Withdraws the evidence from an incarnation that has not ended. */
+  #retract (incarnation: string): void {
     for (const [task, crashes] of this.#crashes) {
-      const others = crashes.filter((crash) => crash.worker !== worker)
+      const others = crashes.filter((crash) => crash.worker !== incarnation)
       if (others.length === crashes.length) continue
       if (others.length === 0) this.#crashes.delete(task)
       else this.#crashes.set(task, others)
--- a/packages/jobs/src/workers/WorkerState.ts
+++ b/packages/jobs/src/workers/WorkerState.ts
@@ -54,6 +54,11 @@
     return this.entry.id
   }
 
+  /** Name of this incarnation; only the id while the worker has not told when it started. */
+  get incarnation (): string {
+    return this.startedAt === undefined ? this.id : `${this.id}@${this.startedAt}`
+  }
+
   /** Whether the worker has answered the last poll, and no start order has stayed unanswered since. */
   get reachable (): boolean {
     return this.unreachableSince === undefined
