Store which incarnations of the workers the owner knows

A task that had crashed three workers was started three times more when the owner ended shortly before the third worker came back under its id.

Cause: which incarnation a task was placed on was known to the owner only. The next one took the first incarnation that answered for the one with the task, saw that the run was missing, and started it again without a crash being counted.

The row `incarnations` tells later owners the start of each worker's last known incarnation. An answer of another one is handled as a restart then.

--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -18,6 +18,7 @@
 import { CellMembers, type TakeoverPromise } from './CellMembers.ts'
 import { CrashRecord } from './CrashRecord.ts'
 import { DrainRecord } from './DrainRecord.ts'
+import { IncarnationRecord } from './IncarnationRecord.ts'
 import { JobCleanup } from './JobCleanup.ts'
 import { Rescheduler } from './Rescheduler.ts'
 import { GroupCommit, type ControlRecords } from './GroupCommit.ts'
@@ -138,9 +139,10 @@
       drains: new DrainRecord(cell, ownership.clock),
       takeovers: new TakeoverRecord(cell, ownership.clock),
       breakers: new BreakerRecord(cell, ownership.clock, breaker),
-      crashes
+      crashes,
+      incarnations: new IncarnationRecord(cell)
     }
-    const { lostWorkers, members, drains } = this.#control
+    const { lostWorkers, members, drains, incarnations } = this.#control
     this.#commits = new GroupCommit(cell, this.#control, ownership, {
       onStartStored: (task) => this.#tracker.start(task).catch(throwUncaught),
       onRowTooLarge: (job) => this.#failTooLarge(job),
@@ -160,6 +162,7 @@
       onFenced: () => this.#handleOwnershipLost('a worker has accepted a higher fencing token'),
       earlierLeasesEnd: () => ownership.earlierLeasesEnd ?? this.#longestLeasesEnd,
       isRecordedAsLost: (id) => lostWorkers.has(id),
+      recordedStart: (id) => incarnations.startOf(id),
       onLostWorkerFound: () => this.#commits.wake()
     })
     this.#cleanup = new JobCleanup(cell, store, options.keepEndedMs, (id) => {
@@ -190,12 +193,13 @@
     ])
     if (this.#isEnded || listed === undefined || control === undefined || progress === undefined) return
     const { predecessor } = this.#ownership
-    const { lostWorkers, members, drains, takeovers, breakers, crashes } = this.#control
+    const { lostWorkers, members, drains, takeovers, breakers, crashes, incarnations } = this.#control
     const followers = members.readFollowers(control.rows, predecessor?.token ?? this.token - 1)
     const earlierLeasesEnd = await this.#determineEarlierLeasesEnd(followers)
     if (this.#isEnded) return
     members.restore(control.rows)
     drains.restore(control.rows)
+    incarnations.restore(control.rows)
     takeovers.restore(control.rows)
     takeovers.add(progress.version, earlierLeasesEnd)
     this.#ownership.earlierLeasesEnd = earlierLeasesEnd
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -12,6 +12,7 @@
 import type { CellMembers } from './CellMembers.ts'
 import type { CrashRecord } from './CrashRecord.ts'
 import type { DrainRecord } from './DrainRecord.ts'
+import type { IncarnationRecord } from './IncarnationRecord.ts'
 import { REMOVAL_ROWS, toRowAddress, type LostWorkerRecords } from './LostWorkerRecords.ts'
 import type { TakeoverRecord } from './TakeoverRecord.ts'
 
@@ -57,6 +58,7 @@
   takeovers: TakeoverRecord
   breakers: BreakerRecord
   crashes: CrashRecord
+  incarnations: IncarnationRecord
 }
 
 export interface CommitHooks {
@@ -195,11 +197,11 @@
 
   #takeBatch (): Batch {
     const cell = this.#cell
-    const { lostWorkers, members, drains, takeovers, breakers, crashes } = this.#control
+    const { lostWorkers, members, drains, takeovers, breakers, crashes, incarnations } = this.#control
     // The row of the members tells the next owner that it may rely on the records of lost workers.
     const trusted = lostWorkers.hasUntrusted ? [] : [members]
-    // The crashes come with or before the next runs of their tasks.
-    const records = [...trusted, takeovers, drains, breakers, crashes, lostWorkers]
+    // The crashes come with or before the next runs of their tasks, and the incarnations with or after the crashes.
+    const records = [...trusted, takeovers, drains, breakers, crashes, incarnations, lostWorkers]
     const puts = records.flatMap((record) => record.takeWrites())
     const maxRows = MAX_ROWS_PER_COMMIT - (lostWorkers.hasRecords ? REMOVAL_ROWS : 0)
     const batch: Batch = { puts, states: [], starts: [], endSequences: new Map(), foundWorkers: [] }
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -50,6 +50,8 @@
   earlierLeasesEnd (): number
   /** Whether the store has, or may have, a record of a worker as lost. */
   isRecordedAsLost (id: string): boolean
+  /** Start of the last incarnation of a worker that an earlier owner has known, by the worker's clock, in Unix ms. */
+  recordedStart (id: string): number | undefined
   /** Called when a worker that is recorded as lost answers. */
   onLostWorkerFound (): void
 }
@@ -173,6 +175,8 @@
   #createState (entry: WorkerEntry, leaseEndsBy = this.#context.earlierLeasesEnd()): WorkerState {
     const worker = new WorkerState(entry, leaseEndsBy)
     worker.isRecordedAsLost = this.#context.isRecordedAsLost(entry.id)
+    // The tasks that are stored for the worker were placed on this incarnation.
+    worker.startedAt = this.#context.recordedStart(entry.id)
     return worker
   }
 
