Request advice anew for a worker that has started again under its id

Tickets of the policy service are for one incarnation of a worker.

At a restart all steps forget what the service has answered about the worker, also whether it is allowed, since it may be of another kind now.

--- a/packages/jobs/src/loadPatterns/restartedWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/restartedWorkers.test.ts
@@ -2,6 +2,8 @@
 import type { Clock } from '@sinonjs/fake-timers'
 import { sleep } from '@gypsumspring/protocol'
 import type { MemoryCell, WorkerFault } from '../standins/index.ts'
+import { createQueue } from '../standins/index.ts'
+import type { Queue } from '../types.ts'
 import { describeCells, fetchState, submitInBackground } from './describeCells.ts'
 
 const WORKERS = 6
@@ -61,9 +63,9 @@
   return index.toString(16).padStart(16, '0')
 }
 
-async function submitJobs (cell: MemoryCell, clock: Clock): Promise<void> {
+async function submitJobs (cell: MemoryCell, clock: Clock, queue?: Queue): Promise<void> {
   for (let index = 0; index < JOBS; index++) {
-    submitInBackground(cell, toJobId(index), [{ count: 4, estimatedRunMs: 500 }])
+    submitInBackground(cell, toJobId(index), [{ count: 4, estimatedRunMs: 500 }], queue)
     await clock.tickAsync(JOB_INTERVAL_MS)
   }
 }
@@ -84,3 +86,22 @@
     expect(cell.checker.violations).to.deep.equal([])
   }
 })))
+
+const ADVICE = { decisionMs: 15, perWorkerMs: 1, validMs: 2_000 }
+
+describeCells('Tickets for a worker that has started again under its id', [
+  {
+    // Starts with tickets for the incarnation before were refused, and their tasks waited for another placement.
+    name: 'are requested anew',
+    options: { workers: WORKERS },
+    run: async (cell, clock) => {
+      const restarted = restartWorkers(cell, { name: '', downMs: [100] })
+      // Steps that wait for room keep their tickets.
+      submitInBackground(cell, 'f'.repeat(16), [{ count: 200, estimatedRunMs: 700 }], createQueue('batch', { advice: ADVICE }))
+      await submitJobs(cell, clock, createQueue('batch', { advice: ADVICE }))
+      await restarted
+      await clock.tickAsync(20_000)
+      expect(cell.checker.outdatedTickets).to.equal(0)
+    }
+  }
+])
--- a/packages/jobs/src/model/AdviceState.ts
+++ b/packages/jobs/src/model/AdviceState.ts
@@ -57,6 +57,13 @@
     this.#tickets.delete(worker)
   }
 
+  /** Forgets what the policy service has answered about a worker. */
+  forget (worker: string): void {
+    if (this.#allowed.get(worker) === true) this.#allowedCount--
+    this.#allowed.delete(worker)
+    this.#tickets.delete(worker)
+  }
+
   /** Whether the policy allows the worker; undefined when no request has named it yet. */
   isAllowed (worker: string): boolean | undefined {
     return this.#allowed.get(worker)
--- a/packages/jobs/src/owner/AdviceDispatcher.test.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.test.ts
@@ -123,10 +123,34 @@
     expect(fast.advice.isAllowed('w')).to.equal(true)
   })
 
+  const answers = [
+    { name: 'keeps an answer about a worker that runs on', restarts: false, isAllowed: true },
+    // Starts with such tickets were refused.
+    { name: 'drops an answer about a worker that has started again since the call', restarts: true, isAllowed: undefined }
+  ]
+  for (const { name, restarts, isAllowed } of answers) {
+    it(name, async () => {
+      const cell = createCell(() => {})
+      const dispatcher = new AdviceDispatcher(cell)
+      dispatcher.addNode({ id: 'n0', adviser: createAdviser() })
+      cell.workers.set('w', makeWorker('w', {}, { startedAt: 1 }))
+      const step = makeStep({}, SLOW)
+      dispatcher.request(step, [...cell.workers.values()])
+      await clock.tickAsync(100)
+      if (restarts) cell.workers.set('w', makeWorker('w', {}, { startedAt: 2 }))
+      await clock.tickAsync(ANSWER_MS)
+      expect(step.advice.isAllowed('w')).to.equal(isAllowed)
+    })
+  }
+
   function createDispatcher (onChange: () => void): AdviceDispatcher {
+    return new AdviceDispatcher(createCell(onChange))
+  }
+
+  function createCell (onChange: () => void): Cell {
     const nothing = () => {}
-    return new AdviceDispatcher(new Cell(() => undefined, { info: nothing, warn: nothing },
-      { count: nothing, recordDuration: nothing, set: nothing }, { onChange, onDirty: nothing }))
+    return new Cell(() => undefined, { info: nothing, warn: nothing },
+      { count: nothing, recordDuration: nothing, set: nothing }, { onChange, onDirty: nothing })
   }
 
   /** A service that handles one call of a node at a time and allows all workers. */
--- a/packages/jobs/src/owner/AdviceDispatcher.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.ts
@@ -248,6 +248,7 @@
     const slowCount = expectedMs > SLOW_ADVICE_MS ? 1 : 0
     state.openCalls++
     state.slowCalls += slowCount
+    const named = new Map(workers.map((id) => [id, this.#cell.workers.get(id)]))
     const sentAt = this.#cell.now()
     Object.assign(request, { sentAt, node: state.node.id })
     const stepKey: Pick<TaskKey, 'job' | 'occurrence' | 'step'> = {
@@ -278,8 +279,12 @@
       },
       // A ticket is valid from the time at which the service answers, which is not before the call was sent.
       Right: ({ tickets }) => {
-        this.#recordShare(step, workers, tickets)
-        step.advice.record(workers, tickets, Math.max(now - MAX_TRANSIT_MS, sentAt) + timing.validMs)
+        // An answer about a worker that has started again meanwhile may be for the incarnation before.
+        const isCurrent = (id: string) => this.#cell.workers.get(id) === named.get(id)
+        const present = workers.filter(isCurrent)
+        const valid = tickets.filter(([id]) => isCurrent(id))
+        this.#recordShare(step, present, valid)
+        step.advice.record(present, valid, Math.max(now - MAX_TRANSIT_MS, sentAt) + timing.validMs)
       }
     })
     this.#cell.notifyChange()
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -158,6 +158,9 @@
     this.#closeSession(worker)
     cell.workers.set(worker.id, next)
     this.#openSession(next, entry)
+    for (const job of cell.active) {
+      for (const steps of job.occurrences.values()) for (const { advice } of steps) advice.forget(worker.id)
+    }
     tracker.handleRestart(worker, next, report, drains.has(worker.id))
     drains.remove(worker.id)
     this.#update(next, entry)
--- a/packages/jobs/src/standins/InvariantChecker.ts
+++ b/packages/jobs/src/standins/InvariantChecker.ts
@@ -26,6 +26,8 @@
   starts = 0
   /** Number of starts that were refused because their ticket had expired. */
   expiredTickets = 0
+  /** Number of starts that were refused because their ticket was for an earlier incarnation of the worker. */
+  outdatedTickets = 0
 
   registerJob (id: string, spec: JobSpec, maxAttempts: number): void {
     this.#jobs.set(id, { spec, maxAttempts, cancelledAt: undefined })
--- a/packages/jobs/src/standins/MemoryCell.ts
+++ b/packages/jobs/src/standins/MemoryCell.ts
@@ -116,7 +116,7 @@
         open: (entry) => interceptCalls(blockCallsWhenDown(this.workers.open(entry), isUp), () =>
           this.reachesWorker(name, entry.id) ? undefined : timeOut())
       },
-      adviser: this.#options.createAdviser?.() ?? new AllowAllAdviser(),
+      adviser: this.#options.createAdviser?.() ?? new AllowAllAdviser(this.workers.workers),
       configuration: { current: () => ({ version: 1, queues: this.queues }) },
       connect: (address) => this.#connect(name, address, isUp),
       log: this.#options.log ?? NO_LOG,
@@ -228,11 +228,18 @@
 /** Validity of tickets, in ms; the same as at the users' sites. */
 export const TICKET_VALID_MS = 2_000
 
-/** Policy service that allows every worker. */
+/** Policy service that allows every worker. Its tickets are for the incarnations at the time of the call. */
 class AllowAllAdviser implements Adviser {
+  readonly #workers: ReadonlyMap<string, MemoryWorker>
+
+  constructor (workers: ReadonlyMap<string, MemoryWorker>) {
+    this.#workers = workers
+  }
+
   async advise (_step: unknown, workers: string[]): ReturnType<Adviser['advise']> {
+    const tickets = workers.map((id): [string, string] => [id, createTicket(TICKET_VALID_MS, this.#workers.get(id))])
     await sleep(20)
-    return done({ tickets: workers.map((worker): [string, string] => [worker, createTicket(TICKET_VALID_MS)]) })
+    return done({ tickets })
   }
 }
 
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -175,10 +175,7 @@
     if (known?.run === order.run) return { kind: 'started' }
     if (order.run <= (this.#highestRun.get(name) ?? 0)) return { kind: 'refused', reason: 'old-run' }
     if (leaseUntil <= this.clockMs) return { kind: 'refused', reason: 'too-late' }
-    if (order.ticket !== '' && Number(order.ticket) < performance.now()) {
-      this.#checker.expiredTickets++
-      return { kind: 'refused', reason: 'no-ticket' }
-    }
+    if (!this.#acceptsTicket(order.ticket)) return { kind: 'refused', reason: 'no-ticket' }
     this.#highestRun.set(name, order.run)
     this.#checker.recordStart(order, this.entry)
     const run: SimulatedRun = {
@@ -198,6 +195,16 @@
     return { kind: 'started' }
   }
 
+  #acceptsTicket (ticket: string): boolean {
+    if (ticket === '') return true
+    const [validUntil, startedAt = this.entry.startedAt] = ticket.split(' ').map(Number)
+    const isExpired = validUntil! < performance.now()
+    const isOfOtherIncarnation = startedAt !== this.entry.startedAt
+    if (isExpired) this.#checker.expiredTickets++
+    if (isOfOtherIncarnation) this.#checker.outdatedTickets++
+    return !isExpired && !isOfOtherIncarnation
+  }
+
   stop ({ key, run }: RunOrder): void {
     const name = toTaskName(key)
     this.#highestRun.set(name, Math.max(run, this.#highestRun.get(name) ?? 0))
@@ -240,9 +247,14 @@
   }
 }
 
-/** Creates a ticket that workers accept for `validMs`. */
-export function createTicket (validMs: number): string {
-  return String(performance.now() + validMs)
+/**
+ * Creates a ticket that workers accept for `validMs`.
+ *
+ * @param worker - The only incarnation that accepts it. Default: all do.
+ */
+export function createTicket (validMs: number, worker?: MemoryWorker): string {
+  const validUntil = performance.now() + validMs
+  return worker === undefined ? String(validUntil) : `${validUntil} ${worker.entry.startedAt}`
 }
 
 /**
