Send leases, acknowledgements and starts only to the known incarnation

A task that was started on a worker just after a restart that nobody had noticed ran on another worker too, when the worker was then cut off.

A start order over a new connection reached the next incarnation with a lease by the clock of the one before. In the same way a poll that was sent again over a new connection could acknowledge ends of the next incarnation.

A connection does tell them apart: it ends with the process. An incarnation that answers a poll was there when the poll was written, so that all older open connections lead to it. Start orders and polls that acknowledge ends or renew a lease are now sent over such connections only. Otherwise they fail as not done before a byte is written, the connection stays open, and a poll that does neither finds out who answers; start orders share that poll. A task whose start order reached no worker is no suspect of its crash.

--- a/packages/adapters/src/_lib/ConnectionPool.ts
+++ b/packages/adapters/src/_lib/ConnectionPool.ts
@@ -20,6 +20,8 @@
   readonly #openClients = new Set<UndiciClient>()
   readonly #idleClients: UndiciClient[] = []
   readonly #waiters = new Set<Waiter>()
+  /** Monotonic time at which each client has opened its connection, in ms. */
+  readonly #connectedAt = new WeakMap<UndiciClient, number>()
   #limit: number
   #closed = false
 
@@ -104,10 +106,16 @@
       headersTimeout: 0,
       bodyTimeout: 0
     })
+    client.on('connect', () => { this.#connectedAt.set(client, performance.now()) })
     this.#openClients.add(client)
     return client
   }
 
+  /** Whether the connection of a client was opened by a monotonic time, in ms. Clients replace closed connections. */
+  isConnectedBefore (client: UndiciClient, time: number): boolean {
+    return (this.#connectedAt.get(client) ?? Infinity) <= time
+  }
+
   #destroy (client: UndiciClient): void {
     if (!this.#openClients.delete(client)) return
     client.destroy().catch((error) => { throw error })
--- a/packages/adapters/src/_lib/exchange.ts
+++ b/packages/adapters/src/_lib/exchange.ts
@@ -4,6 +4,16 @@
 import { Deadline } from './Deadline.ts'
 import { BROKEN_CONNECTION_CODES, classifyError, type HttpRequest } from './sendRequest.ts'
 
+export interface ExchangeRequest extends HttpRequest {
+  /**
+   * Sends the request only over a connection that was opened by this monotonic time, in ms. Otherwise it fails as not
+   * done with the reason `closed`: the server may have been replaced since. Default: over any connection.
+   */
+  connectedBefore?: number
+  /** Called right before the request is written. */
+  onWrite?: () => void
+}
+
 /** A response whose body was read. */
 export interface BufferedResponse {
   status: number
@@ -33,7 +43,7 @@
  * await exchange(pool, { method: 'GET', path: '/healthz', timeoutMs: 500 }, 1024)
  */
 export async function exchange (
-  pool: ConnectionPool, request: HttpRequest, maxBytes: number
+  pool: ConnectionPool, request: ExchangeRequest, maxBytes: number
 ): Promise<Outcome<BufferedResponse>> {
   const deadline = new Deadline(request.timeoutMs, request.signal)
   const client = (deadline.isAborted ? undefined : pool.tryAcquire()) ?? await pool.acquire(deadline.signal)
@@ -52,7 +62,7 @@
 class Exchange implements Dispatcher.DispatchHandler {
   readonly #client: Client
   readonly #pool: ConnectionPool
-  readonly #request: HttpRequest
+  readonly #request: ExchangeRequest
   readonly #deadline: Deadline
   readonly #maxBytes: number
   readonly #resolve: (outcome: Outcome<BufferedResponse>) => void
@@ -64,7 +74,7 @@
   #settled = false
 
   constructor (
-    client: Client, pool: ConnectionPool, request: HttpRequest, deadline: Deadline, maxBytes: number,
+    client: Client, pool: ConnectionPool, request: ExchangeRequest, deadline: Deadline, maxBytes: number,
     resolve: (outcome: Outcome<BufferedResponse>) => void
   ) {
     this.#client = client
@@ -82,11 +92,19 @@
     this.#client.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body }, this)
   }
 
-  /** Called right before the first byte of the request is written. */
+  /** Called right before the first byte of the request is written, which an error prevents. */
   onConnect (abort: (error?: Error) => void): void {
+    const { connectedBefore } = this.#request
+    if (connectedBefore !== undefined && !this.#pool.isConnectedBefore(this.#client, connectedBefore)) {
+      throw new Error('the connection was opened too late for the request')
+    }
     this.#abort = abort
-    if (this.#settled) abort()
-    else this.#written = true
+    if (this.#settled) {
+      abort()
+      return
+    }
+    this.#written = true
+    this.#request.onWrite?.()
   }
 
   onHeaders (status: number): boolean {
--- a/packages/adapters/src/requestJson/index.ts
+++ b/packages/adapters/src/requestJson/index.ts
@@ -1,7 +1,6 @@
 import { parseJson, type Outcome } from '@gypsumspring/protocol'
 import type { ConnectionPool } from '../_lib/ConnectionPool.ts'
-import { exchange } from '../_lib/exchange.ts'
-import type { HttpRequest } from '../_lib/sendRequest.ts'
+import { exchange, type ExchangeRequest } from '../_lib/exchange.ts'
 import { MAX_RESPONSE_BYTES } from '../constants/index.ts'
 
 export interface JsonResponse {
@@ -10,7 +9,7 @@
   body: unknown
 }
 
-interface JsonRequest extends Omit<HttpRequest, 'body'> {
+interface JsonRequest extends Omit<ExchangeRequest, 'body'> {
   /** Encoded as JSON. */
   body?: unknown
 }
--- a/packages/adapters/src/requestJson/test.ts
+++ b/packages/adapters/src/requestJson/test.ts
@@ -7,7 +7,7 @@
 
 const TIMEOUT_MS = 300
 
-type Changes = Partial<Pick<Parameters<typeof requestJson>[1], 'timeoutMs' | 'stallTimeoutMs' | 'signal'>>
+type Changes = Partial<Omit<Parameters<typeof requestJson>[1], 'method' | 'path' | 'body'>>
 
 function send (pool: ConnectionPool, changes: Changes = {}) {
   return requestJson(pool, { method: 'POST', path: '/x', body: { a: 1 }, timeoutMs: TIMEOUT_MS, ...changes })
@@ -117,4 +117,42 @@
     await pool.close()
     server.close()
   })
+
+  // A server may be replaced by another at its address, which must not get what was meant for the one before.
+  describe('with a latest time for the connection', () => {
+    const ok = respond('200 X', '{"b":2}')
+
+    it('uses a connection that was opened by then', async () => {
+      const server = await startRawServer({ bytes: ok, action: 'hold' })
+      const pool = new ConnectionPool(`http://${server.address}`, 1)
+      let writtenAt = 0
+      await send(pool, { onWrite: () => { writtenAt = performance.now() } })
+      expect((await send(pool, { connectedBefore: writtenAt })).isRight()).to.equal(true)
+      await pool.close()
+      await server.close()
+    })
+
+    const tooLate = [
+      { name: 'a new connection', requests: 0, pauseMs: 0 },
+      { name: 'one that replaces a closed one', requests: 1, pauseMs: 60 }
+    ]
+    for (const { name, requests, pauseMs } of tooLate) {
+      it(`sends nothing over ${name}, which stays open for others`, async () => {
+        const server = await startRawServer({ bytes: ok, action: requests > 0 ? 'end' : 'hold' })
+        const pool = new ConnectionPool(`http://${server.address}`, 1)
+        for (let request = 0; request < requests; request++) await send(pool)
+        const connectedBefore = performance.now()
+        await new Promise((resolve) => setTimeout(resolve, pauseMs))
+        const opened = (await send(pool, { connectedBefore })).extract()
+        expect(opened).to.include({ certainty: 'not-done', reason: 'closed' })
+        expect(server.countRequests()).to.equal(requests)
+        let writtenAt = 0
+        expect((await send(pool, { onWrite: () => { writtenAt = performance.now() } })).isRight()).to.equal(true)
+        expect(server.countRequests()).to.equal(requests + 1)
+        if (requests === 0) expect((await send(pool, { connectedBefore: writtenAt })).isRight()).to.equal(true)
+        await pool.close()
+        await server.close()
+      })
+    }
+  })
 })
--- a/packages/jobs/src/loadPatterns/restartedWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/restartedWorkers.test.ts
@@ -4,6 +4,7 @@
 import type { MemoryCell, WorkerFault } from '../standins/index.ts'
 import { createQueue } from '../standins/index.ts'
 import type { Queue } from '../types.ts'
+import { DISTURBED, TASKS, countRunning, startLongRunningJob } from './longRunningJob.ts'
 import { describeCells, fetchState, submitInBackground } from './describeCells.ts'
 
 const WORKERS = 6
@@ -27,6 +28,8 @@
 }
 
 const restarts: Restart[] = [
+  { name: 'at once', downMs: [0] },
+  { name: 'at once and again', downMs: [0, 0, 10] },
   { name: 'soon after its end', downMs: [60] },
   { name: 'after polls of it have failed', downMs: [2_500] },
   { name: 'twice', downMs: [120, 700] },
@@ -105,3 +108,51 @@
     }
   }
 ])
+
+/** Longest lease that the workers grant, in ms; longer than those that the owner asks for. */
+const LEASE_LIMIT_MS = 10_000
+
+/** Time after which tasks of a worker out of reach run elsewhere, in ms: the longest lease, its margin and a start. */
+const LEASE_END_MS = 11_500
+
+const cuts = [
+  { name: 'at once', downMs: 0, cutAfterMs: 30 },
+  { name: 'at once, and some time later', downMs: 0, cutAfterMs: 2_500 },
+  { name: 'soon after its end', downMs: 100, cutAfterMs: 30 },
+  { name: 'soon after its end, and some time later', downMs: 100, cutAfterMs: 2_500 },
+  { name: 'while it is out of reach', downMs: 100, cutAfterMs: 0 }
+]
+
+describeCells('Leases on a worker that starts again under its id', cuts.map(({ name, downMs, cutAfterMs }) => ({
+  // Guards against leases until a time on the clock of the incarnation before: the worker shortens them to its limit
+  // only, and its tasks were started elsewhere while they still ran.
+  name: `${name} is cut off, end before its tasks run elsewhere`,
+  options: { workers: TASKS },
+  run: async (cell, clock) => {
+    await startLongRunningJob(cell, clock)
+    for (const id of DISTURBED) cell.workers.workers.get(id)!.crash()
+    await clock.tickAsync(downMs)
+    for (const id of DISTURBED) cell.restartWorker(id).leaseLimitMs = LEASE_LIMIT_MS
+    await clock.tickAsync(cutAfterMs)
+    for (const id of DISTURBED) cell.workers.workers.get(id)!.fault = () => 'silent'
+    await clock.tickAsync(LEASE_END_MS)
+    expect(cell.checker.violations).to.deep.equal([])
+    expect(countRunning(cell)).to.equal(TASKS)
+  }
+})))
+
+describeCells('Orders to a worker whose restart is not noticed yet', [60, 200, 400].map((cutAfterMs) => ({
+  // Guards against starts with a lease by the clock of the incarnation before.
+  name: `grant no lease that outlasts the owner's count (cut off after ${cutAfterMs} ms)`,
+  options: { workers: TASKS },
+  run: async (cell: MemoryCell, clock: Clock) => {
+    const ids = [...cell.workers.workers.keys()]
+    for (const id of ids) cell.restartWorker(id).leaseLimitMs = LEASE_LIMIT_MS
+    submitInBackground(cell, toJobId(1), [{ count: 2, maxPerWorker: 1, longRunning: true }])
+    await clock.tickAsync(cutAfterMs)
+    for (const worker of cell.workers.workers.values()) if (worker.runs.size > 0) worker.fault = () => 'silent'
+    await clock.tickAsync(LEASE_END_MS)
+    expect(cell.checker.violations).to.deep.equal([])
+    for (const index of [0, 1]) expect(cell.checker.countRunning(`${toJobId(1)}.0.0.${index}`)).to.equal(1)
+  }
+})))
--- a/packages/jobs/src/model/TrackedJob.ts
+++ b/packages/jobs/src/model/TrackedJob.ts
@@ -46,6 +46,8 @@
   inheritedStartedBy: number | undefined
   /** A start order for the current run may have been sent. */
   orderSent = false
+  /** A start order for the current run may have reached the worker. */
+  mayHaveBegun = false
   /** Monotonic time of the first start order for the current run, in ms; undefined if another owner sent it. */
   orderedAt: number | undefined
   /** Ticket of the policy service for the worker; empty when the queue has no policy. */
@@ -209,6 +211,7 @@
       if (record.status !== 'assigned') continue
       task.status = 'starting'
       task.orderSent = true
+      task.mayHaveBegun = true
       task.worker = record.worker
       task.inherited = true
       task.inheritedStartedBy = startedBy
--- a/packages/jobs/src/owner/Cell.ts
+++ b/packages/jobs/src/owner/Cell.ts
@@ -65,6 +65,7 @@
     task.run = run
     task.status = 'starting'
     task.orderSent = false
+    task.mayHaveBegun = false
     task.orderedAt = undefined
     task.worker = worker.id
     task.ticket = task.step.advice.ticket(worker.id, this.now()) ?? ''
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -5,7 +5,7 @@
 import { NO_DEMAND, type WorkerState } from '../workers/WorkerState.ts'
 import type { Cell } from './Cell.ts'
 import { FillerPacer } from './FillerPacer.ts'
-import type { WorkerSession } from './WorkerSession.ts'
+import { isUnconnected, type WorkerSession } from './WorkerSession.ts'
 import type { CrashRecord } from './CrashRecord.ts'
 import type { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
 
@@ -98,12 +98,16 @@
         return
       }
       const sentAt = performance.now()
+      task.mayHaveBegun = true
       const outcome = await session.start({
         key: task.key, run, payload: task.step.job.spec.payload, checkpoint: task.checkpoint, ticket: task.ticket
       })
       this.#cell.metrics.recordDuration('start_order_time', performance.now() - sentAt)
       if (failureOf(outcome)?.certainty === 'unknown') this.#recordUnansweredStart(workerId!, { key: task.key, run })
       if (!isCurrent()) return
+      if (failureOf(outcome)?.certainty === 'not-done') task.mayHaveBegun = uncertain
+      if (isUnconnected(outcome) && await session.identify()) continue
+      if (!isCurrent()) return
       const result = valueOf(outcome)
       if (result === undefined) {
         const isFirstUnknown: boolean = !uncertain && failureOf(outcome)?.certainty === 'unknown'
@@ -162,6 +166,7 @@
     const listed = new Set([...report.running, ...report.ended].map(toRunName))
     for (const task of [...worker.tasks]) if (listed.has(toRunName(task))) moveTask(task, worker, next)
     const steps = new Set([...worker.tasks].map(({ step }) => step))
+    for (const task of [...worker.tasks]) if (!task.mayHaveBegun) this.#cell.requeue(task)
     if (!isPlanned) for (const task of this.#crashes.recordCrash(worker, true)) this.#giveUp(task)
     this.#preventLateStarts(worker, next, listed)
     this.requeueLostTasks(worker, 'started again')
--- a/packages/jobs/src/owner/WorkerSession.ts
+++ b/packages/jobs/src/owner/WorkerSession.ts
@@ -46,6 +46,10 @@
   /** End of the last lease that was granted, on the worker's clock in ms. */
   #lastLeaseEnd: number | undefined
   #hasLoggedMissingStart = false
+  /** Whether a connection to the incarnation that has answered last was open when it was last needed. */
+  #isConnected = true
+  /** Poll that identifies the incarnation for all start orders that wait for it. */
+  #identification: Promise<boolean> | undefined
   #closed = false
 
   constructor (state: WorkerState, client: WorkerClient, context: WorkerSessionContext) {
@@ -57,16 +61,18 @@
   async run (): Promise<void> {
     while (!this.#closed) {
       const sentAt = performance.now()
-      const isFirst = this.#clockReading === undefined || !this.state.reachable
+      const isFirst = this.#clockReading === undefined || !this.state.reachable || !this.#isConnected
       const outcome = await this.#client.poll({
         token: this.#context.token,
         // Another incarnation may answer, which numbers its ends anew.
         acknowledged: isFirst ? 0 : this.state.storedEndSequence,
         // While the worker doesn't answer, leases are not renewed, so that its tasks count as lost after a known time.
-        leaseUntil: this.state.reachable ? this.#renewLease() : undefined,
+        leaseUntil: isFirst ? undefined : this.#renewLease(),
         waitMs: isFirst || this.state.storedEndSequence < this.state.processedEndSequence ? 0 : this.#pollWaitMs
       })
       if (this.#closed) return
+      this.#isConnected = isFirst || !isUnconnected(outcome)
+      if (!this.#isConnected) continue
       // Polls of a worker that does not answer at all say nothing about single lost answers.
       if (this.state.reachable) this.#context.answerLoss.record(failureOf(outcome)?.certainty === 'unknown')
       const report = valueOf(outcome)
@@ -87,6 +93,20 @@
     return outcome
   }
 
+  /** Finds out which incarnation answers over new connections. Returns whether it is still the one of this session. */
+  identify (): Promise<boolean> {
+    this.#identification ??= this.#identifyOnce().finally(() => { this.#identification = undefined })
+    return this.#identification
+  }
+
+  async #identifyOnce (): Promise<boolean> {
+    const report = valueOf(await this.#client.poll({ token: this.#context.token, acknowledged: 0 }))
+    if (report === undefined || this.#closed || !this.#tellsIncarnation(report)) return false
+    if (!this.#isRestarted(report)) return true
+    this.#context.onRestart(this.state, report)
+    return false
+  }
+
   async stop (order: RunOrder): Promise<Outcome<void>> {
     const outcome = await this.#client.stop(order, this.#context.token)
     if (isSessionExpired(outcome)) this.#context.onExpired(this.state)
@@ -185,6 +205,12 @@
   return failureOf(outcome)?.reason === 'session-expired'
 }
 
+/** Whether a call was not sent since no connection to the incarnation that it was for is open. */
+export function isUnconnected (outcome: Outcome<unknown>): boolean {
+  const failure = failureOf(outcome)
+  return failure?.certainty === 'not-done' && failure.reason === 'closed'
+}
+
 /** Time from the grant of a lease until it is certainly over, in ms. */
 export function toLongestLeaseMs (leaseMs: number): number {
   return leaseMs * (1 + CLOCK_DRIFT) + LEASE_SLACK_MS
--- a/packages/jobs/src/ports.ts
+++ b/packages/jobs/src/ports.ts
@@ -68,7 +68,11 @@
 
 export type StartResult = { kind: 'started' } | { kind: 'refused', reason: StartRefusal }
 
-/** Client for one incarnation of a worker. */
+/**
+ * Client for one incarnation of a worker. Another one may answer at its address under its id. Polls that acknowledge
+ * ends or renew the lease, and starts, reach only the incarnation that has answered the last poll; they fail as not
+ * done with the reason `closed` when the connection at hand may lead to another. Other calls reach any incarnation.
+ */
 export interface WorkerClient {
   /**
    * Renews the lease of all runs until `leaseUntil` on the worker's clock, acknowledges ended runs up to the sequence
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -350,6 +350,8 @@
 class MemoryWorkerClient implements WorkerClient {
   readonly #workers: MemoryWorkers
   readonly #id: string
+  /** The incarnation that has answered the last poll. */
+  #connected: MemoryWorker | undefined
 
   constructor (workers: MemoryWorkers, id: string) {
     this.#workers = workers
@@ -360,18 +362,24 @@
     return this.#workers.workers.get(this.#id)!
   }
 
-  poll ({
+  async poll ({
     token, acknowledged, leaseUntil,
     waitMs = 0
   }: Parameters<WorkerClient['poll']>[0]): Promise<Outcome<WorkerReport>> {
-    return this.#call('poll', token, async (worker) => {
+    const isBound = acknowledged > 0 || leaseUntil !== undefined
+    let answering: MemoryWorker | undefined
+    const outcome = await this.#call('poll', token, async (worker) => {
       worker.extendLease(leaseUntil)
+      answering = worker
       return done(await worker.report(acknowledged, waitMs))
-    }, waitMs + POLL_TIMEOUT_MARGIN_MS)
+    }, { isBound, timeoutMs: waitMs + POLL_TIMEOUT_MARGIN_MS })
+    if (outcome.isRight()) this.#connected = answering
+    return outcome
   }
 
   async start (order: StartOrder, token: number, leaseUntil: number): Promise<Outcome<StartResult>> {
-    return await this.#call<StartResult>('start', token, (worker) => done(worker.start(order, leaseUntil)))
+    const start = (worker: MemoryWorker) => done(worker.start(order, leaseUntil))
+    return await this.#call<StartResult>('start', token, start, { isBound: true })
   }
 
   stop (order: RunOrder, token: number): Promise<Outcome<void>> {
@@ -386,10 +394,12 @@
 
   async #call<Value> (
     name: 'poll' | 'start' | 'stop' | 'pace', token: number,
-    act: (worker: MemoryWorker) => Outcome<Value> | Promise<Outcome<Value>>, timeoutMs = ORDER_TIMEOUT_MS
+    act: (worker: MemoryWorker) => Outcome<Value> | Promise<Outcome<Value>>,
+    { isBound = false, timeoutMs = ORDER_TIMEOUT_MS } = {}
   ): Promise<Outcome<Value>> {
     await sleep(LATENCY_MS)
     const worker = this.#worker
+    if (isBound && worker !== this.#connected) return notDone('closed', 'no connection to the incarnation is open')
     if (worker.replaced) return notDone('session-expired', 'another incarnation answers')
     const fault = worker.alive ? worker.fault(name) : 'silent'
     const deadline = performance.now() + timeoutMs
