Take no worker that has left as planned and restarted for crashed

A task on workers that drained, left and started again under their ids was given up after four of these: its job ended as failed.

The registration of the next incarnation, which doesn't drain, removed the drain of the one before, whose end then counted as a crash under the task.

An entry of another incarnation now leaves the drain alone until the restart is handled. The new case of restartedWorkers.test.ts failed before, after four restarts; seven pass.

--- a/packages/jobs/src/loadPatterns/restartedWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/restartedWorkers.test.ts
@@ -4,7 +4,7 @@
 import type { MemoryCell, WorkerFault } from '../standins/index.ts'
 import { createQueue } from '../standins/index.ts'
 import type { Queue } from '../types.ts'
-import { DISTURBED, TASKS, countRunning, startLongRunningJob } from './longRunningJob.ts'
+import { DISTURBED, TASK, TASKS, countRunning, startLongRunningJob, startLongRunningTask } from './longRunningJob.ts'
 import { describeCells, fetchState, submitInBackground } from './describeCells.ts'
 
 const WORKERS = 6
@@ -156,3 +156,28 @@
     for (const index of [0, 1]) expect(cell.checker.countRunning(`${toJobId(1)}.0.0.${index}`)).to.equal(1)
   }
 })))
+
+/** Number of restarts, more than the crashes after which a task is given up. */
+const RESTARTS = 7
+
+describeCells('A worker that drains and starts again under its id', [
+  {
+    // The registration of the next incarnation made the end look like a crash, and tasks were given up after some.
+    name: 'has left as planned, so that its tasks are not suspected',
+    options: { workers: 4 },
+    run: async (cell, clock) => {
+      let worker = await startLongRunningTask(cell, clock)
+      for (let restart = 0; restart < RESTARTS; restart++) {
+        const { id } = worker.entry
+        cell.workers.update(id, { draining: true, leavesInMs: 100 })
+        await clock.tickAsync(200)
+        worker.crash()
+        cell.restartWorker(id)
+        await clock.tickAsync(2_000)
+        worker = [...cell.workers.workers.values()].find(({ runs }) => runs.size > 0)!
+        expect(worker, `running after ${restart + 1} restarts`).not.to.equal(undefined)
+      }
+      expect(cell.checker.countRunning(TASK)).to.equal(1)
+    }
+  }
+])
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -209,7 +209,8 @@
   #update (worker: WorkerState, entry: WorkerEntry): void {
     const { cell, drains } = this.#dependencies
     if (!entry.draining) {
-      drains.remove(entry.id)
+      // The entry of the next incarnation doesn't show that this one, which has not been missed yet, left unplanned.
+      if (isOfIncarnation(entry, worker)) drains.remove(entry.id)
       worker.leavesAt = undefined
     } else if (worker.leavesAt === undefined) {
       const now = performance.now()
@@ -288,6 +289,11 @@
   }
 }
 
+/** Whether an entry is, or may be, that of an incarnation. */
+function isOfIncarnation (entry: WorkerEntry, { startedAt }: WorkerState): boolean {
+  return entry.startedAt === undefined || startedAt === undefined || entry.startedAt === startedAt
+}
+
 /** Time that the polls of a cell with this number of workers wait for a run to end, in ms. */
 function choosePollWaitMs (workers: number): number {
   return Math.round(Math.min(Math.max(POLL_WAIT_MS, 1_000 * workers / MAX_IDLE_POLLS_PER_S), MAX_POLL_WAIT_MS))
