Start filler tasks at full pace on a restarted worker

The pace was kept by the id of the worker, so that the next incarnation got the one that its predecessor's load had needed, and rose from there in steps of half a second. It now belongs to an incarnation.

--- a/packages/jobs/src/loadPatterns/fillerPace.test.ts
+++ b/packages/jobs/src/loadPatterns/fillerPace.test.ts
@@ -64,6 +64,23 @@
       await handover
     }
   },
+  {
+    // The next incarnation got the pace of the one before, at which its filler task started without need.
+    name: 'start at full pace on a worker that has started again under its id',
+    options: { workers: 1 },
+    run: async (cell, clock) => {
+      await startBoth(cell, clock, 150)
+      cell.workers.workers.get('w0')!.crash()
+      cell.restartWorker('w0').usage = () => IDLE_MS
+      let lowest = 100
+      for (let passedMs = 0; passedMs < SETTLE_MS; passedMs += 10) {
+        await clock.tickAsync(10)
+        lowest = Math.min(lowest, cell.workers.workers.get('w0')!.runs.get(`${FILLER_JOB}.0.0.0`)?.percent ?? 100)
+      }
+      expect(readPace(cell)).to.equal(100)
+      expect(lowest).to.equal(100)
+    }
+  },
   {
     // A pace that is only adopted would stay low for good.
     name: 'are sped up again by a new owner once the serving task has room',
--- a/packages/jobs/src/owner/FillerPacer.ts
+++ b/packages/jobs/src/owner/FillerPacer.ts
@@ -13,7 +13,7 @@
 export class FillerPacer {
   readonly #cell: Cell
   readonly #sessions: ReadonlyMap<string, WorkerSession>
-  readonly #paceByWorker = new Map<string, { percent: number, changedAt: number }>()
+  readonly #paceByWorker = new WeakMap<WorkerState, { percent: number, changedAt: number }>()
 
   constructor (cell: Cell, sessions: ReadonlyMap<string, WorkerSession>) {
     this.#cell = cell
@@ -31,12 +31,12 @@
       if (targetLatencyMs > 0) tails.push({ tailMs: usage, targetMs: targetLatencyMs })
       if (fills) fillers.push(task)
     }
-    const percent = this.#choosePercent(worker.id, tails, fillers)
+    const percent = this.#choosePercent(worker, tails, fillers)
     for (const task of fillers) if (task.percent !== percent) this.#setPace(worker.id, task, percent, tails)
   }
 
   #choosePercent (
-    worker: string, tails: ReadonlyArray<{ tailMs: number, targetMs: number }>, fillers: readonly TaskInstance[]
+    worker: WorkerState, tails: ReadonlyArray<{ tailMs: number, targetMs: number }>, fillers: readonly TaskInstance[]
   ): number {
     // Before this owner's first change, the lowest reported pace is that of an earlier owner.
     const reported = Math.min(100, ...fillers.map((task) => task.percent))
