Rely on connections alone to keep orders from the next incarnation

Removes the memory of unanswered start orders and the stops that were sent for them to the next incarnation. Since start orders go only over connections that lead to the known incarnation, they end with it, and the next one can list no run of them: all tasks of the previous incarnation are lost at a restart. Tasks whose orders were not sent are requeued without being suspected.

What was tried: the stand-in let late start orders act on the next incarnation.

--- a/packages/jobs/src/node/faults.test.ts
+++ b/packages/jobs/src/node/faults.test.ts
@@ -21,6 +21,7 @@
   /** Apart from the other faults, which are therefore the same with and without an inventory. */
   readonly #inventoryRandom: SeededRandom
   readonly #capacityRandom: SeededRandom
+  readonly #restartRandom: SeededRandom
   #jobs = 0
   #workers = 8
 
@@ -28,6 +29,7 @@
     this.#random = new SeededRandom(seed)
     this.#inventoryRandom = new SeededRandom(seed)
     this.#capacityRandom = new SeededRandom(seed)
+    this.#restartRandom = new SeededRandom(seed)
     this.cell = new MemoryCell({ nodes: 3, workers: 8, hasInventory, planRunEnd: (key) => this.#chooseOutcome(key) })
   }
 
@@ -49,6 +51,25 @@
     if (worker !== undefined) this.#setCapacity(worker, random.pick([0, 1.5, 4, 8, 16, 16]))
   }
 
+  /** Ends a worker, which starts again under its id later, with a clock that has stepped, and at times out of reach. */
+  restartWorker (): void {
+    const random = this.#restartRandom
+    const worker = random.pick([...this.cell.workers.workers.values()].filter(({ alive }) => alive))
+    if (worker === undefined || random.chance(0.3)) return
+    const { id } = worker.entry
+    worker.crash()
+    const startedAt = Date.now() + random.below(40_000) - 20_000
+    const isCutOff = random.chance(0.3)
+    setTimeout(() => {
+      if (this.cell.workers.workers.get(id) !== worker) return
+      const next = this.cell.restartWorker(id, { startedAt })
+      next.leaseLimitMs = random.pick([6_000, 10_000])
+      if (!isCutOff) return
+      next.fault = () => 'silent'
+      setTimeout(() => { next.fault = () => undefined }, random.below(7_000))
+    }, random.pick([0, 5, 40, 300, 1_500, 7_000]))
+  }
+
   restoreCapacities (): void {
     for (const worker of this.cell.workers.workers.values()) if (worker.alive) this.#setCapacity(worker, 16)
   }
@@ -160,13 +181,22 @@
   }
 }
 
-const variants = [
-  { name: 'without an inventory of machines', hasInventory: false, hasChangingCapacity: false },
-  { name: 'with an inventory of machines', hasInventory: true, hasChangingCapacity: false },
-  { name: 'with workers whose capacity changes', hasInventory: false, hasChangingCapacity: true }
+interface Variant {
+  name: string
+  hasInventory?: boolean
+  hasChangingCapacity?: boolean
+  hasRestarts?: boolean
+}
+
+const variants: Variant[] = [
+  { name: 'without an inventory of machines' },
+  { name: 'with an inventory of machines', hasInventory: true },
+  { name: 'with workers whose capacity changes', hasChangingCapacity: true },
+  { name: 'with workers that start again under their ids', hasRestarts: true },
+  { name: 'with an inventory and workers that start again under their ids', hasInventory: true, hasRestarts: true }
 ]
 
-for (const { name: variant, hasInventory, hasChangingCapacity } of variants) {
+for (const { name: variant, hasInventory = false, hasChangingCapacity = false, hasRestarts = false } of variants) {
   describe(`a cell under overlapping faults ${variant}`, () => {
     let clock: Clock
     beforeEach(() => { clock = install() })
@@ -180,6 +210,7 @@
         for (let now = 0; now < FAULT_PHASE_MS; now += EVENT_INTERVAL_MS) {
           await scenario.runRandomEvent()
           if (hasChangingCapacity) scenario.changeCapacity()
+          if (hasRestarts) scenario.restartWorker()
           await clock.tickAsync(EVENT_INTERVAL_MS)
         }
         scenario.clearFaults()
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -15,12 +15,6 @@
  */
 const MAX_REGISTRY_AGE_MS = 3_000
 
-/**
- * Time for which a start order without an answer may still be carried out, in ms. Late ones were carried out after 2 to
- * 12 s.
- */
-const LATE_START_MS = 15_000
-
 /** Weight of a new observation in the moving average of a worker's slowdown. */
 const SLOWDOWN_SMOOTHING = 0.2
 
@@ -103,7 +97,6 @@
         key: task.key, run, payload: task.step.job.spec.payload, checkpoint: task.checkpoint, ticket: task.ticket
       })
       this.#cell.metrics.recordDuration('start_order_time', performance.now() - sentAt)
-      if (failureOf(outcome)?.certainty === 'unknown') this.#recordUnansweredStart(workerId!, { key: task.key, run })
       if (!isCurrent()) return
       if (failureOf(outcome)?.certainty === 'not-done') task.mayHaveBegun = uncertain
       if (isUnconnected(outcome) && await session.identify()) continue
@@ -155,71 +148,9 @@
     this.requeueLostTasks(worker, reason)
   }
 
-  /**
-   * Handles the restart of a worker under its id. Tasks whose runs the next incarnation lists stay there; those whose
-   * start orders it may still carry out are stopped there before they can start elsewhere. All others are lost.
-   *
-   * @param report - First report of the next incarnation.
-   * @param isPlanned - Whether the previous incarnation was expected to leave.
-   */
-  handleRestart (worker: WorkerState, next: WorkerState, report: WorkerReport, isPlanned: boolean): void {
-    const listed = new Set([...report.running, ...report.ended].map(toRunName))
-    for (const task of [...worker.tasks]) if (listed.has(toRunName(task))) moveTask(task, worker, next)
-    const steps = new Set([...worker.tasks].map(({ step }) => step))
+  /** Requeues the tasks of a worker whose start orders have not reached it, and which can't have to do with its end. */
+  requeueUnbegun (worker: WorkerState): void {
     for (const task of [...worker.tasks]) if (!task.mayHaveBegun) this.#cell.requeue(task)
-    if (!isPlanned) for (const task of this.#crashes.recordCrash(worker, true)) this.#giveUp(task)
-    this.#preventLateStarts(worker, next, listed)
-    this.requeueLostTasks(worker, 'started again')
-    for (const { spec, tasks } of steps) if (spec.gang) this.#stopGang(tasks)
-  }
-
-  /** Makes the next incarnation of a worker refuse the start orders that the previous one has not answered. */
-  #preventLateStarts (worker: WorkerState, next: WorkerState, listed: ReadonlySet<string>): void {
-    const now = this.#cell.now()
-    for (const [name, unanswered] of worker.unansweredStarts) {
-      if (now - unanswered.sentAt < LATE_START_MS) next.unansweredStarts.set(name, unanswered)
-    }
-    for (const task of [...worker.tasks]) {
-      if (task.inherited || !task.orderSent) continue
-      const name = toRunName(task)
-      if (task.status === 'starting') next.unansweredStarts.set(name, { order: { key: task.key, run: task.run }, sentAt: now })
-      if (!next.unansweredStarts.has(name)) continue
-      moveTask(task, worker, next)
-      if (task.status === 'stopping') this.#restartStop(task)
-      else this.stop(task, 'wait')
-    }
-    const moved = new Set([...next.tasks].map(toRunName))
-    for (const [name, { order }] of next.unansweredStarts) {
-      if (!listed.has(name) && !moved.has(name)) this.#preventStart(next, order).catch(throwUncaught)
-    }
-  }
-
-  /** Repeats the stop of a run, since what the worker has confirmed is forgotten. */
-  #restartStop (task: TaskInstance): void {
-    task.startedAt = Infinity
-    this.#sendStop(task).catch(throwUncaught)
-  }
-
-  /** Stops a run that has not begun until the worker has confirmed it, which makes it refuse the start. */
-  async #preventStart (worker: WorkerState, order: RunOrder): Promise<void> {
-    while (!this.#closed && this.#cell.workers.get(worker.id) === worker) {
-      const outcome = await this.#sessions.get(worker.id)?.stop(order)
-      if (outcome?.isRight() === true) return
-      await sleep(ORDER_RETRY_MS)
-    }
-  }
-
-  #recordUnansweredStart (worker: string, order: RunOrder): void {
-    const unanswered = this.#cell.workers.get(worker)?.unansweredStarts
-    if (unanswered === undefined) return
-    const now = this.#cell.now()
-    for (const [name, { sentAt }] of unanswered) {
-      if (now - sentAt < LATE_START_MS) break
-      unanswered.delete(name)
-    }
-    const name = toRunName(order)
-    unanswered.delete(name)
-    unanswered.set(name, { order, sentAt: now })
   }
 
   /** Requeues all tasks of a worker on which nothing runs any more. `reason` is also a label of a metric. */
@@ -392,7 +323,7 @@
   }
 
   #stopUnownedRun (worker: WorkerState, { key, run }: RunOrder): void {
-    const runName = `${worker.id} ${toRunName({ key, run })}`
+    const runName = `${worker.id} ${key.job}.${key.occurrence}.${key.step}.${key.index} ${run}`
     if (this.#unownedRuns.has(runName)) return
     this.#unownedRuns.add(runName)
     this.#cell.log.warn({ job: key.job, worker: worker.id, run }, 'stopping a run that no job owns')
@@ -404,16 +335,6 @@
   }
 }
 
-function toRunName ({ key, run }: RunOrder): string {
-  return `${key.job}.${key.occurrence}.${key.step}.${key.index} ${run}`
-}
-
-/** Moves a task to the next incarnation of its worker, which has the same id. */
-function moveTask (task: TaskInstance, worker: WorkerState, next: WorkerState): void {
-  worker.remove(task)
-  next.add(task)
-}
-
 /** Whether a run, if it still exists, must be in the report that was requested at `sentAt`. */
 function isExpectedInReport (task: TaskInstance, sentAt: number): boolean {
   return (task.status === 'running' || task.status === 'stopping' || task.inherited) && task.startedAt < sentAt
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -153,16 +153,17 @@
       listedEnds: report.ended.map(({ sequence }) => sequence),
       running: report.running.length
     }, 'worker has started again under its id')
-    const next = this.#createState(entry, performance.now() + toLongestLeaseMs(this.#context.leaseMs))
-    next.startedAt = report.startedAt
+    tracker.requeueUnbegun(worker)
+    this.#handleLoss(worker, 'started again', true)
     this.#closeSession(worker)
-    cell.workers.set(worker.id, next)
-    this.#openSession(next, entry)
+    drains.remove(worker.id)
     for (const job of cell.active) {
       for (const steps of job.occurrences.values()) for (const { advice } of steps) advice.forget(worker.id)
     }
-    tracker.handleRestart(worker, next, report, drains.has(worker.id))
-    drains.remove(worker.id)
+    const next = this.#createState(entry, performance.now() + toLongestLeaseMs(this.#context.leaseMs))
+    next.startedAt = report.startedAt
+    cell.workers.set(worker.id, next)
+    this.#openSession(next, entry)
     this.#update(next, entry)
     next.unlistedSince = unlistedSince
   }
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -9,8 +9,8 @@
  * Injected fault of one call to a worker:
  * - `silent`: the call has no effect and times out.
  * - `lost`: the call takes effect, but the answer is lost.
- * - `late`: the call takes effect after `LATE_MS` and is never answered. An order takes effect on the incarnation that
- *   has the worker's id by then.
+ * - `late`: the call takes effect after `LATE_MS` and is never answered. A stop takes effect on the incarnation that
+ *   has the worker's id by then, all other calls only on the one that they were sent to.
  * - `unhealthy`: the worker refuses the call.
  */
 export type WorkerFault = 'silent' | 'lost' | 'late' | 'unhealthy' | undefined
@@ -337,6 +337,11 @@
     return new MemoryWorkerClient(this, entry.id)
   }
 
+  /** Returns a client for a server of the worker, which answers for one incarnation on each connection itself. */
+  openForServer (id: string): WorkerClient {
+    return new MemoryWorkerClient(this, id, { checksIncarnation: false })
+  }
+
   #listed (): WorkerEntry[] {
     return [...this.workers.values()].filter(({ entry }) => !this.#unlisted.has(entry.id)).map(({ entry }) => entry)
   }
@@ -350,12 +355,14 @@
 class MemoryWorkerClient implements WorkerClient {
   readonly #workers: MemoryWorkers
   readonly #id: string
+  readonly #checksIncarnation: boolean
   /** The incarnation that has answered the last poll. */
   #connected: MemoryWorker | undefined
 
-  constructor (workers: MemoryWorkers, id: string) {
+  constructor (workers: MemoryWorkers, id: string, { checksIncarnation = true } = {}) {
     this.#workers = workers
     this.#id = id
+    this.#checksIncarnation = checksIncarnation
   }
 
   get #worker (): MemoryWorker {
@@ -399,7 +406,7 @@
   ): Promise<Outcome<Value>> {
     await sleep(LATENCY_MS)
     const worker = this.#worker
-    if (isBound && worker !== this.#connected) return notDone('closed', 'no connection to the incarnation is open')
+    if (isBound && this.#checksIncarnation && worker !== this.#connected) return notDone('closed', 'no connection to the incarnation is open')
     if (worker.replaced) return notDone('session-expired', 'another incarnation answers')
     const fault = worker.alive ? worker.fault(name) : 'silent'
     const deadline = performance.now() + timeoutMs
@@ -407,8 +414,7 @@
     if (fault === 'silent') return await noAnswer()
     if (fault === 'late') {
       setTimeout(() => {
-        // A poll is bound to the connection of its incarnation.
-        const target = name === 'poll' ? worker : this.#worker
+        const target = name === 'stop' ? this.#worker : worker
         if (target.alive && target.acceptsToken(token)) act(target)
       }, LATE_MS)
       return await noAnswer()
--- a/packages/jobs/src/workers/WorkerState.ts
+++ b/packages/jobs/src/workers/WorkerState.ts
@@ -1,5 +1,5 @@
 import type { StepInstance, TaskInstance } from '../model/index.ts'
-import type { Demand, RunOrder, WorkerEntry } from '../types.ts'
+import type { Demand, WorkerEntry } from '../types.ts'
 
 /** No resources. */
 export const NO_DEMAND: Demand = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
@@ -37,8 +37,6 @@
    * earlier owner. Their resource usage is unknown, so the worker gets no tasks until they have ended.
    */
   hasUnownedRuns = false
-  /** Start orders that were sent to the worker in vain, and may still be carried out, by the name of their run. */
-  readonly unansweredStarts = new Map<string, { order: RunOrder, sentAt: number }>()
   /** Moving average of observed over estimated run time; 1 when unknown. */
   slowdown = 1
 
