Call a restarted worker at its new address

A worker that started again under its id at another address was never used again: the owner went on calling the former address, and removed the worker for good when another one answered there.

A worker that doesn't answer is now called at the address of its latest entry, and one that was removed is added again if its entry has moved. The answer there tells whether it is another incarnation. Both new cases of restartedWorkers.test.ts failed before. 776 tests of jobs and platform pass.

--- a/packages/jobs/src/loadPatterns/restartedWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/restartedWorkers.test.ts
@@ -197,3 +197,25 @@
     }
   }
 ])
+
+const moves: Array<{ name: string, reuseAddress: (cell: MemoryCell) => void }> = [
+  { name: 'where its former one doesn\'t answer', reuseAddress: () => {} },
+  { name: 'where another worker has its former one', reuseAddress: (cell) => { cell.addWorker('other', { address: 'w0:1' }) } }
+]
+
+// The owner went on calling the former address, and never used the worker again.
+describeCells('A worker that starts again under its id at another address', moves.map(({ name, reuseAddress }) => ({
+  name: `${name} gets tasks again`,
+  options: { workers: 1 },
+  run: async (cell, clock) => {
+    await startLongRunningTask(cell, clock)
+    cell.workers.workers.get('w0')!.crash()
+    reuseAddress(cell)
+    const next = cell.restartWorker('w0', { address: 'w0:2' })
+    await clock.tickAsync(8_000)
+    expect(cell.checker.countRunning(TASK)).to.equal(1)
+    submitInBackground(cell, toJobId(2), [{ count: 2, maxPerWorker: 1, longRunning: true }])
+    await clock.tickAsync(2_000)
+    expect(next.runs.size).to.be.greaterThan(0)
+  }
+})))
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -111,7 +111,7 @@
   #openSession (worker: WorkerState, entry: WorkerEntry): void {
     const { cell, sessions, connector, tracker } = this.#dependencies
     const { token, leaseMs, mayRenewLeases, waitUntilStored, onFenced } = this.#context
-    const session = new WorkerSession(worker, connector.open(entry), {
+    const session = new WorkerSession(worker, entry.address, connector.open(entry), {
       token,
       leaseMs,
       log: cell.log,
@@ -122,7 +122,11 @@
       onFenced,
       onReport: (state, report, sentAt) => tracker.reconcile(state, report, sentAt),
       onRestart: (state, report) => this.#handleRestart(state, report),
-      onExpired: (state) => this.#remove(state, 'another incarnation answers'),
+      onExpired: (state) => {
+        this.#remove(state, 'another incarnation answers')
+        // The next incarnation may have registered at another address before the end of this one was noticed.
+        if (state.unlistedSince === undefined && state.entry.address !== session.address) this.add(state.entry)
+      },
       onReachabilityChange: (state) => {
         this.#dependencies.crashes.recordReachability(state)
         cell.log.info({ worker: state.id, reachable: state.reachable }, 'worker reachability changed')
@@ -198,6 +202,7 @@
   tick (now: number): void {
     for (const worker of [...this.#dependencies.cell.workers.values()]) {
       if (worker.reachable) continue
+      this.#followAddress(worker)
       if (worker.leaseEndsBy < now) {
         this.#handleLoss(worker, 'lease ended without an answer', false)
       }
@@ -207,6 +212,15 @@
     this.#endedWorkers?.tick(now)
   }
 
+  /** Calls a worker that doesn't answer where its entry says, which may be that of its next incarnation. */
+  #followAddress (worker: WorkerState): void {
+    const { sessions } = this.#dependencies
+    const session = sessions.get(worker.id)
+    if (session === undefined || worker.entry.address === session.address) return
+    session.close()
+    this.#openSession(worker, worker.entry)
+  }
+
   #update (worker: WorkerState, entry: WorkerEntry): void {
     const { cell, drains } = this.#dependencies
     if (!entry.draining) {
--- a/packages/jobs/src/owner/WorkerSession.ts
+++ b/packages/jobs/src/owner/WorkerSession.ts
@@ -39,6 +39,8 @@
 /** Polls one worker, which also renews the lease of its tasks, and sends orders to it. */
 export class WorkerSession {
   readonly state: WorkerState
+  /** Address at which the worker is called. */
+  readonly address: string
   readonly #client: WorkerClient
   readonly #context: WorkerSessionContext
   /** Last known value of the worker's clock and the monotonic time of its arrival, in ms. */
@@ -52,8 +54,9 @@
   #identification: Promise<boolean> | undefined
   #closed = false
 
-  constructor (state: WorkerState, client: WorkerClient, context: WorkerSessionContext) {
+  constructor (state: WorkerState, address: string, client: WorkerClient, context: WorkerSessionContext) {
     this.state = state
+    this.address = address
     this.#client = client
     this.#context = context
   }
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -334,7 +334,7 @@
 
   open (entry: WorkerEntry): WorkerClient {
     if (entry.address === '') throw new Error(`worker ${entry.id} has no address`)
-    return new MemoryWorkerClient(this, entry.id)
+    return new MemoryWorkerClient(this, entry.id, { address: entry.address })
   }
 
   /** Returns a client for a server of the worker, which answers for one incarnation on each connection itself. */
@@ -356,12 +356,20 @@
   readonly #workers: MemoryWorkers
   readonly #id: string
   readonly #checksIncarnation: boolean
+  /** Address that is called; undefined for that of the present incarnation. */
+  readonly #address: string | undefined
   /** The incarnation that has answered the last poll. */
   #connected: MemoryWorker | undefined
 
-  constructor (workers: MemoryWorkers, id: string, { checksIncarnation = true } = {}) {
+  constructor (
+    workers: MemoryWorkers, id: string, { address, checksIncarnation = true }: {
+      address?: string,
+      checksIncarnation?: boolean
+    }
+  ) {
     this.#workers = workers
     this.#id = id
+    this.#address = address
     this.#checksIncarnation = checksIncarnation
   }
 
@@ -369,6 +377,10 @@
     return this.#workers.workers.get(this.#id)!
   }
 
+  #isAddressReused (): boolean {
+    return [...this.#workers.workers.values()].some(({ alive, entry }) => alive && entry.address === this.#address)
+  }
+
   async poll ({
     token, acknowledged, leaseUntil,
     waitMs = 0
@@ -406,9 +418,11 @@
   ): Promise<Outcome<Value>> {
     await sleep(LATENCY_MS)
     const worker = this.#worker
+    const isPresent = this.#address === undefined || worker.entry.address === this.#address
+    if (!isPresent && this.#isAddressReused()) return notDone('session-expired', 'another worker answers')
     if (isBound && this.#checksIncarnation && worker !== this.#connected) return notDone('closed', 'no connection to the incarnation is open')
     if (worker.replaced) return notDone('session-expired', 'another incarnation answers')
-    const fault = worker.alive ? worker.fault(name) : 'silent'
+    const fault = worker.alive && isPresent ? worker.fault(name) : 'silent'
     const deadline = performance.now() + timeoutMs
     const noAnswer = () => timeOut(Math.max(0, deadline - performance.now()))
     if (fault === 'silent') return await noAnswer()
