--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -1,5 +1,5 @@
 import { ORDER_TIMEOUT_MS } from '../constants/index.ts'
-import { done, notDone, sleep, unknownEffect, type Outcome } from '@gypsumspring/protocol'
+import { done, notDone, sleep, unknownEffect, valueOf, type Outcome } from '@gypsumspring/protocol'
 import type { StartResult, WorkerClient, WorkerConnector, WorkerRegistry } from '../ports.ts'
 import type { EndedRun, RunEndReason, RunOrder, StartOrder, TaskKey, WorkerEntry, WorkerReport } from '../types.ts'
 import { InvariantChecker } from './InvariantChecker.ts'
@@ -360,6 +360,7 @@
   readonly #address: string | undefined
   /** The incarnation that has answered the last poll. */
   #connected: MemoryWorker | undefined
+  #startedAt: number | undefined
 
   constructor (
     workers: MemoryWorkers, id: string, { address, checksIncarnation = true }: {
@@ -392,7 +393,9 @@
       answering = worker
       return done(await worker.report(acknowledged, waitMs))
     }, { isBound, timeoutMs: waitMs + POLL_TIMEOUT_MARGIN_MS })
-    if (outcome.isRight()) this.#connected = answering
+    // The first incarnation that answers is the one of this client; the connections to others are of no use.
+    this.#startedAt ??= valueOf(outcome)?.startedAt
+    if (outcome.isRight() && answering?.entry.startedAt === this.#startedAt) this.#connected = answering
     return outcome
   }
 
