--- a/packages/jobs/src/standins/LoadGenerator.ts
+++ b/packages/jobs/src/standins/LoadGenerator.ts
@@ -3,7 +3,7 @@
 import type { Adviser } from '../ports.ts'
 import type { Demand, Queue, Step } from '../types.ts'
 import type { MemoryCell } from './MemoryCell.ts'
-import { createTicket, type PlanRunEnd } from './MemoryWorkers.ts'
+import { createTicket, type PlanRunEnd } from './MemoryWorker.ts'
 import type { SeededRandom } from './SeededRandom.ts'
 
 /** A kind of job that arrives at random times. */
--- a/packages/jobs/src/standins/MemoryCell.ts
+++ b/packages/jobs/src/standins/MemoryCell.ts
@@ -5,7 +5,8 @@
 import type { Job, JobSpec, Queue, Step, WorkerEntry } from '../types.ts'
 import { MemoryInventory } from './MemoryInventory.ts'
 import { MAX_ROW_BYTES, MemoryRecordStore, MemoryRows } from './MemoryRecordStore.ts'
-import { LEASE_LIMIT_MS, MemoryWorkers, createTicket, type MemoryWorker, type PlanRunEnd } from './MemoryWorkers.ts'
+import { LEASE_LIMIT_MS, createTicket, type MemoryWorker, type PlanRunEnd } from './MemoryWorker.ts'
+import { MemoryWorkers } from './MemoryWorkers.ts'
 
 interface Options {
   /** Nodes of the cell. Default: 3. */
--- a/packages/jobs/src/standins/MemoryInventory.ts
+++ b/packages/jobs/src/standins/MemoryInventory.ts
@@ -1,6 +1,6 @@
 import { done, notDone, sleep, unknownEffect, type Outcome } from '@gypsumspring/protocol'
 import type { MachineEntry, WorkerInventory } from '../ports.ts'
-import type { MemoryWorker } from './MemoryWorkers.ts'
+import type { MemoryWorker } from './MemoryWorker.ts'
 
 /**
  * Injected fault of one listing:
--- a/packages/jobs/src/standins/PlacementRounds.ts
+++ b/packages/jobs/src/standins/PlacementRounds.ts
@@ -10,7 +10,7 @@
 import type { Queue, Step } from '../types.ts'
 import { WorkerState } from '../workers/WorkerState.ts'
 import { createQueue, createStep } from './MemoryCell.ts'
-import { createTicket } from './MemoryWorkers.ts'
+import { createTicket } from './MemoryWorker.ts'
 import type { SeededRandom } from './SeededRandom.ts'
 
 interface Options {
--- a/packages/jobs/src/standins/index.ts
+++ b/packages/jobs/src/standins/index.ts
@@ -1,4 +1,5 @@
 export * from './MemoryRecordStore.ts'
+export * from './MemoryWorker.ts'
 export * from './MemoryWorkers.ts'
 export * from './MemoryInventory.ts'
 export * from './InvariantChecker.ts'
