--- a/packages/jobs/src/owner/IncarnationRecord.ts
+++ b/packages/jobs/src/owner/IncarnationRecord.ts
@@ -36,12 +36,20 @@
 
   /** Returns the row to write with the next commit, if a worker has told another start. */
   takeWrites (): Commit['puts'] {
-    const starts = new Map<string, number>()
+    if (!this.#hasChanged()) return []
+    const starts = [...this.#cell.workers.values()]
+      .flatMap(({ id, startedAt }): Array<[string, number]> => startedAt === undefined ? [] : [[id, startedAt]])
+      .slice(0, MAX_WORKERS)
+    this.#stored = new Map(starts)
+    return this.#row.toWrites(starts)
+  }
+
+  #hasChanged (): boolean {
+    const isFull = this.#stored.size >= MAX_WORKERS
     for (const { id, startedAt } of this.#cell.workers.values()) {
-      if (startedAt !== undefined && starts.size < MAX_WORKERS) starts.set(id, startedAt)
+      if (startedAt === undefined || (isFull && !this.#stored.has(id))) continue
+      if (this.#stored.get(id) !== startedAt) return true
     }
-    if ([...starts].every(([id, startedAt]) => this.#stored.get(id) === startedAt)) return []
-    this.#stored = starts
-    return this.#row.toWrites([...starts])
+    return false
   }
 }
