--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -25,6 +25,8 @@
 export class MemoryWorkers implements WorkerRegistry, WorkerConnector {
   readonly workers = new Map<string, MemoryWorker>()
   readonly checker = new InvariantChecker()
+  /** Called with the fencing token of each call that is sent to a worker. */
+  onCall: (token: number) => void = () => {}
   readonly #gangs = new Gangs()
   readonly #planRunEnds = new Map<string, PlanRunEnd>()
   readonly #unlisted = new Set<string>()
@@ -173,6 +175,7 @@
     act: (worker: MemoryWorker) => Outcome<Value> | Promise<Outcome<Value>>,
     { isBound = false, timeoutMs = ORDER_TIMEOUT_MS } = {}
   ): Promise<Outcome<Value>> {
+    this.#workers.onCall(token)
     await sleep(LATENCY_MS)
     const worker = this.#worker
     const isPresent = this.#address === undefined || worker.entry.address === this.#address
