--- a/packages/jobs/src/loadPatterns/restartedWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/restartedWorkers.test.ts
@@ -1,11 +1,10 @@
 import { expect } from 'chai'
 import type { Clock } from '@sinonjs/fake-timers'
 import { sleep } from '@gypsumspring/protocol'
-import type { MemoryCell, WorkerFault } from '../standins/index.ts'
-import { createQueue } from '../standins/index.ts'
+import { createQueue, type MemoryCell, type WorkerFault } from '../standins/index.ts'
 import type { Queue } from '../types.ts'
-import { DISTURBED, TASK, TASKS, countRunning, startLongRunningJob, startLongRunningTask } from './longRunningJob.ts'
 import { describeCells, fetchState, submitInBackground } from './describeCells.ts'
+import { DISTURBED, TASK, TASKS, countRunning, startLongRunningJob, startLongRunningTask } from './longRunningJob.ts'
 
 const WORKERS = 6
 const RESTARTED = ['w0', 'w1', 'w2']
@@ -48,7 +47,7 @@
 }
 
 /** Ends and restarts the workers while the clock is advanced. */
-async function restartWorkers (cell: MemoryCell, restart: Restart): Promise<void> {
+async function restartWorkers (cell: MemoryCell, restart: Omit<Restart, 'name'>): Promise<void> {
   const { downMs, clockStepMs = 0, orderFault, ownerEndsAfterMs } = restart
   if (orderFault !== undefined) disturbOrders(cell, orderFault)
   await sleep(1_500)
@@ -98,7 +97,7 @@
     name: 'are requested anew',
     options: { workers: WORKERS },
     run: async (cell, clock) => {
-      const restarted = restartWorkers(cell, { name: '', downMs: [100] })
+      const restarted = restartWorkers(cell, { downMs: [100] })
       // Steps that wait for room keep their tickets.
       submitInBackground(cell, 'f'.repeat(16), [{ count: 200, estimatedRunMs: 700 }], createQueue('batch', { advice: ADVICE }))
       await submitJobs(cell, clock, createQueue('batch', { advice: ADVICE }))
