Forget the advice about a worker on each way in which it ends

A worker that was removed and started again under its id later got no tasks of steps whose policy had excluded the incarnation before, for good.

Cause: a restart and a removal end an incarnation with the same steps, but each had its own copy of them, and only the one for restarts forgot what the policy service had answered. Both use one method now.

The new case of restartedWorkers.test.ts failed before. The stand-in lists a worker again that has started after it had left the registry.

--- a/packages/jobs/src/loadPatterns/restartedWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/restartedWorkers.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import type { Clock } from '@sinonjs/fake-timers'
-import { sleep } from '@gypsumspring/protocol'
-import { createQueue, type MemoryCell, type WorkerFault } from '../standins/index.ts'
+import { done, sleep } from '@gypsumspring/protocol'
+import { createQueue, createTicket, type MemoryCell, type WorkerFault } from '../standins/index.ts'
 import type { Queue } from '../types.ts'
 import { describeCells, fetchState, submitInBackground } from './describeCells.ts'
 import { DISTURBED, TASK, TASKS, countRunning, startLongRunningJob, startLongRunningTask } from './longRunningJob.ts'
@@ -91,6 +91,8 @@
 
 const ADVICE = { decisionMs: 15, perWorkerMs: 1, validMs: 2_000 }
 
+const policy = { allows: true }
+
 describeCells('Tickets for a worker that has started again under its id', [
   {
     // Starts with tickets for the incarnation before were refused, and their tasks waited for another placement.
@@ -108,6 +110,39 @@
   }
 ])
 
+/** Time after which a worker that has left the registry is removed, in ms. */
+const REMOVED_MS = 4_000
+
+describeCells('A worker that starts again under its id after it was removed', [
+  {
+    // What the policy had answered about the incarnation before kept tasks off the worker for good.
+    name: 'is named to the policy service again',
+    options: {
+      workers: 1,
+      createAdviser: () => ({
+        advise: async (_step, workers) => done({
+          tickets: workers.filter(() => policy.allows).map((id) => [id, createTicket(ADVICE.validMs)])
+        })
+      })
+    },
+    run: async (cell, clock) => {
+      policy.allows = false
+      submitInBackground(cell, toJobId(1), [{ estimatedRunMs: 300 }], createQueue('batch', { advice: ADVICE }))
+      await clock.tickAsync(1_000)
+      cell.workers.workers.get('w0')!.crash()
+      cell.workers.unlist('w0')
+      await clock.tickAsync(REMOVED_MS)
+      // Its start tells the owner to store the incarnations anew, without the one that has left.
+      cell.addWorker('other', { pool: 'other' })
+      await clock.tickAsync(1_000)
+      policy.allows = true
+      cell.restartWorker('w0')
+      await clock.tickAsync(3_000)
+      expect(cell.checker.isDone(`${toJobId(1)}.0.0.0`)).to.equal(true)
+    }
+  }
+])
+
 /** Longest lease that the workers grant, in ms; longer than those that the owner asks for. */
 const LEASE_LIMIT_MS = 10_000
 
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -141,7 +141,7 @@
 
   /** Replaces a worker by its next incarnation, which knows nothing of it and has shown itself with a report. */
   #handleRestart (worker: WorkerState, report: WorkerReport): void {
-    const { cell, tracker, drains } = this.#dependencies
+    const { cell, tracker } = this.#dependencies
     if (cell.workers.get(worker.id) !== worker) return
     const { entry, unlistedSince, startedAt: previousStartedAt, storedEndSequence, processedEndSequence } = worker
     cell.metrics.count('workers_restarted')
@@ -158,12 +158,7 @@
       running: report.running.length
     }, 'worker has started again under its id')
     tracker.requeueUnbegun(worker)
-    this.#handleLoss(worker, 'started again', true)
-    this.#closeSession(worker)
-    drains.remove(worker.id)
-    for (const job of cell.active) {
-      for (const steps of job.occurrences.values()) for (const { advice } of steps) advice.forget(worker.id)
-    }
+    this.#end(worker, 'started again')
     const next = this.#createState(entry, performance.now() + toLongestLeaseMs(this.#context.leaseMs))
     next.startedAt = report.startedAt
     cell.workers.set(worker.id, next)
@@ -252,21 +247,25 @@
   }
 
   #remove (worker: WorkerState, reason: string): void {
-    const { cell, drains } = this.#dependencies
+    const { cell } = this.#dependencies
     if (cell.workers.get(worker.id) !== worker) return
-    this.#handleLoss(worker, reason, true)
-    this.#closeSession(worker)
+    this.#end(worker, reason)
     cell.workers.delete(worker.id)
-    drains.remove(worker.id)
     cell.log.info({ worker: worker.id, reason }, 'worker removed')
   }
 
-  /** Ends the contact with an incarnation of a worker, and forgets how tasks fared on it. */
-  #closeSession ({ id }: WorkerState): void {
-    const { sessions, breaker } = this.#dependencies
+  /** Handles the end of an incarnation, and forgets what is known of it by its id, which may be used again. */
+  #end (worker: WorkerState, reason: string): void {
+    const { cell, sessions, breaker, drains } = this.#dependencies
+    const { id } = worker
+    this.#handleLoss(worker, reason, true)
     sessions.get(id)?.close()
     sessions.delete(id)
     breaker.remove(id)
+    drains.remove(id)
+    for (const job of cell.active) {
+      for (const steps of job.occurrences.values()) for (const { advice } of steps) advice.forget(id)
+    }
   }
 
   async #watchRegistry (from: number): Promise<void> {
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -53,6 +53,7 @@
     const worker = new MemoryWorker(entry, this.checker, this.#gangs, this.#planRunEnds.get(id)!, RESTARTED_CLOCK_MS)
     worker.leaseLimitMs = previous.leaseLimitMs
     this.workers.set(id, worker)
+    this.#unlisted.delete(id)
     this.#recordChange(id)
     return worker
   }
