--- a/packages/cli/src/traceJob/index.ts
+++ b/packages/cli/src/traceJob/index.ts
@@ -8,7 +8,8 @@
 
 /** Messages about a worker that may explain what happened to the tasks running there. */
 const WORKER_MESSAGES: ReadonlySet<string> = new Set([
-  'worker reachability changed', 'worker is draining', 'worker removed', 'tasks of a worker are lost'
+  'worker reachability changed', 'worker is draining', 'worker removed', 'worker has started again under its id',
+  'tasks of a worker are lost'
 ])
 
 /** Fields that are the same on every line or have a column of their own. */
--- a/packages/cli/src/traceJob/test.ts
+++ b/packages/cli/src/traceJob/test.ts
@@ -14,6 +14,8 @@
     line(1_060, 'node-1', 'tasks placed', { job: 'ffffffffffffffff', worker: 'w2', run: 1 }),
     line(1_500, 'node-1', 'worker reachability changed', { worker: 'w2', reachable: false }),
     line(1_600, 'node-1', 'worker reachability changed', { worker: 'w1', reachable: false }),
+    line(1_700, 'node-1', 'worker has started again under its id', { worker: 'w2', startedAt: 5 }),
+    line(1_800, 'node-1', 'worker has started again under its id', { worker: 'w1', startedAt: 6 }),
     line(2_000, 'node-2', 'took the cell over', { token: 2 }),
     line(9_000, 'node-2', 'took the cell over', { token: 3 }),
     'not a log line'
@@ -24,6 +26,7 @@
       '   0.000 s  node-1  job accepted',
       '   0.050 s  node-1  tasks placed  runs=[{"task":0,"run":1,"worker":"w1"}]',
       '   0.600 s  node-1  worker reachability changed  worker=w1  reachable=false',
+      '   0.800 s  node-1  worker has started again under its id  worker=w1  startedAt=6',
       '   1.000 s  node-2  took the cell over  token=2',
       '   1.400 s  node-2  run ended  worker=w1  how=done',
       "longest gap: 1.350 s from 0.050 s, between 'tasks placed' and 'run ended'"
