Name the worker of a crash by its id in the log

Since crashes belong to incarnations, the line of a suspect named the worker as ID@START, by which operators and gypsumctl trace don't find its other lines. The start has a field of its own now. The new case of CrashRecord.test.ts failed before.

--- a/packages/jobs/src/owner/CrashRecord.test.ts
+++ b/packages/jobs/src/owner/CrashRecord.test.ts
@@ -17,10 +17,12 @@
   let cell: Cell
   let record: CrashRecord
   let tasks: TaskInstance[]
+  let warnings: Array<Record<string, unknown>>
 
   beforeEach(() => {
     clock = install({ now: 1_000 })
     clock.tick(20_000)
+    warnings = []
     cell = createCell()
     record = new CrashRecord(cell)
     const { job } = makeStep({ count: 3 })
@@ -31,7 +33,7 @@
 
   function createCell (): Cell {
     const metrics = { count: () => {}, recordDuration: () => {}, set: () => {} }
-    const log = { info: () => {}, warn: () => {} }
+    const log = { info: () => {}, warn: (fields: Record<string, unknown>) => { warnings.push(fields) } }
     return new Cell(() => undefined, log, metrics, { onChange: () => {}, onDirty: () => {} })
   }
 
@@ -159,6 +161,14 @@
     expect(record.isSuspect(tasks[first]!)).to.equal(false)
   })
 
+  // Lines about a worker are found by its id.
+  it('names the worker of a crash by its id, and its incarnation by its start', () => {
+    const worker = addWorker('w0')
+    worker.startedAt = 5
+    crash(tasks[first]!, worker)
+    expect(warnings.map((fields) => [fields.worker, fields.startedAt])).to.deep.equal([['w0', 5]])
+  })
+
   it('withdraws what it has counted when the worker answers again', () => {
     const worker = addWorker('w0')
     crash(tasks[first]!, worker)
--- a/packages/jobs/src/owner/CrashRecord.ts
+++ b/packages/jobs/src/owner/CrashRecord.ts
@@ -164,26 +164,35 @@
     this.#isolated.delete(worker.id)
     this.#cell.metrics.count('worker_crashes', { cause: unexplainedLosses > 0 ? 'common' : 'single' })
     return tasks.filter((task, index) =>
-      this.#add(task, worker.incarnation, evidence[index], { ageMs: runs[index]!.ageMs, unexplainedLosses }))
+      this.#add(task, worker, evidence[index], { ageMs: runs[index]!.ageMs, unexplainedLosses }))
   }
 
   /** Adds evidence against a task. Returns whether the task is to be given up. */
   #add (
-    task: TaskInstance, worker: string, evidence: CrashEvidence | undefined, fields: Record<string, unknown>
+    task: TaskInstance, worker: WorkerState, evidence: CrashEvidence | undefined, fields: Record<string, unknown>
   ): boolean {
     if (evidence === undefined) {
       if (Number(fields.ageMs) > SURVIVAL_MS) this.clear(task)
       return false
     }
-    const crashes = [...this.#crashes.get(task) ?? [], { worker, evidence }]
+    const crashes = [...this.#crashes.get(task) ?? [], { worker: worker.incarnation, evidence }]
     this.#crashes.set(task, crashes)
     this.#isChanged = true
     this.#cell.metrics.count('task_crashes', { evidence })
     if (this.isSuspect(task)) {
       const { step, index, run } = task
       const ageMs = fields.ageMs === undefined ? undefined : Math.round(Number(fields.ageMs))
+      const { id, startedAt } = worker
       this.#cell.log.warn({
-        job: step.job.id, task: `${step.name}.${index}`, run, worker, crashes: crashes.length, evidence, ...fields, ageMs
+        job: step.job.id,
+        task: `${step.name}.${index}`,
+        run,
+        worker: id,
+        startedAt,
+        crashes: crashes.length,
+        evidence,
+        ...fields,
+        ageMs
       }, 'task may have crashed its worker')
     }
     return isCrashCause(crashes.map((crash) => crash.evidence))
