Leave starts that were not sent out of all evidence about crashes

Only the handling of a restart kept tasks apart whose start orders had not reached the worker. On the other ways in which a worker ends they were suspected as before. The evidence now decides by the task itself, and the method for restarts goes.

--- a/packages/jobs/src/owner/CrashRecord.test.ts
+++ b/packages/jobs/src/owner/CrashRecord.test.ts
@@ -47,6 +47,7 @@
     cell.assign(task, worker, task.run + 1)
     record.recordStart(task, worker)
     task.orderSent = true
+    task.mayHaveBegun = true
     task.orderedAt = performance.now()
     task.status = 'running'
     task.startedAt = performance.now()
@@ -94,6 +95,16 @@
     expect(record.mayStart(tasks[second]!, idle, performance.now())).to.equal(true)
   })
 
+  // An order that was held back until a connection led to the worker made its task a suspect.
+  it('suspects no task whose start order has not reached the worker', () => {
+    const worker = addWorker('w0')
+    start(tasks[first]!, worker)
+    tasks[first]!.mayHaveBegun = false
+    worker.reachable = false
+    record.recordCrash(worker, true)
+    expect(record.isSuspect(tasks[first]!)).to.equal(false)
+  })
+
   it('prefers workers with few tasks for suspects only', () => {
     crash(tasks[first]!, addWorker('w0'))
     const worker = addWorker('w1')
--- a/packages/jobs/src/owner/CrashRecord.ts
+++ b/packages/jobs/src/owner/CrashRecord.ts
@@ -157,7 +157,8 @@
     const loss = this.#losses.get(worker.incarnation) ?? this.#toLoss(worker)
     // When a worker was lost that never answered this owner is not known.
     if (worker.hasAnswered) this.#losses.set(worker.incarnation, loss)
-    const tasks = [...worker.tasks].filter(({ orderSent, step: { job } }) => orderSent && !job.isOver && !job.cancelled)
+    const tasks = [...worker.tasks].filter(({ mayHaveBegun, step: { job } }) =>
+      mayHaveBegun && !job.isOver && !job.cancelled)
     const unexplainedLosses = this.#countUnexplained(worker, loss.at)
     const runs = tasks.map((task) => this.#toAffectedRun(task, worker.id, loss.at))
     const evidence = classifyCrash(runs, { unexplainedLosses, workers: this.#cell.workers.size, isCertain })
@@ -209,6 +210,7 @@
   #toLoss (worker: WorkerState): { at: number, isExplained: boolean } {
     const at = worker.unreachableSince ?? this.#cell.now()
     const isExplained = [...worker.tasks].some((task) => {
+      if (!task.mayHaveBegun) return false
       const { ageMs } = this.#toAffectedRun(task, worker.id, at)
       // Suspects whose workers are lost at the same moment must not hide each other.
       const explainedMs = this.isSuspect(task) ? SURVIVAL_MS : EXPLAINED_MS
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -148,11 +148,6 @@
     this.requeueLostTasks(worker, reason)
   }
 
-  /** Requeues the tasks of a worker whose start orders have not reached it, and which can't have to do with its end. */
-  requeueUnbegun (worker: WorkerState): void {
-    for (const task of [...worker.tasks]) if (!task.mayHaveBegun) this.#cell.requeue(task)
-  }
-
   /** Requeues all tasks of a worker on which nothing runs any more. `reason` is also a label of a metric. */
   requeueLostTasks (worker: WorkerState, reason: string): void {
     if (worker.tasks.size === 0) return
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -141,7 +141,7 @@
 
   /** Replaces a worker by its next incarnation, which knows nothing of it and has shown itself with a report. */
   #handleRestart (worker: WorkerState, report: WorkerReport): void {
-    const { cell, tracker } = this.#dependencies
+    const { cell } = this.#dependencies
     if (cell.workers.get(worker.id) !== worker) return
     const { entry, unlistedSince, startedAt: previousStartedAt, storedEndSequence, processedEndSequence } = worker
     cell.metrics.count('workers_restarted')
@@ -157,7 +157,6 @@
       listedEnds: report.ended.map(({ sequence }) => sequence),
       running: report.running.length
     }, 'worker has started again under its id')
-    tracker.requeueUnbegun(worker)
     this.#end(worker, 'started again')
     const next = this.#createState(entry, performance.now() + toLongestLeaseMs(this.#context.leaseMs))
     next.startedAt = report.startedAt
