Name polls that identify a worker as such

Not only the first poll neither acknowledges ends nor renews leases, but each one after which the incarnation is not known to be the same. An id no longer names an incarnation, as a comment still said. No behaviour changes.

--- a/packages/jobs/src/model/TrackedJob.ts
+++ b/packages/jobs/src/model/TrackedJob.ts
@@ -19,7 +19,7 @@
   /** Number of the current or latest run; 0 before the first. */
   run = 0
   failures = 0
-  /** Id of the worker incarnation that executes the run or may execute it. */
+  /** Id of the worker that executes the run or may execute it. */
   worker: string | undefined
   checkpoint = ''
   /**
--- a/packages/jobs/src/owner/WorkerSession.ts
+++ b/packages/jobs/src/owner/WorkerSession.ts
@@ -64,24 +64,24 @@
   async run (): Promise<void> {
     while (!this.#closed) {
       const sentAt = performance.now()
-      const isFirst = this.#clockReading === undefined || !this.state.reachable || !this.#isConnected
+      // Shows which incarnation answers, and may therefore neither acknowledge ends nor renew leases.
+      const isIdentifying = this.#clockReading === undefined || !this.state.reachable || !this.#isConnected
       const outcome = await this.#client.poll({
         token: this.#context.token,
-        // Another incarnation may answer, which numbers its ends anew.
-        acknowledged: isFirst ? 0 : this.state.storedEndSequence,
+        acknowledged: isIdentifying ? 0 : this.state.storedEndSequence,
         // While the worker doesn't answer, leases are not renewed, so that its tasks count as lost after a known time.
-        leaseUntil: isFirst ? undefined : this.#renewLease(),
-        waitMs: isFirst || this.state.storedEndSequence < this.state.processedEndSequence ? 0 : this.#pollWaitMs
+        leaseUntil: isIdentifying ? undefined : this.#renewLease(),
+        waitMs: isIdentifying || this.state.storedEndSequence < this.state.processedEndSequence ? 0 : this.#pollWaitMs
       })
       if (this.#closed) return
-      this.#isConnected = isFirst || !isUnconnected(outcome)
+      this.#isConnected = isIdentifying || !isUnconnected(outcome)
       if (!this.#isConnected) continue
       // Polls of a worker that does not answer at all say nothing about single lost answers.
       if (this.state.reachable) this.#context.answerLoss.record(failureOf(outcome)?.certainty === 'unknown')
       const report = valueOf(outcome)
       if (report === undefined || !this.#tellsIncarnation(report)) await this.#handleFailure(outcome)
       else if (this.#isRestarted(report)) this.#context.onRestart(this.state, report)
-      else await this.#handleReport(report, sentAt, isFirst)
+      else await this.#handleReport(report, sentAt, isIdentifying)
     }
   }
 
@@ -171,7 +171,7 @@
     return this.state.startedAt !== undefined && this.state.startedAt !== startedAt
   }
 
-  async #handleReport (report: WorkerReport, sentAt: number, isFirst: boolean): Promise<void> {
+  async #handleReport (report: WorkerReport, sentAt: number, isIdentifying: boolean): Promise<void> {
     const now = performance.now()
     this.state.startedAt = report.startedAt
     this.#clockReading = { workerMs: report.clockMs, at: now }
@@ -184,7 +184,7 @@
     this.#context.onReport(this.state, report, sentAt)
     if (!wasReachable) this.#context.onReachabilityChange(this.state)
     const { storedEndSequence, processedEndSequence } = this.state
-    if (!isFirst && storedEndSequence < processedEndSequence) await this.#context.waitUntilStored(this.state)
+    if (!isIdentifying && storedEndSequence < processedEndSequence) await this.#context.waitUntilStored(this.state)
   }
 
   async #handleFailure (outcome: Outcome<WorkerReport>): Promise<void> {
