--- a/review/standins/cell.mjs
+++ b/review/standins/cell.mjs
@@ -101,7 +101,7 @@
     for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => process.exit(2))
   }
 
-  async start ({ nodes = 3, servers = 6, capacity = { cpu: 32_000, mem_mb: 65_536, gpu: 0 }, plan, route = {} }) {
+  async start ({ nodes = 3, servers = 6, capacity = { cpu: 32_000, mem_mb: 65_536, gpu: 0 }, plan, route = {}, kinds = () => 'a' }) {
     this.network = await chooseNetwork()
     const address = (last) => `${this.network}.${last}`
     await this.store.start(address(100))
@@ -112,7 +112,7 @@
         service: 'service-a',
         zone: ZONES[index % ZONES.length],
         capacity,
-        labels: ['a', `r${Math.floor(index / 8)}-1`],
+        labels: [kinds(index), `r${Math.floor(index / 8)}-1`],
         log: (event) => this.record.add(event),
         plan
       })
--- a/review/standins/platform.mjs
+++ b/review/standins/platform.mjs
@@ -159,6 +159,8 @@
   #http
   #beat
   isCut = false
+  /** While set, the server fails all that it runs and starts, after this time in ms; it still answers and registers. */
+  #failAfterMs
   /** While set, starts get this status, as from an unhealthy server, which has then done nothing. */
   refuseStartsWith
 
@@ -210,6 +212,23 @@
     this.#heldSockets.clear()
   }
 
+  /** Makes the server fail all that it runs now and starts from now on. */
+  failAll (afterMs) {
+    this.log({ event: 'fails all', server: this.id })
+    this.#failAfterMs = afterMs
+    for (const state of [...this.running.values()]) this.#plan(state, { afterMs, how: 'failed' })
+  }
+
+  recover () {
+    this.log({ event: 'recovered', server: this.id })
+    this.#failAfterMs = undefined
+  }
+
+  #plan (state, { afterMs, how }) {
+    clearTimeout(state.timer)
+    state.timer = setTimeout(() => this.#end(state, how), afterMs)
+  }
+
   async #handle (request, response) {
     const body = await readJson(request)
     if (this.isCut) {
@@ -283,9 +302,9 @@
     if (run <= (this.#highestRun.get(task) ?? 0)) return answer(409, { reason: 'old' })
     if (until <= this.clockMs) return answer(409, { reason: 'late' })
     this.#highestRun.set(task, run)
-    const { afterMs, how } = this.plan(task, run)
     const state = { task, run, checkpoint, cpu: 0 }
-    state.timer = setTimeout(() => this.#end(state, how), afterMs)
+    const failure = this.#failAfterMs === undefined ? undefined : { afterMs: this.#failAfterMs, how: 'failed' }
+    this.#plan(state, failure ?? this.plan(task, run))
     this.running.set(task, state)
     this.log({ event: 'start', server: this.id, task, run, spec, checkpoint })
     answer(200)
