--- a/review/standins/platform.mjs
+++ b/review/standins/platform.mjs
@@ -15,10 +15,10 @@
   return text === '' ? {} : JSON.parse(text)
 }
 
-function listen (handler, ip) {
+function listen (handler, ip, port = 0) {
   const server = createServer(handler)
   server.keepAliveTimeout = 60_000
-  return new Promise((resolve) => server.listen(0, ip, () => resolve(server)))
+  return new Promise((resolve, reject) => server.once('error', reject).listen(port, ip, () => resolve(server)))
 }
 
 /** The platform's store of rows. A transaction takes `txMs`, and each part executes its transactions one by one. */
@@ -175,13 +175,22 @@
 
   get clockMs () { return Math.round(now()) }
 
-  async start (ip) {
-    this.#http = await listen((request, response) => this.#handle(request, response), ip)
+  /** Serves and registers. A later incarnation on the same machine takes the address of the one before. */
+  async start (ip, port) {
+    this.#http = await listen((request, response) => this.#handle(request, response), ip, port)
     this.address = `${ip}:${this.#http.address().port}`
     this.#register()
     this.#beat = setInterval(() => this.#register(), 1_500)
   }
 
+  /** Crashes: nothing runs or is answered any more. The entry lapses after three heartbeats of silence. */
+  crash () {
+    this.log({ event: 'crash', server: this.id, running: this.running.size })
+    this.stop()
+    this.running.clear()
+    setTimeout(() => this.store.drop('servers', this.id), 4_500)
+  }
+
   stop () {
     clearInterval(this.#beat)
     clearTimeout(this.leaseTimer)
