--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -15,7 +15,8 @@
   const job = { spec: 'text', steps: [{ count: TASKS_PER_JOB, cpu: 40, mem_mb: 80, est_runtime_ms: 3_000 }] }
   await Promise.all(ids.map((id) => cell.submit(id, job)))
   const findFullest = () => cell.servers.reduce((a, b) => b.running.size > a.running.size ? b : a)
-  for (let waited = 0; findFullest().running.size < JOBS * TASKS_PER_JOB && waited < 1_500; waited += 20) await sleep(20)
+  const isFull = () => findFullest().running.size === JOBS * TASKS_PER_JOB
+  for (let waited = 0; !isFull() && waited < 1_500; waited += 20) await sleep(20)
   const server = findFullest()
   record.add({ event: 'fullest', server: server.id, running: server.running.size })
   if (hasTrouble) {
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -30,8 +30,8 @@
   const lastRun = new Map(names.map((name) => [name, performance.now()]))
   const missingSince = new Map()
   const broken = new Map()
-  // LOST holds for each task that lasts from 6 s after its last run, if it has nothing running for 3 s, and these 3 s and
-  // the 4 s before them are calm. There is capacity for it twice over: see `hasRoom`.
+  // LOST holds for each task that lasts from 6 s after its last run, if it has nothing running for 3 s, and these 3 s
+  // and the 4 s before them are calm. There is capacity for it twice over: see `hasRoom`.
   while (performance.now() - calmSince < 40_000) {
     await sleep(50)
     const now = performance.now()
--- a/review/standins/cell.mjs
+++ b/review/standins/cell.mjs
@@ -122,8 +122,15 @@
     this.store.put('op', 'config', {
       version: 1,
       routes: [{
-        name: 'queue', host: HOST, path_prefix: PREFIX, service: 'service-a', priority: 0, max_attempts: 3,
-        stretch: 2, target_latency_ms: 500, ...route
+        name: 'queue',
+        host: HOST,
+        path_prefix: PREFIX,
+        service: 'service-a',
+        priority: 0,
+        max_attempts: 3,
+        stretch: 2,
+        target_latency_ms: 500,
+        ...route
       }],
       services: [{ name: 'service-a' }],
       limits: { max_body_bytes: 262_144 }
@@ -136,8 +143,12 @@
       const name = `front-${ZONES[index % ZONES.length]}-${index + 1}`
       const path = join(this.#directory, `${name}.toml`)
       writeFileSync(path, toSettings({
-        name, ip, zone: ZONES[index % ZONES.length], ports,
-        seeds: addresses.slice(0, 3).map((seed) => `${seed}:${ports.control}`), store: this.store.address
+        name,
+        ip,
+        zone: ZONES[index % ZONES.length],
+        ports,
+        seeds: addresses.slice(0, 3).map((seed) => `${seed}:${ports.control}`),
+        store: this.store.address
       }))
       const node = new Node(name, ip, path, this.record)
       this.nodes.push(node)
@@ -231,7 +242,8 @@
   return new Promise((resolve) => {
     const text = body === undefined ? undefined : JSON.stringify(body)
     const headers = {
-      host: HOST, 'x-gypsumspring-deadline-ms': String(timeoutMs),
+      host: HOST,
+      'x-gypsumspring-deadline-ms': String(timeoutMs),
       ...text === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) }
     }
     const outgoing = request(url, { method, headers, agent: false, timeout: timeoutMs }, (response) => {
--- a/review/standins/platform.mjs
+++ b/review/standins/platform.mjs
@@ -202,8 +202,15 @@
   #register () {
     this.beats++
     this.store.put('servers', this.id, {
-      service: this.service, address: this.address, zone: this.zone, version: '1', slots: 8, state: 'ready',
-      sequence: this.beats, capacity: this.capacity, labels: this.labels
+      service: this.service,
+      address: this.address,
+      zone: this.zone,
+      version: '1',
+      slots: 8,
+      state: 'ready',
+      sequence: this.beats,
+      capacity: this.capacity,
+      labels: this.labels
     })
   }
 
@@ -284,7 +291,8 @@
         this.#waiters.add(wake)
       })
     }
-    const running = [...this.running.values()].map(({ task, run, checkpoint, cpu }) => [task, run, checkpoint, 100, cpu])
+    const running = [...this.running.values()].map(({ task, run, checkpoint, cpu }) =>
+      [task, run, checkpoint, 100, cpu])
     answer(200, { running, ended: this.ended.slice(0, ENDS_PER_ANSWER) })
   }
 
