--- a/review/standins/platform.mjs
+++ b/review/standins/platform.mjs
@@ -186,6 +186,7 @@
   /** Crashes: nothing runs or is answered any more. The entry lapses after three heartbeats of silence. */
   crash () {
     this.log({ event: 'crash', server: this.id, running: this.running.size })
+    this.isCrashed = true
     this.stop()
     this.running.clear()
     setTimeout(() => this.store.drop('servers', this.id), 4_500)
