Take no run for missing while its worker may have more ends to list

Cause: a worker lists 500 ends in one answer, and the others once these are acknowledged. Each list was taken for complete, so that a run that was neither running nor among the listed ends counted as missing and was placed again. When the next answer listed its end, the task had a later run.

Evidence: "run is not on its worker" names 500 as the last end for all these tasks. A simulated worker that lists 500 ends shows the same. Ruled out: an expired lease, a restarted worker and a change of the owner.

A report now tells whether more ends may follow, and then shows no run as missing; the rest of the list follows when the first ends are stored. The simulated worker, and with it the emulator of the soak, listed all ends at once, so that no test could see the fault. It lists 500 at a time now.

--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -59,8 +59,10 @@
     const present = new Set<TaskInstance>()
     for (const running of report.running) this.#handleRunning(worker, running, present)
     this.#setUnownedRuns(worker, present.size < report.running.length)
-    for (const task of [...worker.tasks]) {
-      if (!present.has(task) && isExpectedInReport(task, sentAt)) this.#handleMissingRun(worker, task)
+    if (!report.hasMoreEnds) {
+      for (const task of [...worker.tasks]) {
+        if (!present.has(task) && isExpectedInReport(task, sentAt)) this.#handleMissingRun(worker, task)
+      }
     }
     this.#pacer.adjust(worker, report.running)
     this.#cell.metrics.recordDuration('report_time', performance.now() - receivedAt)
@@ -330,7 +332,7 @@
   }
 }
 
-/** Whether a run, if it still exists, must be in the report that was requested at `sentAt`. */
+/** Whether a run, if it still exists, must be in the report that was requested at `sentAt`, unless it lacks ends. */
 function isExpectedInReport (task: TaskInstance, sentAt: number): boolean {
   return (task.status === 'running' || task.status === 'stopping' || task.inherited) && task.startedAt < sentAt
 }
--- a/packages/jobs/src/standins/MemoryWorker.ts
+++ b/packages/jobs/src/standins/MemoryWorker.ts
@@ -74,6 +74,9 @@
 /** Longest lease that workers grant, in ms; as long as the nodes of `MemoryCell` assume it to be. */
 export const LEASE_LIMIT_MS = 6_000
 
+/** Most ends that a worker lists in one report, as on the platform; the others follow once these are acknowledged. */
+const MAX_LISTED_ENDS = 500
+
 /** One simulated incarnation of a worker with leases, fencing and a list of ended runs. */
 export class MemoryWorker {
   entry: WorkerEntry
@@ -225,7 +228,9 @@
       percent,
       usage: this.usage(key)
     }))
-    return { clockMs: this.clockMs, startedAt: this.entry.startedAt, running, ended: [...this.ended] }
+    const ended = this.ended.slice(0, MAX_LISTED_ENDS)
+    const hasMoreEnds = this.ended.length > ended.length
+    return { clockMs: this.clockMs, startedAt: this.entry.startedAt, running, ended, hasMoreEnds }
   }
 
   #end (run: SimulatedRun, reason: RunEndReason): void {
--- a/packages/jobs/src/types.ts
+++ b/packages/jobs/src/types.ts
@@ -177,6 +177,11 @@
   clockMs: number
   running: RunningTask[]
   ended: EndedRun[]
+  /**
+   * The worker may have more ends than it lists. They follow once the listed ones are acknowledged; until then a run
+   * that is not in the report may have ended.
+   */
+  hasMoreEnds: boolean
 }
 
 /** Order to a worker that concerns one run of a task. */
