Close the breaker of a worker when a long-running task lasts there

Cause: a breaker closed only when a run ended as done, which tasks that last never do. With such tasks only it stayed open, and all of them went through the path for tasks without a healthier worker, one a second for each worker.

Ruled out: room, the required label, and the workers on which a task has failed, forgotten after 2 s.

A long-running task counts as a success when it was started after the worker had begun to fail, and has lasted 2.5 s and 1 s longer than the runs that were started there and failed. Runs from before the failures don't count: a worker that refuses starts may go on with them.

--- a/packages/jobs/src/loadPatterns/failingWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/failingWorkers.test.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '@sinonjs/fake-timers'
 import type { MemoryCell, MemoryNode, PlanRunEnd } from '../standins/index.ts'
 import { describeCells, submitInBackground } from './describeCells.ts'
-import { putControlRow } from './owners.ts'
+import { handOver, putControlRow } from './owners.ts'
 
 /** Worker on which runs fail. */
 const FAILING = 'w0'
@@ -112,3 +112,132 @@
     }
   }
 ])
+
+/** Long-running tasks of each of two jobs. */
+const LASTING_TASKS = 20
+
+/** Time after a disturbance by which long-running tasks have to run again, in ms. */
+const RETURN_MS = 7_000
+
+/** Label of the failing worker, which the long-running tasks require. */
+const LABEL = 'b'
+
+/** A worker that fails its long-running tasks for a while, some time after they start. */
+class FailingLongRunningTasks {
+  readonly failAfterMs: number
+  /** Monotonic times between which the worker fails what it runs and starts, in ms. */
+  readonly failsFrom: number
+  readonly failsUntil: number
+  starts = 0
+
+  constructor (failAfterMs: number, failsForMs: number) {
+    this.failAfterMs = failAfterMs
+    this.failsFrom = 5_000
+    this.failsUntil = this.failsFrom + failsForMs
+  }
+
+  readonly planRunEnd: PlanRunEnd = (_key, _run, worker) => {
+    const now = performance.now()
+    if (worker !== FAILING || now >= this.failsUntil) return undefined
+    this.starts++
+    return { reason: 'failed', afterMs: Math.max(0, this.failsFrom - now) + this.failAfterMs }
+  }
+
+  /** Starts the tasks and waits until the worker begins to fail. */
+  async start (cell: MemoryCell, clock: Clock): Promise<void> {
+    const demand = { cpuMillis: 500, memoryMb: 512, accelerators: 0 }
+    for (const id of ['00000000000000b1', '00000000000000b2']) {
+      submitInBackground(cell, id, [{ count: LASTING_TASKS, demand, longRunning: true, requiredLabel: LABEL }])
+    }
+    await clock.tickAsync(this.failsFrom - performance.now())
+    expect(countRuns(cell)).to.equal(2 * LASTING_TASKS)
+  }
+}
+
+function countRuns (cell: MemoryCell): number {
+  return cell.workers.workers.get(FAILING)!.runs.size
+}
+
+/** Adds a worker with the required label before any job is submitted. */
+function labelWorker (cell: MemoryCell): void {
+  cell.workers.update(FAILING, { labels: [LABEL, 'r1'] })
+}
+
+const returning = new FailingLongRunningTasks(300, 6_500)
+const inherited = new FailingLongRunningTasks(300, 6_500)
+const failing2s = new FailingLongRunningTasks(2_000, 60_000)
+const failing4s = new FailingLongRunningTasks(4_000, 120_000)
+
+const LONG_RUNNING_OPTIONS = {
+  nodes: 5, workers: 3, capacity: { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 0 }
+}
+
+describeCells('Workers on which all long-running tasks fail', [
+  {
+    // No run that lasts ever ended with success, so that the breaker stayed open and let one task start each second.
+    name: 'get all of them back soon after they work again',
+    options: { ...LONG_RUNNING_OPTIONS, planRunEnd: returning.planRunEnd },
+    run: async (cell, clock) => {
+      labelWorker(cell)
+      await returning.start(cell, clock)
+      await clock.tickAsync(returning.failsUntil + RETURN_MS - performance.now())
+      expect(countRuns(cell)).to.equal(2 * LASTING_TASKS)
+    }
+  },
+  {
+    name: 'get all of them back soon after they work again, although the owner changes meanwhile',
+    options: { ...LONG_RUNNING_OPTIONS, planRunEnd: inherited.planRunEnd },
+    run: async (cell, clock) => {
+      labelWorker(cell)
+      await inherited.start(cell, clock)
+      await clock.tickAsync(inherited.failsUntil - performance.now())
+      await handOver(cell, clock)
+      await clock.tickAsync(inherited.failsUntil + RETURN_MS - performance.now())
+      expect(countRuns(cell)).to.equal(2 * LASTING_TASKS)
+    }
+  },
+  {
+    // A breaker that closes with each start would let all tasks start again and again.
+    name: 'get no more than one start a second while they fail 2 s after each start',
+    options: { ...LONG_RUNNING_OPTIONS, planRunEnd: failing2s.planRunEnd },
+    run: async (cell, clock) => {
+      labelWorker(cell)
+      await failing2s.start(cell, clock)
+      const startsBefore = failing2s.starts
+      await clock.tickAsync(30_000)
+      expect(failing2s.starts - startsBefore).to.be.within(1, 30)
+    }
+  },
+  {
+    // The first run that fails so late is taken for a healthy one; those after it show how long runs have to last.
+    name: 'are taken for healthy only once while they fail 4 s after each start',
+    options: { ...LONG_RUNNING_OPTIONS, planRunEnd: failing4s.planRunEnd },
+    run: async (cell, clock) => {
+      labelWorker(cell)
+      await failing4s.start(cell, clock)
+      const startsBefore = failing4s.starts
+      await clock.tickAsync(60_000)
+      expect(failing4s.starts - startsBefore).to.be.within(1, 60 + 2 * LASTING_TASKS)
+    }
+  },
+  {
+    // A run from before the failures doesn't show that the worker accepts starts again.
+    name: 'get only probes while they refuse all starts, although earlier runs last',
+    options: { ...LONG_RUNNING_OPTIONS, workers: 1, planRunEnd: () => undefined },
+    run: async (cell, clock) => {
+      submitInBackground(cell, '00000000000000c0', [{ count: 4, longRunning: true }])
+      await clock.tickAsync(2_000)
+      let refused = 0
+      cell.workers.workers.get(FAILING)!.fault = (call) => {
+        if (call !== 'start') return undefined
+        refused++
+        return 'unhealthy'
+      }
+      for (let index = 1; index <= 8; index++) submitJob(cell, index)
+      await clock.tickAsync(2_000)
+      const refusedBefore = refused
+      await clock.tickAsync(20_000)
+      expect(refused - refusedBefore).to.be.within(1, 20)
+    }
+  }
+])
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -59,6 +59,7 @@
     const present = new Set<TaskInstance>()
     for (const running of report.running) this.#handleRunning(worker, running, present)
     this.#setUnownedRuns(worker, present.size < report.running.length)
+    if (this.#breaker.recordRunning(worker.id, present, sentAt)) this.#cell.notifyChange()
     if (!report.hasMoreEnds) {
       for (const task of [...worker.tasks]) {
         if (!present.has(task) && isExpectedInReport(task, sentAt)) this.#handleMissingRun(worker, task)
--- a/packages/jobs/src/owner/WorkerCircuitBreaker.ts
+++ b/packages/jobs/src/owner/WorkerCircuitBreaker.ts
@@ -13,12 +13,31 @@
 /** Least time between two starts on a worker of tasks that have no healthier worker to go to, in ms. */
 const PROBE_INTERVAL_MS = 1_000
 
+/**
+ * Least time after which a long-running task that was started on a failing worker shows that the worker is healthy
+ * again, in ms. Failing workers usually end their runs within 2 s.
+ */
+const HEALTHY_RUN_MS = 2_500
+
+/** Time by which such a run must outlast those that were started on the failing worker and failed, in ms. */
+const HEALTHY_RUN_MARGIN_MS = 1_000
+
+/** Longest run that counts as failed because of its worker, in ms. Later failures have other causes. */
+const MAX_FAILING_RUN_MS = 5_000
+
 /** Stands for the jobs that failed under an earlier owner. */
 const UNKNOWN_JOB = ''
 
 interface BreakerState {
   /** Jobs whose tasks failed since the last success. */
   failedJobs: Set<string>
+  /**
+   * Monotonic time of the first failure since the last success, or of the one that opened the breaker, in ms; infinite
+   * after a run was done.
+   */
+  failingSince: number
+  /** Longest run that was started on the failing worker and failed, in ms; 0 if there was none since a run was done. */
+  longestFailedRunMs: number
   /** Monotonic time until which the worker gets no tasks, in ms. */
   openUntil: number
   /** Cooldown for the next time that the breaker opens, in ms. */
@@ -43,15 +62,19 @@
     const state = this.#getOrCreate(worker)
     if (state.probe === task) state.probe = undefined
     if (succeeded) {
-      this.#isChanged ||= state.tripped
-      state.failedJobs.clear()
-      state.tripped = false
-      state.openUntil = 0
-      state.cooldownMs = INITIAL_COOLDOWN_MS
+      this.#close(state)
+      state.failingSince = Infinity
+      state.longestFailedRunMs = 0
       return
     }
+    if (task.status === 'running' && wasStartedSince(task, state.failingSince)) {
+      const ranMs = now - task.startedAt
+      if (ranMs <= MAX_FAILING_RUN_MS) state.longestFailedRunMs = Math.max(state.longestFailedRunMs, ranMs)
+    }
+    if (state.failedJobs.size === 0) state.failingSince = now
     state.failedJobs.add(task.step.job.id)
     if (state.tripped || state.failedJobs.size >= FAILURE_THRESHOLD) {
+      if (!state.tripped) state.failingSince = now
       state.openUntil = now + state.cooldownMs
       state.cooldownMs = Math.min(MAX_COOLDOWN_MS, state.cooldownMs * 2)
       state.tripped = true
@@ -59,6 +82,26 @@
     }
   }
 
+  /**
+   * Records the tasks that a worker reports as running. A long-running task never ends with success; instead it counts
+   * as one when it was started after the worker had begun to fail, and has lasted.
+   *
+   * @param sentAt - Monotonic time of the request for the report, in ms.
+   * @returns Whether the worker has become healthy, so that it may get more tasks.
+   */
+  recordRunning (worker: string, tasks: Iterable<TaskInstance>, sentAt: number): boolean {
+    const state = this.#states.get(worker)
+    if (state === undefined || state.failedJobs.size === 0) return false
+    const healthyRunMs = Math.max(HEALTHY_RUN_MS, state.longestFailedRunMs + HEALTHY_RUN_MARGIN_MS)
+    for (const task of tasks) {
+      if (!task.step.spec.longRunning || !wasStartedSince(task, state.failingSince)) continue
+      if (sentAt - task.startedAt < healthyRunMs) continue
+      this.#close(state)
+      return true
+    }
+    return false
+  }
+
   /**
    * Restores the breaker of a worker that an earlier owner has found failing.
    *
@@ -68,6 +111,7 @@
   restore (worker: string, openUntil: number, cooldownMs: number): void {
     const state = this.#getOrCreate(worker)
     state.tripped = true
+    state.failingSince = performance.now()
     state.openUntil = Math.min(openUntil, performance.now() + MAX_COOLDOWN_MS)
     state.cooldownMs = Math.min(cooldownMs, MAX_COOLDOWN_MS)
     state.failedJobs.add(UNKNOWN_JOB)
@@ -132,11 +176,22 @@
     this.#states.delete(worker)
   }
 
+  #close (state: BreakerState): void {
+    this.#isChanged ||= state.tripped
+    state.failedJobs.clear()
+    state.tripped = false
+    state.probe = undefined
+    state.openUntil = 0
+    state.cooldownMs = INITIAL_COOLDOWN_MS
+  }
+
   #getOrCreate (worker: string): BreakerState {
     const existing = this.#states.get(worker)
     if (existing !== undefined) return existing
     const state: BreakerState = {
       failedJobs: new Set(),
+      failingSince: Infinity,
+      longestFailedRunMs: 0,
       openUntil: 0,
       cooldownMs: INITIAL_COOLDOWN_MS,
       tripped: false,
@@ -147,3 +202,8 @@
     return state
   }
 }
+
+/** Whether a run was ordered after a monotonic time in ms; not so if an earlier owner has ordered it. */
+function wasStartedSince ({ orderedAt }: TaskInstance, since: number): boolean {
+  return orderedAt !== undefined && orderedAt >= since
+}
