Let tasks that share a single crash with many others start together

Cause: a crash within a second after the orders makes suspects of all tasks of the round. Each suspect keeps its worker from others for 0.5 s, so that a worker takes two of them a second, however many there are. The wait of 1 s bounds only how long a suspect waits for others of its job.

Evidence: the tasks start at that rate on all workers as soon as the loss is noticed. Ruled out: room, the time until the loss is noticed, tickets and the circuit breaker.

Suspects of one crash that have waited 2 s may share the isolation of a worker if they are placed in the same round, where no other worker is left. Other tasks stay away from it as before. Suspects of two crashes start one by one, and a crash under several suspects isn't evidence for one of them alone, so that a task that crashes its workers is still found, and given up in time: the new test of one among 144 tasks passes before and after.

The other two cases of crashedWorkers.test.ts failed before: 68 of 144 tasks ran, and 12 if only the crashed worker may run them.

--- /dev/null
+++ b/packages/jobs/src/loadPatterns/crashedWorkers.test.ts
@@ -0,0 +1,112 @@
+import { expect } from 'chai'
+import type { Clock } from '@sinonjs/fake-timers'
+import type { MemoryCell, MemoryWorker, PlanRunEnd } from '../standins/index.ts'
+import type { Step } from '../types.ts'
+import { describeCells, fetchState, submitInBackground, type LoadCase } from './describeCells.ts'
+
+const JOBS = ['00000000000000d1', '00000000000000d2', '00000000000000d3', '00000000000000d4']
+const TASKS_PER_JOB = 36
+
+/** Time from the starts of the tasks to the crash of their worker, in ms. */
+const CRASH_MS = 300
+
+/** Time from a crash until the next incarnation answers at the worker's address, in ms. */
+const DOWN_MS = 3_000
+
+/** Time after the return of a worker by which all tasks have to run again, in ms. */
+const RETURN_MS = 7_000
+
+/** Starts of a task that are allowed after three workers have crashed under it. */
+const MAX_STARTS_AFTER_THIRD = 2
+
+const OPTIONS = { nodes: 5, workers: 6, capacity: { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 0 } }
+
+/** Label that steps may require; only the worker `w0` and its later incarnations have it. */
+const LABEL = 'b'
+
+/** Submits the jobs, whose tasks are all placed on one worker, and returns it soon after they have started. */
+async function startOnOneWorker (cell: MemoryCell, clock: Clock, step: Partial<Step> = {}): Promise<MemoryWorker> {
+  cell.workers.update('w0', { labels: [LABEL, 'r1'] })
+  const demand = { cpuMillis: 200, memoryMb: 200, accelerators: 0 }
+  for (const id of JOBS) submitInBackground(cell, id, [{ count: TASKS_PER_JOB, demand, longRunning: true, ...step }])
+  while (countRuns(cell) < JOBS.length * TASKS_PER_JOB) await clock.tickAsync(10)
+  await clock.tickAsync(CRASH_MS)
+  const worker = [...cell.workers.workers.values()].find(({ runs }) => runs.size > 0)!
+  expect(worker.runs.size).to.equal(JOBS.length * TASKS_PER_JOB)
+  return worker
+}
+
+/** Ends a worker; the next incarnation answers at its address, under a new id, after `DOWN_MS`. */
+function crash (cell: MemoryCell, worker: MemoryWorker): void {
+  if (!worker.alive) return
+  worker.crash()
+  setTimeout(() => {
+    worker.replaced = true
+    const { id, address, failureDomain, labels } = worker.entry
+    cell.addWorker(`${id}+`, { address, failureDomain, labels })
+    cell.workers.unlist(id)
+  }, DOWN_MS)
+}
+
+function countRuns (cell: MemoryCell): number {
+  return [...cell.workers.workers.values()].reduce((sum, { runs }) => sum + runs.size, 0)
+}
+
+/** A task that crashes each worker that starts it, among many others on the same worker. */
+class CrashingTask {
+  readonly name = `${JOBS[1]}.0.0.20`
+  cell: MemoryCell | undefined
+  /** Whether its starts crash workers; the first crash comes from outside. */
+  isActive = false
+  crashes = 0
+  startsAfterThird = 0
+  /** Tasks that started on a worker beside this one, once two workers had crashed under it. */
+  readonly startsBesideIsolated: string[] = []
+  #isolatedOn: string | undefined
+
+  readonly planRunEnd: PlanRunEnd = ({ job, occurrence, step, index }, _run, worker) => {
+    const name = `${job}.${occurrence}.${step}.${index}`
+    if (worker === this.#isolatedOn) this.startsBesideIsolated.push(name)
+    if (name !== this.name || !this.isActive) return undefined
+    if (this.crashes >= 3) this.startsAfterThird++
+    if (this.crashes >= 2) this.#isolatedOn = worker
+    this.crashes++
+    setTimeout(() => crash(this.cell!, this.cell!.workers.workers.get(worker)!), 50)
+    return undefined
+  }
+}
+
+const crashing = new CrashingTask()
+
+const cases: LoadCase[] = [{}, { requiredLabel: LABEL }].map((step) => ({
+  name: `run again soon ${'requiredLabel' in step ? 'although only that worker may run them' : 'on the other workers'}`,
+  options: OPTIONS,
+  run: async (cell, clock) => {
+    crash(cell, await startOnOneWorker(cell, clock, step))
+    await clock.tickAsync(DOWN_MS + RETURN_MS)
+    expect(countRuns(cell)).to.equal(JOBS.length * TASKS_PER_JOB)
+  }
+}))
+
+// Each of them was taken for a possible cause and started apart from all others, two a second on each worker.
+describeCells('Many tasks whose worker crashes right after their starts', [
+  ...cases,
+  {
+    name: 'run again soon if one of them is the cause, which is given up and runs apart before',
+    options: { ...OPTIONS, planRunEnd: crashing.planRunEnd },
+    run: async (cell, clock) => {
+      crashing.cell = cell
+      const worker = await startOnOneWorker(cell, clock)
+      crashing.isActive = true
+      crashing.crashes = 1
+      crash(cell, worker)
+      await clock.tickAsync(40_000)
+      expect(crashing.startsAfterThird).to.be.at.most(MAX_STARTS_AFTER_THIRD)
+      expect(crashing.startsBesideIsolated).to.deep.equal([])
+      for (const id of JOBS) {
+        expect(await fetchState(cell, clock, id), id).to.equal(crashing.name.startsWith(id) ? 'failed' : 'running')
+      }
+      expect(countRuns(cell)).to.equal((JOBS.length - 1) * TASKS_PER_JOB)
+    }
+  }
+])
--- a/packages/jobs/src/owner/CrashRecord.test.ts
+++ b/packages/jobs/src/owner/CrashRecord.test.ts
@@ -44,8 +44,16 @@
   }
 
   function start (task: TaskInstance, worker: WorkerState): void {
+    assign(task, worker)
+    order(task)
+  }
+
+  function assign (task: TaskInstance, worker: WorkerState): void {
     cell.assign(task, worker, task.run + 1)
     record.recordStart(task, worker)
+  }
+
+  function order (task: TaskInstance): void {
     task.orderSent = true
     task.mayHaveBegun = true
     task.orderedAt = performance.now()
@@ -56,6 +64,11 @@
   /** Ends a worker soon after the start of a task, and returns the tasks to give up. */
   function crash (task: TaskInstance, worker: WorkerState): TaskInstance[] {
     start(task, worker)
+    return end(worker)
+  }
+
+  /** Ends a worker now, which is noticed later, and returns the tasks to give up. */
+  function end (worker: WorkerState): TaskInstance[] {
     clock.tick(CRASH_MS)
     worker.reachable = false
     record.recordReachability(worker)
@@ -95,6 +108,66 @@
     expect(record.mayStart(tasks[second]!, idle, performance.now())).to.equal(true)
   })
 
+  /** Makes suspects of all tasks with a single crash, and assigns the first one to a worker after a wait. */
+  function isolateFirst (waitMs: number): WorkerState {
+    for (const index of [second, third]) start(tasks[index]!, cell.workers.get('w0') ?? addWorker('w0'))
+    crash(tasks[first]!, cell.workers.get('w0')!)
+    clock.tick(waitMs)
+    const worker = addWorker('w1')
+    assign(tasks[first]!, worker)
+    return worker
+  }
+
+  const sharing: Array<{ name: string, waitMs: number, act?: (worker: WorkerState) => void, mayShare: boolean }> = [
+    { name: 'lets suspects of one crash start together when they have waited for 2 s', waitMs: 2_000, mayShare: true },
+    { name: 'keeps suspects of one crash apart before', waitMs: 1_900, mayShare: false },
+    {
+      name: 'lets no suspect start where others have been ordered to start',
+      waitMs: 2_000,
+      act: () => { tasks[first]!.orderSent = true },
+      mayShare: false
+    },
+    {
+      name: 'lets no suspect of two crashes start together with others',
+      waitMs: 2_000,
+      act: () => {
+        crash(tasks[second]!, addWorker('w2'))
+        clock.tick(2_000)
+      },
+      mayShare: false
+    }
+  ]
+  for (const { name, waitMs, act, mayShare } of sharing) {
+    // Otherwise a crash right after many starts holds all of them up, or a task that crashes its workers hides.
+    it(name, () => {
+      const worker = isolateFirst(waitMs)
+      act?.(worker)
+      expect(record.mayStart(tasks[second]!, worker, performance.now())).to.equal(mayShare)
+    })
+  }
+
+  it('has suspects share a worker only when no other is left', () => {
+    const shared = isolateFirst(2_000)
+    const busy = addWorker('w2')
+    start(makeStep({}).tasks[0]!, busy)
+    expect(record.computeCost(tasks[second]!, shared)).to.be.greaterThan(record.computeCost(tasks[second]!, busy))
+  })
+
+  it('keeps all other tasks off a worker that suspects share', () => {
+    const worker = isolateFirst(2_000)
+    assign(tasks[second]!, worker)
+    expect(record.mayStart(makeStep({}).tasks[0]!, worker, performance.now())).to.equal(false)
+  })
+
+  it('takes none of the suspects that share a worker for its only cause', () => {
+    const worker = isolateFirst(2_000)
+    assign(tasks[second]!, worker)
+    for (const index of [first, second]) order(tasks[index]!)
+    expect(end(worker)).to.deep.equal([])
+    // The next crash of either is that of a task on its own.
+    expect(crash(tasks[second]!, addWorker('w2'))).to.deep.equal([tasks[second]])
+  })
+
   // An order that was held back until a connection led to the worker made its task a suspect.
   it('suspects no task whose start order has not reached the worker', () => {
     const worker = addWorker('w0')
--- a/packages/jobs/src/owner/CrashRecord.ts
+++ b/packages/jobs/src/owner/CrashRecord.ts
@@ -13,6 +13,12 @@
 /** Longest wait of a suspect for another isolated one of its job, in ms. */
 const MAX_ISOLATION_WAIT_MS = 1_000
 
+/**
+ * Longest wait of a suspect of a single crash for a worker of its own, in ms. A crash right after the starts of many
+ * tasks makes suspects of all of them, most of which are not its cause.
+ */
+const MAX_SINGLE_WAIT_MS = 2_000
+
 /** Time between the losses of two workers up to which they may have one cause, in ms: silent workers time out. */
 const COINCIDENCE_MS = 800
 
@@ -28,6 +34,9 @@
 /** Cost of each task that the crash of a suspect's worker would end too, in units of one worker's capacity. */
 const NEIGHBOR_COST = 2
 
+/** Cost of a worker that suspects would have to share, so that they do so only where all workers are taken. */
+const SHARED_ISOLATION_COST = 1_000_000
+
 // The store holds indices into this list, so its order must not change.
 const EVIDENCE = ['common', 'present', 'last', 'alone'] as const
 
@@ -48,15 +57,15 @@
 
 /**
  * Counts for each task the workers that ended unplanned while it was there, and stores the counts with the next commit,
- * so that the task's next run can't start before. Suspects start isolated: apart from other suspects, on workers that
- * get no other task for a while.
+ * so that the task's next run can't start before. Suspects start isolated: on workers that get no other task for a
+ * while, and apart from other suspects. Those of a single crash that have waited for long may start together.
  */
 export class CrashRecord {
   readonly #cell: Cell
   readonly #row: ControlRow<typeof CrashesRow>
   readonly #crashes = new Map<TaskInstance, Crash[]>()
-  /** The suspect that was started last on each worker. */
-  readonly #isolated = new Map<string, TaskInstance>()
+  /** The suspects that were started last on each worker; several if they were started together. */
+  readonly #isolated = new Map<string, Set<TaskInstance>>()
   /** Incarnations that don't answer or have ended: since when, in monotonic ms, and whether an order explains it. */
   readonly #losses = new Map<string, { at: number, isExplained: boolean }>()
   #isChanged = false
@@ -72,7 +81,7 @@
       const task = this.#cell.findTask({ job, occurrence, step, index })
       if (task === undefined || task.status === 'done' || task.step.job.isOver) continue
       this.#crashes.set(task, crashes.map(([worker, evidence]) => ({ worker, evidence: EVIDENCE[evidence]! })))
-      if (task.isAssigned && this.isSuspect(task)) this.#isolated.set(task.worker!, task)
+      if (task.isAssigned) this.recordStart(task, { id: task.worker! })
     }
   }
 
@@ -95,9 +104,10 @@
 
   /** Whether suspicions let a task start on a worker now. */
   mayStart (task: TaskInstance, worker: WorkerState, now: number): boolean {
-    const suspect = this.#isolated.get(worker.id)
-    if (suspect !== undefined && suspect !== task && this.#isIsolated(suspect, worker.id, now)) return false
-    if (this.#crashes.size === 0 || !this.isSuspect(task)) return true
+    if (this.#crashes.size === 0) return true
+    const isolated = this.#findIsolated(worker.id, now)
+    if (isolated !== undefined && !isolated.has(task)) return this.#mayShareIsolation(task, isolated, now)
+    if (!this.isSuspect(task)) return true
     // Others may never start apart: a gang may have one worker for several members.
     if (now - task.waitingSince >= MAX_ISOLATION_WAIT_MS) return true
     // Members of a gang are placed before any of them is assigned.
@@ -108,12 +118,17 @@
   /** Cost of a worker for a task, beside others, in units of one worker's capacity. */
   computeCost (task: TaskInstance, worker: WorkerState): number {
     if (this.#crashes.size === 0 || !this.isSuspect(task)) return 0
-    return NEIGHBOR_COST * worker.tasks.size
+    const isolated = this.#findIsolated(worker.id, this.#cell.now())
+    return NEIGHBOR_COST * worker.tasks.size + (isolated === undefined ? 0 : SHARED_ISOLATION_COST)
   }
 
   /** Records an assignment. */
-  recordStart (task: TaskInstance, worker: WorkerState): void {
-    if (this.isSuspect(task)) this.#isolated.set(worker.id, task)
+  recordStart (task: TaskInstance, worker: Pick<WorkerState, 'id'>): void {
+    if (!this.isSuspect(task)) return
+    const now = this.#cell.now()
+    const isolated = this.#findIsolated(worker.id, now)
+    if (isolated !== undefined && this.#mayShareIsolation(task, isolated, now)) isolated.add(task)
+    else this.#isolated.set(worker.id, new Set([task]))
   }
 
   /** Records that a worker doesn't answer any more, or answers again. */
@@ -141,8 +156,10 @@
     }
     for (const [incarnation, { at }] of this.#losses) if (now - at > KEEP_LOSS_MS) this.#losses.delete(incarnation)
     // While a worker doesn't answer, it is open whether its suspect has survived.
-    for (const [id, task] of this.#isolated) {
-      if (this.#cell.workers.get(id)?.reachable !== false && !this.#isIsolated(task, id, now)) this.#isolated.delete(id)
+    for (const id of this.#isolated.keys()) {
+      if (this.#cell.workers.get(id)?.reachable !== false && this.#findIsolated(id, now) === undefined) {
+        this.#isolated.delete(id)
+      }
     }
     this.#cell.metrics.set('crash_suspects', [...this.#crashes.keys()].filter((task) => this.isSuspect(task)).length)
   }
@@ -202,7 +219,7 @@
   #toAffectedRun (task: TaskInstance, worker: string, lostAt: number): AffectedRun {
     const ageMs = task.orderedAt === undefined ? undefined : lostAt - task.orderedAt
     // While it is isolated, no other task has started there since.
-    const isIsolated = this.#isolated.get(worker) === task && this.isSuspect(task) && ageMs !== undefined &&
+    const isIsolated = this.#isolated.get(worker)?.has(task) === true && this.isSuspect(task) && ageMs !== undefined &&
       ageMs <= ISOLATION_MS
     return { ageMs, isIsolated }
   }
@@ -240,12 +257,28 @@
   }
 
   #hasIsolatedSuspectOf ({ step }: TaskInstance, now: number): boolean {
-    for (const [id, task] of this.#isolated) {
-      if (task.step.job === step.job && this.#isIsolated(task, id, now)) return true
+    for (const id of this.#isolated.keys()) {
+      for (const task of this.#findIsolated(id, now) ?? []) if (task.step.job === step.job) return true
     }
     return false
   }
 
+  /** Finds the suspects for which a worker gets no other task; undefined when there are none. */
+  #findIsolated (worker: string, now: number): Set<TaskInstance> | undefined {
+    const suspects = this.#isolated.get(worker)
+    for (const task of suspects ?? []) if (this.#isIsolated(task, worker, now)) return suspects
+    return undefined
+  }
+
+  /** Whether a suspect may start together with others that were assigned to a worker in the same placement round. */
+  #mayShareIsolation (task: TaskInstance, isolated: ReadonlySet<TaskInstance>, now: number): boolean {
+    const hasWaited = (other: TaskInstance) => this.isSuspect(other) && this.#crashes.get(other)!.length === 1 &&
+      now - other.waitingSince >= MAX_SINGLE_WAIT_MS
+    if (!hasWaited(task)) return false
+    for (const other of isolated) if (other.orderSent || !hasWaited(other)) return false
+    return true
+  }
+
   /** Whether a suspect has just started on a worker, or may do so any moment. */
   #isIsolated (task: TaskInstance, worker: string, now: number): boolean {
     if (task.worker !== worker || !this.#crashes.has(task)) return false
