Place tasks of a step before the suspects of crashes among them

Callers may see tasks wait behind others of their step: once a task had found no worker, later ones like it were not tried. A task under which workers have crashed finds none while others like it start one by one, and its worker takes no other task meanwhile. With 20 such tasks, ten others of the same step that had lost their worker didn't run 5 s later, 2 s after it was back.

Suspects of crashes are tried last, each of them, and none keeps other tasks from being tried. The new case of crashedWorkers.test.ts failed before.

--- a/packages/jobs/src/loadPatterns/crashedWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/crashedWorkers.test.ts
@@ -29,7 +29,9 @@
   cell.workers.update('w0', { labels: [LABEL, 'r1'] })
   const demand = { cpuMillis: 200, memoryMb: 200, accelerators: 0 }
   for (const id of JOBS) submitInBackground(cell, id, [{ count: TASKS_PER_JOB, demand, longRunning: true, ...step }])
-  while (countRuns(cell) < JOBS.length * TASKS_PER_JOB) await clock.tickAsync(10)
+  for (let waitedMs = 0; waitedMs < 2_000 && countRuns(cell) < JOBS.length * TASKS_PER_JOB; waitedMs += 10) {
+    await clock.tickAsync(10)
+  }
   await clock.tickAsync(CRASH_MS)
   const worker = [...cell.workers.workers.values()].find(({ runs }) => runs.size > 0)!
   expect(worker.runs.size).to.equal(JOBS.length * TASKS_PER_JOB)
@@ -110,3 +112,35 @@
     }
   }
 ])
+
+/** Tasks of a step that fit on a worker, and those beyond, which run on another one. */
+const FITTING = 20
+const BEYOND = 10
+
+describeCells('Tasks of a step with others under which two workers have crashed', [
+  {
+    // Suspects that found no worker kept all later tasks of their step waiting, also those that may start anywhere.
+    name: 'start elsewhere at once when their own worker is lost',
+    options: { nodes: 5, workers: 1, capacity: { cpuMillis: 4_000, memoryMb: 65_536, accelerators: 0 } },
+    run: async (cell, clock) => {
+      const demand = { cpuMillis: 200, memoryMb: 200, accelerators: 0 }
+      submitInBackground(cell, JOBS[0]!, [{ count: FITTING + BEYOND, demand, longRunning: true }])
+      await clock.tickAsync(500)
+      const capacity = { cpuMillis: BEYOND * demand.cpuMillis, memoryMb: 65_536, accelerators: 0 }
+      const other = cell.addWorker('v0', { capacity })
+      // Long enough that the first crash of each worker says nothing about its tasks.
+      await clock.tickAsync(6_000)
+      expect(other.runs.size).to.equal(BEYOND)
+      for (const id of ['w0', 'w0+', 'w0++']) {
+        const hasAll = () => cell.workers.workers.get(id)?.runs.size === FITTING
+        for (let waitedMs = 0; waitedMs < 10_000 && !hasAll(); waitedMs += 10) await clock.tickAsync(10)
+        expect(hasAll(), id).to.equal(true)
+        crash(cell, cell.workers.workers.get(id)!)
+      }
+      crash(cell, other)
+      await clock.tickAsync(DOWN_MS + 2_000)
+      const beyond = Array.from({ length: BEYOND }, (_, index) => `${JOBS[0]}.0.0.${FITTING + index}`)
+      expect(beyond.filter((name) => cell.checker.countRunning(name) === 0)).to.deep.equal([])
+    }
+  }
+])
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -120,11 +120,13 @@
     let blocked: TaskInstance | undefined
     let mostFailedOn = -1
     let isFirst = !step.spec.longRunning && step.tasks.length > 1 && !step.tasks.some(({ isAssigned }) => isAssigned)
-    for (const task of step.tasks) {
-      if (task.status !== 'waiting') continue
-      // Tasks of a step differ only in the workers on which they failed. Once one that has failed nowhere has found no
-      // worker, others like it are not tried. Those with failures are, since `#chooseFailedWorker` may find a worker.
-      if (task.failedOn.size === 0 ? blocked?.failedOn.size === 0 : task.failedOn.size <= mostFailedOn) continue
+    for (const { task, isSuspect } of this.#listWaiting(step)) {
+      // Other tasks of a step differ only in the workers on which they failed. Once one that has failed nowhere has
+      // found no worker, those like it are not tried. Those with failures are: `#chooseFailedWorker` may find a worker.
+      const isLikeBlocked = task.failedOn.size === 0
+        ? blocked?.failedOn.size === 0
+        : task.failedOn.size <= mostFailedOn
+      if (isLikeBlocked && !isSuspect) continue
       let worker = this.#chooseWorker(task, candidates, now)
       if (worker !== undefined && isFirst) {
         isFirst = false
@@ -134,12 +136,19 @@
       if (worker !== undefined) this.#assign(task, worker, task.run + 1)
       else {
         mostFailedOn = Math.max(mostFailedOn, task.failedOn.size)
-        if (blocked === undefined || task.failedOn.size === 0) blocked = task
+        if (blocked === undefined || (task.failedOn.size === 0 && blocked.failedOn.size > 0)) blocked = task
       }
     }
     return blocked
   }
 
+  /** Lists the waiting tasks of a step, suspects of crashes last, since they keep all others off their workers. */
+  #listWaiting (step: StepInstance): Array<{ task: TaskInstance, isSuspect: boolean }> {
+    const waiting = step.tasks.filter(({ status }) => status === 'waiting')
+      .map((task) => ({ task, isSuspect: this.#crashes.isSuspect(task) }))
+    return [...waiting.filter(({ isSuspect }) => !isSuspect), ...waiting.filter(({ isSuspect }) => isSuspect)]
+  }
+
   /** Chooses the failure domain that the tasks of a step share, from the workers that could take the first one now. */
   #chooseFailureDomain (task: TaskInstance, workers: readonly WorkerState[], now: number): void {
     const { step } = task
