Keep suspects apart on a worker until a crash of the first is noticed

Callers may see a job given up although another one's task crashes the workers. A suspect kept others off its worker for 0.5 s. If it crashed the worker later, the next suspect had started there, and as the isolated one it took the blame alone. That a crash is noticed up to 0.5 s late adds to it.

Suspects now start 2 s apart on one worker; other tasks after 0.5 s as before.

--- a/packages/jobs/src/owner/CrashRecord.test.ts
+++ b/packages/jobs/src/owner/CrashRecord.test.ts
@@ -108,6 +108,19 @@
     expect(record.mayStart(tasks[second]!, idle, performance.now())).to.equal(true)
   })
 
+  // The crash of the first one, noticed some time later, counted as that of the second one alone.
+  it('starts no suspect on a worker on which another one has started in the last 2 s', () => {
+    start(tasks[second]!, addWorker('w0'))
+    crash(tasks[first]!, cell.workers.get('w0')!)
+    const worker = addWorker('w1')
+    start(tasks[first]!, worker)
+    clock.tick(1_900)
+    expect(record.mayStart(tasks[second]!, worker, performance.now())).to.equal(false)
+    expect(record.mayStart(tasks[third]!, worker, performance.now())).to.equal(true)
+    clock.tick(100)
+    expect(record.mayStart(tasks[second]!, worker, performance.now())).to.equal(true)
+  })
+
   /** Makes suspects of all tasks with a single crash, and assigns the first one to a worker after a wait. */
   function isolateFirst (waitMs: number): WorkerState {
     for (const index of [second, third]) start(tasks[index]!, cell.workers.get('w0') ?? addWorker('w0'))
--- a/packages/jobs/src/owner/CrashRecord.ts
+++ b/packages/jobs/src/owner/CrashRecord.ts
@@ -10,6 +10,12 @@
 /** Time after the confirmed start of a suspect for which no other task starts on its worker, in ms. */
 const ISOLATION_MS = 500
 
+/**
+ * Time after the confirmed start of a suspect for which no other one starts on its worker, in ms. A crash is noticed up
+ * to half a second late, and would count as that of the later one alone.
+ */
+const SUSPECT_INTERVAL_MS = 2_000
+
 /** Longest wait of a suspect for another isolated one of its job, in ms. */
 const MAX_ISOLATION_WAIT_MS = 1_000
 
@@ -108,6 +114,7 @@
     const isolated = this.#findIsolated(worker.id, now)
     if (isolated !== undefined && !isolated.has(task)) return this.#mayShareIsolation(task, isolated, now)
     if (!this.isSuspect(task)) return true
+    if (this.#hasRecentSuspect(worker, now)) return false
     // Others may never start apart: a gang may have one worker for several members.
     if (now - task.waitingSince >= MAX_ISOLATION_WAIT_MS) return true
     // Members of a gang are placed before any of them is assigned.
@@ -263,6 +270,14 @@
     return false
   }
 
+  /** Whether a suspect has started on a worker so lately that a crash of it may not be noticed yet. */
+  #hasRecentSuspect ({ tasks }: WorkerState, now: number): boolean {
+    for (const task of tasks) {
+      if (task.status === 'running' && now - task.startedAt < SUSPECT_INTERVAL_MS && this.isSuspect(task)) return true
+    }
+    return false
+  }
+
   /** Finds the suspects for which a worker gets no other task; undefined when there are none. */
   #findIsolated (worker: string, now: number): Set<TaskInstance> | undefined {
     const suspects = this.#isolated.get(worker)
