Order the tasks of a step only when there are suspects among them

The list of waiting tasks was made anew for each step in each placement round, also without any suspects. No difference was measured with the benchmark placement-rounds (350 workers, 4,000 waiting tasks, two runs: 23.7 and 26.9 ms of processor a round on, 25.8 and 25.1 with the lists, 23.3 and 24.8 now, beside other load). No behaviour changes.

--- a/packages/jobs/src/owner/CrashRecord.ts
+++ b/packages/jobs/src/owner/CrashRecord.ts
@@ -108,6 +108,10 @@
     return crashes !== undefined && isCrashSuspect(crashes.map(({ evidence }) => evidence))
   }
 
+  hasSuspectsAmong (tasks: readonly TaskInstance[]): boolean {
+    return this.#crashes.size > 0 && tasks.some((task) => this.isSuspect(task))
+  }
+
   /** Whether suspicions let a task start on a worker now. */
   mayStart (task: TaskInstance, worker: WorkerState, now: number): boolean {
     if (this.#crashes.size === 0) return true
@@ -281,7 +285,8 @@
   /** Finds the suspects for which a worker gets no other task; undefined when there are none. */
   #findIsolated (worker: string, now: number): Set<TaskInstance> | undefined {
     const suspects = this.#isolated.get(worker)
-    for (const task of suspects ?? []) if (this.#isIsolated(task, worker, now)) return suspects
+    if (suspects === undefined) return undefined
+    for (const task of suspects) if (this.#isIsolated(task, worker, now)) return suspects
     return undefined
   }
 
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -120,13 +120,14 @@
     let blocked: TaskInstance | undefined
     let mostFailedOn = -1
     let isFirst = !step.spec.longRunning && step.tasks.length > 1 && !step.tasks.some(({ isAssigned }) => isAssigned)
-    for (const { task, isSuspect } of this.#listWaiting(step)) {
+    for (const task of this.#orderTasks(step)) {
+      if (task.status !== 'waiting') continue
       // Other tasks of a step differ only in the workers on which they failed. Once one that has failed nowhere has
       // found no worker, those like it are not tried. Those with failures are: `#chooseFailedWorker` may find a worker.
       const isLikeBlocked = task.failedOn.size === 0
         ? blocked?.failedOn.size === 0
         : task.failedOn.size <= mostFailedOn
-      if (isLikeBlocked && !isSuspect) continue
+      if (isLikeBlocked && !this.#crashes.isSuspect(task)) continue
       let worker = this.#chooseWorker(task, candidates, now)
       if (worker !== undefined && isFirst) {
         isFirst = false
@@ -142,11 +143,11 @@
     return blocked
   }
 
-  /** Lists the waiting tasks of a step, suspects of crashes last, since they keep all others off their workers. */
-  #listWaiting (step: StepInstance): Array<{ task: TaskInstance, isSuspect: boolean }> {
-    const waiting = step.tasks.filter(({ status }) => status === 'waiting')
-      .map((task) => ({ task, isSuspect: this.#crashes.isSuspect(task) }))
-    return [...waiting.filter(({ isSuspect }) => !isSuspect), ...waiting.filter(({ isSuspect }) => isSuspect)]
+  /** Orders the tasks of a step with the suspects of crashes last, since these keep all others off their workers. */
+  #orderTasks ({ tasks }: StepInstance): readonly TaskInstance[] {
+    if (!this.#crashes.hasSuspectsAmong(tasks)) return tasks
+    const isSuspect = (task: TaskInstance) => this.#crashes.isSuspect(task)
+    return [...tasks.filter((task) => !isSuspect(task)), ...tasks.filter(isSuspect)]
   }
 
   /** Chooses the failure domain that the tasks of a step share, from the workers that could take the first one now. */
