--- a/packages/jobs/src/loadPatterns/failingWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/failingWorkers.test.ts
@@ -143,8 +143,9 @@
     return { reason: 'failed', afterMs: Math.max(0, this.failsFrom - now) + this.failAfterMs }
   }
 
-  /** Starts the tasks and waits until the worker begins to fail. */
+  /** Starts the tasks on the failing worker, the only one with their label, and waits until it begins to fail. */
   async start (cell: MemoryCell, clock: Clock): Promise<void> {
+    cell.workers.update(FAILING, { labels: [LABEL, 'r1'] })
     const demand = { cpuMillis: 500, memoryMb: 512, accelerators: 0 }
     for (const id of ['00000000000000b1', '00000000000000b2']) {
       submitInBackground(cell, id, [{ count: LASTING_TASKS, demand, longRunning: true, requiredLabel: LABEL }])
@@ -158,11 +159,6 @@
   return cell.workers.workers.get(FAILING)!.runs.size
 }
 
-/** Adds a worker with the required label before any job is submitted. */
-function labelWorker (cell: MemoryCell): void {
-  cell.workers.update(FAILING, { labels: [LABEL, 'r1'] })
-}
-
 const returning = new FailingLongRunningTasks(300, 6_500)
 const inherited = new FailingLongRunningTasks(300, 6_500)
 const failing2s = new FailingLongRunningTasks(2_000, 60_000)
@@ -178,7 +174,6 @@
     name: 'get all of them back soon after they work again',
     options: { ...LONG_RUNNING_OPTIONS, planRunEnd: returning.planRunEnd },
     run: async (cell, clock) => {
-      labelWorker(cell)
       await returning.start(cell, clock)
       await clock.tickAsync(returning.failsUntil + RETURN_MS - performance.now())
       expect(countRuns(cell)).to.equal(2 * LASTING_TASKS)
@@ -188,7 +183,6 @@
     name: 'get all of them back soon after they work again, although the owner changes meanwhile',
     options: { ...LONG_RUNNING_OPTIONS, planRunEnd: inherited.planRunEnd },
     run: async (cell, clock) => {
-      labelWorker(cell)
       await inherited.start(cell, clock)
       await clock.tickAsync(inherited.failsUntil - performance.now())
       await handOver(cell, clock)
@@ -201,7 +195,6 @@
     name: 'get no more than one start a second while they fail 2 s after each start',
     options: { ...LONG_RUNNING_OPTIONS, planRunEnd: failing2s.planRunEnd },
     run: async (cell, clock) => {
-      labelWorker(cell)
       await failing2s.start(cell, clock)
       const startsBefore = failing2s.starts
       await clock.tickAsync(30_000)
@@ -213,7 +206,6 @@
     name: 'are taken for healthy only once while they fail 4 s after each start',
     options: { ...LONG_RUNNING_OPTIONS, planRunEnd: failing4s.planRunEnd },
     run: async (cell, clock) => {
-      labelWorker(cell)
       await failing4s.start(cell, clock)
       const startsBefore = failing4s.starts
       await clock.tickAsync(60_000)
