Authorize calls by client accounts and keep accounts within their caps

Cause: configurations of deployments with client accounts list their keys and caps, but the job API read no key and jobs had no account. Calls with unknown or withdrawn keys were served, and accounts ran 10 to 20% more than their cap.

Change: the accounts of the configuration in force decide which account a call belongs to (401 otherwise), jobs keep their account, and the owner counts what each account has assigned, from restored jobs too, before it starts a task. Without a list of accounts in the configuration nothing changes.

--- /dev/null
+++ b/packages/jobs/src/accounts/AccountUsages.ts
@@ -0,0 +1,54 @@
+import type { AccountUsage, StepInstance, TrackedJob } from '../model/index.ts'
+import type { Demand, QueueConfiguration } from '../types.ts'
+import { mayStart } from './mayStart/index.ts'
+
+/** What each client account of a cell has running, and whether its cap lets more of its tasks start. */
+export class AccountUsages {
+  readonly #configuration: () => QueueConfiguration | undefined
+  readonly #usages = new Map<string, AccountUsage>()
+  /** Last known cap of each account: what an account that was removed still has waiting stays within it. */
+  readonly #caps = new Map<string, Demand>()
+
+  constructor (configuration: () => QueueConfiguration | undefined) {
+    this.#configuration = configuration
+  }
+
+  /** Counts the tasks of a job for its account. Has to be called before any of them is assigned to a worker. */
+  track (job: TrackedJob): void {
+    const { account } = job.definition
+    if (account === undefined) return
+    let usage = this.#usages.get(account)
+    if (usage === undefined) {
+      usage = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
+      this.#usages.set(account, usage)
+    }
+    job.accountUsage = usage
+  }
+
+  /** What an account has running, or may have running; nothing for an account without jobs. */
+  of (account: string): Readonly<Demand> {
+    return this.#usages.get(account) ?? { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
+  }
+
+  /** Accounts with jobs that this owner knows, in no order. */
+  names (): Iterable<string> {
+    return this.#usages.keys()
+  }
+
+  /** Cap of an account; undefined while no configuration has told it. */
+  capOf (account: string): Demand | undefined {
+    const cap = this.#configuration()?.accounts?.findByName(account)?.cap
+    if (cap !== undefined) this.#caps.set(account, cap)
+    return this.#caps.get(account)
+  }
+
+  /** Whether the account's cap lets a task of the step start now; for a gang, all its tasks. */
+  mayStart ({ job, spec }: StepInstance): boolean {
+    const { accountUsage, definition } = job
+    if (accountUsage === undefined) return true
+    const cap = this.capOf(definition.account!)
+    // A new owner may know the jobs before the configuration.
+    if (cap === undefined) return this.#configuration()?.accounts !== undefined
+    return mayStart(accountUsage, cap, spec.demand, spec.gang ? spec.count : 1)
+  }
+}
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,3 +1,5 @@
+export { AccountDirectory } from './accounts/AccountDirectory/index.ts'
+export { authorizeCall, type AuthorizationFailure } from './accounts/authorizeCall/index.ts'
 export * from './constants/index.ts'
 export * from './node/CellNode.ts'
 export type { Acceptance, JobService } from './node/JobService.ts'
--- a/packages/jobs/src/model/TrackedJob.ts
+++ b/packages/jobs/src/model/TrackedJob.ts
@@ -1,4 +1,4 @@
-import type { Job, JobState, Step, TaskKey } from '../types.ts'
+import type { Demand, Job, JobState, Step, TaskKey } from '../types.ts'
 import { AdviceState } from './AdviceState.ts'
 import type { Progress } from './progress.ts'
 
@@ -121,9 +121,14 @@
   }
 }
 
+/** What a client account has running, or may have running; changes with each task that is assigned or released. */
+export type AccountUsage = Demand
+
 /** The owner's in-memory state of a job. */
 export class TrackedJob {
   readonly definition: Job
+  /** Usage of the job's client account; undefined for a job without one. */
+  accountUsage: AccountUsage | undefined
   readonly occurrences = new Map<number, StepInstance[]>()
   readonly finishedOccurrences = new Set<number>()
   state: JobState = 'queued'
--- a/packages/jobs/src/owner/Cell.ts
+++ b/packages/jobs/src/owner/Cell.ts
@@ -1,3 +1,4 @@
+import { AccountUsages } from '../accounts/AccountUsages.ts'
 import { TrackedJob, StepInstance, type TaskInstance } from '../model/index.ts'
 import type { MetricsRecorder, LogWriter } from '../ports.ts'
 import type { Job, QueueConfiguration, TaskKey } from '../types.ts'
@@ -16,6 +17,7 @@
   /** Jobs that have not ended. */
   readonly active = new Set<TrackedJob>()
   readonly workers = new Map<string, WorkerState>()
+  readonly accounts: AccountUsages
   /** Monotonic time of the last answer of the worker registry, in ms. */
   registryReadAt = -Infinity
   /** Jobs whose progress differs from the stored record. */
@@ -29,6 +31,7 @@
     configuration: () => QueueConfiguration | undefined, log: LogWriter, metrics: MetricsRecorder, hooks: CellHooks
   ) {
     this.#configuration = configuration
+    this.accounts = new AccountUsages(configuration)
     this.log = log
     this.metrics = metrics
     this.#hooks = hooks
@@ -51,6 +54,12 @@
     return this.jobs.get(key.job)?.occurrences.get(key.occurrence)?.[key.step]?.tasks[key.index]
   }
 
+  /** Adds a job, before any of its tasks is assigned to a worker. */
+  add (job: TrackedJob): void {
+    this.jobs.set(job.id, job)
+    this.accounts.track(job)
+  }
+
   markDirty (job: TrackedJob): void {
     this.dirty.add(job)
     this.#hooks.onDirty()
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -356,7 +356,7 @@
   /** @param startedBy - Monotonic time by which the job's inherited runs have started, in ms, if it is known. */
   #addJob (job: Job, progress: Progress | undefined, startedBy?: number): void {
     const tracked = new TrackedJob(job, performance.now(), Date.now())
-    this.cell.jobs.set(job.id, tracked)
+    this.cell.add(tracked)
     if (progress !== undefined) tracked.restore(progress, performance.now(), startedBy)
     for (const task of tracked.tasks()) if (task.isAssigned) this.#workerManager.addInheritedRun(task)
     if (tracked.isOver) return
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -11,6 +11,7 @@
 import { NO_DEMAND, type WorkerState } from '../workers/WorkerState.ts'
 import type { AdviceDispatcher } from './AdviceDispatcher.ts'
 import { readySteps, type Cell } from './Cell.ts'
+import { CapLog } from './CapLog.ts'
 import type { CrashRecord } from './CrashRecord.ts'
 import { Preemptor } from './Preemptor.ts'
 import { WaitLog } from './WaitLog.ts'
@@ -46,6 +47,7 @@
   readonly #crashes: CrashRecord
   readonly #preemptor: Preemptor
   readonly #waitLog: WaitLog
+  readonly #capLog: CapLog
   /** Workers on which tasks of other steps leave room in this round, so that a waiting task can start there. */
   readonly #reserved = new Map<WorkerState, Reservation>()
   /** Room of this round that steps will take up once they have the tickets that they lack. */
@@ -64,6 +66,7 @@
     this.#breaker = breaker
     this.#crashes = crashes
     this.#waitLog = new WaitLog(cell.log)
+    this.#capLog = new CapLog(cell)
   }
 
   /** Runs one placement round over all waiting tasks. */
@@ -90,6 +93,10 @@
       this.#logPlaced(step, now)
       if (blocked === undefined) continue
       const workers = pools.get(pool) ?? []
+      if (!this.#cell.accounts.mayStart(step)) {
+        this.#capLog.record(blocked, now)
+        continue
+      }
       this.#waitLog.record(blocked, workers, {
         ...this.#workerChecks(blocked),
         findHealthObstacle: (worker) => this.#breaker.findObstacle(worker.id, blocked),
@@ -128,6 +135,7 @@
         ? blocked?.failedOn.size === 0
         : task.failedOn.size <= mostFailedOn
       if (isLikeBlocked && !this.#crashes.isSuspect(task)) continue
+      if (!this.#cell.accounts.mayStart(step)) return blocked ?? task
       let worker = this.#chooseWorker(task, candidates, now)
       if (worker !== undefined && isFirst) {
         isFirst = false
@@ -160,6 +168,7 @@
   /** Places all tasks of a gang or none. Returns one of them when there is no room for all. */
   #placeGang (step: StepInstance, candidates: Candidates, now: number): TaskInstance | undefined {
     if (step.tasks.some(({ status }) => status !== 'waiting')) return undefined
+    if (!this.#cell.accounts.mayStart(step)) return step.tasks[0]
     const run = Math.max(...step.tasks.map((task) => task.run)) + 1
     const racks = step.spec.sameRack
       ? [...new Set(candidates.ticketed.flatMap(({ entry }) => entry.labels)),
--- a/packages/jobs/src/standins/MemoryCell.ts
+++ b/packages/jobs/src/standins/MemoryCell.ts
@@ -1,8 +1,9 @@
 import { done, notDone, sleep, unknownEffect, type Outcome } from '@gypsumspring/protocol'
 import { CellNode, type CellHandlers } from '../node/CellNode.ts'
 import type { Peer } from '../node/FailoverStore.ts'
+import { AccountDirectory } from '../accounts/AccountDirectory/index.ts'
 import type { Adviser, MetricsRecorder, LogWriter } from '../ports.ts'
-import type { Job, JobSpec, Queue, Step, WorkerEntry } from '../types.ts'
+import type { ClientAccount, Job, JobSpec, Queue, Step, WorkerEntry } from '../types.ts'
 import { MemoryInventory } from './MemoryInventory.ts'
 import { MAX_ROW_BYTES, MemoryRecordStore, MemoryRows } from './MemoryRecordStore.ts'
 import { LEASE_LIMIT_MS, createTicket, type MemoryWorker, type PlanRunEnd } from './MemoryWorker.ts'
@@ -53,6 +54,8 @@
   readonly inventory = new MemoryInventory()
   readonly nodes = new Map<string, MemoryNode>()
   readonly queues: Queue[] = [createQueue('batch')]
+  /** Client accounts of the configuration; undefined when it has none. */
+  accounts: ClientAccount[] | undefined
   /** Names of the nodes that are cut off, together, from the other nodes, the store and the inventory. */
   readonly isolatedNodes = new Set<string>()
   /** Whether a node reaches a worker. */
@@ -118,7 +121,11 @@
           this.reachesWorker(name, entry.id) ? undefined : timeOut())
       },
       adviser: this.#options.createAdviser?.() ?? new AllowAllAdviser(this.workers.workers),
-      configuration: { current: () => ({ version: 1, queues: this.queues }) },
+      configuration: {
+        current: () => ({
+          version: 1, queues: this.queues, accounts: this.accounts && new AccountDirectory(this.accounts)
+        })
+      },
       connect: (address) => this.#connect(name, address, isUp),
       log: this.#options.log ?? NO_LOG,
       metrics: NO_METRICS
@@ -160,6 +167,8 @@
   async submit (id: string, steps: Array<Partial<Step>>, options: {
     node?: string,
     queue?: Queue,
+    /** Client account that submits the job. Default: none. */
+    account?: string,
     /** How many times the steps run, all of them due at once. Default: once. */
     occurrences?: number
   } = {}): Promise<string> {
@@ -169,7 +178,7 @@
     this.checker.registerJob(id, spec, queue.maxAttempts)
     this.#specs.set(id, spec)
     const node = this.#pick(options.node)
-    const job: Job = { id, queue, acceptedAt: Date.now(), spec }
+    const job: Job = { id, queue, account: options.account, acceptedAt: Date.now(), spec }
     return (await node.cellNode.jobs.accept(job, 3_000)).kind
   }
 
--- a/packages/jobs/src/standins/PlacementRounds.ts
+++ b/packages/jobs/src/standins/PlacementRounds.ts
@@ -177,7 +177,7 @@
     }
     const job = new TrackedJob(definition, this.cell.now(), Date.now())
     job.openOccurrence(0, this.cell.now())
-    this.cell.jobs.set(job.id, job)
+    this.cell.add(job)
     this.cell.active.add(job)
     return step.count
   }
--- a/packages/jobs/src/types.ts
+++ b/packages/jobs/src/types.ts
@@ -1,4 +1,5 @@
 import { Type, type Static } from '@sinclair/typebox'
+import type { AccountDirectory } from './accounts/AccountDirectory/index.ts'
 import { MAX_PAYLOAD_CHARACTERS, MAX_STEPS, MAX_TASKS_PER_STEP } from './constants/index.ts'
 
 /** Resources that a task needs on its worker. */
@@ -92,10 +93,22 @@
 })
 export type Queue = Static<typeof Queue>
 
+/** A customer whose calls carry one of its keys. */
+export interface ClientAccount {
+  name: string
+  keys: readonly string[]
+  /** Share of the account when there is too little room for all, in jobs per second. */
+  weight: number
+  /** The most that the account may have running at a time; 0 of a resource means no limit. */
+  cap: Demand
+}
+
 /** A job as stored on acceptance; immutable. */
 export const Job = Type.Object({
   id: Type.String(),
   queue: Queue,
+  /** Name of the client account that submitted the job; undefined where none is needed. */
+  account: Type.Optional(Type.String()),
   /** Unix time, in ms. */
   acceptedAt: Type.Number(),
   spec: JobSpec
@@ -108,6 +121,8 @@
 export interface QueueConfiguration {
   version: number
   queues: readonly Queue[]
+  /** Client accounts; undefined when the deployment has none, and no call needs a key. */
+  accounts?: AccountDirectory
 }
 
 /** Registry entry of a worker. */
--- a/packages/jobs/src/workers/WorkerState.ts
+++ b/packages/jobs/src/workers/WorkerState.ts
@@ -83,6 +83,12 @@
 
   #adjustUsage (task: TaskInstance, sign: 1 | -1): void {
     const { demand, fills } = task.step.spec
+    const { accountUsage } = task.step.job
+    if (accountUsage !== undefined) {
+      accountUsage.cpuMillis += sign * demand.cpuMillis
+      accountUsage.memoryMb += sign * demand.memoryMb
+      accountUsage.accelerators += sign * demand.accelerators
+    }
     if (fills) this.fillerCpuMillis += sign * demand.cpuMillis
     else this.usedCpuMillis += sign * demand.cpuMillis
     this.usedMemoryMb += sign * demand.memoryMb
