Keep placement rounds and advice requests from stopping a new owner

Ruled out: the store, whose commits took as long as the owner's event loop.

Change: a placement round runs in slices of 20 ms with other work between them, and a request for advice that finds no free node is queued without looking through the queue, which is sorted only after it has changed.

--- a/packages/jobs/src/owner/AdviceDispatcher.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.ts
@@ -101,6 +101,8 @@
   /** Whether the last request that was sent had come first by age, for each lane. */
   readonly #sentByAge = new Map<string, boolean>()
   #queue: AdviceRequest[] = []
+  /** The queue has changed since it was sorted. Sorting it for each answer took a node's processor with 1,000 steps. */
+  #isUnsorted = false
   /** Monotonic time of the last request for a fast call, or at first of the start of the owner, in ms. */
   #fastRequestedAt: number
 
@@ -165,7 +167,9 @@
     advice.request = request
     if (request.expectedMs <= SLOW_ADVICE_MS) this.#fastRequestedAt = now
     this.#queue.push(request)
-    this.#dispatch()
+    this.#isUnsorted = true
+    // While no node is free for the request, no other one of the queue finds one either.
+    if (this.#chooseNode(request) !== undefined) this.#dispatch()
   }
 
   #dispatch (): void {
@@ -175,11 +179,14 @@
       return advice.request === request
     })
     const overdueBefore = this.#cell.now() - MAX_QUEUED_MS
-    for (const request of this.#queue) if (request.requestedAt < overdueBefore) request.ahead = false
+    for (const request of this.#queue) {
+      if (!request.ahead || request.requestedAt >= overdueBefore) continue
+      request.ahead = false
+      this.#isUnsorted = true
+    }
     const isOnlyNode = this.#listNodesInUse().length === 1
     const first = this.#chooseFirst(overdueBefore, isOnlyNode)
-    this.#queue.sort((a, b) => Number(first.has(b)) - Number(first.has(a)) || Number(a.ahead) - Number(b.ahead) ||
-      a.step.job.definition.queue.priority - b.step.job.definition.queue.priority)
+    this.#sortQueue(first)
     // Calls that are sent make no node free, so that a kind of call that finds none need not be tried again.
     const kindsWithoutNode = new Set<string>()
     const sent: AdviceRequest[] = []
@@ -201,6 +208,17 @@
     for (const request of sent) this.#sentByAge.set(toLane(request, isOnlyNode), first.has(request))
   }
 
+  /** Sorts by urgency and puts the given requests first. */
+  #sortQueue (first: ReadonlySet<AdviceRequest>): void {
+    if (this.#isUnsorted) {
+      this.#queue.sort((a, b) => Number(a.ahead) - Number(b.ahead) ||
+        a.step.job.definition.queue.priority - b.step.job.definition.queue.priority)
+    }
+    // A request that is moved to the front and not sent is out of its place.
+    this.#isUnsorted = first.size > 0
+    if (first.size > 0) this.#queue = [...first, ...this.#queue.filter((request) => !first.has(request))]
+  }
+
   /** Chooses the oldest overdue request of each lane, unless the last one that was sent there had come first by age. */
   #chooseFirst (overdueBefore: number, isOnlyNode: boolean): Set<AdviceRequest> {
     const oldest = new Map<string, AdviceRequest>()
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -74,6 +74,12 @@
  */
 const PLACEMENT_PAUSE_FACTOR = 3
 
+/**
+ * Longest time for which a placement round keeps the process from other work, in ms. With 900 waiting jobs the first
+ * round of a new owner took 0.9 s, in which its heartbeats and its record stood still, so that it was replaced.
+ */
+const PLACEMENT_SLICE_MS = 20
+
 /**
  * Schedules the jobs of a cell for as long as this node owns it: accepts jobs, places their tasks on workers and tracks
  * the tasks until they end.
@@ -103,6 +109,10 @@
   readonly #onEnd: (reason: string) => void
   #recovered = false
   #placementRequested = false
+  /** A placement round waits for its next slice. */
+  #isPlacing = false
+  /** A round was requested while another one was under way. */
+  #isPlacementDue = false
   /** Monotonic time before which no placement round starts, in ms. */
   #nextPlacementAt = 0
   #committing: Promise<void> | undefined
@@ -457,22 +467,48 @@
   }
 
   #requestPlacement (): void {
+    if (this.#isPlacing) {
+      this.#isPlacementDue = true
+      return
+    }
     if (this.#placementRequested || !this.#recovered || this.#isEnded) return
     this.#placementRequested = true
     const place = () => {
       this.#placementRequested = false
-      if (this.#isEnded) return
-      const startedAt = performance.now()
-      this.#placer.run()
-      const endedAt = performance.now()
-      this.cell.metrics.recordDuration('placement_time', endedAt - startedAt)
-      this.#nextPlacementAt = endedAt + PLACEMENT_PAUSE_FACTOR * (endedAt - startedAt)
+      if (!this.#isEnded) this.#place(this.#placer.runStepwise(), 0)
     }
     const delayMs = this.#nextPlacementAt - performance.now()
     if (delayMs > 1) setTimeout(place, delayMs)
     else setImmediate(place)
   }
 
+  /**
+   * Runs a placement round in slices with other work between them.
+   *
+   * @param spentMs - Time that earlier slices of the round took, in ms.
+   */
+  #place (round: Generator<void>, spentMs: number): void {
+    const startedAt = performance.now()
+    let isOver = false
+    while (!isOver && performance.now() - startedAt < PLACEMENT_SLICE_MS) isOver = round.next().done === true
+    const endedAt = performance.now()
+    const tookMs = spentMs + endedAt - startedAt
+    if (!isOver) {
+      this.#isPlacing = true
+      setImmediate(() => {
+        this.#isPlacing = false
+        if (!this.#isEnded) this.#place(round, tookMs)
+      })
+      return
+    }
+    this.cell.metrics.recordDuration('placement_time', tookMs)
+    this.#nextPlacementAt = endedAt + PLACEMENT_PAUSE_FACTOR * tookMs
+    if (this.#isPlacementDue) {
+      this.#isPlacementDue = false
+      this.#requestPlacement()
+    }
+  }
+
   #onTick (): void {
     const now = performance.now()
     for (const job of this.cell.active) if (job.spec.occurrences > 0) this.#openDueOccurrences(job)
--- /dev/null
+++ b/packages/jobs/src/owner/Placer.test.ts
@@ -0,0 +1,42 @@
+import { expect } from 'chai'
+import { PlacementRounds, SeededRandom } from '../standins/index.ts'
+
+function runOn (round: Generator<void>): void {
+  while (round.next().done !== true);
+}
+
+// Guards against a round that goes on with what was true when it began, since other work is done between its parts.
+describe('A placement round in parts', () => {
+  function createRounds (): PlacementRounds {
+    const rounds = new PlacementRounds(new SeededRandom(3), { workers: 40, waiting: 200, hasAdvice: false })
+    rounds.fill()
+    return rounds
+  }
+
+  it('places the same tasks as a round without interruptions', () => {
+    const [whole, parted] = [createRounds(), createRounds()]
+    whole.run()
+    runOn(parted.runStepwise())
+    expect(parted.listAssignments()).to.deep.equal(whole.listAssignments())
+    expect(parted.waiting).to.be.below(200)
+  })
+
+  const changes = [
+    { name: 'cancelled', change: (rounds: PlacementRounds) => { for (const job of rounds.cell.active) job.cancelled = true } },
+    { name: 'failed', change: (rounds: PlacementRounds) => { for (const job of rounds.cell.active) job.state = 'failed' } },
+    {
+      name: 'without a worker that takes tasks',
+      change: (rounds: PlacementRounds) => { for (const worker of rounds.cell.workers.values()) worker.reachable = false }
+    }
+  ]
+  for (const { name, change } of changes) {
+    it(`places no task of a job that is ${name} meanwhile`, () => {
+      const rounds = createRounds()
+      const round = rounds.runStepwise()
+      round.next()
+      change(rounds)
+      runOn(round)
+      expect(rounds.listAssignments().filter((line) => !line.endsWith('waiting'))).to.deep.equal([])
+    })
+  }
+})
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -71,7 +71,15 @@
 
   /** Runs one placement round over all waiting tasks. */
   run (): void {
-    const now = this.#cell.now()
+    const round = this.runStepwise()
+    while (round.next().done !== true);
+  }
+
+  /**
+   * Runs one placement round in parts, each of which places the tasks of one step. Other work may be done between two
+   * parts: what each part relies on is checked again.
+   */
+  * runStepwise (): Generator<void> {
     const pools = new Map<string, WorkerState[]>()
     for (const worker of this.#cell.workers.values()) {
       const pool = pools.get(worker.entry.pool)
@@ -80,12 +88,15 @@
     }
     this.#reserved.clear()
     this.#awaitingTickets.clear()
-    const ordered = orderSteps([...readySteps(this.#cell)], now)
+    const ordered = orderSteps([...readySteps(this.#cell)], this.#cell.now())
     const minimumDemand = findMinimumDemand(ordered.map(({ step }) => step))
     const candidatesByPool = new Map([...pools].map(([pool, workers]) => [pool, workers.filter((worker) =>
       worker.acceptsTasks && worker.hasRoom(minimumDemand))]))
     let preemptionAttempts = 0
     for (const { step, lateness } of ordered) {
+      yield
+      if (step.job.isOver || step.job.cancelled) continue
+      const now = this.#cell.now()
       const pool = this.#cell.poolOf(step.job.definition)
       const all = candidatesByPool.get(pool) ?? []
       const candidates = { all, ticketed: this.#filterTicketed(step, all, now) }
--- a/packages/jobs/src/standins/PlacementRounds.ts
+++ b/packages/jobs/src/standins/PlacementRounds.ts
@@ -88,6 +88,11 @@
     this.#placer.run()
   }
 
+  /** Runs one placement round in parts. */
+  runStepwise (): Generator<void> {
+    return this.#placer.runStepwise()
+  }
+
   /** Adds jobs until at least the given number of tasks waits, apart from those that are assigned. */
   fill (): void {
     for (let missing = this.#options.waiting - this.waiting; missing > 0;) missing -= this.#addJob()
