--- a/packages/jobs/src/owner/Placer.test.ts
+++ b/packages/jobs/src/owner/Placer.test.ts
@@ -22,11 +22,14 @@
   })
 
   const changes = [
-    { name: 'cancelled', change: (rounds: PlacementRounds) => { for (const job of rounds.cell.active) job.cancelled = true } },
-    { name: 'failed', change: (rounds: PlacementRounds) => { for (const job of rounds.cell.active) job.state = 'failed' } },
+    {
+      name: 'cancelled',
+      change: (rounds: PlacementRounds) => { for (const job of rounds.cell.active) job.cancelled = true }
+    },
+    { name: 'failed', change: ({ cell }: PlacementRounds) => { for (const job of cell.active) job.state = 'failed' } },
     {
       name: 'without a worker that takes tasks',
-      change: (rounds: PlacementRounds) => { for (const worker of rounds.cell.workers.values()) worker.reachable = false }
+      change: ({ cell }: PlacementRounds) => { for (const worker of cell.workers.values()) worker.reachable = false }
     }
   ]
   for (const { name, change } of changes) {
--- a/packages/jobs/src/owner/Preemptor.ts
+++ b/packages/jobs/src/owner/Preemptor.ts
@@ -7,6 +7,9 @@
 /** Time for which a worker is kept for a task that others are stopped for, in ms: a stop takes up to 0.9 s to show. */
 const CLAIM_MS = 1_300
 
+/** Most workers on which room is made for one step at a time, which bounds the time for choosing them. */
+const MAX_CLAIMS = 6
+
 /** Time that a task waits for room before others are stopped for it, in ms: most room comes from runs that end. */
 const PREEMPT_AFTER_MS = 150
 
@@ -46,16 +49,29 @@
     const { step } = task
     if (step.spec.gang || step.spec.longRunning) return false
     if (now - Math.max(task.waitingSince, step.readyAt ?? 0) < PREEMPT_AFTER_MS) return false
-    if (workers.some(({ claim }) => claim !== undefined && claim.step === step && claim.until > now)) return false
+    let claims = workers.filter(({ claim }) => claim !== undefined && claim.step === step && claim.until > now).length
+    const maxClaims = this.#countClaims(step)
+    if (claims >= maxClaims) return false
     const possible = filterRunnable(task, workers, { ...checks, now: now + CLAIM_MS })
-    const preemption = choosePreemption(task, possible, now)
-    if (preemption !== undefined) {
+    for (; claims < maxClaims; claims++) {
+      const unclaimed = possible.filter(({ claim }) => claim?.step !== step || claim.until <= now)
+      const preemption = choosePreemption(task, unclaimed, now)
+      if (preemption === undefined) break
       preemption.worker.claim = { step, until: now + CLAIM_MS }
       this.#stopAll(preemption.victims, task, preemption.worker)
     }
     return true
   }
 
+  /**
+   * Number of workers on which room is made for a step at a time. Where client accounts compete, all tasks of a step
+   * get room at once: one after the other, a step of ten tasks would wait for several stops.
+   */
+  #countClaims ({ tasks }: StepInstance): number {
+    if (this.#cell.configuration()?.accounts === undefined) return 1
+    return Math.min(MAX_CLAIMS, tasks.filter(({ status }) => status === 'waiting').length)
+  }
+
   #stopAll (victims: readonly TaskInstance[], task: TaskInstance, worker: WorkerState): void {
     if (victims.length === 0) return
     const stopped = victims.map(({ step, index }) => `${step.name}.${index}`)
