Look at a bounded number of waiting steps in each placement round

Change: beyond the 64 most urgent steps without a worker, a round looks for advice, reservations and tasks to stop for 32 others in turn. A new owner requests advice for the 64 most urgent steps before its first round, and not for all.

--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -12,9 +12,10 @@
 } from '../records/index.ts'
 import { findStepOutOfOrder } from '../records/findStepOutOfOrder/index.ts'
 import type { Job, JobState, WorkerEntry } from '../types.ts'
+import { orderSteps } from '../placement/orderSteps/index.ts'
 import { AdviceDispatcher, type AdviceNode } from './AdviceDispatcher.ts'
 import { BreakerRecord } from './BreakerRecord.ts'
-import { Cell } from './Cell.ts'
+import { Cell, readySteps } from './Cell.ts'
 import { CellMembers, type TakeoverPromise } from './CellMembers.ts'
 import { CrashRecord } from './CrashRecord.ts'
 import { DrainRecord } from './DrainRecord.ts'
@@ -74,6 +75,12 @@
  */
 const PLACEMENT_PAUSE_FACTOR = 3
 
+/**
+ * Steps for which a new owner requests advice before its first placement round. Naming workers for each takes time, in
+ * which the owner's record stands still.
+ */
+const MAX_FIRST_REQUESTS = 64
+
 /**
  * Longest time for which a placement round keeps the process from other work, in ms. With 900 waiting jobs the first
  * round of a new owner took 0.9 s, in which its heartbeats and its record stood still, so that it was replaced.
@@ -235,7 +242,7 @@
     this.#cancelPoller.run().catch(throwUncaught)
     this.#jobPoller.run().catch(throwUncaught)
     this.#cleanup.run().catch(throwUncaught)
-    for (const job of this.cell.active) this.#requestAdvice(job)
+    this.#requestFirstAdvice()
     this.#requestPlacement()
   }
 
@@ -380,6 +387,13 @@
     this.#requestPlacement()
   }
 
+  /** Requests advice for the most urgent jobs that are restored. Placement rounds do so for the others. */
+  #requestFirstAdvice (): void {
+    const ordered = orderSteps([...readySteps(this.cell)], performance.now())
+    const jobs = new Set(ordered.slice(0, MAX_FIRST_REQUESTS).map(({ step }) => step.job))
+    for (const job of jobs) this.#requestAdvice(job)
+  }
+
   /** Requests advice for a job at once: without it, the next placement round can't place its steps on any worker. */
   #requestAdvice (tracked: TrackedJob): void {
     if (tracked.definition.queue.advice === undefined || !this.#recovered) return
--- a/packages/jobs/src/owner/Placer.test.ts
+++ b/packages/jobs/src/owner/Placer.test.ts
@@ -43,3 +43,19 @@
     })
   }
 })
+
+// Guards against a backlog in which only the most urgent steps ever ask for advice, and the others wait for ever.
+describe('Placement rounds with a backlog of steps that lack advice', () => {
+  it('request advice for each of them in turn', () => {
+    const rounds = new PlacementRounds(new SeededRandom(3), { workers: 245, waiting: 6_000, hasAdvice: true })
+    rounds.fill()
+    const steps = [...rounds.cell.active].flatMap((job) => [...job.occurrences.values()].flat())
+      // A gang requests none while its members don't all have room.
+      .filter(({ spec }) => !spec.gang)
+    rounds.run()
+    expect(steps.filter(({ advice }) => advice.pending).length).to.be.within(1, 100)
+    // No request is answered meanwhile.
+    for (let round = 0; round < steps.length / 30; round++) rounds.run()
+    expect(steps.filter(({ advice }) => !advice.pending && advice.allowedCount === 0)).to.deep.equal([])
+  })
+})
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -27,6 +27,14 @@
 /** Most steps in one round for which others are looked at that could be stopped; the most urgent ones come first. */
 const MAX_PREEMPTION_ATTEMPTS = 4
 
+/**
+ * Steps without a worker for which a round looks for advice, reservations and tasks to stop: the most urgent ones, and
+ * a few of the others in turn. With 1,000 such steps a round took 0.4 s, and so many requests for advice were made that
+ * the owner's processor was busy with them alone.
+ */
+const MAX_URGENT_BLOCKED = 64
+const MAX_OTHER_BLOCKED = 32
+
 /** Workers of a pool with room for the smallest waiting task. */
 interface Candidates {
   all: readonly WorkerState[]
@@ -56,6 +64,8 @@
   readonly #headroom = new UrgentHeadroom()
   /** Processors that less urgent queues may still take up in this round, in thousandths, by pool. */
   readonly #rests = new Map<string, number>()
+  /** Rank among the steps without a worker from which the next round looks at the less urgent ones. */
+  #nextOther = MAX_URGENT_BLOCKED
   /** Priority of the most urgent queues, by pool. */
   readonly #urgentPriorities = new Map<string, number>()
   /** Tasks of the current step that were placed in this round. */
@@ -100,6 +110,8 @@
     const candidatesByPool = new Map([...pools].map(([pool, workers]) => [pool, workers.filter((worker) =>
       worker.acceptsTasks && worker.hasRoom(minimumDemand))]))
     let preemptionAttempts = 0
+    let blockedCount = 0
+    const firstOther = this.#nextOther
     for (const { step, lateness } of ordered) {
       yield
       if (step.job.isOver || step.job.cancelled) continue
@@ -112,6 +124,8 @@
         : this.#placeTasks(step, pool, candidates, now)
       this.#logPlaced(step, now)
       if (blocked === undefined) continue
+      const rank = blockedCount++
+      if (rank >= MAX_URGENT_BLOCKED && (rank < firstOther || rank >= firstOther + MAX_OTHER_BLOCKED)) continue
       const workers = pools.get(pool) ?? []
       if (!this.#cell.accounts.mayStart(step)) {
         this.#capLog.record(blocked, now)
@@ -133,6 +147,8 @@
         if (this.#preemptor.makeRoom(blocked, workers, this.#workerChecks(blocked), now)) preemptionAttempts++
       }
     }
+    const nextOther = firstOther + MAX_OTHER_BLOCKED
+    this.#nextOther = nextOther < blockedCount ? nextOther : MAX_URGENT_BLOCKED
   }
 
   /** Keeps room for bursts of urgent work, on cells whose client accounts compete for it. */
