Stop the clock in the test of placement rounds with a backlog

With the real clock, tasks that wait for 0.7 s reserve workers, which then are not asked about: on a busy machine one step of the test had no request.

--- a/packages/jobs/src/owner/Placer.test.ts
+++ b/packages/jobs/src/owner/Placer.test.ts
@@ -1,3 +1,4 @@
+import { install, type Clock } from '@sinonjs/fake-timers'
 import { expect } from 'chai'
 import { PlacementRounds, SeededRandom } from '../standins/index.ts'
 
@@ -46,6 +47,10 @@
 
 // Guards against a backlog in which only the most urgent steps ever ask for advice, and the others wait for ever.
 describe('Placement rounds with a backlog of steps that lack advice', () => {
+  let clock: Clock
+  beforeEach(() => { clock = install() })
+  afterEach(() => clock.uninstall())
+
   it('request advice for each of them in turn', () => {
     const rounds = new PlacementRounds(new SeededRandom(3), { workers: 245, waiting: 6_000, hasAdvice: true })
     rounds.fill()
