Place jobs within the share of their client account before those beyond it

Cause: jobs were ordered by priority, lateness and due time alone, so that an account that sends several times its usual traffic took the room of all others.

Change: ShareMeter determines from the times of acceptance which jobs are beyond the weight of their account, and placement orders by it within a priority. Jobs with an account that are too late to have any value come last within their priority. Preemption stops tasks beyond the share first. Jobs without an account are ordered as before.

--- a/packages/jobs/src/model/TrackedJob.ts
+++ b/packages/jobs/src/model/TrackedJob.ts
@@ -141,6 +141,8 @@
   cancelled = false
   /** A worker has confirmed a run of at least one task. */
   started = false
+  /** The client account had sent more jobs than its share when the job was accepted. `ShareMeter` sets it. */
+  beyondShare = false
 
   constructor (job: Job, now: number, wallNow: number) {
     this.definition = job
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -1,4 +1,5 @@
 import { throwUncaught, sleep, type Outcome } from '@gypsumspring/protocol'
+import { ShareMeter } from '../accounts/ShareMeter.ts'
 import { TrackedJob, countOpenOccurrences, decodeProgress, type Progress } from '../model/index.ts'
 import { RENEWAL_GRACE_MS, STORE_OUTAGE_GRACE_MS, TICK_MS } from '../constants/index.ts'
 import { readInstant } from '../instant/index.ts'
@@ -95,6 +96,7 @@
   readonly #jobPoller: TablePoller
   readonly #cancelPoller: TablePoller
   readonly #cleanup: JobCleanup
+  readonly #shares: ShareMeter
   /** Ids of cancelled jobs, also of those whose job row was not read yet. */
   readonly #cancelledIds = new Set<string>()
   /** Number of occurrences that may be open at a time, by job. */
@@ -126,6 +128,7 @@
       onDirty: () => this.#commits.wake()
     })
     const cell = this.cell
+    this.#shares = new ShareMeter((name) => cell.configuration()?.accounts?.findByName(name)?.weight)
     const breaker = new WorkerCircuitBreaker()
     const sessions = new Map<string, WorkerSession>()
     const crashes = new CrashRecord(cell)
@@ -206,6 +209,7 @@
     const lost = lostWorkers.restore(control.rows, followers !== undefined, earlierLeasesEnd)
     for (const worker of lost) this.#workerManager.addLost(worker)
     this.#restoreProgress(progress.rows)
+    this.#shares.restore(this.cell.active, performance.now())
     crashes.restore(control.rows)
     for (const worker of listed.workers) this.#workerManager.add(worker)
     breakers.restore(control.rows)
@@ -361,6 +365,7 @@
     for (const task of tracked.tasks()) if (task.isAssigned) this.#workerManager.addInheritedRun(task)
     if (tracked.isOver) return
     this.cell.active.add(tracked)
+    if (this.#recovered) this.#shares.add(tracked, performance.now())
     if (this.#cancelledIds.has(job.id)) {
       this.cancel(job.id)
       return
--- a/packages/jobs/src/placement/choosePreemption/index.ts
+++ b/packages/jobs/src/placement/choosePreemption/index.ts
@@ -8,6 +8,9 @@
 /** Most times that one task is stopped for others. */
 const MAX_PREEMPTIONS = 2
 
+/** Factor by which the work of tasks within the share of their client account counts more than that beyond it. */
+const WITHIN_SHARE_FACTOR = 1_000
+
 /** Processors that count as much as one accelerator when the work of tasks is compared. */
 const CPU_MILLIS_PER_ACCELERATOR = 8_000
 
@@ -20,7 +23,8 @@
 
 /**
  * Chooses tasks to stop so that a more urgent task can start. Only tasks of less urgent queues that save their progress
- * are stopped, and as little of their work as possible.
+ * are stopped, and as little of their work as possible. Tasks beyond the share of their client account are stopped
+ * before those within it.
  *
  * @param task - The task that needs room.
  * @param workers - Workers that the task may run on.
@@ -35,7 +39,7 @@
   for (const worker of workers) {
     const victims = chooseVictims(task, worker, now)
     if (victims === undefined) continue
-    const cost = victims.reduce((sum, victim) => sum + weigh(victim.step.spec.demand), 0)
+    const cost = victims.reduce((sum, victim) => sum + weigh(victim), 0)
     if (cost < bestCost) {
       best = { worker, victims }
       bestCost = cost
@@ -51,7 +55,7 @@
   const { priority } = task.step.job.definition.queue
   const candidates = [...worker.tasks]
     .filter((other) => mayStop(other, priority, now))
-    .sort((a, b) => weigh(a.step.spec.demand) - weigh(b.step.spec.demand))
+    .sort((a, b) => weigh(a) - weigh(b))
   const victims: TaskInstance[] = []
   for (const candidate of candidates) {
     if (!helps(missing, candidate.step.spec)) continue
@@ -93,6 +97,6 @@
     (missing.accelerators > 0 && demand.accelerators > 0)
 }
 
-function weigh ({ cpuMillis, accelerators }: Demand): number {
-  return cpuMillis + accelerators * CPU_MILLIS_PER_ACCELERATOR
+function weigh ({ step: { job, spec: { demand: { cpuMillis, accelerators } } } }: TaskInstance): number {
+  return (cpuMillis + accelerators * CPU_MILLIS_PER_ACCELERATOR) * (job.beyondShare ? 1 : WITHIN_SHARE_FACTOR)
 }
--- a/packages/jobs/src/placement/choosePreemption/test.ts
+++ b/packages/jobs/src/placement/choosePreemption/test.ts
@@ -37,6 +37,16 @@
       },
       needs: { demand: demand(3_000) }
     },
+    {
+      name: 'stops tasks beyond the share of their account rather than smaller ones within it',
+      prepare: (worker) => {
+        run(worker, { demand: demand(3_000) })
+        const beyond = run(worker, { demand: demand(5_000) })
+        beyond.step.job.beyondShare = true
+        return [beyond]
+      },
+      needs: { demand: demand(3_000) }
+    },
     {
       name: 'stops only tasks that hold what is missing',
       prepare: (worker) => {
--- a/packages/jobs/src/placement/orderSteps/index.ts
+++ b/packages/jobs/src/placement/orderSteps/index.ts
@@ -6,9 +6,16 @@
 /** Expected completion of a job: 0 within its objective, 1 late, 2 too late to have any value. */
 type Lateness = 0 | 1 | 2
 
+/**
+ * Claim to room: 0 for jobs within the share of their client account and for those without an account, 1 for jobs
+ * beyond the share, and 2 for jobs with an account that are too late to have any value.
+ */
+type Band = 0 | 1 | 2
+
 /** A step and its sort keys. */
 export interface OrderedStep {
   step: StepInstance
+  band: Band
   priority: number
   lateness: Lateness
   /** Monotonic time by which the job should complete, in ms. */
@@ -16,8 +23,9 @@
 }
 
 /**
- * Orders steps for placement: by priority, then by lateness, so that jobs that can still meet their objective come
- * first and those that are too late to have any value come last, then by due time.
+ * Orders steps for placement: by priority, then by band, so that jobs within the share of their client account come
+ * before those beyond it, then by lateness, so that jobs that can still meet their objective come first and those that
+ * are too late to have any value come last, then by due time. Without client accounts, all jobs are in one band.
  *
  * @param steps - Steps with waiting tasks.
  * @param now - Monotonic time, in ms.
@@ -26,7 +34,7 @@
 export function orderSteps (steps: readonly StepInstance[], now: number): OrderedStep[] {
   return steps
     .map((step) => rankStep(step, now))
-    .sort((a, b) => a.priority - b.priority || a.lateness - b.lateness || a.dueAt - b.dueAt)
+    .sort((a, b) => a.priority - b.priority || a.band - b.band || a.lateness - b.lateness || a.dueAt - b.dueAt)
 }
 
 function rankStep (step: StepInstance, now: number): OrderedStep {
@@ -38,7 +46,12 @@
   const lateness = step.spec.longRunning || expectedEnd <= dueAt
     ? 0
     : expectedEnd <= begin + MISSED_FACTOR * objective ? 1 : 2
-  return { step, priority: queue.priority, lateness, dueAt }
+  return { step, band: chooseBand(step, lateness), priority: queue.priority, lateness, dueAt }
+}
+
+function chooseBand ({ job }: StepInstance, lateness: Lateness): Band {
+  if (job.definition.account === undefined) return 0
+  return lateness === 2 ? 2 : job.beyondShare ? 1 : 0
 }
 
 /** Time after acceptance within which the job of a step is due, in ms. */
--- a/packages/jobs/src/placement/test.ts
+++ b/packages/jobs/src/placement/test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import type { TaskInstance } from '../model/index.ts'
-import type { Step } from '../types.ts'
+import type { Queue, Step } from '../types.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 import { makeStep, makeWorker, NOW } from './_test/makeState.ts'
 import { chooseFailureDomain } from './chooseFailureDomain/index.ts'
@@ -205,6 +205,22 @@
     expect(ordered.map(({ step }) => step.job.definition.queue.name)).to.deep.equal(['early', 'recent', 'late', 'lost',
       'background'])
   })
+
+  // Guards against an account whose burst delays the jobs that others send within their share.
+  it('orders jobs with an account by share within a priority, with those too late to have any value last', () => {
+    const order = (name: string, acceptedAt: number, beyondShare: boolean, queue: Partial<Queue> = {}) => {
+      const step = makeStep({}, { name, ...queue }, acceptedAt)
+      step.job.definition.account = 'one'
+      step.job.beyondShare = beyondShare
+      return step
+    }
+    const steps = [
+      order('lost', NOW - 60_000, false), order('beyond', NOW - 500, true), order('late', NOW - 3_000, false),
+      order('background', NOW - 500, false, { priority: 2 }), order('within', NOW, false)
+    ]
+    const names = orderSteps(steps, NOW).map(({ step }) => step.job.definition.queue.name)
+    expect(names).to.deep.equal(['within', 'late', 'beyond', 'lost', 'background'])
+  })
 })
 
 describe('chooseFailureDomain', () => {
--- a/packages/jobs/src/standins/LoadGenerator.ts
+++ b/packages/jobs/src/standins/LoadGenerator.ts
@@ -22,12 +22,34 @@
   /** Share of the workers that the policy allows for a step. */
   allowedShare: number
   step?: Partial<Step>
+  /** Client account that submits the jobs. Default: none. */
+  account?: string
+  /** Number of equal steps that run one after the other. Default: 1. */
+  chain?: number
+  /** Time in which more jobs arrive, in ms from the begin of the period, and by which factor. Default: none. */
+  surge?: { fromMs: number, toMs: number, factor: number }
+}
+
+/** What became of the jobs of a kind. */
+export interface LoadOutcome {
+  submitted: number
+  /** Completed within their objective. */
+  inTime: number
+  /** Completed later, but within three times their objective. */
+  late: number
+  refused: number
+  /** Value of the jobs in time as a share of that of all: 0.3 for a job, and 0.7 by its work. */
+  value: number
 }
 
 interface SubmittedJob {
   kind: JobKind
   runMs: number
   submittedAt: number
+  /** Tasks of each step. */
+  count: number
+  /** Answer to the submission; undefined before it arrives. */
+  answer: string | undefined
 }
 
 /** Submits jobs of several kinds at random times, and reports which of them met their objective. */
@@ -47,7 +69,7 @@
   /** Draws the arrivals of a period from now on and submits each job at its time. */
   schedule (cell: MemoryCell, periodMs: number): void {
     for (const kind of this.#kinds) {
-      for (let atMs = this.#drawGapMs(kind); atMs < periodMs; atMs += this.#drawGapMs(kind)) {
+      for (let atMs = this.#drawGapMs(kind, 0); atMs < periodMs; atMs += this.#drawGapMs(kind, atMs)) {
         setTimeout(() => this.#submit(cell, kind), atMs)
       }
     }
@@ -60,16 +82,34 @@
 
   /** Share of the submitted jobs of a kind that were shown as completed within their objective. */
   shareInTime (kind: JobKind, endedAt: (job: string) => number | undefined): number {
-    const jobs = [...this.#jobs].filter(([, job]) => job.kind === kind)
-    const inTime = jobs.filter(([id, { runMs, submittedAt }]) => {
-      const { stretch, targetLatencyMs } = kind.queue
-      return (endedAt(id) ?? Infinity) <= submittedAt + stretch * runMs + targetLatencyMs
-    })
-    return inTime.length / jobs.length
+    const { inTime, submitted } = this.summarize([kind], endedAt)
+    return inTime / submitted
+  }
+
+  /** Summarizes what became of the submitted jobs of some kinds. */
+  summarize (kinds: readonly JobKind[], endedAt: (job: string) => number | undefined): LoadOutcome {
+    const outcome: LoadOutcome = { submitted: 0, inTime: 0, late: 0, refused: 0, value: 0 }
+    let totalValue = 0
+    for (const [id, job] of this.#jobs) {
+      const { kind, runMs, submittedAt, count, answer } = job
+      if (!kinds.includes(kind)) continue
+      const objective = kind.queue.stretch * (kind.chain ?? 1) * runMs + kind.queue.targetLatencyMs
+      const tookMs = (endedAt(id) ?? Infinity) - submittedAt
+      const value = 0.3 + 0.7 * count * runMs / (kind.meanTasks * kind.meanRunMs)
+      outcome.submitted++
+      totalValue += value
+      if (answer === 'refused') outcome.refused++
+      if (tookMs <= objective) {
+        outcome.inTime++
+        outcome.value += value
+      } else if (tookMs <= 3 * objective) outcome.late++
+    }
+    return { ...outcome, value: outcome.value / totalValue }
   }
 
-  #drawGapMs ({ rate }: JobKind): number {
-    return -Math.log(1 - this.#random.below(1_000_000) / 1_000_000) * 1_000 / rate
+  #drawGapMs ({ rate, surge }: JobKind, atMs: number): number {
+    const factor = surge !== undefined && atMs >= surge.fromMs && atMs < surge.toMs ? surge.factor : 1
+    return -Math.log(1 - this.#random.below(1_000_000) / 1_000_000) * 1_000 / (rate * factor)
   }
 
   #submit (cell: MemoryCell, kind: JobKind): void {
@@ -78,10 +118,13 @@
     const estimatedRunMs = runMs * (1 + kind.estimateError * (this.#random.below(2_000) / 1_000 - 1))
     let count = 1
     while (this.#random.chance(1 - 1 / kind.meanTasks)) count++
-    this.#jobs.set(id, { kind, runMs, submittedAt: performance.now() })
+    const job: SubmittedJob = { kind, runMs, submittedAt: performance.now(), count, answer: undefined }
+    this.#jobs.set(id, job)
     const demand = this.#random.pick(kind.demands)
-    const steps = [{ count, demand, estimatedRunMs, ...kind.step }]
-    cell.submit(id, steps, { queue: kind.queue }).catch(throwUncaught)
+    const steps = Array.from({ length: kind.chain ?? 1 }, (_, index) => (
+      { count, demand, estimatedRunMs, after: index === 0 ? [] : [index - 1], ...kind.step }))
+    const { queue, account } = kind
+    cell.submit(id, steps, { queue, account }).then((answer) => { job.answer = answer }).catch(throwUncaught)
   }
 }
 
