Start jobs with least work left for their value first among those of an account's band

Cause: in the order of due times, all jobs of an overloaded cell miss their objective by a little.

Jobs without an account are ordered as before.

--- a/packages/jobs/src/placement/orderSteps/index.ts
+++ b/packages/jobs/src/placement/orderSteps/index.ts
@@ -1,4 +1,5 @@
 import type { StepInstance } from '../../model/index.ts'
+import { computeWorkPerValue } from '../computeWorkPerValue/index.ts'
 
 /** Multiple of its objective after which the completion of a job has no value any more. */
 const MISSED_FACTOR = 3
@@ -18,6 +19,8 @@
   band: Band
   priority: number
   lateness: Lateness
+  /** Work that is left for each unit of value; 0 for jobs without an account. */
+  workPerValue: number
   /** Monotonic time by which the job should complete, in ms. */
   dueAt: number
 }
@@ -26,18 +29,21 @@
  * Orders steps for placement: by priority, then by band, so that jobs within the share of their client account come
  * before those beyond it, then by lateness, so that jobs that can still meet their objective come first and those that
  * are too late to have any value come last, then by due time. Without client accounts, all jobs are in one band.
+ * Jobs with an account that are alike so far come in the order of the work that is left for their value.
  *
  * @param steps - Steps with waiting tasks.
  * @param now - Monotonic time, in ms.
  * @returns The steps with their sort keys, in order.
  */
 export function orderSteps (steps: readonly StepInstance[], now: number): OrderedStep[] {
+  const workPerValue = computeWorkPerValue(steps)
   return steps
-    .map((step) => rankStep(step, now))
-    .sort((a, b) => a.priority - b.priority || a.band - b.band || a.lateness - b.lateness || a.dueAt - b.dueAt)
+    .map((step) => ({ ...rankStep(step, now), workPerValue: workPerValue.get(step) ?? 0 }))
+    .sort((a, b) => a.priority - b.priority || a.band - b.band || a.lateness - b.lateness ||
+      a.workPerValue - b.workPerValue || a.dueAt - b.dueAt)
 }
 
-function rankStep (step: StepInstance, now: number): OrderedStep {
+function rankStep (step: StepInstance, now: number): Omit<OrderedStep, 'workPerValue'> {
   const { queue } = step.job.definition
   const objective = computeObjective(step)
   const begin = step.job.monotonicAcceptedAt
--- a/packages/jobs/src/placement/test.ts
+++ b/packages/jobs/src/placement/test.ts
@@ -223,6 +223,19 @@
   })
 })
 
+describe('orderSteps of jobs with an account', () => {
+  // Guards against overload in which all jobs miss their objective by a little.
+  it('starts the jobs first that need least work for their value', () => {
+    const steps = [8, 1, 4].map((count) => {
+      const step = makeStep({ count }, { name: String(count) }, NOW - count)
+      step.job.definition.account = 'one'
+      step.job.definition.queue.name = 'batch'
+      return step
+    })
+    expect(orderSteps(steps, NOW).map(({ step }) => step.spec.count)).to.deep.equal([1, 4, 8])
+  })
+})
+
 describe('chooseFailureDomain', () => {
   const inDomain = (id: string, failureDomain: string) => makeWorker(id, { failureDomain })
   const cases: Array<{ name: string, workers: () => WorkerState[], chosen: string | undefined }> = [
