--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -112,7 +112,7 @@
     let preemptionAttempts = 0
     let blockedCount = 0
     const firstOther = this.#nextOther
-    for (const { step, lateness } of ordered) {
+    for (const { step, lateness, band } of ordered) {
       yield
       if (step.job.isOver || step.job.cancelled) continue
       const now = this.#cell.now()
@@ -143,7 +143,7 @@
         reservedFor: (worker) => (this.#reserved.get(worker) ?? worker.claim)?.step
       }, now)
       this.#handleBlocked(blocked, workers, all, now)
-      if (lateness === 0 && preemptionAttempts < MAX_PREEMPTION_ATTEMPTS) {
+      if (lateness === 0 && band === 0 && preemptionAttempts < MAX_PREEMPTION_ATTEMPTS) {
         if (this.#preemptor.makeRoom(blocked, workers, this.#workerChecks(blocked), now)) preemptionAttempts++
       }
     }
