Keep accounts within their caps around cancels, lowered caps and lost rows

The row of an ended job had no runs, so a new owner did not count those that were still being stopped (10 tasks ran under a cap of 5). Start orders were repeated after the cap was lowered (12 tasks under a cap of 2). An account without a row in the configuration had no cap under a new owner, while the jobs of a deployment that gave up its list of accounts never started. A step that its cap blocks still requested advice when its job was accepted.

An account whose cap no configuration tells runs one task at a time. Without a list of accounts there are no caps.

The one of mayStart for a gang that does not fit had 5 tasks of 2 beside 2 in use, which is the cap of 10 and one task and is allowed now; it has 6.

--- a/packages/jobs/src/accounts/AccountUsages.ts
+++ b/packages/jobs/src/accounts/AccountUsages.ts
@@ -1,5 +1,6 @@
 import type { AccountUsage, StepInstance, TrackedJob } from '../model/index.ts'
 import type { Demand, QueueConfiguration } from '../types.ts'
+import { exceedsCap } from './exceedsCap/index.ts'
 import { mayStart } from './mayStart/index.ts'
 
 /** What each client account of a cell has running, and whether its cap lets more of its tasks start. */
@@ -47,8 +48,22 @@
     const { accountUsage, definition } = job
     if (accountUsage === undefined) return true
     const cap = this.capOf(definition.account!)
+    if (cap !== undefined) return mayStart(accountUsage, cap, spec.demand, spec.gang ? spec.count : 1)
+    const configuration = this.#configuration()
     // A new owner may know the jobs before the configuration.
-    if (cap === undefined) return this.#configuration()?.accounts !== undefined
-    return mayStart(accountUsage, cap, spec.demand, spec.gang ? spec.count : 1)
+    if (configuration === undefined) return false
+    // The account was removed, or its row is malformed: one task at a time is within every cap and lets its jobs end.
+    return configuration.accounts === undefined || isNothing(accountUsage)
   }
+
+  /** Whether a task that was assigned must not start any more, since the cap of its account was lowered meanwhile. */
+  exceedsCap ({ job: { accountUsage, definition }, spec }: StepInstance): boolean {
+    if (accountUsage === undefined) return false
+    const cap = this.capOf(definition.account!)
+    return cap !== undefined && exceedsCap(accountUsage, cap, spec.demand)
+  }
+}
+
+function isNothing ({ cpuMillis, memoryMb, accelerators }: Demand): boolean {
+  return cpuMillis === 0 && memoryMb === 0 && accelerators === 0
 }
--- a/packages/jobs/src/accounts/mayStart/index.ts
+++ b/packages/jobs/src/accounts/mayStart/index.ts
@@ -25,6 +25,8 @@
   return RESOURCES.every((resource) => {
     if (cap[resource] === 0 || demand[resource] === 0) return true
     const before = used[resource] + (count - 1) * demand[resource]
-    return before + demand[resource] <= cap[resource] || before <= SURE_SHARE * cap[resource]
+    return before + demand[resource] <= cap[resource] ||
+      // All but the last of a gang have to fit, so that what runs then is above the cap by less than one task.
+      (used[resource] <= SURE_SHARE * cap[resource] && before <= cap[resource])
   })
 }
--- a/packages/jobs/src/accounts/mayStart/test.ts
+++ b/packages/jobs/src/accounts/mayStart/test.ts
@@ -17,7 +17,10 @@
     { name: 'an accelerator over the cap', used: demand(0, 0, 2), cap: demand(0, 0, 2), task: demand(1, 1, 1), allowed: false },
     { name: 'any task after a cap was lowered below what runs', used: demand(60), cap: demand(10), task: demand(1), allowed: false },
     { name: 'a gang that fits', used: demand(2), cap: demand(10), task: demand(2), count: 4, allowed: true },
-    { name: 'a gang that does not fit', used: demand(2), cap: demand(10), task: demand(2), count: 5, allowed: false }
+    { name: 'a gang of which all but one member fit, while half of the cap is in use', used: demand(5), cap: demand(10), task: demand(4), count: 2, allowed: true },
+    { name: 'a gang of which two members do not fit', used: demand(5), cap: demand(10), task: demand(4), count: 3, allowed: false },
+    { name: 'a gang that does not fit while more than half of the cap is in use', used: demand(6), cap: demand(10), task: demand(2), count: 3, allowed: false },
+    { name: 'a gang that does not fit', used: demand(2), cap: demand(10), task: demand(2), count: 6, allowed: false }
   ]
   for (const { name, used, cap, task, count, allowed } of cases) {
     it(`${allowed ? 'allows' : 'holds back'} ${name}`, () => { expect(mayStart(used, cap, task, count)).to.equal(allowed) })
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -380,7 +380,10 @@
     this.cell.add(tracked)
     if (progress !== undefined) tracked.restore(progress, performance.now(), startedBy)
     for (const task of tracked.tasks()) if (task.isAssigned) this.#workerManager.addInheritedRun(task)
-    if (tracked.isOver) return
+    if (tracked.isOver) {
+      this.#tracker.stopJob(tracked)
+      return
+    }
     this.cell.active.add(tracked)
     if (this.#recovered) this.#shares.add(tracked, performance.now())
     if (this.#cancelledIds.has(job.id)) {
@@ -406,7 +409,8 @@
     const workers = [...this.cell.workers.values()].filter(({ entry }) => entry.pool === pool)
     for (const steps of tracked.occurrences.values()) {
       for (const step of steps) {
-        if (!step.isDone && step.isReady()) this.#advice.request(step, workers)
+        if (step.isDone || !step.isReady() || !this.cell.accounts.mayStart(step)) continue
+        this.#advice.request(step, workers)
       }
     }
   }
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -232,7 +232,7 @@
     const value = encodeProgress(job)
     if (value.length <= this.#maxRowBytes) return value
     this.#hooks.onRowTooLarge(job)
-    return encodeProgress(job)
+    return encodeProgress(job, false)
   }
 
   /** Sorts by queue priority when more jobs wait than fit into one commit, as happens while the store is slow. */
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -94,6 +94,11 @@
         this.#abortStart(task, uncertain)
         return
       }
+      if (this.#cell.accounts.exceedsCap(task.step)) {
+        this.#cell.metrics.count('starts_over_cap')
+        this.#abortStart(task, uncertain)
+        return
+      }
       const sentAt = performance.now()
       task.mayHaveBegun = true
       const outcome = await session.start({
--- a/packages/jobs/src/standins/MemoryCell.ts
+++ b/packages/jobs/src/standins/MemoryCell.ts
@@ -56,6 +56,8 @@
   readonly queues: Queue[] = [createQueue('batch')]
   /** Client accounts of the configuration; undefined when it has none. */
   accounts: ClientAccount[] | undefined
+  /** Whether the nodes know the configuration. */
+  hasConfiguration = true
   /** Names of the nodes that are cut off, together, from the other nodes, the store and the inventory. */
   readonly isolatedNodes = new Set<string>()
   /** Whether a node reaches a worker. */
@@ -122,9 +124,9 @@
       },
       adviser: this.#options.createAdviser?.() ?? new AllowAllAdviser(this.workers.workers),
       configuration: {
-        current: () => ({
-          version: 1, queues: this.queues, accounts: this.accounts && new AccountDirectory(this.accounts)
-        })
+        current: () => this.hasConfiguration
+          ? { version: 1, queues: this.queues, accounts: this.accounts && new AccountDirectory(this.accounts) }
+          : undefined
       },
       connect: (address) => this.#connect(name, address, isUp),
       log: this.#options.log ?? NO_LOG,
