--- a/packages/jobs/src/accounts/exceedsCap/index.ts
+++ b/packages/jobs/src/accounts/exceedsCap/index.ts
@@ -1,6 +1,6 @@
 import type { Demand } from '../../types.ts'
 
-/** Factor of a cap up to which an account may have running when one more of its tasks starts, by the rules of the API. */
+/** Factor of a cap up to which an account may have running when one more of its tasks starts; the rules of the API. */
 const TOLERANCE = 1.1
 
 const RESOURCES = ['cpuMillis', 'memoryMb', 'accelerators'] as const
