--- a/packages/jobs/src/standins/InvariantChecker.ts
+++ b/packages/jobs/src/standins/InvariantChecker.ts
@@ -11,16 +11,28 @@
   lostFailures: number
 }
 
+interface SubmittedJob {
+  spec: JobSpec
+  maxAttempts: number
+  /** Client account that has submitted the job, if any. */
+  account: string | undefined
+  cancelledAt: number | undefined
+}
+
 /**
  * Observes the simulated workers and records violations of the scheduler's invariants: a worker over capacity, two
  * concurrent runs of a task, a run after a known success, a run before the steps that it depends on are done, too many
- * attempts, or a run of a job that was cancelled long before.
+ * attempts, a client account above its cap, or a run of a job that was cancelled long before.
  */
 export class InvariantChecker {
   readonly violations: string[] = []
-  readonly #jobs = new Map<string, { spec: JobSpec, maxAttempts: number, cancelledAt: number | undefined }>()
+  /** Caps of a client account that may be in force. Default: none. */
+  capsOf: (account: string) => readonly Demand[] = () => []
+  readonly #jobs = new Map<string, SubmittedJob>()
   readonly #tasks = new Map<string, TaskHistory>()
   readonly #used = new Map<string, Demand>()
+  /** What runs of each client account, on all workers. */
+  readonly #usedByAccount = new Map<string, Demand>()
   /** Earlier capacities of each worker, with the monotonic time until which they were in force, in ms. */
   readonly #earlierCapacities = new Map<string, Array<{ capacity: Demand, until: number }>>()
   starts = 0
@@ -29,8 +41,8 @@
   /** Number of starts that were refused because their ticket was for an earlier incarnation of the worker. */
   outdatedTickets = 0
 
-  registerJob (id: string, spec: JobSpec, maxAttempts: number): void {
-    this.#jobs.set(id, { spec, maxAttempts, cancelledAt: undefined })
+  registerJob (id: string, spec: JobSpec, maxAttempts: number, account?: string): void {
+    this.#jobs.set(id, { spec, maxAttempts, account, cancelledAt: undefined })
   }
 
   recordCancellation (id: string): void {
@@ -79,7 +91,10 @@
       }
     }
     history.running.set(worker.id, run)
+    const excess = this.#findCapExcess(job.account, step.demand)
+    if (excess !== undefined) this.violations.push(`${name}: started while ${job.account} was above its cap, ${excess}`)
     this.#adjustUsage(worker, step, 1)
+    this.#adjustAccount(job.account, step.demand, 1)
     if (this.#isOverCapacity(worker)) {
       this.violations.push(`${worker.id}: over capacity after the start of ${name}`)
     }
@@ -91,8 +106,11 @@
     if (reason === 'done') history.doneRun = run
     if (reason === 'failed') history.failures++
     const [job, , step] = name.split('.')
-    const spec = this.#jobs.get(job!)?.spec.steps[Number(step)]
-    if (spec !== undefined) this.#adjustUsage({ id: worker } as WorkerEntry, spec, -1)
+    const submitted = this.#jobs.get(job!)
+    const spec = submitted?.spec.steps[Number(step)]
+    if (submitted === undefined || spec === undefined) return
+    this.#adjustUsage({ id: worker } as WorkerEntry, spec, -1)
+    this.#adjustAccount(submitted.account, spec.demand, -1)
   }
 
   /** Number of members of a task's gang; 1 for a task that is in no gang. */
@@ -155,6 +173,26 @@
     return RESOURCES.some((resource) => inForce.every((limits) => used[resource] > limits[resource]))
   }
 
+  /** What an account had running before a start, if that was above each cap that may be in force. */
+  #findCapExcess (account: string | undefined, demand: Demand): string | undefined {
+    const caps = account === undefined ? [] : this.capsOf(account)
+    if (caps.length === 0) return undefined
+    const used = this.#usedByAccount.get(account!) ?? NO_DEMAND
+    const isAbove = RESOURCES.some((resource) => demand[resource] > 0 &&
+      caps.every((cap) => cap[resource] > 0 && used[resource] > CAP_TOLERANCE * cap[resource]))
+    return isAbove ? JSON.stringify({ used, caps }) : undefined
+  }
+
+  #adjustAccount (account: string | undefined, demand: Demand, sign: number): void {
+    if (account === undefined) return
+    const used = this.#usedByAccount.get(account) ?? NO_DEMAND
+    this.#usedByAccount.set(account, {
+      cpuMillis: used.cpuMillis + sign * demand.cpuMillis,
+      memoryMb: used.memoryMb + sign * demand.memoryMb,
+      accelerators: used.accelerators + sign * demand.accelerators
+    })
+  }
+
   #adjustUsage (worker: WorkerEntry, { demand, fills }: JobSpec['steps'][number], sign: number): void {
     const used = this.#used.get(worker.id) ?? { ...NO_DEMAND }
     used.cpuMillis += fills ? 0 : sign * demand.cpuMillis
@@ -169,5 +207,8 @@
 /** Time after a worker's capacity has shrunk from which starts have to respect it, in ms. */
 const CAPACITY_GRACE_MS = 4_500
 
+/** Factor of a cap from which no further task may start, by the rules of the job API. */
+const CAP_TOLERANCE = 1.1
+
 /** Time after a cancellation from which no task of the job may start, in ms. */
 const CANCEL_GRACE_MS = 3_000
--- a/packages/jobs/src/standins/MemoryCell.ts
+++ b/packages/jobs/src/standins/MemoryCell.ts
@@ -69,6 +69,7 @@
 
   constructor (options: Options = {}) {
     this.#options = options
+    this.checker.capsOf = (account) => this.accounts?.flatMap(({ name, cap }) => name === account ? [cap] : []) ?? []
     for (let index = 0; index < (options.workers ?? 4); index++) this.addWorker(`w${index}`)
     for (let index = 0; index < (options.nodes ?? 3); index++) this.startNode(`n${index}`)
   }
@@ -177,7 +178,7 @@
     const { occurrences = 0 } = options
     const spec: JobSpec = { payload: id, steps: steps.map(createStep), occurrences, firstRunAt: 0, intervalMs: 0 }
     const queue = options.queue ?? this.queues[0]!
-    this.checker.registerJob(id, spec, queue.maxAttempts)
+    this.checker.registerJob(id, spec, queue.maxAttempts, options.account)
     this.#specs.set(id, spec)
     const node = this.#pick(options.node)
     const job: Job = { id, queue, account: options.account, acceptedAt: Date.now(), spec }
