Keep no room free for bursts of urgent jobs

Room that stays free costs more than the bursts that it answers; making room on several workers at once stays.

--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -14,7 +14,6 @@
 import { CapLog } from './CapLog.ts'
 import type { CrashRecord } from './CrashRecord.ts'
 import { Preemptor } from './Preemptor.ts'
-import { UrgentHeadroom } from './UrgentHeadroom.ts'
 import { WaitLog } from './WaitLog.ts'
 import type { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
 
@@ -61,13 +60,8 @@
   readonly #reserved = new Map<WorkerState, Reservation>()
   /** Room of this round that steps will take up once they have the tickets that they lack. */
   readonly #awaitingTickets = new Map<WorkerState, Demand>()
-  readonly #headroom = new UrgentHeadroom()
-  /** Processors that less urgent queues may still take up in this round, in thousandths, by pool. */
-  readonly #rests = new Map<string, number>()
   /** Rank among the steps without a worker from which the next round looks at the less urgent ones. */
   #nextOther = MAX_URGENT_BLOCKED
-  /** Priority of the most urgent queues, by pool. */
-  readonly #urgentPriorities = new Map<string, number>()
   /** Tasks of the current step that were placed in this round. */
   readonly #placedTasks: TaskInstance[] = []
 
@@ -105,7 +99,6 @@
     this.#reserved.clear()
     this.#awaitingTickets.clear()
     const ordered = orderSteps([...readySteps(this.#cell)], this.#cell.now())
-    this.#computeRests(pools, ordered.map(({ step }) => step))
     const minimumDemand = findMinimumDemand(ordered.map(({ step }) => step))
     const candidatesByPool = new Map([...pools].map(([pool, workers]) => [pool, workers.filter((worker) =>
       worker.acceptsTasks && worker.hasRoom(minimumDemand))]))
@@ -119,9 +112,7 @@
       const pool = this.#cell.poolOf(step.job.definition)
       const all = candidatesByPool.get(pool) ?? []
       const candidates = { all, ticketed: this.#filterTicketed(step, all, now) }
-      const blocked = step.spec.gang
-        ? this.#placeGang(step, pool, candidates, now)
-        : this.#placeTasks(step, pool, candidates, now)
+      const blocked = step.spec.gang ? this.#placeGang(step, candidates, now) : this.#placeTasks(step, candidates, now)
       this.#logPlaced(step, now)
       if (blocked === undefined) continue
       const rank = blockedCount++
@@ -131,12 +122,6 @@
         this.#capLog.record(blocked, now)
         continue
       }
-      if (this.#isHeldBack(step, pool)) {
-        // Tickets are all that the step needs once there is more room.
-        if (step.advice.allowedCount > 0) this.#advice.renew(step, workers)
-        else this.#advice.request(step, workers)
-        continue
-      }
       this.#waitLog.record(blocked, workers, {
         ...this.#workerChecks(blocked),
         findHealthObstacle: (worker) => this.#breaker.findObstacle(worker.id, blocked),
@@ -151,30 +136,6 @@
     this.#nextOther = nextOther < blockedCount ? nextOther : MAX_URGENT_BLOCKED
   }
 
-  /** Keeps room for bursts of urgent work, on cells whose client accounts compete for it. */
-  #computeRests (pools: ReadonlyMap<string, readonly WorkerState[]>, waiting: readonly StepInstance[]): void {
-    this.#rests.clear()
-    const configuration = this.#cell.configuration()
-    if (configuration?.accounts === undefined) return
-    for (const [pool, workers] of pools) {
-      const priorities = configuration.queues.filter((queue) => queue.pool === pool).map(({ priority }) => priority)
-      if (new Set(priorities).size < 2) continue
-      const urgentPriority = Math.min(...priorities)
-      const steps = waiting.filter(({ job }) => this.#cell.poolOf(job.definition) === pool)
-      this.#rests.set(pool, this.#headroom.computeRest(pool, workers, steps, urgentPriority, this.#cell.now()))
-      this.#urgentPriorities.set(pool, urgentPriority)
-    }
-  }
-
-  /** Whether the room that a step needs is kept for more urgent queues. */
-  #isHeldBack (step: StepInstance, pool: string): boolean {
-    const { spec, job } = step
-    const rest = this.#rests.get(pool)
-    if (rest === undefined || spec.longRunning || spec.fills) return false
-    if (job.definition.queue.priority <= this.#urgentPriorities.get(pool)!) return false
-    return rest < spec.demand.cpuMillis * (spec.gang ? spec.count : 1)
-  }
-
   /** Filters the workers that the step has tickets for: a few of a large cell, which need not be searched for them. */
   #filterTicketed (step: StepInstance, all: readonly WorkerState[], now: number): readonly WorkerState[] {
     const { advice } = step.job.definition.queue
@@ -189,9 +150,7 @@
   }
 
   /** Places the waiting tasks of a step. Returns one that found no worker, if any. */
-  #placeTasks (
-    step: StepInstance, pool: string, candidates: Candidates, now: number
-  ): TaskInstance | undefined {
+  #placeTasks (step: StepInstance, candidates: Candidates, now: number): TaskInstance | undefined {
     let blocked: TaskInstance | undefined
     let mostFailedOn = -1
     let isFirst = !step.spec.longRunning && step.tasks.length > 1 && !step.tasks.some(({ isAssigned }) => isAssigned)
@@ -203,7 +162,7 @@
         ? blocked?.failedOn.size === 0
         : task.failedOn.size <= mostFailedOn
       if (isLikeBlocked && !this.#crashes.isSuspect(task)) continue
-      if (!this.#cell.accounts.mayStart(step) || this.#isHeldBack(step, pool)) return blocked ?? task
+      if (!this.#cell.accounts.mayStart(step)) return blocked ?? task
       let worker = this.#chooseWorker(task, candidates, now)
       if (worker !== undefined && isFirst) {
         isFirst = false
@@ -234,11 +193,9 @@
   }
 
   /** Places all tasks of a gang or none. Returns one of them when there is no room for all. */
-  #placeGang (
-    step: StepInstance, pool: string, candidates: Candidates, now: number
-  ): TaskInstance | undefined {
+  #placeGang (step: StepInstance, candidates: Candidates, now: number): TaskInstance | undefined {
     if (step.tasks.some(({ status }) => status !== 'waiting')) return undefined
-    if (!this.#cell.accounts.mayStart(step) || this.#isHeldBack(step, pool)) return step.tasks[0]
+    if (!this.#cell.accounts.mayStart(step)) return step.tasks[0]
     const run = Math.max(...step.tasks.map((task) => task.run)) + 1
     const racks = step.spec.sameRack
       ? [...new Set(candidates.ticketed.flatMap(({ entry }) => entry.labels)),
@@ -280,9 +237,6 @@
   }
 
   #assign (task: TaskInstance, worker: WorkerState, run: number): void {
-    const { pool } = worker.entry
-    const rest = this.#rests.get(pool)
-    if (rest !== undefined) this.#rests.set(pool, rest - task.step.spec.demand.cpuMillis)
     this.#placedTasks.push(task)
     this.#cell.assign(task, worker, run)
     this.#preemptor.recordStart(task, worker)
