Learn the speeds of workers from the runs of the same step

Cause: the slowdown of a worker was a moving average of observed over declared run time, which is mostly noise where declared times are off. Change: the runs of a step are compared with each other; steps that could be late on slow workers prefer fast ones, and others leave these free. The effect under load is not shown yet.

--- a/packages/jobs/src/model/TrackedJob.ts
+++ b/packages/jobs/src/model/TrackedJob.ts
@@ -22,6 +22,8 @@
   /** Id of the worker that executes the run or may execute it. */
   worker: string | undefined
   checkpoint = ''
+  /** The run began with the progress of an earlier one. */
+  resumed = false
   /**
    * Monotonic time at which the worker confirmed the run, in ms; 0 before the first run. While a run is `stopping`, the
    * time at which the stop was confirmed, or Infinity until then.
@@ -105,6 +107,11 @@
     return `${this.job.id}.${this.occurrence}.${this.index}`
   }
 
+  /** Expected run time of one task on a worker of mean speed, in ms; 0 when unknown. */
+  get expectedRunMs (): number {
+    return this.job.expectedRunMs(this.index)
+  }
+
   /** Number of the step's tasks that are assigned to each worker. */
   countByWorker (): Map<string, number> {
     const counts = new Map<string, number>()
@@ -170,6 +177,11 @@
     return this.spec.occurrences === 0 ? 0 : this.spec.firstRunAt + occurrence * this.spec.intervalMs
   }
 
+  /** Expected run time of one task of a step on a worker of mean speed, in ms; 0 when unknown. */
+  expectedRunMs (step: number): number {
+    return this.spec.steps[step]?.estimatedRunMs ?? 0
+  }
+
   /** Returns the steps of an occurrence, and creates them with their tasks on the first call. */
   openOccurrence (occurrence: number, now: number): StepInstance[] {
     const existing = this.occurrences.get(occurrence)
--- a/packages/jobs/src/owner/Cell.ts
+++ b/packages/jobs/src/owner/Cell.ts
@@ -1,6 +1,7 @@
 import { AccountUsages } from '../accounts/AccountUsages.ts'
 import { TrackedJob, StepInstance, type TaskInstance } from '../model/index.ts'
 import type { MetricsRecorder, LogWriter } from '../ports.ts'
+import { RunTimes } from '../runTimes/RunTimes.ts'
 import type { Job, QueueConfiguration, TaskKey } from '../types.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 
@@ -24,12 +25,16 @@
   readonly dirty = new Set<TrackedJob>()
   readonly log: LogWriter
   readonly metrics: MetricsRecorder
+  /** What is known of the run times of tasks and the speeds of workers. */
+  readonly runTimes: RunTimes
   readonly #hooks: CellHooks
   readonly #configuration: () => QueueConfiguration | undefined
 
   constructor (
-    configuration: () => QueueConfiguration | undefined, log: LogWriter, metrics: MetricsRecorder, hooks: CellHooks
+    configuration: () => QueueConfiguration | undefined, log: LogWriter, metrics: MetricsRecorder, hooks: CellHooks,
+    { learnsRunTimes = true } = {}
   ) {
+    this.runTimes = new RunTimes(learnsRunTimes)
     this.#configuration = configuration
     this.accounts = new AccountUsages(configuration)
     this.log = log
@@ -79,6 +84,7 @@
     task.worker = worker.id
     task.ticket = task.step.advice.ticket(worker.id, this.now()) ?? ''
     task.percent = 100
+    task.resumed = task.checkpoint !== ''
     task.inherited = false
     task.inheritedStartedBy = undefined
     task.heldBackSince = undefined
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -65,6 +65,8 @@
   linkMbps: number
   /** Largest value of a row that the store accepts, in bytes. */
   maxRowBytes: number
+  /** Whether run times and speeds of workers are learned from ended runs. Default: yes. */
+  learnsRunTimes?: boolean
 }
 
 /** Longest wait for the commit in flight when the owner stops, in ms; the store may be unavailable. */
@@ -143,7 +145,7 @@
     this.cell = new Cell(() => dependencies.configuration.current(), log, this.#load, {
       onChange: () => this.#requestPlacement(),
       onDirty: () => this.#commits.wake()
-    })
+    }, options)
     const cell = this.cell
     this.#shares = new ShareMeter((name) => cell.configuration()?.accounts?.findByName(name)?.weight)
     const breaker = new WorkerCircuitBreaker()
@@ -538,6 +540,7 @@
     this.#workerManager.tick(now)
     this.#control.crashes.tick(now)
     this.#rescheduler.tick(now)
+    this.cell.runTimes.tick(this.cell, now)
     this.#stalledOrders.tick(now)
     this.#advice.tick()
     this.#requestPlacement()
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -7,6 +7,7 @@
 import { computeKeptRoom } from '../placement/computeKeptRoom/index.ts'
 import { hasWorkersForGang } from '../placement/hasWorkersForGang/index.ts'
 import { orderSteps } from '../placement/orderSteps/index.ts'
+import type { SpeedPreference } from '../runTimes/chooseSpeedPreference/index.ts'
 import type { Demand, Step } from '../types.ts'
 import { NO_DEMAND, type WorkerState } from '../workers/WorkerState.ts'
 import type { AdviceDispatcher } from './AdviceDispatcher.ts'
@@ -62,6 +63,8 @@
   readonly #awaitingTickets = new Map<WorkerState, Demand>()
   /** Rank among the steps without a worker from which the next round looks at the less urgent ones. */
   #nextOther = MAX_URGENT_BLOCKED
+  /** Whether the current step should have fast or slow workers. */
+  #speed: SpeedPreference | undefined
   /** Tasks of the current step that were placed in this round. */
   readonly #placedTasks: TaskInstance[] = []
 
@@ -105,11 +108,13 @@
     let preemptionAttempts = 0
     let blockedCount = 0
     const firstOther = this.#nextOther
-    for (const { step, lateness, band } of ordered) {
+    for (const ranked of ordered) {
       yield
+      const { step, lateness, band } = ranked
       if (step.job.isOver || step.job.cancelled) continue
       const now = this.#cell.now()
       const pool = this.#cell.poolOf(step.job.definition)
+      this.#speed = this.#cell.runTimes.preferenceOf(ranked, pool, now)
       const all = candidatesByPool.get(pool) ?? []
       const candidates = { all, ticketed: this.#filterTicketed(step, all, now) }
       const blocked = step.spec.gang ? this.#placeGang(step, candidates, now) : this.#placeTasks(step, candidates, now)
@@ -259,7 +264,8 @@
       isHealthy: (worker: WorkerState) => this.#breaker.mayStart(worker.id, task),
       isReserved: (worker: WorkerState) => this.#isReserved(worker, task) ||
         this.#preemptor.isClaimed(worker, task.step) || !this.#crashes.mayStart(task, worker, this.#cell.now()),
-      extraCost: (worker: WorkerState) => this.#crashes.computeCost(task, worker)
+      extraCost: (worker: WorkerState) => this.#crashes.computeCost(task, worker),
+      speed: this.#speed
     }
   }
 
--- a/packages/jobs/src/owner/Rescheduler.ts
+++ b/packages/jobs/src/owner/Rescheduler.ts
@@ -36,17 +36,18 @@
   #mustMove (task: TaskInstance, leavesAt: number, now: number): boolean {
     const stopBy = leavesAt - this.#stopTimeoutMs - DRAIN_MARGIN_MS
     if (now < stopBy) return false
-    const { estimatedRunMs, longRunning, fills } = task.step.spec
+    const { longRunning, fills } = task.step.spec
     if (longRunning || fills) return true
     // An inherited run has started before `startedAt`, and may end in time.
-    return !task.inherited && task.startedAt + estimatedRunMs > leavesAt - DRAIN_MARGIN_MS
+    return !task.inherited && task.startedAt + task.step.expectedRunMs > leavesAt - DRAIN_MARGIN_MS
   }
 
   #moveOverdue (task: TaskInstance, worker: WorkerState, now: number): void {
     const ranMs = Math.round(now - Math.min(task.startedAt, task.inheritedStartedBy ?? Infinity))
-    this.#cell.log.info({ job: task.step.job.id, worker: worker.id, run: task.run, ranMs, estimatedMs: task.step.spec.estimatedRunMs }, 'moving overdue task to another worker')
+    this.#cell.log.info({ job: task.step.job.id, worker: worker.id, run: task.run, ranMs, expectedMs: task.step.expectedRunMs }, 'moving overdue task to another worker')
     this.#cell.metrics.count('tasks_overdue')
     task.failedOn.add(worker.incarnation)
+    this.#cell.runTimes.recordOverdue(worker, task, now)
     this.#tracker.stop(task, 'wait')
   }
 }
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -15,9 +15,6 @@
  */
 const MAX_REGISTRY_AGE_MS = 3_000
 
-/** Weight of a new observation in the moving average of a worker's slowdown. */
-const SLOWDOWN_SMOOTHING = 0.2
-
 /** Reconciles the owner's task state with what workers report, and repeats start and stop orders until answered. */
 export class RunTracker {
   readonly #cell: Cell
@@ -268,10 +265,11 @@
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint
     if (end.reason === 'done' || end.reason === 'failed') this.#crashes.clear(task)
     if (end.reason === 'done' && !step.spec.longRunning) {
-      this.#recordSlowdown(worker, task)
+      this.#cell.runTimes.recordEnd(worker, task, this.#cell.now())
       this.#breaker.recordResult(worker.id, task, true, this.#cell.now())
       const members = step.spec.gang ? step.tasks : [task]
       for (const member of members) this.#cell.completeTask(member)
+      if (step.isDone) this.#cell.runTimes.recordStep(step, this.#cell.now())
       return
     }
     if (end.reason === 'failed') this.#handleFailure(worker, task)
@@ -293,13 +291,6 @@
     this.stopJob(job)
   }
 
-  #recordSlowdown (worker: WorkerState, task: TaskInstance): void {
-    const { estimatedRunMs } = task.step.spec
-    if (task.status !== 'running' || estimatedRunMs <= 0 || task.checkpoint !== '' || task.step.spec.fills) return
-    const ratio = Math.min(5, (this.#cell.now() - task.startedAt) / estimatedRunMs)
-    worker.slowdown += SLOWDOWN_SMOOTHING * (ratio - worker.slowdown)
-  }
-
   #handleRunning (worker: WorkerState, running: RunningTask, present: Set<TaskInstance>): void {
     const task = this.#cell.findTask(running.key)
     if (task === undefined || task.worker !== worker.id || task.run !== running.run || !task.isAssigned) {
--- a/packages/jobs/src/placement/choosePreemption/index.ts
+++ b/packages/jobs/src/placement/choosePreemption/index.ts
@@ -67,9 +67,9 @@
 }
 
 function mayStop ({ step, status, preemptions, startedAt }: TaskInstance, priority: number, now: number): boolean {
-  const { savesProgress, longRunning, gang, estimatedRunMs } = step.spec
+  const { savesProgress, longRunning, gang } = step.spec
   return status === 'running' && savesProgress && !longRunning && !gang && preemptions < MAX_PREEMPTIONS &&
-    step.job.definition.queue.priority > priority && startedAt + estimatedRunMs - now > MIN_REMAINING_MS
+    step.job.definition.queue.priority > priority && startedAt + step.expectedRunMs - now > MIN_REMAINING_MS
 }
 
 /** Resources that the worker lacks for the task; negative where it has more than enough. */
--- a/packages/jobs/src/placement/chooseWorker/index.ts
+++ b/packages/jobs/src/placement/chooseWorker/index.ts
@@ -1,5 +1,6 @@
 import { MIN_FILLER_CPU_SHARE } from '../../constants/index.ts'
 import type { StepInstance, TaskInstance } from '../../model/index.ts'
+import { computeSpeedCost, type SpeedPreference } from '../../runTimes/chooseSpeedPreference/index.ts'
 import type { WorkerState } from '../../workers/WorkerState.ts'
 
 interface Options {
@@ -11,6 +12,8 @@
   isReserved?: (worker: WorkerState) => boolean
   /** Additional cost of the worker, in units of one worker's capacity. Default: none. */
   extraCost?: (worker: WorkerState) => number
+  /** Whether the step should have fast or slow workers. Default: their speeds make no difference. */
+  speed?: SpeedPreference
   /** Rack label that the worker must have, for gangs placed on one rack. Default: any rack. */
   rack?: string
   /**
@@ -20,9 +23,6 @@
   ignoreTickets?: boolean
 }
 
-/** Weight of a worker's slowdown relative to free resources: a late task costs more than some fragmentation. */
-const SLOWDOWN_WEIGHT = 0.5
-
 /** Cost of another failure domain than the one that the tasks of the step share, in units of one worker's capacity. */
 const OTHER_DOMAIN_COST = 1
 
@@ -53,7 +53,7 @@
   let bestCost = Infinity
   for (const worker of workers) {
     if (!worker.hasRoom(step.spec) || !mayRunWithRoom(task, worker, counts, options)) continue
-    const cost = computeCost(step, worker) + (options.extraCost?.(worker) ?? 0)
+    const cost = computeCost(step, worker, options.speed) + (options.extraCost?.(worker) ?? 0)
     if (cost < bestCost) {
       best = worker
       bestCost = cost
@@ -109,13 +109,13 @@
   return worker.entry.capacity.cpuMillis - worker.usedCpuMillis - worker.fillerCpuMillis
 }
 
-function computeCost (step: StepInstance, worker: WorkerState): number {
+function computeCost (step: StepInstance, worker: WorkerState, speed: SpeedPreference | undefined): number {
   const { spec } = step
   const { capacity, labels } = worker.entry
   const freeCpu = toShare(unclaimedCpuMillis(worker) - spec.demand.cpuMillis, capacity.cpuMillis)
   const freeMemory = toShare(capacity.memoryMb - worker.usedMemoryMb - spec.demand.memoryMb, capacity.memoryMb)
   let cost = spec.fills ? -freeCpu : Math.max(freeCpu, 0) + freeMemory
-  if (!spec.longRunning) cost += SLOWDOWN_WEIGHT * (worker.slowdown - 1)
+  if (speed !== undefined) cost += computeSpeedCost(speed, worker.slowdown)
   if (step.failureDomain !== undefined && step.failureDomain !== worker.entry.failureDomain) cost += OTHER_DOMAIN_COST
   if (spec.preferredRack !== '' && !labels.includes(spec.preferredRack)) cost += OTHER_RACK_COST
   if (spec.targetLatencyMs > 0 && worker.fillerCpuMillis > 0) cost += INTERFERENCE_COST
--- a/packages/jobs/src/placement/computeKeptRoom/index.ts
+++ b/packages/jobs/src/placement/computeKeptRoom/index.ts
@@ -35,8 +35,8 @@
 
 /** Monotonic time at which a run is expected to end, in ms. */
 function expectEnd ({ status, startedAt, step }: TaskInstance, now: number): number {
-  const { longRunning, estimatedRunMs } = step.spec
+  const { expectedRunMs } = step
   if (status === 'stopping') return now
-  if (longRunning) return Number.MAX_SAFE_INTEGER
-  return status === 'running' ? Math.max(now, startedAt + estimatedRunMs) : now + estimatedRunMs
+  if (step.spec.longRunning) return Number.MAX_SAFE_INTEGER
+  return status === 'running' ? Math.max(now, startedAt + expectedRunMs) : now + expectedRunMs
 }
--- a/packages/jobs/src/placement/orderSteps/index.ts
+++ b/packages/jobs/src/placement/orderSteps/index.ts
@@ -23,6 +23,10 @@
   workPerValue: number
   /** Monotonic time by which the job should complete, in ms. */
   dueAt: number
+  /** Monotonic time after which its completion has no value any more, in ms. */
+  missedAt: number
+  /** Expected time from the start of the step to the end of the job, on workers of mean speed, in ms. */
+  pathMs: number
 }
 
 /**
@@ -43,16 +47,19 @@
       a.workPerValue - b.workPerValue || a.dueAt - b.dueAt)
 }
 
-function rankStep (step: StepInstance, now: number): Omit<OrderedStep, 'workPerValue'> {
+/** Computes the sort keys of a step alone. `now` is monotonic time in ms. */
+export function rankStep (step: StepInstance, now: number): Omit<OrderedStep, 'workPerValue'> {
   const { queue } = step.job.definition
   const objective = computeObjective(step)
   const begin = step.job.monotonicAcceptedAt
   const dueAt = begin + objective
-  const expectedEnd = now + remainingPathMs(step)
+  const missedAt = begin + MISSED_FACTOR * objective
+  const pathMs = remainingPathMs(step)
+  const expectedEnd = now + pathMs
   const lateness = step.spec.longRunning || expectedEnd <= dueAt
     ? 0
-    : expectedEnd <= begin + MISSED_FACTOR * objective ? 1 : 2
-  return { step, band: chooseBand(step, lateness), priority: queue.priority, lateness, dueAt }
+    : expectedEnd <= missedAt ? 1 : 2
+  return { step, band: chooseBand(step, lateness), priority: queue.priority, lateness, dueAt, missedAt, pathMs }
 }
 
 function chooseBand ({ job }: StepInstance, lateness: Lateness): Band {
@@ -69,9 +76,9 @@
 /** Expected duration of the job's longest chain of dependent steps, in ms. */
 function criticalPathMs (step: StepInstance, from: number): number {
   const ends: number[] = []
-  for (const [index, { after, estimatedRunMs }] of step.job.spec.steps.entries()) {
+  for (const [index, { after }] of step.job.spec.steps.entries()) {
     const begin = after.reduce((latest, earlier) => Math.max(latest, ends[earlier] ?? 0), from)
-    ends.push(begin + estimatedRunMs)
+    ends.push(begin + step.job.expectedRunMs(index))
     if (index > MAX_PATH_STEPS) break
   }
   return Math.max(...ends)
@@ -83,13 +90,13 @@
 /** Expected time from the start of the step to the end of the job, in ms. */
 function remainingPathMs (step: StepInstance): number {
   const { steps } = step.job.spec
-  const ends = new Map<number, number>([[step.index, step.spec.estimatedRunMs]])
-  let longest = step.spec.estimatedRunMs
+  const ends = new Map<number, number>([[step.index, step.expectedRunMs]])
+  let longest = step.expectedRunMs
   for (let index = step.index + 1; index < steps.length; index++) {
-    const { after, estimatedRunMs } = steps[index]!
+    const { after } = steps[index]!
     const begins = after.flatMap((earlier) => ends.get(earlier) ?? [])
     if (begins.length === 0) continue
-    const end = Math.max(...begins) + estimatedRunMs
+    const end = Math.max(...begins) + step.job.expectedRunMs(index)
     ends.set(index, end)
     longest = Math.max(longest, end)
   }
--- a/packages/jobs/src/standins/MemoryCell.ts
+++ b/packages/jobs/src/standins/MemoryCell.ts
@@ -26,6 +26,8 @@
   storeLatencyMs?: number
   /** Whether nodes can ask an inventory of machines. Default: no. */
   hasInventory?: boolean
+  /** Whether the nodes learn run times and speeds of workers. Default: yes. */
+  learnsRunTimes?: boolean
   /** Receives the log lines. Default: they are discarded. */
   log?: LogWriter
 }
@@ -140,6 +142,7 @@
       stopTimeoutMs: 900,
       keepEndedMs: 120_000,
       maxRowBytes: MAX_ROW_BYTES,
+      learnsRunTimes: this.#options.learnsRunTimes,
       ...this.#options.weakNodes?.includes(name) === true
         ? { processors: 0.3, linkMbps: 7 }
         : {
--- a/packages/jobs/src/workers/WorkerState.ts
+++ b/packages/jobs/src/workers/WorkerState.ts
@@ -37,7 +37,7 @@
    * earlier owner. Their resource usage is unknown, so the worker gets no tasks until they have ended.
    */
   hasUnownedRuns = false
-  /** Moving average of observed over estimated run time; 1 when unknown. */
+  /** Run times on this worker relative to a worker of mean speed; 1 unless a difference is clear. */
   slowdown = 1
 
   /** Tasks are being stopped here for a task of this step; until the given monotonic time no others start, in ms. */
