--- a/packages/jobs/src/loadPatterns/overdueTasks.test.ts
+++ b/packages/jobs/src/loadPatterns/overdueTasks.test.ts
@@ -93,6 +93,26 @@
       expect(await fetchState(cell, clock, JOB)).to.equal('completed')
     }
   },
+  {
+    // A declared run time of 0 left the limit at 2 s, also after it had doubled, so that no run was long enough.
+    name: 'end although their run time is not declared',
+    options: { planRunEnd: () => ({ reason: 'done', afterMs: 6_000 }) },
+    run: async (cell, clock) => {
+      submitInBackground(cell, JOB, [{ estimatedRunMs: 0 }])
+      await clock.tickAsync(20_000)
+      expect(await fetchState(cell, clock, JOB)).to.equal('completed')
+    }
+  },
+  {
+    // The worker is used again after each run, which makes the list of the workers to avoid begin anew.
+    name: 'end although their run time is not declared and there is one worker',
+    options: { workers: 1, planRunEnd: () => ({ reason: 'done', afterMs: 6_000 }) },
+    run: async (cell, clock) => {
+      submitInBackground(cell, JOB, [{ estimatedRunMs: 0 }])
+      await clock.tickAsync(30_000)
+      expect(await fetchState(cell, clock, JOB)).to.equal('completed')
+    }
+  },
   {
     // A row that can't be decoded would end the process of each owner in turn.
     name: 'are started elsewhere although the record of earlier takeovers is malformed',
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -388,6 +388,7 @@
     }
     this.cell.active.add(tracked)
     if (this.#recovered) this.#shares.add(tracked, performance.now())
+    this.cell.runTimes.apply(tracked)
     if (this.#cancelledIds.has(job.id)) {
       this.cancel(job.id)
       return
--- a/packages/jobs/src/owner/Rescheduler.ts
+++ b/packages/jobs/src/owner/Rescheduler.ts
@@ -1,4 +1,3 @@
-import { OVERDUE_EXTRA_MS, OVERDUE_FACTOR } from '../constants/index.ts'
 import type { TaskInstance } from '../model/index.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 import type { Cell } from './Cell.ts'
@@ -28,7 +27,7 @@
           const leavesInMs = Math.round(worker.leavesAt - now)
           this.#cell.log.info({ job: task.step.job.id, worker: worker.id, leavesInMs }, 'moving task off draining worker')
           this.#tracker.stop(task, 'wait')
-        } else if (worker.reachable && isOverdue(task, now)) this.#moveOverdue(task, worker, now)
+        } else if (worker.reachable && this.#isOverdue(task, worker, now)) this.#moveOverdue(task, worker, now)
       }
     }
   }
@@ -47,23 +46,19 @@
     this.#cell.log.info({ job: task.step.job.id, worker: worker.id, run: task.run, ranMs, expectedMs: task.step.expectedRunMs }, 'moving overdue task to another worker')
     this.#cell.metrics.count('tasks_overdue')
     task.failedOn.add(worker.incarnation)
+    task.overdueStops++
     this.#cell.runTimes.recordOverdue(worker, task, now)
     this.#tracker.stop(task, 'wait')
   }
-}
-
-function isOverdue (task: TaskInstance, now: number): boolean {
-  const { estimatedRunMs, longRunning, fills } = task.step.spec
-  if (longRunning || fills || task.percent < 100 || task.startedAt === 0) return false
-  if (now - task.startedAt > computeLimit(estimatedRunMs, task.failedOn.size)) return true
-  // The workers on which earlier owners had moved the task are not known, but there is at most one for each run.
-  return now - (task.inheritedStartedBy ?? now) > computeLimit(estimatedRunMs, task.run - 1)
-}
 
-/**
- * Computes the time after which a run is overdue, in ms. A task that was moved before may just take longer than its
- * estimate, so the limit doubles with each worker that it was moved from.
- */
-function computeLimit (estimatedRunMs: number, movedCount: number): number {
-  return OVERDUE_FACTOR * 2 ** movedCount * estimatedRunMs + OVERDUE_EXTRA_MS
+  #isOverdue (task: TaskInstance, worker: WorkerState, now: number): boolean {
+    const { step } = task
+    if (step.spec.longRunning || step.spec.fills || task.percent < 100 || task.startedAt === 0) return false
+    const { runTimes } = this.#cell
+    // `failedOn` is cleared when no other worker has room.
+    const movedCount = Math.max(task.failedOn.size, task.overdueStops)
+    if (now - task.startedAt > runTimes.overdueMs(worker, step, movedCount)) return true
+    // The workers on which earlier owners had moved the task are not known, but there is at most one for each run.
+    return now - (task.inheritedStartedBy ?? now) > runTimes.overdueMs(worker, step, task.run - 1)
+  }
 }
--- a/packages/jobs/src/runTimes/RunTimes.ts
+++ b/packages/jobs/src/runTimes/RunTimes.ts
@@ -1,8 +1,17 @@
-import type { StepInstance, TaskInstance } from '../model/index.ts'
+import { OVERDUE_EXTRA_MS, OVERDUE_FACTOR } from '../constants/index.ts'
+import type { StepInstance, TaskInstance, TrackedJob } from '../model/index.ts'
+import type { Cell } from '../owner/Cell.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 import { chooseSpeedPreference, type Schedule, type SpeedPreference } from './chooseSpeedPreference/index.ts'
+import { RunTimeEstimator } from './RunTimeEstimator.ts'
 import { WorkerSpeeds } from './WorkerSpeeds.ts'
 
+/** Interval between updates of what is derived from observations, in ms. */
+const REFRESH_MS = 1_000
+
+/** Multiple of the longest usual run times after which a run is overdue. */
+const LONGEST_FACTOR = 1.25
+
 /** Weight of a new observation in the moving average of a worker's slowdown, while nothing is learned. */
 const SLOWDOWN_SMOOTHING = 0.2
 
@@ -13,6 +22,8 @@
 export class RunTimes {
   readonly #isEnabled: boolean
   readonly #speeds = new WorkerSpeeds()
+  readonly #estimator = new RunTimeEstimator()
+  #refreshedAt = -Infinity
 
   constructor (isEnabled: boolean) {
     this.#isEnabled = isEnabled
@@ -27,34 +38,69 @@
   /** Records the successful end of a run. `now` is monotonic time in ms. */
   recordEnd (worker: WorkerState, task: TaskInstance, now: number): void {
     if (!this.#isEnabled) recordSlowdown(worker, task, now)
-    else if (isComparable(worker, task)) this.#speeds.recordRun(worker, task.step, now - task.startedAt)
+    else this.#record(worker, task, now, false)
   }
 
   /** Records a run that is stopped because it is overdue. */
   recordOverdue (worker: WorkerState, task: TaskInstance, now: number): void {
-    if (!this.#isEnabled || !isComparable(worker, task)) return
-    this.#speeds.recordRun(worker, task.step, now - task.startedAt, true)
+    if (this.#isEnabled) this.#record(worker, task, now, true)
   }
 
   /** Records that all tasks of a step are done. */
   recordStep (step: StepInstance, now: number): void {
-    if (this.#isEnabled) this.#speeds.recordStep(step, now)
+    if (!this.#isEnabled) return
+    this.#speeds.recordStep(step, now)
+    this.#estimator.recordStep(step)
+  }
+
+  /** Sets the expected run times of a job. */
+  apply (job: TrackedJob): void {
+    if (!this.#isEnabled) return
+    for (const index of job.spec.steps.keys()) job.learnedRunMs[index] = this.#estimator.estimate(job, index)
+  }
+
+  /**
+   * Returns the time after which a run is overdue, in ms. A task that was moved before may just take longer than
+   * expected, so the limit doubles with each time.
+   */
+  overdueMs (worker: WorkerState, { expectedRunMs, job }: StepInstance, movedCount: number): number {
+    const usual = OVERDUE_FACTOR * 2 ** movedCount * expectedRunMs + OVERDUE_EXTRA_MS
+    if (!this.#isEnabled) return usual
+    // Where nothing is expected, only the limit itself can double.
+    if (expectedRunMs <= 0) return OVERDUE_EXTRA_MS * 2 ** movedCount
+    const longestMs = expectedRunMs * this.#estimator.longestRatio(job.definition.queue.name)
+    const longestHereMs = Math.max(1, worker.slowdown) * longestMs
+    return Math.max(usual, LONGEST_FACTOR * 2 ** movedCount * longestHereMs + OVERDUE_EXTRA_MS)
+  }
+
+  /** Updates what is derived from the observations, at most once per `REFRESH_MS`. `now` is monotonic time in ms. */
+  tick ({ workers, active }: Pick<Cell, 'workers' | 'active'>, now: number): void {
+    if (!this.#isEnabled || now - this.#refreshedAt < REFRESH_MS) return
+    this.#refreshedAt = now
+    this.#speeds.refresh(workers.values(), now)
+    for (const job of active) this.apply(job)
   }
 
-  /** Updates what is derived from the observations. */
-  tick ({ workers }: { workers: ReadonlyMap<string, WorkerState> }, now: number): void {
-    if (this.#isEnabled) this.#speeds.refresh(workers.values(), now)
+  #record (worker: WorkerState, task: TaskInstance, now: number, isStopped: boolean): void {
+    if (!isComplete(task)) return
+    const { step } = task
+    const runMs = now - task.startedAt
+    if (isComparable(worker, step)) this.#speeds.recordRun(worker, step, runMs, isStopped)
+    if (!step.spec.gang || !isStopped) this.#estimator.record(step, runMs / worker.slowdown, isStopped)
   }
 }
 
+/** Whether a run has done all the work of its task by itself, and began at a known time. */
+function isComplete ({ status, inherited, resumed, percent, step: { spec } }: TaskInstance): boolean {
+  return status === 'running' && !inherited && !resumed && percent === 100 && !spec.fills && !spec.longRunning
+}
+
 /**
- * Whether a run shows how fast its worker is. A gang runs as fast as its slowest member; a filler task uses what others
- * leave; a task without its data is slow on any worker.
+ * Whether a run shows how fast its worker is. A gang runs as fast as its slowest member; a task without its data is
+ * slow on any worker.
  */
-function isComparable ({ entry }: WorkerState, task: TaskInstance): boolean {
-  const { status, inherited, resumed, percent, step: { spec } } = task
-  return status === 'running' && !inherited && !resumed && percent === 100 && !spec.gang && !spec.fills &&
-    !spec.longRunning && (spec.preferredRack === '' || entry.labels.includes(spec.preferredRack))
+function isComparable ({ entry }: WorkerState, { spec }: StepInstance): boolean {
+  return !spec.gang && (spec.preferredRack === '' || entry.labels.includes(spec.preferredRack))
 }
 
 /** Compares a run with its declared run time. */
--- a/packages/jobs/src/runTimes/WorkerSpeeds.ts
+++ b/packages/jobs/src/runTimes/WorkerSpeeds.ts
@@ -12,9 +12,6 @@
 /** Share of the runs of a step that is left out at each end when its work is estimated. */
 const TRIMMED_SHARE = 0.2
 
-/** Interval between estimates, in ms. */
-const REFRESH_MS = 1_000
-
 /** Time after which a worker that is no longer registered is forgotten, in ms. */
 const FORGET_MS = 600_000
 
@@ -54,7 +51,6 @@
   readonly #steps = new WeakMap<StepInstance, StepRun[]>()
   readonly #workers = new Map<string, KnownWorker>()
   readonly #ranges = new Map<string, SpeedRange>()
-  #refreshedAt = -Infinity
 
   /** Speeds in a pool; undefined while all its workers count as equal. */
   rangeOf (pool: string): SpeedRange | undefined {
@@ -88,10 +84,8 @@
     }
   }
 
-  /** Updates the slowdown of the workers, at most once per `REFRESH_MS`. */
+  /** Updates the slowdown of the workers. `now` is monotonic time in ms. */
   refresh (workers: Iterable<WorkerState>, now: number): void {
-    if (now - this.#refreshedAt < REFRESH_MS) return
-    this.#refreshedAt = now
     const pools = new Map<string, WorkerState[]>()
     for (const worker of workers) {
       const { pool } = worker.entry
