Store what is learned of run times, and name fast workers in calls for advice

Cause: a new owner learned everything anew; calls for advice named the workers with most room, whatever their speed. One faulty worker of twelve no longer makes the others count as fast.

--- a/packages/jobs/src/owner/AdviceDispatcher.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.ts
@@ -1,6 +1,8 @@
 import { throwUncaught } from '@gypsumspring/protocol'
 import type { AdviceTiming, TaskKey } from '../types.ts'
 import { MAX_ADVICE_WORKERS, SLOW_ADVICE_MS, TICKET_MARGIN_MS } from '../constants/index.ts'
+import { rankStep } from '../placement/orderSteps/index.ts'
+import type { SpeedPreference } from '../runTimes/chooseSpeedPreference/index.ts'
 import { selectAdviceCandidates } from '../placement/selectAdviceCandidates/index.ts'
 import type { Advice, Adviser } from '../ports.ts'
 import type { StepInstance } from '../model/index.ts'
@@ -126,14 +128,19 @@
   request (step: StepInstance, workers: readonly WorkerState[]): void {
     const { advice: timing, name } = step.job.definition.queue
     if (timing === undefined || step.advice.pending || step.advice.notBefore > this.#cell.now()) return
-    const select = () =>
-      selectAdviceCandidates(step, workers, this.#allowedShares.get(name) ?? INITIAL_ALLOWED_SHARE)
+    const allowedShare = () => this.#allowedShares.get(name) ?? INITIAL_ALLOWED_SHARE
+    const select = () => selectAdviceCandidates(step, workers, allowedShare(), this.#preferenceOf(step))
     const named = select()
     if (named.length === 0) return
     const expectedMs = expectDuration(timing, named.length)
     this.#enqueue({ step, timing, workers: named, reselect: select, expectedMs, ahead: false })
   }
 
+  #preferenceOf (step: StepInstance): SpeedPreference | undefined {
+    const now = this.#cell.now()
+    return this.#cell.runTimes.learnedPreferenceOf(rankStep(step, now), this.#cell.poolOf(step.job.definition), now)
+  }
+
   /**
    * Renews the tickets of a step that waits for room before they expire, so that the step can start as soon as one of
    * its workers has room. Does nothing for fast calls, which cost little time once there is room.
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -29,6 +29,7 @@
 import { TablePoller } from './TablePoller.ts'
 import { Placer } from './Placer.ts'
 import { OwnerLoadLog } from './OwnerLoadLog.ts'
+import { RunTimesRecord } from './RunTimesRecord.ts'
 import { RunTracker } from './RunTracker.ts'
 import { TakeoverRecord } from './TakeoverRecord.ts'
 import { WorkerManager } from './WorkerManager.ts'
@@ -162,7 +163,8 @@
       takeovers: new TakeoverRecord(cell, ownership.clock),
       breakers: new BreakerRecord(cell, ownership.clock, breaker),
       crashes,
-      incarnations: new IncarnationRecord(cell)
+      incarnations: new IncarnationRecord(cell),
+      runTimes: new RunTimesRecord(cell)
     }
     const { lostWorkers, members, drains, incarnations } = this.#control
     this.#commits = new GroupCommit(cell, this.#control, ownership, {
@@ -222,6 +224,7 @@
     members.restore(control.rows)
     drains.restore(control.rows)
     incarnations.restore(control.rows)
+    this.#control.runTimes.restore(control.rows)
     takeovers.restore(control.rows)
     takeovers.add(progress.version, earlierLeasesEnd)
     this.#ownership.earlierLeasesEnd = earlierLeasesEnd
--- a/packages/jobs/src/owner/GroupCommit.ts
+++ b/packages/jobs/src/owner/GroupCommit.ts
@@ -14,6 +14,7 @@
 import type { DrainRecord } from './DrainRecord.ts'
 import type { IncarnationRecord } from './IncarnationRecord.ts'
 import { REMOVAL_ROWS, toRowAddress, type LostWorkerRecords } from './LostWorkerRecords.ts'
+import type { RunTimesRecord } from './RunTimesRecord.ts'
 import type { TakeoverRecord } from './TakeoverRecord.ts'
 
 /** Commits that take longer are logged, in ms; a commit usually takes 13 ms. */
@@ -59,6 +60,7 @@
   breakers: BreakerRecord
   crashes: CrashRecord
   incarnations: IncarnationRecord
+  runTimes: RunTimesRecord
 }
 
 export interface CommitHooks {
@@ -197,11 +199,11 @@
 
   #takeBatch (): Batch {
     const cell = this.#cell
-    const { lostWorkers, members, drains, takeovers, breakers, crashes, incarnations } = this.#control
+    const { lostWorkers, members, drains, takeovers, breakers, crashes, incarnations, runTimes } = this.#control
     // The row of the members tells the next owner that it may rely on the records of lost workers.
     const trusted = lostWorkers.hasUntrusted ? [] : [members]
     // The crashes come with or before the next runs of their tasks, and the incarnations with or after the crashes.
-    const records = [...trusted, takeovers, drains, breakers, crashes, incarnations, lostWorkers]
+    const records = [...trusted, takeovers, drains, breakers, crashes, incarnations, runTimes, lostWorkers]
     const puts = records.flatMap((record) => record.takeWrites())
     const maxRows = MAX_ROWS_PER_COMMIT - (lostWorkers.hasRecords ? REMOVAL_ROWS : 0)
     const batch: Batch = { puts, states: [], starts: [], endSequences: new Map(), foundWorkers: [] }
--- a/packages/jobs/src/placement/selectAdviceCandidates/index.ts
+++ b/packages/jobs/src/placement/selectAdviceCandidates/index.ts
@@ -1,5 +1,6 @@
 import { MAX_ADVICE_WORKERS } from '../../constants/index.ts'
 import type { StepInstance } from '../../model/index.ts'
+import { computeSpeedCost, type SpeedPreference } from '../../runTimes/chooseSpeedPreference/index.ts'
 import type { WorkerState } from '../../workers/WorkerState.ts'
 import { countRoom } from '../countRoom/index.ts'
 import { fitsWhenEmpty } from '../fitsWhenEmpty/index.ts'
@@ -17,21 +18,24 @@
  * @param step - The step.
  * @param workers - All workers of the pool.
  * @param allowedShare - Share of the workers that the policy usually allows for steps of the queue, 0 to 1.
+ * @param speed - Whether the step should have fast or slow workers. Default: their speeds make no difference.
  * @returns Ids of the workers, those with the most expected capacity first. For a gang that prefers one rack, all
  * candidates up to the limit of a call, since the capacity has to be on the same rack.
  */
 export function selectAdviceCandidates (
-  step: StepInstance, workers: readonly WorkerState[], allowedShare: number
+  step: StepInstance, workers: readonly WorkerState[], allowedShare: number, speed?: SpeedPreference
 ): string[] {
   const counts = step.countByWorker()
-  const candidates: Array<{ id: string, room: number, free: number }> = []
+  const candidates: Array<{ id: string, room: number, free: number, rank: number }> = []
   for (const worker of workers) {
     const allowed = step.advice.isAllowed(worker.id)
     if (!worker.acceptsTasks || allowed === false || !fitsWhenEmpty(step, worker)) continue
     const room = countRoom(step, worker, counts.get(worker.id) ?? 0) * (allowed === true ? 1 : allowedShare)
-    candidates.push({ id: worker.id, room, free: 1 - worker.usedCpuMillis / worker.entry.capacity.cpuMillis })
+    const free = 1 - worker.usedCpuMillis / worker.entry.capacity.cpuMillis
+    const rank = speed === undefined ? room : room * Math.exp(-computeSpeedCost(speed, worker.slowdown))
+    candidates.push({ id: worker.id, room, free, rank })
   }
-  candidates.sort((a, b) => b.room - a.room || b.free - a.free)
+  candidates.sort((a, b) => b.rank - a.rank || b.free - a.free)
   const limit = step.spec.gang && step.spec.sameRack ? MAX_ADVICE_WORKERS : countCandidatesNeeded(step, candidates)
   return candidates.slice(0, Math.min(limit, MAX_ADVICE_WORKERS)).map(({ id }) => id)
 }
--- a/packages/jobs/src/runTimes/RunTimeEstimator.ts
+++ b/packages/jobs/src/runTimes/RunTimeEstimator.ts
@@ -1,4 +1,5 @@
 import type { StepInstance, TrackedJob } from '../model/index.ts'
+import type { RunTimesState } from './RunTimesState.ts'
 import { RunTimeSample } from './RunTimeSample.ts'
 
 /** Runs of a group that are kept; after a change of the work, the median is right once they are replaced. */
@@ -29,6 +30,12 @@
 /** How a run time is predicted: as declared; declared, times what the queue usually takes; as similar runs took. */
 type Method = 'declared' | 'scaled' | 'learned'
 
+// The store holds indices into this list, so its order must not change.
+const METHODS = ['declared', 'scaled', 'learned'] as const
+
+/** Groups that are stored; the last ones to appear. A group takes 80 bytes of the row. */
+const MAX_STORED_GROUPS = 200
+
 interface QueueRecord {
   /** Logarithms of run times in ms, relative to the speed of the worker. */
   runs: RunTimeSample
@@ -93,9 +100,47 @@
     return errors === undefined || errors.size < MIN_RUNS ? 1 : Math.max(1, Math.exp(errors.quantile(LATE_SHARE)))
   }
 
+  /** Returns what a later owner needs to predict run times, as far as predictions are made from it. */
+  snapshot (): Pick<RunTimesState, 'queues' | 'groups'> {
+    return {
+      queues: [...this.#queues].filter(([, { runs }]) => runs.size >= MIN_RUNS).map(([name, queue]) => [
+        name, METHODS.indexOf(queue.method), METHODS.map((method) => Math.round(queue.averages[method] * 10) / 10),
+        ...[queue.runs, queue.ratios, queue.errors].map((sample) => sample.size === 0 ? [] : sample.summarize())
+      ] as RunTimesState['queues'][number]),
+      groups: [...this.#groups].filter(([, { size }]) => size >= MIN_RUNS).slice(-MAX_STORED_GROUPS)
+        .map(([key, sample]) => [key, sample.summarize()])
+    }
+  }
+
+  /** Restores what an earlier owner has learned. */
+  restore ({ queues, groups }: RunTimesState): void {
+    for (const [name, method, averages, runs, ratios, errors] of queues) {
+      const queue = createQueueRecord()
+      queue.method = METHODS[method]!
+      for (const [index, average] of averages.entries()) queue.averages[METHODS[index]!] = average
+      queue.runs.restore(runs)
+      queue.ratios.restore(ratios)
+      queue.errors.restore(errors)
+      Object.assign(queue, { runCount: MIN_RUNS, stepCount: MIN_STEPS })
+      this.#queues.set(name, queue)
+    }
+    for (const [key, summary] of groups) this.#openGroup(key).restore(summary)
+  }
+
+  /** Describes the queues for the log. */
+  describe (): Array<{ queue: string, method: Method, medianMs: number, error: number }> {
+    const known = [...this.#queues].filter(([, { runs }]) => runs.size >= MIN_RUNS)
+    return known.map(([queue, { runs, method, averages }]) => ({
+      queue,
+      method,
+      medianMs: Math.round(Math.exp(runs.quantile(0.5))),
+      error: Math.round(averages[method] * 100) / 100
+    }))
+  }
+
   /** Updates the average errors of all predictions with a run that had not been known to them. */
   #compare (queue: QueueRecord, { job, index }: StepInstance, log: number): void {
-    for (const method of ['declared', 'scaled', 'learned'] as const) {
+    for (const method of METHODS) {
       const prediction = this.#predict(queue, job, index, method)
       const error = prediction === undefined ? MAX_ERROR : Math.min(MAX_ERROR, Math.abs(log - prediction))
       queue.averages[method] += ERROR_WEIGHT * (error - queue.averages[method])
@@ -121,15 +166,7 @@
     const { name } = job.definition.queue
     let queue = this.#queues.get(name)
     if (queue === undefined) {
-      queue = {
-        runs: new RunTimeSample(KEPT_RUNS),
-        ratios: new RunTimeSample(KEPT_RUNS),
-        errors: new RunTimeSample(KEPT_ERRORS),
-        averages: { declared: 0, scaled: MAX_ERROR, learned: MAX_ERROR },
-        runCount: 0,
-        stepCount: 0,
-        method: 'declared'
-      }
+      queue = createQueueRecord()
       this.#queues.set(name, queue)
     }
     return queue
@@ -146,6 +183,18 @@
   }
 }
 
+function createQueueRecord (): QueueRecord {
+  return {
+    runs: new RunTimeSample(KEPT_RUNS),
+    ratios: new RunTimeSample(KEPT_RUNS),
+    errors: new RunTimeSample(KEPT_ERRORS),
+    averages: { declared: 0, scaled: MAX_ERROR, learned: MAX_ERROR },
+    runCount: 0,
+    stepCount: 0,
+    method: 'declared'
+  }
+}
+
 function chooseMethod ({ averages, method, runCount, stepCount }: QueueRecord): Method {
   if (runCount < MIN_RUNS || stepCount < MIN_STEPS) return 'declared'
   const best = averages.learned < averages.scaled ? 'learned' : 'scaled'
--- a/packages/jobs/src/runTimes/RunTimes.ts
+++ b/packages/jobs/src/runTimes/RunTimes.ts
@@ -4,11 +4,16 @@
 import type { WorkerState } from '../workers/WorkerState.ts'
 import { chooseSpeedPreference, type Schedule, type SpeedPreference } from './chooseSpeedPreference/index.ts'
 import { RunTimeEstimator } from './RunTimeEstimator.ts'
+import type { RunTimesState } from './RunTimesState.ts'
 import { WorkerSpeeds } from './WorkerSpeeds.ts'
 
 /** Interval between updates of what is derived from observations, in ms. */
 const REFRESH_MS = 1_000
 
+/** Interval between log lines on what is learned, in ms, and the queues in one. */
+const LOG_INTERVAL_MS = 30_000
+const MAX_LOGGED_QUEUES = 20
+
 /** Multiple of the longest usual run times after which a run is overdue. */
 const LONGEST_FACTOR = 1.25
 
@@ -24,6 +29,7 @@
   readonly #speeds = new WorkerSpeeds()
   readonly #estimator = new RunTimeEstimator()
   #refreshedAt = -Infinity
+  #loggedAt = -Infinity
 
   constructor (isEnabled: boolean) {
     this.#isEnabled = isEnabled
@@ -31,10 +37,15 @@
 
   /** Chooses which workers of a pool a step should have; undefined when the speed makes no difference. */
   preferenceOf (schedule: Schedule, pool: string, now: number): SpeedPreference | undefined {
-    if (this.#isEnabled) return chooseSpeedPreference(schedule, this.#speeds.rangeOf(pool), now)
+    if (this.#isEnabled) return this.learnedPreferenceOf(schedule, pool, now)
     return schedule.step.spec.longRunning ? undefined : UNLEARNED_PREFERENCE
   }
 
+  /** The same, without regard to the run times that are only compared with the declared ones. */
+  learnedPreferenceOf (schedule: Schedule, pool: string, now: number): SpeedPreference | undefined {
+    return chooseSpeedPreference(schedule, this.#speeds.rangeOf(pool), now)
+  }
+
   /** Records the successful end of a run. `now` is monotonic time in ms. */
   recordEnd (worker: WorkerState, task: TaskInstance, now: number): void {
     if (!this.#isEnabled) recordSlowdown(worker, task, now)
@@ -73,12 +84,35 @@
     return Math.max(usual, LONGEST_FACTOR * 2 ** movedCount * longestHereMs + OVERDUE_EXTRA_MS)
   }
 
+  /** Returns what a later owner needs; undefined when nothing is learned. */
+  snapshot (): RunTimesState | undefined {
+    return this.#isEnabled ? { workers: this.#speeds.snapshot(), ...this.#estimator.snapshot() } : undefined
+  }
+
+  /** Restores what an earlier owner has learned. */
+  restore (state: RunTimesState, now: number): void {
+    if (!this.#isEnabled) return
+    this.#speeds.restore(state.workers, now)
+    this.#estimator.restore(state)
+  }
+
   /** Updates what is derived from the observations, at most once per `REFRESH_MS`. `now` is monotonic time in ms. */
-  tick ({ workers, active }: Pick<Cell, 'workers' | 'active'>, now: number): void {
+  tick ({ workers, active, log, metrics }: Pick<Cell, 'workers' | 'active' | 'log' | 'metrics'>, now: number): void {
     if (!this.#isEnabled || now - this.#refreshedAt < REFRESH_MS) return
     this.#refreshedAt = now
     this.#speeds.refresh(workers.values(), now)
     for (const job of active) this.apply(job)
+    if (now - this.#loggedAt < LOG_INTERVAL_MS) return
+    this.#loggedAt = now
+    const queues = this.#estimator.describe()
+    const uneven = [...workers.values()].filter(({ slowdown }) => slowdown !== 1)
+    metrics.set('workers_uneven', uneven.length)
+    for (const { queue, error } of queues) metrics.set('run_time_error', error, { queue })
+    if (queues.length === 0) return
+    uneven.sort((a, b) => b.slowdown - a.slowdown)
+    const slowest = uneven.slice(0, 3).map(({ id, slowdown }) => `${id} ${slowdown.toFixed(2)}`)
+    const fastest = uneven.slice(-3).map(({ id, slowdown }) => `${id} ${slowdown.toFixed(2)}`)
+    log.info({ queues: queues.slice(0, MAX_LOGGED_QUEUES), uneven: uneven.length, slowest, fastest }, 'run times')
   }
 
   #record (worker: WorkerState, task: TaskInstance, now: number, isStopped: boolean): void {
--- a/packages/jobs/src/runTimes/WorkerSpeeds.ts
+++ b/packages/jobs/src/runTimes/WorkerSpeeds.ts
@@ -1,6 +1,7 @@
 import type { StepInstance } from '../model/index.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 import { estimateSlowness } from './estimateSlowness/index.ts'
+import type { RunTimesState } from './RunTimesState.ts'
 import { quantile } from './quantile/index.ts'
 
 /** Runs of a worker that are kept. At 2 ends per second, a change of its speed shows after 6 s. */
@@ -18,6 +19,12 @@
 /** Shortest run time that is compared, in ms: the time until an end is noticed would outweigh the speed. */
 const MIN_RUN_MS = 100
 
+/** Most workers that are stored; one takes 25 bytes of the row. */
+const MAX_STORED_WORKERS = 1_000
+
+/** Runs that the estimate of an earlier owner counts as. */
+const RESTORED_RUNS = 8
+
 /** Range of the speeds in a pool. */
 export interface SpeedRange {
   /** Run time on a slow worker (9 of 10 are at least as fast) and on a fast one, relative to the mean speed. */
@@ -39,6 +46,7 @@
   next: number
   /** Estimated logarithm of its run times relative to the others; without regard to whether the difference is clear. */
   log: number
+  isClear: boolean
   seenAt: number
 }
 
@@ -98,6 +106,20 @@
     for (const [id, { seenAt }] of this.#workers) if (now - seenAt > FORGET_MS) this.#workers.delete(id)
   }
 
+  /** Returns the workers whose speeds differ clearly, for a later owner. */
+  snapshot (): RunTimesState['workers'] {
+    return [...this.#workers].filter(([, { isClear }]) => isClear).slice(0, MAX_STORED_WORKERS)
+      .map(([id, { log }]) => [id, Math.round(log * 20) / 20])
+  }
+
+  /** Restores what an earlier owner has learned, as if it were a few runs. */
+  restore (workers: RunTimesState['workers'], now: number): void {
+    for (const [id, log] of workers) {
+      for (let run = 0; run < RESTORED_RUNS; run++) this.#addRatio(id, log, now)
+      this.#workers.get(id)!.log = log
+    }
+  }
+
   #refreshPool (pool: string, workers: readonly WorkerState[], now: number): void {
     const estimates = estimateSlowness(workers.map(({ id, entry }) =>
       ({ id, labels: entry.labels, ratios: this.#workers.get(id)?.ratios ?? [] })))
@@ -106,6 +128,7 @@
       const known = this.#workers.get(worker.id)
       if (known !== undefined) {
         known.log = log
+        known.isClear = isClear
         known.seenAt = now
       }
       worker.slowdown = isClear ? Math.exp(log) : 1
@@ -123,7 +146,10 @@
 
   #addRatio (id: string, ratio: number, now: number): void {
     let worker = this.#workers.get(id)
-    if (worker === undefined) this.#workers.set(id, worker = { ratios: [], next: 0, log: 0, seenAt: now })
+    if (worker === undefined) {
+      worker = { ratios: [], next: 0, log: 0, isClear: false, seenAt: now }
+      this.#workers.set(id, worker)
+    }
     worker.ratios[worker.next] = ratio
     worker.next = (worker.next + 1) % KEPT_RUNS
   }
--- a/packages/jobs/src/runTimes/estimateSlowness/index.ts
+++ b/packages/jobs/src/runTimes/estimateSlowness/index.ts
@@ -35,6 +35,9 @@
 /** Smallest spread assumed, of the runs of a worker and of the workers of a group: a few equal runs prove little. */
 const MIN_SPREAD = 0.05
 
+/** Share of the workers that is left out at each end when the mean speed is computed. */
+const TRIMMED_SHARE = 0.1
+
 /** Smallest difference that counts: 10% change the end of a job less than the time until its end is noticed. */
 const MIN_DIFFERENCE = 0.1
 
@@ -54,7 +57,7 @@
  * tasks take many times as long as others of their step.
  *
  * @param samples - Observations of the workers of one pool.
- * @returns The estimates by id. The mean speed of the workers is 1.
+ * @returns The estimates by id. The mean speed is 1.
  */
 export function estimateSlowness (samples: readonly WorkerSample[]): Map<string, Slowness> {
   const own = new Map<string, Range>()
@@ -65,7 +68,8 @@
     const estimate = combine(own.get(id), chooseGroup(labels, groups))
     if (estimate !== undefined) estimates.set(id, estimate)
   }
-  const shift = computeShift(estimates.values())
+  // Workers that nothing is known of count as like the others.
+  const shift = computeShift(samples.map(({ id }) => estimates.get(id)?.middle ?? 0))
   return new Map(samples.map(({ id }) => {
     const estimate = estimates.get(id)
     if (estimate === undefined) return [id, { log: 0, isClear: false }]
@@ -132,15 +136,12 @@
   return { middle: (own.middle * ownWeight + group.middle * groupWeight) / weight, spread: weight ** -0.5 }
 }
 
-/** What to add to all estimates, so that the mean speed is 1. */
-function computeShift (estimates: Iterable<Range>): number {
-  let speeds = 0
-  let count = 0
-  for (const { middle } of estimates) {
-    speeds += Math.exp(-middle)
-    count++
-  }
-  return count === 0 ? 0 : Math.log(speeds / count)
+/** What to add to all estimates, so that the mean speed is 1. A few faulty workers must not make all others fast. */
+function computeShift (logs: readonly number[]): number {
+  const trimmed = Math.ceil(TRIMMED_SHARE * logs.length)
+  const sorted = toSorted(logs)
+  const kept = logs.length > 2 * trimmed ? sorted.subarray(trimmed, logs.length - trimmed) : sorted
+  return kept.length === 0 ? 0 : Math.log(kept.reduce((sum, log) => sum + Math.exp(-log), 0) / kept.length)
 }
 
 function toSorted (values: readonly number[]): Float64Array {
