--- a/packages/jobs/src/placement/computeWorkPerValue/index.ts
+++ b/packages/jobs/src/placement/computeWorkPerValue/index.ts
@@ -31,18 +31,18 @@
   return result
 }
 
-function computeWork ({ spec }: TrackedJob): number {
-  return spec.steps.reduce((sum, step) => sum + step.count * workOf(step), 0)
+function computeWork (job: TrackedJob): number {
+  return job.spec.steps.reduce((sum, step, index) => sum + step.count * workOf(step, job.expectedRunMs(index)), 0)
 }
 
 function computeWaitingWork ({ job, occurrence }: StepInstance): number {
   let work = 0
-  for (const { spec, tasks, isDone } of job.occurrences.get(occurrence) ?? []) {
-    if (!isDone) for (const { status } of tasks) if (status === 'waiting') work += workOf(spec)
+  for (const { spec, tasks, isDone, expectedRunMs } of job.occurrences.get(occurrence) ?? []) {
+    if (!isDone) for (const { status } of tasks) if (status === 'waiting') work += workOf(spec, expectedRunMs)
   }
   return work
 }
 
-function workOf ({ demand, estimatedRunMs }: Step): number {
-  return demand.cpuMillis * estimatedRunMs
+function workOf ({ demand }: Step, expectedRunMs: number): number {
+  return demand.cpuMillis * expectedRunMs
 }
--- a/packages/jobs/src/runTimes/RunTimeEstimator.ts
+++ b/packages/jobs/src/runTimes/RunTimeEstimator.ts
@@ -73,7 +73,8 @@
     queue.runs.add(log)
     for (const key of groupKeys(step.job, step.index)) this.#openGroup(key).add(log)
     if (step.spec.estimatedRunMs > 0) queue.ratios.add(log - Math.log(step.spec.estimatedRunMs))
-    if (expected > 0) queue.errors.add(log - Math.log(expected))
+    // Tasks that hang would raise the limit at which they are stopped, again and again.
+    if (!isStopped && expected > 0) queue.errors.add(log - Math.log(expected))
   }
 
   /** Records that all tasks of a step are done. */
