--- a/packages/jobs/src/model/TrackedJob.ts
+++ b/packages/jobs/src/model/TrackedJob.ts
@@ -22,6 +22,8 @@
   /** Id of the worker that executes the run or may execute it. */
   worker: string | undefined
   checkpoint = ''
+  /** The run began with the progress of an earlier one. */
+  resumed = false
   /**
    * Monotonic time at which the worker confirmed the run, in ms; 0 before the first run. While a run is `stopping`, the
    * time at which the stop was confirmed, or Infinity until then.
@@ -33,6 +35,8 @@
    * `invalid`.
    */
   readonly failedOn = new Set<string>()
+  /** How often a run was stopped because it was overdue. */
+  overdueStops = 0
   /** How often a run was stopped to make room for a more urgent task. */
   preemptions = 0
   /**
@@ -105,6 +109,11 @@
     return `${this.job.id}.${this.occurrence}.${this.index}`
   }
 
+  /** Expected run time of one task on a worker of mean speed, in ms; 0 when unknown. */
+  get expectedRunMs (): number {
+    return this.job.expectedRunMs(this.index)
+  }
+
   /** Number of the step's tasks that are assigned to each worker. */
   countByWorker (): Map<string, number> {
     const counts = new Map<string, number>()
@@ -139,6 +148,8 @@
   /** Monotonic time of acceptance, in ms; at most 10 minutes before the owner loaded the job. */
   readonly monotonicAcceptedAt: number
   cancelled = false
+  /** Learned run time of one task of each step, in ms; undefined where the declared one is expected. */
+  readonly learnedRunMs: Array<number | undefined> = []
   /** A worker has confirmed a run of at least one task. */
   started = false
   /** The client account had sent more jobs than its share when the job was accepted. `ShareMeter` sets it. */
@@ -170,6 +181,11 @@
     return this.spec.occurrences === 0 ? 0 : this.spec.firstRunAt + occurrence * this.spec.intervalMs
   }
 
+  /** Expected run time of one task of a step on a worker of mean speed, in ms; 0 when unknown. */
+  expectedRunMs (step: number): number {
+    return this.learnedRunMs[step] ?? this.spec.steps[step]?.estimatedRunMs ?? 0
+  }
+
   /** Returns the steps of an occurrence, and creates them with their tasks on the first call. */
   openOccurrence (occurrence: number, now: number): StepInstance[] {
     const existing = this.occurrences.get(occurrence)
--- a/packages/jobs/src/owner/Cell.ts
+++ b/packages/jobs/src/owner/Cell.ts
@@ -1,6 +1,7 @@
 import { AccountUsages } from '../accounts/AccountUsages.ts'
 import { TrackedJob, StepInstance, type TaskInstance } from '../model/index.ts'
 import type { MetricsRecorder, LogWriter } from '../ports.ts'
+import { RunTimes } from '../runTimes/RunTimes.ts'
 import type { Job, QueueConfiguration, TaskKey } from '../types.ts'
 import type { WorkerState } from '../workers/WorkerState.ts'
 
@@ -24,12 +25,19 @@
   readonly dirty = new Set<TrackedJob>()
   readonly log: LogWriter
   readonly metrics: MetricsRecorder
+  /** What is known of the run times of tasks and the speeds of workers. */
+  readonly runTimes: RunTimes
   readonly #hooks: CellHooks
+  /** Priority of the most urgent queues, by pool, and the version of the configuration that it is from. */
+  readonly #urgentPriorities = new Map<string, number>()
+  #prioritiesVersion: number | undefined
   readonly #configuration: () => QueueConfiguration | undefined
 
   constructor (
-    configuration: () => QueueConfiguration | undefined, log: LogWriter, metrics: MetricsRecorder, hooks: CellHooks
+    configuration: () => QueueConfiguration | undefined, log: LogWriter, metrics: MetricsRecorder, hooks: CellHooks,
+    { learnsRunTimes = true } = {}
   ) {
+    this.runTimes = new RunTimes(learnsRunTimes)
     this.#configuration = configuration
     this.accounts = new AccountUsages(configuration)
     this.log = log
@@ -50,6 +58,21 @@
     return this.#configuration()?.queues.find(({ name }) => name === job.queue.name)?.pool ?? job.queue.pool
   }
 
+  /** Whether a step is of one of the most urgent queues of its pool. */
+  isUrgent ({ job: { definition } }: StepInstance): boolean {
+    const configuration = this.#configuration()
+    // Configurations have thousands of queues and change rarely.
+    if (configuration !== undefined && configuration.version !== this.#prioritiesVersion) {
+      this.#prioritiesVersion = configuration.version
+      this.#urgentPriorities.clear()
+      for (const { pool, priority } of configuration.queues) {
+        this.#urgentPriorities.set(pool, Math.min(this.#urgentPriorities.get(pool) ?? Infinity, priority))
+      }
+    }
+    const { priority } = definition.queue
+    return priority <= (this.#urgentPriorities.get(this.poolOf(definition)) ?? priority)
+  }
+
   findTask (key: TaskKey): TaskInstance | undefined {
     return this.jobs.get(key.job)?.occurrences.get(key.occurrence)?.[key.step]?.tasks[key.index]
   }
@@ -79,6 +102,7 @@
     task.worker = worker.id
     task.ticket = task.step.advice.ticket(worker.id, this.now()) ?? ''
     task.percent = 100
+    task.resumed = task.checkpoint !== ''
     task.inherited = false
     task.inheritedStartedBy = undefined
     task.heldBackSince = undefined
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -29,6 +29,7 @@
 import { TablePoller } from './TablePoller.ts'
 import { Placer } from './Placer.ts'
 import { OwnerLoadLog } from './OwnerLoadLog.ts'
+import { RunTimesRecord } from './RunTimesRecord.ts'
 import { RunTracker } from './RunTracker.ts'
 import { TakeoverRecord } from './TakeoverRecord.ts'
 import { WorkerManager } from './WorkerManager.ts'
@@ -65,6 +66,8 @@
   linkMbps: number
   /** Largest value of a row that the store accepts, in bytes. */
   maxRowBytes: number
+  /** Whether run times and speeds of workers are learned from ended runs. Default: yes. */
+  learnsRunTimes?: boolean
 }
 
 /** Longest wait for the commit in flight when the owner stops, in ms; the store may be unavailable. */
@@ -143,7 +146,7 @@
     this.cell = new Cell(() => dependencies.configuration.current(), log, this.#load, {
       onChange: () => this.#requestPlacement(),
       onDirty: () => this.#commits.wake()
-    })
+    }, options)
     const cell = this.cell
     this.#shares = new ShareMeter((name) => cell.configuration()?.accounts?.findByName(name)?.weight)
     const breaker = new WorkerCircuitBreaker()
@@ -160,7 +163,8 @@
       takeovers: new TakeoverRecord(cell, ownership.clock),
       breakers: new BreakerRecord(cell, ownership.clock, breaker),
       crashes,
-      incarnations: new IncarnationRecord(cell)
+      incarnations: new IncarnationRecord(cell),
+      runTimes: new RunTimesRecord(cell)
     }
     const { lostWorkers, members, drains, incarnations } = this.#control
     this.#commits = new GroupCommit(cell, this.#control, ownership, {
@@ -220,6 +224,7 @@
     members.restore(control.rows)
     drains.restore(control.rows)
     incarnations.restore(control.rows)
+    this.#control.runTimes.restore(control.rows)
     takeovers.restore(control.rows)
     takeovers.add(progress.version, earlierLeasesEnd)
     this.#ownership.earlierLeasesEnd = earlierLeasesEnd
@@ -386,6 +391,7 @@
     }
     this.cell.active.add(tracked)
     if (this.#recovered) this.#shares.add(tracked, performance.now())
+    this.cell.runTimes.apply(tracked)
     if (this.#cancelledIds.has(job.id)) {
       this.cancel(job.id)
       return
@@ -538,6 +544,7 @@
     this.#workerManager.tick(now)
     this.#control.crashes.tick(now)
     this.#rescheduler.tick(now)
+    this.cell.runTimes.tick(this.cell, now)
     this.#stalledOrders.tick(now)
     this.#advice.tick()
     this.#requestPlacement()
--- a/packages/jobs/src/standins/PlacementRounds.ts
+++ b/packages/jobs/src/standins/PlacementRounds.ts
@@ -157,7 +157,7 @@
       labels: [index % 3 === 0 ? 'b' : 'a', `r${index % 18}`]
     }
     const worker = new WorkerState(entry, 0)
-    Object.assign(worker, { reachable: true, hasAnswered: true, slowdown: 1 + this.#random.below(100) / 1000 })
+    Object.assign(worker, { reachable: true, hasAnswered: true, declaredRatio: 1 + this.#random.below(100) / 1000 })
     this.cell.workers.set(entry.id, worker)
   }
 
