Begin no placement round while one is under way

Cause: a change during a slice of a round, such as a task that is stopped for another, requested the next round at once, so that two rounds could run in turns and share their reservations.

Change: a round counts as under way from its first slice to its last one; what is requested meanwhile follows it.

--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -121,7 +121,7 @@
   readonly #onEnd: (reason: string) => void
   #recovered = false
   #placementRequested = false
-  /** A placement round waits for its next slice. */
+  /** A placement round is under way. */
   #isPlacing = false
   /** A round was requested while another one was under way. */
   #isPlacementDue = false
@@ -517,19 +517,17 @@
    * @param spentMs - Time that earlier slices of the round took, in ms.
    */
   #place (round: Generator<void>, spentMs: number): void {
+    this.#isPlacing = true
     const startedAt = performance.now()
     let isOver = false
     while (!isOver && performance.now() - startedAt < PLACEMENT_SLICE_MS) isOver = round.next().done === true
     const endedAt = performance.now()
     const tookMs = spentMs + endedAt - startedAt
     if (!isOver) {
-      this.#isPlacing = true
-      setImmediate(() => {
-        this.#isPlacing = false
-        if (!this.#isEnded) this.#place(round, tookMs)
-      })
+      setImmediate(() => { if (!this.#isEnded) this.#place(round, tookMs) })
       return
     }
+    this.#isPlacing = false
     this.cell.metrics.recordDuration('placement_time', tookMs)
     this.#nextPlacementAt = endedAt + PLACEMENT_PAUSE_FACTOR * tookMs
     if (this.#isPlacementDue) {
