Look a step's pool up once, and remove what the read-through found twice

Cause: the check for urgent queues looked the pool of a step up again among all queues, for each step of each placement round; the preference for speeds had two names, one of which only a test called; a list of accounts had no caller; the resources that caps limit stood twice.

Change: the callers pass the pool, and one of each is left. Behaviour is the same; the test's assertion is the same.

--- a/packages/jobs/src/accounts/AccountUsages.ts
+++ b/packages/jobs/src/accounts/AccountUsages.ts
@@ -31,11 +31,6 @@
     return this.#usages.get(account) ?? { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
   }
 
-  /** Accounts with jobs that this owner knows, in no order. */
-  names (): Iterable<string> {
-    return this.#usages.keys()
-  }
-
   /** Cap of an account; undefined while no configuration has told it. */
   capOf (account: string): Demand | undefined {
     const cap = this.#configuration()?.accounts?.findByName(account)?.cap
--- /dev/null
+++ b/packages/jobs/src/accounts/_lib/resources.ts
@@ -0,0 +1,2 @@
+/** The resources that caps limit. */
+export const RESOURCES = ['cpuMillis', 'memoryMb', 'accelerators'] as const
--- a/packages/jobs/src/accounts/exceedsCap/index.ts
+++ b/packages/jobs/src/accounts/exceedsCap/index.ts
@@ -1,10 +1,9 @@
 import type { Demand } from '../../types.ts'
+import { RESOURCES } from '../_lib/resources.ts'
 
 /** Factor of a cap up to which an account may have running when one more of its tasks starts; the rules of the API. */
 const TOLERANCE = 1.1
 
-const RESOURCES = ['cpuMillis', 'memoryMb', 'accelerators'] as const
-
 /**
  * Decides whether a task that was assigned must not start any more: the cap may have been lowered since.
  *
--- a/packages/jobs/src/accounts/mayStart/index.ts
+++ b/packages/jobs/src/accounts/mayStart/index.ts
@@ -1,4 +1,5 @@
 import type { Demand } from '../../types.ts'
+import { RESOURCES } from '../_lib/resources.ts'
 
 /**
  * Share of a cap up to which a task starts although the cap does not allow it. A task that is larger than the rest of
@@ -6,8 +7,6 @@
  */
 const SURE_SHARE = 0.5
 
-const RESOURCES = ['cpuMillis', 'memoryMb', 'accelerators'] as const
-
 /**
  * Decides whether the cap of a client account lets tasks start.
  *
--- a/packages/jobs/src/owner/AdviceDispatcher.ts
+++ b/packages/jobs/src/owner/AdviceDispatcher.ts
@@ -138,8 +138,9 @@
 
   #preferenceOf (step: StepInstance): SpeedPreference | undefined {
     const now = this.#cell.now()
-    const schedule = { ...rankStep(step, now), isUrgent: this.#cell.isUrgent(step) }
-    return this.#cell.runTimes.preferenceOf(schedule, this.#cell.poolOf(step.job.definition), now)
+    const pool = this.#cell.poolOf(step.job.definition)
+    const schedule = { ...rankStep(step, now), isUrgent: this.#cell.isUrgent(step, pool) }
+    return this.#cell.runTimes.preferenceOf(schedule, pool, now)
   }
 
   /**
--- a/packages/jobs/src/owner/Cell.ts
+++ b/packages/jobs/src/owner/Cell.ts
@@ -58,19 +58,20 @@
     return this.#configuration()?.queues.find(({ name }) => name === job.queue.name)?.pool ?? job.queue.pool
   }
 
-  /** Whether a step is of one of the most urgent queues of its pool. */
-  isUrgent ({ job: { definition } }: StepInstance): boolean {
+  /** Whether a step is of one of the most urgent queues of its pool, which the caller has looked up. */
+  isUrgent ({ job: { definition } }: StepInstance, pool: string): boolean {
     const configuration = this.#configuration()
     // Configurations have thousands of queues and change rarely.
     if (configuration !== undefined && configuration.version !== this.#prioritiesVersion) {
       this.#prioritiesVersion = configuration.version
       this.#urgentPriorities.clear()
-      for (const { pool, priority } of configuration.queues) {
-        this.#urgentPriorities.set(pool, Math.min(this.#urgentPriorities.get(pool) ?? Infinity, priority))
+      for (const queue of configuration.queues) {
+        const known = this.#urgentPriorities.get(queue.pool) ?? Infinity
+        this.#urgentPriorities.set(queue.pool, Math.min(known, queue.priority))
       }
     }
     const { priority } = definition.queue
-    return priority <= (this.#urgentPriorities.get(this.poolOf(definition)) ?? priority)
+    return priority <= (this.#urgentPriorities.get(pool) ?? priority)
   }
 
   findTask (key: TaskKey): TaskInstance | undefined {
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -114,7 +114,8 @@
       if (step.job.isOver || step.job.cancelled) continue
       const now = this.#cell.now()
       const pool = this.#cell.poolOf(step.job.definition)
-      this.#speed = this.#cell.runTimes.preferenceOf({ ...ranked, isUrgent: this.#cell.isUrgent(step) }, pool, now)
+      const isUrgent = this.#cell.isUrgent(step, pool)
+      this.#speed = this.#cell.runTimes.preferenceOf({ ...ranked, isUrgent }, pool, now)
       const all = candidatesByPool.get(pool) ?? []
       const candidates = { all, ticketed: this.#filterTicketed(step, all, now) }
       const blocked = step.spec.gang ? this.#placeGang(step, candidates, now) : this.#placeTasks(step, candidates, now)
--- a/packages/jobs/src/runTimes/RunTimes.ts
+++ b/packages/jobs/src/runTimes/RunTimes.ts
@@ -34,12 +34,7 @@
 
   /** Chooses which workers of a pool a step should have; undefined when the speed makes no difference. */
   preferenceOf (schedule: Schedule, pool: string, now: number): SpeedPreference | undefined {
-    return this.#isEnabled ? this.learnedPreferenceOf(schedule, pool, now) : undefined
-  }
-
-  /** The same, without regard to the run times that are only compared with the declared ones. */
-  learnedPreferenceOf (schedule: Schedule, pool: string, now: number): SpeedPreference | undefined {
-    return chooseSpeedPreference(schedule, this.#speeds.rangeOf(pool), now)
+    return this.#isEnabled ? chooseSpeedPreference(schedule, this.#speeds.rangeOf(pool), now) : undefined
   }
 
   /** Records the successful end of a run. `now` is monotonic time in ms. */
