--- a/review/standins-2/platform.mjs
+++ b/review/standins-2/platform.mjs
@@ -89,6 +89,8 @@
   #startedAt = performance.now()
   address = ''
   calls = 0
+  /** While set, the store answers nothing; it carries out the writes that it has received this much later, in ms. */
+  silentFor = undefined
 
   async open () {
     const { server, address } = await serve((request, response) => this.#handle(request, response))
@@ -147,6 +149,12 @@
 
   async #handle (request, response) {
     this.calls++
+    if (this.silentFor !== undefined) {
+      if (request.method !== 'POST') return
+      const body = await readJson(request)
+      setTimeout(() => this.#transact(body, { destroyed: true }), this.silentFor)
+      return
+    }
     const isAllowed = (request.method === 'POST' ? this.#writes : this.#reads).take()
     if (!isAllowed) {
       this.refused++
@@ -195,6 +203,7 @@
   async #feed ({ table, after = '0', wait_ms: waitMs = '0' }, response) {
     const deadline = performance.now() + Number(waitMs)
     for (;;) {
+      if (this.silentFor !== undefined) return
       const rows = this.#changes.filter((row) => row.table === table && row.row_version > Number(after))
       const remainingMs = deadline - performance.now()
       if (rows.length > 0 || remainingMs <= 0) return send(response, 200, { rows, ...this.#answer })
