--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -52,11 +52,25 @@
     this.store.putJson('op', 'config', {
       version: 3,
       routes: routes.map((route, index) => ({
-        name: `r-${index}`, host: HOST, path_prefix: `/q${index}/`, kind: 'non_idempotent', timeout_ms: 3_000,
-        target_latency_ms: 250, priority: 0, service: SERVICE, max_attempts: 3, stretch: 2, ...route
+        name: `r-${index}`,
+        host: HOST,
+        path_prefix: `/q${index}/`,
+        kind: 'non_idempotent',
+        timeout_ms: 3_000,
+        target_latency_ms: 250,
+        priority: 0,
+        service: SERVICE,
+        max_attempts: 3,
+        stretch: 2,
+        ...route
       })),
       services: [{
-        name: SERVICE, health_path: '/health', max_conns: 64, protocol: 'h1', tls: false, rejects_overload: false,
+        name: SERVICE,
+        health_path: '/health',
+        max_conns: 64,
+        protocol: 'h1',
+        tls: false,
+        rejects_overload: false,
         standby: false
       }],
       limits: { max_header_bytes: 16_384, max_body_bytes: 262_144, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 }
--- a/review/standins-2/platform.mjs
+++ b/review/standins-2/platform.mjs
@@ -40,14 +40,14 @@
   response.end(text)
 }
 
-/** Starts an HTTP server on a free port of 127.0.0.1. Returns it with its address. */
-export async function serve (handle) {
+/** Starts an HTTP server on a port of 127.0.0.1, by default a free one. Returns it with its address. */
+export async function serve (handle, port = 0) {
   const server = createServer({ keepAliveTimeout: 60_000 }, (request, response) => {
     request.on('error', () => {})
     response.on('error', () => {})
     handle(request, response).catch(() => response.destroy())
   })
-  await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve))
+  await new Promise((resolve) => server.listen(port, '127.0.0.1', resolve))
   return { server, address: `127.0.0.1:${server.address().port}` }
 }
 
@@ -71,7 +71,7 @@
   }
 }
 
-/** The platform's store: rows with versions from one counter. Answers are linearizable; nothing acknowledged is lost. */
+/** The platform's store: rows with versions from one counter. Its answers are linearizable. */
 export class Store {
   #writes
   #reads
@@ -194,7 +194,8 @@
 
   async #get ({ table, part = '', from = '', target, limit = '500' }, response) {
     await sleep(READ_MS)
-    const found = [...this.#rows.values()].filter((row) => row.table === table && row.part === part && row.key >= from &&
+    const found = [...this.#rows.values()].filter((row) => row.table === table && row.part === part &&
+      row.key >= from &&
       (target === undefined || row.key < target)).sort((a, b) => a.key < b.key ? -1 : 1)
     const rows = found.slice(0, Math.min(500, Number(limit)))
     send(response, 200, { rows, truncated: rows.length < found.length, ...this.#answer })
@@ -238,6 +239,8 @@
   #clockOffset = 100_000 + Math.floor(Math.random() * 400_000)
   #beats = 0
   #isOpen = true
+  /** Start of this life, in Unix ms. */
+  born = Date.now()
   state = 'ready'
   /** Answers 503 to starts, and does nothing, while set. */
   refusesStarts = false
@@ -248,17 +251,24 @@
     Object.assign(this, { id, service, zone, capacity, labels })
   }
 
-  async open () {
-    const { server, address } = await serve((request, response) => this.#handle(request, response))
+  /**
+   * @param port - Port to listen on. Default: a free one.
+   * @param firstBeatMs - Time from the start to the first beat, in ms.
+   */
+  async open ({ port, firstBeatMs = 0 } = {}) {
+    const { server, address } = await serve((request, response) => this.#handle(request, response), port)
     this.server = server
     this.address = address
-    this.#beat()
-    this.timer = setInterval(() => this.#beat(), BEAT_MS)
+    this.firstBeat = setTimeout(() => {
+      this.#beat()
+      this.timer = setInterval(() => this.#beat(), BEAT_MS)
+    }, firstBeatMs)
     this.leaseTimer = setInterval(() => this.#checkLease(), 10)
   }
 
   close () {
     this.#isOpen = false
+    clearTimeout(this.firstBeat)
     clearInterval(this.timer)
     clearInterval(this.leaseTimer)
     for (const { timer } of this.#runs.values()) clearTimeout(timer)
@@ -278,8 +288,18 @@
   #beat () {
     const { service, address, zone, state, capacity, labels } = this
     this.#store.putJson('servers', this.id, {
-      service, address, zone, version: 'v1', slots: 8, state, cold_left_ms: 0, capacity, labels,
-      clock_ms: this.clockMs, sequence: ++this.#beats
+      service,
+      address,
+      zone,
+      version: 'v1',
+      slots: 8,
+      state,
+      cold_left_ms: 0,
+      capacity,
+      labels,
+      born: this.born,
+      clock_ms: this.clockMs,
+      sequence: ++this.#beats
     })
   }
 
@@ -339,7 +359,8 @@
       })
     }
     const running = [...this.#runs].map(([task, { run }]) => [task, run, '', 100, 0])
-    send(response, 200, { clock_ms: this.clockMs, running, ended: this.#ended.slice(0, MAX_LISTED_ENDS) })
+    const ended = this.#ended.slice(0, MAX_LISTED_ENDS)
+    send(response, 200, { clock_ms: this.clockMs, born: this.born, running, ended })
   }
 
   #start ({ task, run, spec, expires_ms: expiresMs }, response) {
