Let filler tasks that have waited share claimed processors

Cause: a filler task started only on a worker with unclaimed CPU for half of its demand, and the claims of other filler tasks counted as well. Claims of long-running tasks last for good, and nothing else let the task start. Ruled out: memory, reservations and advice. The same condition held back filler tasks beside regular long-running tasks, tasks that demand more than two workers have, gangs of filler tasks, and requests for their tickets.

Change: a filler task that has waited 1 s may start on any worker with memory for it, preferably where most CPU is left. A step whose tasks end starts one such task a second, so that a large job doesn't take up the memory of all workers. "step waits for a worker" counts cpuClaimed.

--- a/packages/jobs/src/constants/index.ts
+++ b/packages/jobs/src/constants/index.ts
@@ -128,3 +128,10 @@
 
 /** Minimum unclaimed CPU that a worker must have for a filler task, as a share of the task's CPU demand. */
 export const MIN_FILLER_CPU_SHARE = 0.5
+
+/**
+ * Time that a filler task waits for unclaimed CPU before it shares the CPU that other tasks have claimed, in ms. Claims
+ * of long-running tasks last for good. Steps whose tasks end start one such task per interval, which leaves memory to
+ * other jobs.
+ */
+export const SHARE_CPU_AFTER_MS = 1_000
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -1,7 +1,7 @@
-import { SLOW_ADVICE_MS, TICKET_MARGIN_MS } from '../constants/index.ts'
+import { SHARE_CPU_AFTER_MS, SLOW_ADVICE_MS, TICKET_MARGIN_MS } from '../constants/index.ts'
 import type { StepInstance, TaskInstance } from '../model/index.ts'
 import { addDemand } from '../placement/addDemand/index.ts'
-import { chooseWorker, filterRunnable } from '../placement/chooseWorker/index.ts'
+import { chooseWorker, filterRunnable, hasUnclaimedCpu } from '../placement/chooseWorker/index.ts'
 import { chooseFailureDomain } from '../placement/chooseFailureDomain/index.ts'
 import { chooseReservation } from '../placement/chooseReservation/index.ts'
 import { computeKeptRoom } from '../placement/computeKeptRoom/index.ts'
@@ -65,6 +65,8 @@
   #nextOther = MAX_URGENT_BLOCKED
   /** Whether the current step should have fast or slow workers. */
   #speed: SpeedPreference | undefined
+  /** Monotonic time at which a filler task of a step last started where others have claimed the CPU, in ms. */
+  readonly #sharedCpuAt = new WeakMap<StepInstance, number>()
   /** Tasks of the current step that were placed in this round. */
   readonly #placedTasks: TaskInstance[] = []
 
@@ -244,6 +246,7 @@
 
   #assign (task: TaskInstance, worker: WorkerState, run: number): void {
     this.#placedTasks.push(task)
+    if (task.step.spec.fills && !hasUnclaimedCpu(task.step, worker)) this.#sharedCpuAt.set(task.step, this.#cell.now())
     this.#cell.assign(task, worker, run)
     this.#preemptor.recordStart(task, worker)
     this.#breaker.recordStart(worker.id, task)
@@ -266,10 +269,19 @@
       isReserved: (worker: WorkerState) => this.#isReserved(worker, task) ||
         this.#preemptor.isClaimed(worker, task.step) || !this.#crashes.mayStart(task, worker, this.#cell.now()),
       extraCost: (worker: WorkerState) => this.#crashes.computeCost(task, worker),
-      speed: this.#speed
+      speed: this.#speed,
+      sharesClaimedCpu: this.#mayShareCpu(task)
     }
   }
 
+  /** Whether a filler task has waited long enough for unclaimed CPU to share what others have claimed. */
+  #mayShareCpu ({ step, waitingSince }: TaskInstance): boolean {
+    const { fills, longRunning, gang } = step.spec
+    const now = this.#cell.now()
+    if (!fills || now - Math.max(waitingSince, step.readyAt ?? now) < SHARE_CPU_AFTER_MS) return false
+    return longRunning || gang || now - (this.#sharedCpuAt.get(step) ?? -Infinity) >= SHARE_CPU_AFTER_MS
+  }
+
   /** Whether a task would take up room on a worker that is kept for another one. */
   #isReserved (worker: WorkerState, { step }: TaskInstance): boolean {
     const reservation = this.#reserved.get(worker)
--- a/packages/jobs/src/owner/WaitLog.ts
+++ b/packages/jobs/src/owner/WaitLog.ts
@@ -13,7 +13,7 @@
 /** Most steps that a line names in `reservedFor`. */
 const MAX_RESERVED_FOR = 3
 
-interface WorkerChecks extends Pick<Parameters<typeof countObstacles>[2], 'findHealthObstacle' | 'isReserved'> {
+interface WorkerChecks extends Omit<Parameters<typeof countObstacles>[2], 'now'> {
   isHealthy: (worker: WorkerState) => boolean
   /** The step that a reserved worker is kept for. */
   reservedFor: (worker: WorkerState) => StepInstance | undefined
@@ -63,9 +63,10 @@
 
 /** Names the steps for which workers are kept that the task could use otherwise. */
 function nameKeepers (
-  task: TaskInstance, workers: readonly WorkerState[], { isHealthy, isReserved, reservedFor }: WorkerChecks, now: number
+  task: TaskInstance, workers: readonly WorkerState[], checks: WorkerChecks, now: number
 ): string[] {
+  const { isHealthy, isReserved, reservedFor, sharesClaimedCpu } = checks
   const reserved = workers.filter((worker) => worker.hasRoom(task.step.spec) && isReserved(worker))
-  const kept = filterRunnable(task, reserved, { now, isHealthy, ignoreTickets: true })
+  const kept = filterRunnable(task, reserved, { now, isHealthy, sharesClaimedCpu, ignoreTickets: true })
   return [...new Set(kept.flatMap((worker) => reservedFor(worker)?.name ?? []))].slice(0, MAX_RESERVED_FOR)
 }
--- a/packages/jobs/src/placement/chooseWorker/index.ts
+++ b/packages/jobs/src/placement/chooseWorker/index.ts
@@ -21,6 +21,8 @@
    * call could lead to a placement. Default: false.
    */
   ignoreTickets?: boolean
+  /** Whether a filler task may start where other tasks have claimed the CPU that it demands. Default: false. */
+  sharesClaimedCpu?: boolean
 }
 
 /**
@@ -101,7 +103,17 @@
   // The costlier checks come last: a step has tickets for few workers of a large cell.
   if (!isAllowed(step, worker, options)) return false
   if (options.isHealthy?.(worker) === false || options.isReserved?.(worker) === true) return false
-  return !spec.fills || unclaimedCpuMillis(worker) >= spec.demand.cpuMillis * MIN_FILLER_CPU_SHARE
+  return !spec.fills || options.sharesClaimedCpu === true || hasUnclaimedCpu(step, worker)
+}
+
+/**
+ * Whether a worker has enough CPU that no other task has claimed for a filler task to start without a wait.
+ *
+ * @param step - Step of the filler task.
+ * @param worker - The worker.
+ */
+export function hasUnclaimedCpu ({ spec }: StepInstance, worker: WorkerState): boolean {
+  return unclaimedCpuMillis(worker) >= spec.demand.cpuMillis * MIN_FILLER_CPU_SHARE
 }
 
 /** Whether the policy service lets a step start on a worker. */
--- a/packages/jobs/src/placement/countObstacles/index.ts
+++ b/packages/jobs/src/placement/countObstacles/index.ts
@@ -1,10 +1,11 @@
 import type { StepInstance, TaskInstance } from '../../model/index.ts'
 import type { WorkerState } from '../../workers/WorkerState.ts'
+import { hasUnclaimedCpu } from '../chooseWorker/index.ts'
 import { fitsWhenEmpty } from '../fitsWhenEmpty/index.ts'
 
 /** What keeps a task off a worker. */
 export type Obstacle = Unavailability | 'unsuitable' | 'notAllowed' | 'failedOn' | 'stepLimit' | 'noRoom' |
-  HealthObstacle | 'reserved' | 'notAsked' | 'ticketExpired'
+  'cpuClaimed' | HealthObstacle | 'reserved' | 'notAsked' | 'ticketExpired'
 
 /** Why a worker accepts no tasks at all. */
 type Unavailability = 'draining' | 'unlisted' | 'notPolled' | 'unreachable' | 'recordedAsLost' | 'unownedRuns'
@@ -24,6 +25,8 @@
   findHealthObstacle: (worker: WorkerState) => HealthObstacle | undefined
   /** Whether the worker is kept free for another task. */
   isReserved: (worker: WorkerState) => boolean
+  /** Whether a filler task may start where other tasks have claimed the CPU that it demands. Default: false. */
+  sharesClaimedCpu?: boolean
 }
 
 /**
@@ -48,8 +51,9 @@
 }
 
 function findObstacle (
-  task: TaskInstance, worker: WorkerState, tasksOfStep: number, { now, findHealthObstacle, isReserved }: Options
+  task: TaskInstance, worker: WorkerState, tasksOfStep: number, options: Options
 ): Obstacle | undefined {
+  const { now, findHealthObstacle, isReserved, sharesClaimedCpu = false } = options
   const { step } = task
   const { maxPerWorker } = step.spec
   if (!worker.acceptsTasks) return findUnavailability(worker)
@@ -58,6 +62,7 @@
   if (task.failedOn.has(worker.incarnation)) return 'failedOn'
   if (maxPerWorker > 0 && tasksOfStep >= maxPerWorker) return 'stepLimit'
   if (!worker.hasRoom(step.spec)) return 'noRoom'
+  if (step.spec.fills && !sharesClaimedCpu && !hasUnclaimedCpu(step, worker)) return 'cpuClaimed'
   const healthObstacle = findHealthObstacle(worker)
   if (healthObstacle !== undefined) return healthObstacle
   if (isReserved(worker)) return 'reserved'
--- a/packages/jobs/src/placement/countObstacles/test.ts
+++ b/packages/jobs/src/placement/countObstacles/test.ts
@@ -74,6 +74,13 @@
       obstacle: 'stepLimit'
     },
     { name: 'counts workers without room', worker: makeFullWorker, obstacle: 'noRoom' },
+    {
+      name: 'counts workers whose processors others have claimed, for a filler task that has not waited',
+      step: { fills: true },
+      worker: makeFullWorker,
+      obstacle: 'cpuClaimed'
+    },
+    { name: 'counts no worker that can take a filler task', step: { fills: true }, obstacle: undefined },
     { name: 'counts workers with recent failures', healthObstacle: 'breakerOpen', obstacle: 'breakerOpen' },
     { name: 'counts workers that are kept for other tasks', isReserved: true, obstacle: 'reserved' },
     {
