Start filler tasks at the pace of those on the same worker

Cause: the pace of filler tasks was set with the worker's reports only, so that each new one worked at full pace for up to 500 ms beside a serving task for which the others had been slowed down.

Change: the pace is sent as soon as the worker has confirmed the start.

fillerPace.test.ts: longest time above the pace of the others 500 ms before, at most 50 ms after.

--- a/packages/jobs/src/loadPatterns/fillerPace.test.ts
+++ b/packages/jobs/src/loadPatterns/fillerPace.test.ts
@@ -7,6 +7,11 @@
 
 const FILLER_JOB = '00000000000000a2'
 
+/** First digits of the ids of jobs that come later, one at an interval in ms. */
+const LATER_JOBS = '00000000000b'
+const LATER_INTERVAL_MS = 230
+const LATER_DEMAND = { cpuMillis: 100, memoryMb: 100, accelerators: 0 }
+
 /** Target for the tail latency of the serving task, in ms. */
 const TARGET_MS = 200
 
@@ -81,6 +86,28 @@
       expect(lowest).to.equal(100)
     }
   },
+  {
+    // Filler tasks that came later worked at full pace until the next report, beside a serving task over its target.
+    name: 'start at the lowered pace of those on the same worker',
+    options: { workers: 1 },
+    run: async (cell, clock) => {
+      await startBoth(cell, clock, 150)
+      const { runs } = cell.workers.workers.get('w0')!
+      const fastFor = new Map<string, number>()
+      for (let passedMs = 0; passedMs < SETTLE_MS; passedMs += 10) {
+        if (passedMs % LATER_INTERVAL_MS === 0) {
+          const id = LATER_JOBS + String(passedMs).padStart(4, '0')
+          submitInBackground(cell, id, [{ fills: true, longRunning: true, demand: LATER_DEMAND }])
+        }
+        await clock.tickAsync(10)
+        for (const [name, { percent }] of runs) {
+          if (name.startsWith(LATER_JOBS)) fastFor.set(name, (fastFor.get(name) ?? 0) + (percent > 25 ? 10 : 0))
+        }
+      }
+      expect(fastFor.size).to.be.at.least(20)
+      expect(Math.max(0, ...fastFor.values())).to.be.at.most(50)
+    }
+  },
   {
     // A pace that is only adopted would stay low for good.
     name: 'are sped up again by a new owner once the serving task has room',
--- a/packages/jobs/src/owner/FillerPacer.ts
+++ b/packages/jobs/src/owner/FillerPacer.ts
@@ -35,6 +35,14 @@
     for (const task of fillers) if (task.percent !== percent) this.#setPace(worker.id, task, percent, tails)
   }
 
+  /** Gives a filler task that has just started the pace of those beside it, without waiting for the next report. */
+  applyPace (task: TaskInstance): void {
+    const worker = task.worker === undefined ? undefined : this.#cell.workers.get(task.worker)
+    if (worker === undefined || !task.step.spec.fills) return
+    const percent = this.#paceByWorker.get(worker)?.percent ?? 100
+    if (percent < 100) this.#setPace(worker.id, task, percent, [])
+  }
+
   #choosePercent (
     worker: WorkerState, tails: ReadonlyArray<{ tailMs: number, targetMs: number }>, fillers: readonly TaskInstance[]
   ): number {
--- a/packages/jobs/src/owner/RunTracker.ts
+++ b/packages/jobs/src/owner/RunTracker.ts
@@ -115,8 +115,10 @@
         if (!isFirstUnknown) await sleep(ORDER_RETRY_MS)
         continue
       }
-      if (result.kind === 'started') this.#confirmRun(task)
-      else this.#handleRefusal(task, result.reason, uncertain)
+      if (result.kind === 'started') {
+        this.#confirmRun(task)
+        this.#pacer.applyPace(task)
+      } else this.#handleRefusal(task, result.reason, uncertain)
       return
     }
   }
