Fence off writes of a job before its cancel is answered with 410

Cause: nothing followed from a cancel of a job that isn't stored, and late writes had no other condition than that the job's row is missing. Ruled out: a late notification of the owner, and its list of cancelled ids. A note kept by the node that took the job would be lost with the node; a row for each unknown id would let a crowd of such calls fill the store.

Change: each partition of jobs has a fence row, and a write of a job expects the version that its node knows. A cancel of a job that isn't stored rewrites the fences of its partitions first, under the condition that the job still isn't stored, once a second at most for all ids of a partition. The store then refuses writes that were sent before. The owner does so for all nodes while it answers.

--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -183,6 +183,7 @@
         const known = this.#owner?.isRecovered === true
         return { known, state: this.#owner?.stateOf(id) ?? null }
       },
+      'cell.fence': async ({ id }) => ({ stored: valueOf(await this.jobs.fences.raise(id)) ?? null }),
       'cell.pending': ({ queue }) => ({ pending: this.#owner?.countPending(queue) ?? null }),
       'cell.advise': async ({ workers, timeoutMs, ...step }) =>
         encodeRelayed(await this.#dependencies.adviser.advise(step, workers, timeoutMs), (advice) => advice),
--- /dev/null
+++ b/packages/jobs/src/node/JobFences.test.ts
@@ -0,0 +1,208 @@
+import { install, type Clock } from '@sinonjs/fake-timers'
+import { expect } from 'chai'
+import { notDone, sleep, valueOf } from '@gypsumspring/protocol'
+import { JOB_PARTITIONS } from '../constants/index.ts'
+import { FENCES_TABLE, JOBS_TABLE } from '../records/index.ts'
+import { MemoryCell, type StoreFault } from '../standins/index.ts'
+
+const ID = '00000000000000a1'
+
+const START_MS = 2_000
+
+/** Time for which the store answers nothing; it carries out what was sent meanwhile up to 2 s after that. */
+const OUTAGE_MS = 1_200
+
+/** Runs a call while the clock is advanced. */
+async function settle<Value> (clock: Clock, call: Promise<Value>): Promise<Value> {
+  const state = { isSettled: false }
+  const settled = call.finally(() => { state.isSettled = true })
+  while (!state.isSettled) await clock.tickAsync(10)
+  return await settled
+}
+
+/** Injects faults into the calls of all nodes to the store. */
+function setFaults (cell: MemoryCell, fault: (call: 'commit' | 'read', partition: string) => StoreFault): void {
+  for (const { store } of cell.nodes.values()) store.fault = fault
+}
+
+/** Cancels the job at a node; undefined if the cancelling is not acknowledged. */
+async function cancel (cell: MemoryCell, node: string, id = ID): Promise<boolean | undefined> {
+  return valueOf(await cell.nodes.get(node)!.cellNode.jobs.cancel(id))
+}
+
+/** Cancels the job at a node, again and again until that is acknowledged, as callers do. */
+async function cancelUntilAcknowledged (cell: MemoryCell, node: string): Promise<boolean> {
+  for (;;) {
+    const found = await cancel(cell, node)
+    if (found !== undefined) return found
+    await sleep(200)
+  }
+}
+
+/** Lets the stores refuse to store jobs while `isRefusing` returns true. */
+function refuseJobs (cell: MemoryCell, isRefusing: () => boolean): void {
+  for (const { store } of cell.nodes.values()) {
+    const commit = store.commit.bind(store)
+    store.commit = async (row) => isRefusing() && row.puts.some(({ table }) => table === JOBS_TABLE)
+      ? notDone('unavailable', 'refused')
+      : await commit(row)
+  }
+}
+
+function countRows (cell: MemoryCell, table: string): number {
+  return [...cell.rows.rows.values()].filter((row) => row.table === table).length
+}
+
+/** Names of the nodes, of which the first one owns the cell. */
+function listNodes (cell: MemoryCell): string[] {
+  const owner = cell.owner!.name
+  return [owner, ...[...cell.nodes.keys()].filter((name) => name !== owner)]
+}
+
+/** Where a job is handed in and cancelled, as positions in `listNodes`, and what happens to nodes meanwhile. */
+interface Case {
+  name: string
+  handedInAt: number
+  cancelledAt: number
+  beforeCancel?: (cell: MemoryCell, nodes: readonly string[]) => void
+  afterCancel?: (cell: MemoryCell, nodes: readonly string[]) => void
+}
+
+describe('Cancelling a job whose write is still on its way to the store', () => {
+  let clock: Clock
+  let cell: MemoryCell
+  beforeEach(async () => {
+    clock = install()
+    cell = new MemoryCell()
+    await clock.tickAsync(START_MS)
+  })
+  afterEach(async () => {
+    const stopped = cell.stop()
+    await clock.tickAsync(10_000)
+    await stopped
+    clock.uninstall()
+    expect(cell.checker.violations).to.deep.equal([])
+  })
+
+  // The job was stored after its cancelling had been acknowledged, and ran for good.
+  const cases: Case[] = [
+    { name: 'holds at the node that took the job', handedInAt: 1, cancelledAt: 1 },
+    { name: 'holds at another node', handedInAt: 1, cancelledAt: 2 },
+    { name: 'holds at the owner', handedInAt: 1, cancelledAt: 0 },
+    { name: 'holds for a job that the owner took', handedInAt: 0, cancelledAt: 1 },
+    {
+      name: 'holds after the node that took the job has ended',
+      handedInAt: 2,
+      cancelledAt: 1,
+      beforeCancel: (started, nodes) => started.killNode(nodes[2]!)
+    },
+    {
+      name: 'holds while no node owns the cell',
+      handedInAt: 1,
+      cancelledAt: 2,
+      beforeCancel: (started, nodes) => started.killNode(nodes[0]!)
+    },
+    {
+      name: 'holds after the owner has ended',
+      handedInAt: 1,
+      cancelledAt: 2,
+      afterCancel: (started, nodes) => started.killNode(nodes[0]!)
+    },
+    {
+      name: 'holds after the cell was handed over',
+      handedInAt: 0,
+      cancelledAt: 0,
+      afterCancel: (started, nodes) => {
+        started.nodes.get(nodes[0]!)!.cellNode.resign().catch((error) => { throw error })
+      }
+    }
+  ]
+  for (const { name, handedInAt, cancelledAt, beforeCancel, afterCancel } of cases) {
+    it(name, async () => {
+      const nodes = listNodes(cell)
+      setFaults(cell, (call) => call === 'commit' ? 'late' : 'silent')
+      const submitted = cell.submit(ID, [{ longRunning: true }], { node: nodes[handedInAt] })
+      await clock.tickAsync(OUTAGE_MS)
+      setFaults(cell, () => undefined)
+      expect(await settle(clock, submitted)).to.equal('uncertain')
+      beforeCancel?.(cell, nodes)
+      expect(await settle(clock, cancelUntilAcknowledged(cell, nodes[cancelledAt]!))).to.equal(false)
+      afterCancel?.(cell, nodes)
+      await clock.tickAsync(10_000)
+      expect(countRows(cell, JOBS_TABLE)).to.equal(0)
+      expect(cell.checker.starts).to.equal(0)
+    })
+  }
+
+  it('ends a call that still tries to store the job', async () => {
+    const [, handingIn, cancelling] = listNodes(cell)
+    let isRefusing = true
+    refuseJobs(cell, () => isRefusing)
+    const submitted = cell.submit(ID, [{ longRunning: true }], { node: handingIn })
+    await clock.tickAsync(1_500)
+    expect(await settle(clock, cancel(cell, cancelling!))).to.equal(false)
+    isRefusing = false
+    expect(await settle(clock, submitted)).to.equal('refused')
+    await clock.tickAsync(5_000)
+    expect(cell.checker.starts).to.equal(0)
+  })
+
+  it('cancels a job that is stored, but that the owner does not know yet', async () => {
+    setFaults(cell, (call) => call === 'commit' ? 'lost' : 'silent')
+    const submitted = cell.submit(ID, [{ longRunning: true }])
+    await clock.tickAsync(OUTAGE_MS)
+    setFaults(cell, () => undefined)
+    await settle(clock, submitted)
+    expect(await settle(clock, cancel(cell, listNodes(cell)[1]!))).to.equal(true)
+    await clock.tickAsync(3_000)
+    expect(cell.checker.countRunning(`${ID}.0.0.0`)).to.equal(0)
+  })
+
+  it('is not acknowledged while the store does not answer', async () => {
+    setFaults(cell, (call) => call === 'commit' ? 'late' : 'silent')
+    const cancelled = cancel(cell, listNodes(cell)[1]!)
+    await clock.tickAsync(OUTAGE_MS)
+    expect(await settle(clock, cancelled)).to.equal(undefined)
+  })
+
+  it('does not keep a job from being handed in afterwards, at any node', async () => {
+    expect(await settle(clock, cancel(cell, listNodes(cell)[1]!))).to.equal(false)
+    for (const [index, node] of listNodes(cell).entries()) {
+      const id = index === 0 ? ID : `00000000000000b${index}`
+      if (index > 0) await settle(clock, cancel(cell, node, id))
+      expect(await settle(clock, cell.submit(id, [{}], { node }))).to.equal('accepted')
+    }
+    await clock.tickAsync(3_000)
+    expect(cell.checker.starts).to.equal(3)
+  })
+
+  it('costs few rows and writes for many jobs that nobody handed in, and delays no other job', async () => {
+    const nodes = listNodes(cell)
+    const rowsBefore = cell.rows.rows.size
+    let commits = 0
+    for (const { store } of cell.nodes.values()) {
+      const commit = store.commit.bind(store)
+      store.commit = async (row) => {
+        if (row.partition !== 'cell') commits++
+        return await commit(row)
+      }
+    }
+    const answers: Array<Promise<boolean | undefined>> = []
+    for (let passedMs = 0; passedMs < 5_000; passedMs += 10) {
+      for (let call = 0; call < 5; call++) {
+        const id = (passedMs * 5 + call).toString(16).padStart(16, 'f')
+        answers.push(cancel(cell, nodes[call % nodes.length]!, id))
+      }
+      await clock.tickAsync(10)
+    }
+    const submittedAt = performance.now()
+    expect(await settle(clock, cell.submit(ID, [{}], { node: nodes[1] }))).to.equal('accepted')
+    expect(performance.now() - submittedAt).to.be.lessThan(100)
+    const results = await settle(clock, Promise.all(answers))
+    expect(results.filter((found) => found === false)).to.have.length(2_500)
+    expect(cell.rows.rows.size - rowsBefore).to.be.at.most(JOB_PARTITIONS + 2)
+    expect(countRows(cell, FENCES_TABLE)).to.be.at.most(JOB_PARTITIONS)
+    // One commit a second for each partition, in 5 s and the last one for the calls that waited.
+    expect(commits).to.be.at.most(7 * JOB_PARTITIONS + 6)
+  })
+})
--- a/packages/jobs/src/node/JobService.ts
+++ b/packages/jobs/src/node/JobService.ts
@@ -9,6 +9,7 @@
 } from '../records/index.ts'
 import type { Job, JobState } from '../types.ts'
 import { chooseRetryAfter } from './chooseRetryAfter/index.ts'
+import { JobFences } from './JobFences.ts'
 import type { CellParams } from './messages.ts'
 import type { Peer, FailoverStore } from './FailoverStore.ts'
 
@@ -18,6 +19,15 @@
 /** Wait before storing a job is tried again, in ms. */
 const ACCEPT_RETRY_DELAY_MS = 60
 
+/**
+ * A call that stores a job counts as begun after the cancelling of that job if it has taken no longer than this, in ms.
+ * The caller of a longer one may have given it up and cancelled the job.
+ */
+const CONCURRENT_CALL_MS = 500
+
+/** Longest wait for the owner to fence off the writes of a job, in ms; it does so once a second for each partition. */
+const FENCE_TIMEOUT_MS = 2_000
+
 /** Result of accepting a job. */
 export type Acceptance =
   | { kind: 'accepted' }
@@ -42,9 +52,11 @@
   readonly #store: FailoverStore
   readonly #owner: OwnerAccess
   readonly #metrics: MetricsRecorder
+  readonly fences: JobFences
 
   constructor (store: FailoverStore, owner: OwnerAccess, metrics: MetricsRecorder) {
     this.#store = store
+    this.fences = new JobFences(store)
     this.#owner = owner
     this.#metrics = metrics
   }
@@ -66,21 +78,26 @@
    * @param timeoutMs - Longest time that the caller waits, in ms.
    */
   async accept (job: Job, timeoutMs: number): Promise<Acceptance> {
-    const deadline = performance.now() + timeoutMs
-    const key = { table: JOBS_TABLE, key: job.id }
-    const commits = toJobPartitions(job.id).map((partition) => (
-      { partition, expected: [{ ...key, version: 0 }], puts: [{ ...key, value: encodeJob(job) }], removes: [] }))
+    const startedAt = performance.now()
+    const deadline = startedAt + timeoutMs
+    const value = encodeJob(job)
     let uncertain = false
     let reason = 'unavailable'
     while (performance.now() < deadline) {
       if (!this.canAccept) return uncertain ? { kind: 'uncertain', reason } : { kind: 'refused', reason: 'unavailable' }
+      const commits = this.fences.createCommits(job.id, value)
       const outcome = await this.#awaitWhileAnswering(commitHedged(this.#store, commits), deadline)
       const result = valueOf(outcome)
-      // A conflict means that the job is stored already, for instance by an earlier attempt or at another node.
-      if (result !== undefined) {
+      const conflict = result?.kind === 'conflict' ? this.fences.resolveConflict(job.id, result.rows) : undefined
+      // The job may be stored already, for instance by an earlier attempt or at another node.
+      if (result?.kind === 'committed' || conflict === 'stored') {
         this.#notifyOwner('cell.accept', { job }, (owner) => owner.accept(job)).catch(throwUncaught)
         return { kind: 'accepted' }
       }
+      if (conflict === 'cancelled' && performance.now() - startedAt > CONCURRENT_CALL_MS) {
+        return { kind: uncertain ? 'uncertain' : 'refused', reason: 'cancelled' }
+      }
+      if (conflict !== undefined) continue
       outcome.ifLeft((failure) => {
         uncertain ||= failure.certainty === 'unknown'
         reason = failure.reason
@@ -104,8 +121,8 @@
 
   /** Gets the state of a job; undefined when no such job was accepted. */
   async getState (id: string): Promise<Outcome<JobState | undefined>> {
-    const answer = await this.#fetchStateFromOwner(id)
-    if (answer !== undefined) return done(answer)
+    const state = (await this.#askOwner(id))?.state
+    if (state !== undefined) return done(state)
     const progress = await this.#store.readRow(PROGRESS_TABLE, CELL_PARTITION, id)
     if (progress.isLeft()) return progress as Outcome<never>
     const value = progress.unsafeCoerce()?.value
@@ -123,9 +140,13 @@
     return (rows.find((row) => row.isLeft()) as Outcome<never> | undefined) ?? done(false)
   }
 
-  /** Stores the cancellation of a job. Returns whether there is such a job. */
+  /**
+   * Stores the cancellation of a job. Returns whether there is such a job; if not, calls that were sent before and have
+   * not stored it yet never will.
+   */
   async cancel (id: string): Promise<Outcome<boolean>> {
-    const found = await this.#fetchStateFromOwner(id) !== undefined ? done(true) : await this.#isStored(id)
+    const answer = await this.#askOwner(id)
+    const found = answer?.state === undefined ? await this.#fenceOff(id, answer !== undefined) : done(true)
     if (found.isLeft() || found.extract() === false) return found
     const outcome = await commitHedged(this.#store, toJobPartitions(id).map((partition) => (
       { partition, expected: [], puts: [{ table: CANCELS_TABLE, key: id, value: Buffer.from('{}') }], removes: [] })))
@@ -133,6 +154,19 @@
     return outcome.map(() => true)
   }
 
+  /**
+   * Fences off the writes of a job that may still be on their way to the store. The owner does so for all nodes as long
+   * as it answers, so that calls for unknown jobs at many nodes cause no more writes than at one.
+   */
+  async #fenceOff (id: string, hasOwner: boolean): Promise<Outcome<boolean>> {
+    if (hasOwner && this.#owner.local() === undefined) {
+      const answer = await this.#owner.peer()?.call('cell.fence', { id }, { timeoutMs: FENCE_TIMEOUT_MS })
+      const stored = answer === undefined ? undefined : valueOf(answer)?.stored
+      if (stored !== undefined && stored !== null) return done(stored)
+    }
+    return await this.fences.raise(id)
+  }
+
   /** Counts the jobs of a queue of which no task has started; undefined while no owner can tell. */
   async countPending (queue: string): Promise<number | undefined> {
     const local = this.#owner.local()
@@ -141,13 +175,13 @@
     return answer?.map(({ pending }) => pending ?? undefined).orDefault(undefined)
   }
 
-  /** Asks the owner for the state of a job; undefined when the owner is unreachable or does not know the job. */
-  async #fetchStateFromOwner (id: string): Promise<JobState | undefined> {
+  /** Asks the owner for the state of a job; undefined when the owner is unreachable or has not recovered the cell. */
+  async #askOwner (id: string): Promise<{ state: JobState | undefined } | undefined> {
     const local = this.#owner.local()
-    if (local !== undefined) return local.isRecovered ? local.stateOf(id) : undefined
+    if (local !== undefined) return local.isRecovered ? { state: local.stateOf(id) } : undefined
     const answer = await this.#owner.peer()?.call('cell.show', { id }, { timeoutMs: PEER_CALL_TIMEOUT_MS })
     const result = answer === undefined ? undefined : valueOf(answer)
-    return result?.known === true ? (result.state as JobState | null) ?? undefined : undefined
+    return result?.known === true ? { state: (result.state as JobState | null) ?? undefined } : undefined
   }
 
   /** Notifies the owner of what was stored. A lost message only adds delay, since the owner polls the tables. */
--- a/packages/jobs/src/node/messages.ts
+++ b/packages/jobs/src/node/messages.ts
@@ -84,6 +84,14 @@
     params: Type.Object({ id: Type.String() }),
     result: Type.Object({ known: Type.Boolean(), state: Type.Union([JobStateName, Type.Null()]) })
   },
+  /**
+   * Asks the owner to fence off the writes of a job that may still be on their way to the store. `stored` tells whether
+   * the job is stored; null when that can't be told.
+   */
+  'cell.fence': {
+    params: Type.Object({ id: Type.String() }),
+    result: Type.Object({ stored: Type.Union([Type.Boolean(), Type.Null()]) })
+  },
   /** Asks the owner how many jobs of a queue have not started; null when it can't tell. */
   'cell.pending': {
     params: Type.Object({ queue: Type.String() }), result: Type.Object({ pending: Type.Union([Count, Type.Null()]) })
--- a/packages/jobs/src/records/index.ts
+++ b/packages/jobs/src/records/index.ts
@@ -12,6 +12,12 @@
 /** Table of cancelled jobs. */
 export const CANCELS_TABLE = 'cancels'
 
+/** Table of the fences: one row in each partition of accepted jobs, whose version writes of jobs there expect. */
+export const FENCES_TABLE = 'fences'
+
+/** Key of the fence of a partition. */
+export const FENCE_KEY = 'jobs'
+
 /**
  * Table of the jobs that the owner manages, with their progress. A new owner can continue from the one partition that
  * holds it.
