Read the cancels before tasks are placed after a takeover

Callers would see a job start whose cancel was acknowledged while the cell had no owner, or right before its owner ended.

Cause: a new owner read cancels and accepted jobs at the same time and after it had begun to place tasks, so that a slow partition delayed its cancels by seconds.

Change: the cancels are read with the first reads of a new owner, and tasks of a job are placed once those in its partitions are read, or after 2 s.

acknowledgedCancels.test.ts failed before: two starts in place of one.

--- a/packages/jobs/src/owner/Cell.ts
+++ b/packages/jobs/src/owner/Cell.ts
@@ -19,6 +19,8 @@
   readonly active = new Set<TrackedJob>()
   readonly workers = new Map<string, WorkerState>()
   readonly accounts: AccountUsages
+  /** Whether the owner has read, or has waited long enough for, a cancel of a job from before it took the cell over. */
+  isCancelKnown: (job: TrackedJob) => boolean = () => true
   /** Monotonic time of the last answer of the worker registry, in ms. */
   registryReadAt = -Infinity
   /** Jobs whose progress differs from the stored record. */
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -9,7 +9,7 @@
   WorkerRegistry
 } from '../ports.ts'
 import {
-  CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, decodeJob
+  CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, decodeJob, toJobPartitions
 } from '../records/index.ts'
 import { findStepOutOfOrder } from '../records/findStepOutOfOrder/index.ts'
 import type { Job, JobState, WorkerEntry } from '../types.ts'
@@ -79,6 +79,21 @@
  */
 const PLACEMENT_PAUSE_FACTOR = 3
 
+/**
+ * Partitions of accepted jobs that a new owner reads concurrently. With more, answers of workers would queue behind the
+ * rows of all jobs.
+ */
+const MAX_JOB_READS = 8
+
+/** The same for cancelled jobs, whose rows are small. */
+const MAX_CANCEL_READS = 24
+
+/**
+ * Longest time for which tasks wait until a new owner has read the cancels in the partitions of their job, in ms. Some
+ * partitions may give no answer for long, and callers allow 3 s for a cancel to take effect.
+ */
+const MAX_CANCEL_WAIT_MS = 2_000
+
 /**
  * Steps for which a new owner requests advice before its first placement round. Naming workers for each takes time, in
  * which the owner's record stands still.
@@ -193,8 +208,14 @@
       this.#cancelledIds.delete(id)
       this.#commits.removeProgress(id)
     }, signal)
-    this.#cancelPoller = new TablePoller(store, CANCELS_TABLE, ({ key }) => this.cancel(key), signal, metrics)
-    this.#jobPoller = new TablePoller(store, JOBS_TABLE, (row) => this.#handleJobRow(row), signal, metrics)
+    this.#cancelPoller = new TablePoller(store, CANCELS_TABLE, ({ key }) => this.cancel(key), signal, metrics, {
+      maxConcurrentReads: MAX_CANCEL_READS, onComplete: () => this.#requestPlacement()
+    })
+    this.#jobPoller = new TablePoller(store, JOBS_TABLE, (row) => this.#handleJobRow(row), signal, metrics, {
+      maxConcurrentReads: MAX_JOB_READS
+    })
+    cell.isCancelKnown = ({ id }) => this.#cancelPoller.hasRead(toJobPartitions(id)) ||
+      performance.now() - ownership.ownedBy > MAX_CANCEL_WAIT_MS
   }
 
   get token (): number {
@@ -210,6 +231,7 @@
     const { log } = this.#dependencies
     this.#committing = this.#commits.run().finally(() => { this.#commitsEnded = true })
     this.#committing.catch(throwUncaught)
+    this.#cancelPoller.run().catch(throwUncaught)
     const [listed, control, progress] = await Promise.all([
       this.#readWorkers(),
       this.#readUntilKnown(() => this.#readControl(), CONTROL_TABLE),
@@ -248,7 +270,6 @@
       tookMs: Math.round(performance.now() - this.#ownership.ownedBy)
     }, 'cell recovered')
     this.#workerManager.run(listed.version).catch(throwUncaught)
-    this.#cancelPoller.run().catch(throwUncaught)
     this.#jobPoller.run().catch(throwUncaught)
     this.#cleanup.run().catch(throwUncaught)
     this.#requestFirstAdvice()
--- a/packages/jobs/src/owner/Placer.ts
+++ b/packages/jobs/src/owner/Placer.ts
@@ -103,7 +103,8 @@
     }
     this.#reserved.clear()
     this.#awaitingTickets.clear()
-    const ordered = orderSteps([...readySteps(this.#cell)], this.#cell.now())
+    const ready = [...readySteps(this.#cell)].filter(({ job }) => this.#cell.isCancelKnown(job))
+    const ordered = orderSteps(ready, this.#cell.now())
     const minimumDemand = findMinimumDemand(ordered.map(({ step }) => step))
     const candidatesByPool = new Map([...pools].map(([pool, workers]) => [pool, workers.filter((worker) =>
       worker.acceptsTasks && worker.hasRoom(minimumDemand))]))
--- a/packages/jobs/src/owner/TablePoller.ts
+++ b/packages/jobs/src/owner/TablePoller.ts
@@ -4,8 +4,12 @@
 import { listJobPartitions } from '../records/index.ts'
 import { READ_RETRY_DELAY_MS } from './readWithRetry.ts'
 
-/** Partitions that are read concurrently. With more, answers of workers would queue behind the rows of all jobs. */
-const MAX_CONCURRENT_READS = 8
+interface Options {
+  /** Partitions that are read concurrently. */
+  maxConcurrentReads: number
+  /** Called when all rows that existed when the owner started have been read. */
+  onComplete?: () => void
+}
 
 /**
  * Reads a table that other nodes write: first all rows, then changes at intervals. Nodes also notify the owner
@@ -17,11 +21,15 @@
   readonly #onRow: (row: StoredRow) => void
   readonly #signal: AbortSignal
   readonly #metrics: MetricsRecorder
+  readonly #options: Options
+  readonly #readPartitions = new Set<string>()
   #complete = false
 
   constructor (
-    store: RecordStore, table: string, onRow: (row: StoredRow) => void, signal: AbortSignal, metrics: MetricsRecorder
+    store: RecordStore, table: string, onRow: (row: StoredRow) => void, signal: AbortSignal, metrics: MetricsRecorder,
+    options: Options
   ) {
+    this.#options = options
     this.#store = store
     this.#table = table
     this.#onRow = onRow
@@ -34,9 +42,15 @@
     return this.#complete
   }
 
+  /** Whether all rows of some partitions that existed when the owner started have been read. */
+  hasRead (partitions: readonly string[]): boolean {
+    return this.#complete || partitions.every((partition) => this.#readPartitions.has(partition))
+  }
+
   async run (): Promise<void> {
     let version = await this.#readAll()
     this.#complete = !this.#signal.aborted
+    if (this.#complete) this.#options.onComplete?.()
     while (!this.#signal.aborted) {
       await sleep(JOB_LIST_POLL_MS)
       const outcome = await this.#store.changes(this.#table, version, 0)
@@ -64,10 +78,11 @@
           continue
         }
         for (const row of read.rows) this.#onRow(row)
+        this.#readPartitions.add(partition)
         versions.push(read.version)
       }
     }
-    await Promise.all(Array.from({ length: MAX_CONCURRENT_READS }, readNext))
+    await Promise.all(Array.from({ length: this.#options.maxConcurrentReads }, readNext))
     return Math.min(...versions)
   }
 }
