Leave malformed machines out of the inventory instead of failing

Cause: the list of machines was checked as a whole, so that one machine with a field of another type or a number too large left the daemons with the last list for good, or with none. A deeply nested value ended the call with a RangeError while its message was written, and a port out of range threw out of HttpWorkerConnector.connect.

Change: machines are checked one by one, the address included; those left out are logged once. A message about a deeply nested value doesn't print it. A worker whose address can't be called answers each call as not done.

--- a/packages/adapters/src/connectPlatform/index.ts
+++ b/packages/adapters/src/connectPlatform/index.ts
@@ -14,6 +14,8 @@
   storeTimeoutMs?: number
   /** Timeout of calls to a worker, in ms. Default: 2,000. */
   workerTimeoutMs?: number
+  /** Called once with the id of each malformed VM in the inventory, which is left out. Default: does nothing. */
+  onMalformedMachine?: (id: string) => void
 }
 
 /**
@@ -36,7 +38,7 @@
   return {
     table: new HttpTable(pool, storeTimeoutMs),
     objects: new HttpObjectStore(pool, storeTimeoutMs),
-    inventory: new HttpInventory(pool, storeTimeoutMs),
+    inventory: new HttpInventory(pool, storeTimeoutMs, options.onMalformedMachine),
     workers,
     runners,
     close: async () => { await Promise.all([pool.close(), workers.close(), runners.close()]) }
--- a/packages/adapters/src/httpRunnerClient/index.ts
+++ b/packages/adapters/src/httpRunnerClient/index.ts
@@ -1,5 +1,6 @@
 import { done, notDone, type Outcome } from '@gypsumspring/protocol'
 import { ConnectionPool } from '../_lib/ConnectionPool.ts'
+import { parseOrigin } from '../_lib/parseOrigin.ts'
 import { sendRequest, type HttpResponse } from '../_lib/sendRequest.ts'
 import { parseRetryAfter } from '../_lib/parseFailureResponse.ts'
 import { MAX_DISCARDED_BYTES, DEFAULT_CONNECTIONS_PER_RUNNER } from '../constants/index.ts'
@@ -50,8 +51,8 @@
   #getOrCreatePool (address: string): ConnectionPool | undefined {
     let pool = this.#pools.get(address)
     if (pool !== undefined) return pool
-    const origin = `http://${address}`
-    if (!URL.canParse(origin) || new URL(origin).origin === 'null' || /[/@?#]/.test(address)) return undefined
+    const origin = parseOrigin(address)
+    if (origin === undefined) return undefined
     pool = new ConnectionPool(origin, this.#limits.get(address) ?? DEFAULT_CONNECTIONS_PER_RUNNER)
     this.#pools.set(address, pool)
     return pool
--- a/packages/adapters/src/httpWorkerConnector/index.ts
+++ b/packages/adapters/src/httpWorkerConnector/index.ts
@@ -3,6 +3,7 @@
 import { requestValidatedJson } from '../_lib/requestValidatedJson.ts'
 import { ConnectionPool } from '../_lib/ConnectionPool.ts'
 import { encodeKey } from '../_lib/encodeKey.ts'
+import { parseOrigin } from '../_lib/parseOrigin.ts'
 import { MAX_CONNECTIONS_PER_WORKER, DEFAULT_WORKER_TIMEOUT_MS } from '../constants/index.ts'
 import type { Machine, WorkerClient, WorkerConnector } from '../types.ts'
 import { EmptyResponse, HeartbeatResponse, InspectResponse, OpenSessionResponse, StartResponse } from '../wire/index.ts'
@@ -13,7 +14,8 @@
 
 interface WorkerConnection {
   address: string
-  pool: ConnectionPool
+  /** Undefined if no connection can be opened to the address. */
+  pool: ConnectionPool | undefined
   client: WorkerClient
 }
 
@@ -34,25 +36,26 @@
   connect ({ id, address }: Pick<Machine, 'id' | 'address'>): WorkerClient {
     const existing = this.#workers.get(id)
     if (existing?.address === address) return existing.client
-    existing?.pool.close().catch((error) => { throw error })
-    const pool = new ConnectionPool(`http://${address}`, MAX_CONNECTIONS_PER_WORKER)
+    existing?.pool?.close().catch((error) => { throw error })
+    const origin = parseOrigin(address)
+    const pool = origin === undefined ? undefined : new ConnectionPool(origin, MAX_CONNECTIONS_PER_WORKER)
     const client = new HttpWorkerClient(pool, `/workers/${encodeURIComponent(id)}`, this.#timeoutMs)
     this.#workers.set(id, { address, pool, client })
     return client
   }
 
   async close (): Promise<void> {
-    await Promise.all([...this.#workers.values()].map(({ pool }) => pool.close()))
+    await Promise.all([...this.#workers.values()].map(({ pool }) => pool?.close()))
     this.#workers.clear()
   }
 }
 
 class HttpWorkerClient implements WorkerClient {
-  readonly #pool: ConnectionPool
+  readonly #pool: ConnectionPool | undefined
   readonly #path: string
   readonly #timeoutMs: number
 
-  constructor (pool: ConnectionPool, path: string, timeoutMs: number) {
+  constructor (pool: ConnectionPool | undefined, path: string, timeoutMs: number) {
     this.#pool = pool
     this.#path = path
     this.#timeoutMs = timeoutMs
@@ -85,12 +88,17 @@
   inspect (shard: string): ReturnType<WorkerClient['inspect']> {
     const encodedShard = encodeKey(shard)
     if (encodedShard === undefined) return Promise.resolve(notDone('invalid', 'the shard name contains a lone surrogate'))
-    const path = `${this.#path}/inspect?shard=${encodedShard}`
-    return requestValidatedJson(this.#pool, InspectResponse, { method: 'GET', path, timeoutMs: this.#timeoutMs })
+    return this.#send(InspectResponse, { method: 'GET', path: `${this.#path}/inspect?shard=${encodedShard}` })
   }
 
   #post<Schema extends TSchema> (schema: Schema, operation: string, body: unknown): Promise<Outcome<Static<Schema>>> {
-    const path = `${this.#path}/${operation}`
-    return requestValidatedJson(this.#pool, schema, { method: 'POST', path, body, timeoutMs: this.#timeoutMs })
+    return this.#send(schema, { method: 'POST', path: `${this.#path}/${operation}`, body })
+  }
+
+  async #send<Schema extends TSchema> (
+    schema: Schema, request: { method: 'GET' | 'POST', path: string, body?: unknown }
+  ): Promise<Outcome<Static<Schema>>> {
+    if (this.#pool === undefined) return notDone('invalid', 'the address of the worker is malformed')
+    return await requestValidatedJson(this.#pool, schema, { ...request, timeoutMs: this.#timeoutMs })
   }
 }
--- a/packages/adapters/src/httpWorkerConnector/test.ts
+++ b/packages/adapters/src/httpWorkerConnector/test.ts
@@ -47,6 +47,17 @@
     expect((await worker.inspect('never seen')).unsafeCoerce()).to.include({ epoch: 0, label: '' })
   })
 
+  // The port of an odd entry in the list of machines threw an exception.
+  for (const address of ['127.0.0.1:99999', '127.0.0.1:-1', '[::1', '127.0.0.1:1/a', '']) {
+    it(`answers calls to the address "${address}" as not done`, async () => {
+      const client = connector.connect({ id: 'odd', address })
+      const opened = await client.openSession({ shard: 's', epoch: 1, ttlMs: 1_000, label: '' })
+      for (const outcome of [opened, await client.inspect('s')]) {
+        expect(outcome.extract()).to.include({ certainty: 'not-done', reason: 'invalid' })
+      }
+    })
+  }
+
   it('A1: rejects session, heartbeat, start and stop with a lower epoch once a higher one was seen', async () => {
     const staleSession = await openSession(1)
     await openSession(2)
--- a/packages/daemon/src/runDaemon.ts
+++ b/packages/daemon/src/runDaemon.ts
@@ -38,7 +38,12 @@
   const { id, failureDomain, platformUrl, storeTimeoutMs } = settings
   const metrics = new Metrics()
   const lifecycle = new Lifecycle()
-  const connected = connectPlatform({ platformUrl, storeTimeoutMs })
+  const inventoryLog = createComponentLogger(logger, 'inventory')
+  const connected = connectPlatform({
+    platformUrl,
+    storeTimeoutMs,
+    onMalformedMachine: (machine) => inventoryLog.warn({ machine }, 'machine in the inventory is malformed and was ignored')
+  })
   const inventory = new CachedInventory(connected.inventory, settings.inventoryMs * INVENTORY_CACHE_FRACTION)
   const platform = { ...connected, inventory }
   const configuration = new ConfigurationStore()
--- a/packages/protocol/src/describeSchemaErrors/index.ts
+++ b/packages/protocol/src/describeSchemaErrors/index.ts
@@ -50,6 +50,15 @@
 }
 
 function formatValue (value: unknown): string {
-  const text = JSON.stringify(value) ?? 'nothing'
+  const text = stringifyValue(value) ?? 'nothing'
   return text.length > MAX_VALUE_LENGTH ? `${text.slice(0, MAX_VALUE_LENGTH)}...` : text
 }
+
+/** `JSON.stringify` is recursive, unlike `JSON.parse`, and throws a RangeError for deeply nested values. */
+function stringifyValue (value: unknown): string | undefined {
+  try {
+    return JSON.stringify(value)
+  } catch {
+    return 'a deeply nested value'
+  }
+}
