Give up storing a cancelled job whose caller has gone

Cause: a call that stores a job and finds its fence raised for it counts as begun after the cancel if it is younger than 0.5 s. A client that closes its connection sooner and cancels the job could still get it stored. A cancel of an unknown job also waited for the store's timeouts while the store was known not to answer.

Change: such a call gives up at once if its connection is closed, and such a cancel is refused at once.

--- a/packages/jobs/src/node/JobFences.test.ts
+++ b/packages/jobs/src/node/JobFences.test.ts
@@ -3,7 +3,7 @@
 import { notDone, sleep, valueOf } from '@gypsumspring/protocol'
 import { JOB_PARTITIONS } from '../constants/index.ts'
 import { FENCES_TABLE, JOBS_TABLE } from '../records/index.ts'
-import { MemoryCell, type StoreFault } from '../standins/index.ts'
+import { MemoryCell, createQueue, createStep, type StoreFault } from '../standins/index.ts'
 
 const ID = '00000000000000a1'
 
@@ -147,6 +147,29 @@
     expect(cell.checker.starts).to.equal(0)
   })
 
+  it('ends a call at once whose caller has gone', async () => {
+    const [, handingIn, cancelling] = listNodes(cell)
+    let isRefusing = true
+    refuseJobs(cell, () => isRefusing)
+    const spec = { payload: '', steps: [createStep({})], occurrences: 0, firstRunAt: 0, intervalMs: 0 }
+    const job = { id: ID, queue: createQueue('batch'), acceptedAt: Date.now(), spec }
+    const submitted = cell.nodes.get(handingIn!)!.cellNode.jobs.accept(job, 3_000, () => true)
+    await clock.tickAsync(100)
+    expect(await settle(clock, cancel(cell, cancelling!))).to.equal(false)
+    isRefusing = false
+    expect((await settle(clock, submitted)).kind).to.equal('refused')
+    await clock.tickAsync(5_000)
+    expect(cell.checker.starts).to.equal(0)
+  })
+
+  it('is refused at once while the store does not answer', async () => {
+    setFaults(cell, () => 'silent')
+    await clock.tickAsync(3_000)
+    const startedAt = performance.now()
+    expect(await settle(clock, cancel(cell, cell.owner?.name ?? 'n0'))).to.equal(undefined)
+    expect(performance.now() - startedAt).to.be.lessThan(1_000)
+  })
+
   it('cancels a job that is stored, but that the owner does not know yet', async () => {
     setFaults(cell, (call) => call === 'commit' ? 'lost' : 'silent')
     const submitted = cell.submit(ID, [{ longRunning: true }])
--- a/packages/jobs/src/node/JobService.ts
+++ b/packages/jobs/src/node/JobService.ts
@@ -1,4 +1,4 @@
-import { done, throwUncaught, sleep, unknownEffect, valueOf, type Outcome } from '@gypsumspring/protocol'
+import { done, notDone, throwUncaught, sleep, unknownEffect, valueOf, type Outcome } from '@gypsumspring/protocol'
 import { decodeProgress } from '../model/index.ts'
 import { PEER_CALL_TIMEOUT_MS } from '../constants/index.ts'
 import type { CellOwner } from '../owner/CellOwner.ts'
@@ -76,8 +76,9 @@
    *
    * @param job - The job.
    * @param timeoutMs - Longest time that the caller waits, in ms.
+   * @param isAbandoned - Whether the caller waits no longer. Default: it does.
    */
-  async accept (job: Job, timeoutMs: number): Promise<Acceptance> {
+  async accept (job: Job, timeoutMs: number, isAbandoned = () => false): Promise<Acceptance> {
     const startedAt = performance.now()
     const deadline = startedAt + timeoutMs
     const value = encodeJob(job)
@@ -94,7 +95,7 @@
         this.#notifyOwner('cell.accept', { job }, (owner) => owner.accept(job)).catch(throwUncaught)
         return { kind: 'accepted' }
       }
-      if (conflict === 'cancelled' && performance.now() - startedAt > CONCURRENT_CALL_MS) {
+      if (conflict === 'cancelled' && (isAbandoned() || performance.now() - startedAt > CONCURRENT_CALL_MS)) {
         return { kind: uncertain ? 'uncertain' : 'refused', reason: 'cancelled' }
       }
       if (conflict !== undefined) continue
@@ -164,7 +165,8 @@
       const stored = answer === undefined ? undefined : valueOf(answer)?.stored
       if (stored !== undefined && stored !== null) return done(stored)
     }
-    return await this.fences.raise(id)
+    if (!this.canAccept) return notDone('unavailable', 'the store does not answer')
+    return await this.#awaitWhileAnswering(this.fences.raise(id), performance.now() + FENCE_TIMEOUT_MS)
   }
 
   /** Counts the jobs of a queue of which no task has started; undefined while no owner can tell. */
