--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -214,8 +214,9 @@
     this.#jobPoller = new TablePoller(store, JOBS_TABLE, (row) => this.#handleJobRow(row), signal, metrics, {
       maxConcurrentReads: MAX_JOB_READS
     })
-    cell.isCancelKnown = ({ id }) => this.#cancelPoller.hasRead(toJobPartitions(id)) ||
-      performance.now() - ownership.ownedBy > MAX_CANCEL_WAIT_MS
+    // Asked for each waiting step in each placement round, so that the partitions of a job are looked up last.
+    cell.isCancelKnown = ({ id }) => this.#cancelPoller.isComplete ||
+      performance.now() - ownership.ownedBy > MAX_CANCEL_WAIT_MS || this.#cancelPoller.hasRead(toJobPartitions(id))
   }
 
   get token (): number {
--- a/packages/jobs/src/owner/TablePoller.ts
+++ b/packages/jobs/src/owner/TablePoller.ts
@@ -44,7 +44,7 @@
 
   /** Whether all rows of some partitions that existed when the owner started have been read. */
   hasRead (partitions: readonly string[]): boolean {
-    return this.#complete || partitions.every((partition) => this.#readPartitions.has(partition))
+    return partitions.every((partition) => this.#readPartitions.has(partition))
   }
 
   async run (): Promise<void> {
