Rank waiting steps without going through all dependency lists for each

No owner lasts for more than a few seconds.

Cause: orderSteps runs before the first yield of a placement round. Related: isReady used the same lists, and the work left of jobs with an account was summed over all tasks for each step of an occurrence.

The work left is summed once per occurrence and round.

--- a/packages/jobs/src/model/TrackedJob.ts
+++ b/packages/jobs/src/model/TrackedJob.ts
@@ -1,6 +1,7 @@
 import type { Demand, Job, JobState, Step, TaskKey } from '../types.ts'
 import { AdviceState } from './AdviceState.ts'
 import type { Progress } from './progress.ts'
+import { StepGraph } from './StepGraph.ts'
 
 /**
  * - `waiting`: the task has no run, and no start order that could still create one is in flight.
@@ -126,7 +127,7 @@
   /** Whether all steps that this one depends on are done. */
   isReady (): boolean {
     const steps = this.job.occurrences.get(this.occurrence)!
-    return this.spec.after.every((earlier) => steps[earlier]!.isDone)
+    return this.job.graph.dependenciesOf(this.index).every((earlier) => steps[earlier]!.isDone)
   }
 }
 
@@ -148,8 +149,10 @@
   /** Monotonic time of acceptance, in ms; at most 10 minutes before the owner loaded the job. */
   readonly monotonicAcceptedAt: number
   cancelled = false
-  /** Learned run time of one task of each step, in ms; undefined where the declared one is expected. */
-  readonly learnedRunMs: Array<number | undefined> = []
+  readonly graph: StepGraph
+  #learnedRunMs: ReadonlyArray<number | undefined> = []
+  /** Result of `graph.computePathsMs` for the expected run times; undefined until it is needed. */
+  #pathsMs: readonly number[] | undefined
   /** A worker has confirmed a run of at least one task. */
   started = false
   /** The client account had sent more jobs than its share when the job was accepted. `ShareMeter` sets it. */
@@ -157,6 +160,7 @@
 
   constructor (job: Job, now: number, wallNow: number) {
     this.definition = job
+    this.graph = new StepGraph(job.spec.steps)
     this.monotonicAcceptedAt = now - Math.max(0, Math.min(wallNow - job.acceptedAt, 600_000))
   }
 
@@ -183,7 +187,29 @@
 
   /** Expected run time of one task of a step on a worker of mean speed, in ms; 0 when unknown. */
   expectedRunMs (step: number): number {
-    return this.learnedRunMs[step] ?? this.spec.steps[step]?.estimatedRunMs ?? 0
+    return this.#learnedRunMs[step] ?? this.spec.steps[step]?.estimatedRunMs ?? 0
+  }
+
+  /** Sets the learned run time of one task of each step, in ms; undefined where the declared one is expected. */
+  setLearnedRunMs (learnedRunMs: ReadonlyArray<number | undefined>): void {
+    this.#learnedRunMs = learnedRunMs
+    this.#pathsMs = undefined
+  }
+
+  /** Expected time from the start of a step to the end of its occurrence, in ms. */
+  expectedPathMs (step: number): number {
+    return this.#expectedPathsMs[step]!
+  }
+
+  /** Expected time from the start to the end of an occurrence, in ms. */
+  get criticalPathMs (): number {
+    return Math.max(...this.#expectedPathsMs)
+  }
+
+  /** Kept, since placement rounds rank all waiting steps by it, several times a second. */
+  get #expectedPathsMs (): readonly number[] {
+    this.#pathsMs ??= this.graph.computePathsMs((step) => this.expectedRunMs(step))
+    return this.#pathsMs
   }
 
   /** Returns the steps of an occurrence, and creates them with their tasks on the first call. */
--- a/packages/jobs/src/placement/computeWorkPerValue/index.ts
+++ b/packages/jobs/src/placement/computeWorkPerValue/index.ts
@@ -20,13 +20,18 @@
     const sum = sums.get(queue.name) ?? { work: 0, jobs: 0 }
     sums.set(queue.name, { work: sum.work + work, jobs: sum.jobs + 1 })
   }
+  // All waiting steps of an occurrence have the same: a legal job has 1,500 tasks and 64 steps that wait at once.
+  const waitingWorks = new Map<readonly StepInstance[], number>()
   const result = new Map<StepInstance, number>()
   for (const step of steps) {
     const work = works.get(step.job)
     if (work === undefined) continue
     const sum = sums.get(step.job.definition.queue.name)!
     const relative = sum.work > 0 ? work * sum.jobs / sum.work : 1
-    result.set(step, computeWaitingWork(step) / (FIXED_VALUE + (1 - FIXED_VALUE) * relative))
+    const siblings = step.job.occurrences.get(step.occurrence) ?? []
+    const waitingWork = waitingWorks.get(siblings) ?? computeWaitingWork(siblings)
+    waitingWorks.set(siblings, waitingWork)
+    result.set(step, waitingWork / (FIXED_VALUE + (1 - FIXED_VALUE) * relative))
   }
   return result
 }
@@ -35,9 +40,9 @@
   return job.spec.steps.reduce((sum, step, index) => sum + step.count * workOf(step, job.expectedRunMs(index)), 0)
 }
 
-function computeWaitingWork ({ job, occurrence }: StepInstance): number {
+function computeWaitingWork (steps: readonly StepInstance[]): number {
   let work = 0
-  for (const { spec, tasks, isDone, expectedRunMs } of job.occurrences.get(occurrence) ?? []) {
+  for (const { spec, tasks, isDone, expectedRunMs } of steps) {
     if (!isDone) for (const { status } of tasks) if (status === 'waiting') work += workOf(spec, expectedRunMs)
   }
   return work
--- a/packages/jobs/src/placement/orderSteps/index.ts
+++ b/packages/jobs/src/placement/orderSteps/index.ts
@@ -1,4 +1,4 @@
-import type { StepInstance } from '../../model/index.ts'
+import type { StepInstance, TrackedJob } from '../../model/index.ts'
 import { computeWorkPerValue } from '../computeWorkPerValue/index.ts'
 
 /** Multiple of its objective after which the completion of a job has no value any more. */
@@ -50,11 +50,11 @@
 /** Computes the sort keys of a step alone. `now` is monotonic time in ms. */
 export function rankStep (step: StepInstance, now: number): Omit<OrderedStep, 'workPerValue'> {
   const { queue } = step.job.definition
-  const objective = computeObjective(step)
+  const objective = computeObjective(step.job)
   const begin = step.job.monotonicAcceptedAt
   const dueAt = begin + objective
   const missedAt = begin + MISSED_FACTOR * objective
-  const pathMs = remainingPathMs(step)
+  const pathMs = step.job.expectedPathMs(step.index)
   const expectedEnd = now + pathMs
   const lateness = step.spec.longRunning || expectedEnd <= dueAt
     ? 0
@@ -67,38 +67,7 @@
   return lateness === 2 ? 2 : job.beyondShare ? 1 : 0
 }
 
-/** Time after acceptance within which the job of a step is due, in ms. */
-function computeObjective (step: StepInstance): number {
-  const { queue } = step.job.definition
-  return queue.stretch * criticalPathMs(step, 0) + queue.targetLatencyMs
-}
-
-/** Expected duration of the job's longest chain of dependent steps, in ms. */
-function criticalPathMs (step: StepInstance, from: number): number {
-  const ends: number[] = []
-  for (const [index, { after }] of step.job.spec.steps.entries()) {
-    const begin = after.reduce((latest, earlier) => Math.max(latest, ends[earlier] ?? 0), from)
-    ends.push(begin + step.job.expectedRunMs(index))
-    if (index > MAX_PATH_STEPS) break
-  }
-  return Math.max(...ends)
-}
-
-/** Steps beyond this index don't change the order noticeably. */
-const MAX_PATH_STEPS = 64
-
-/** Expected time from the start of the step to the end of the job, in ms. */
-function remainingPathMs (step: StepInstance): number {
-  const { steps } = step.job.spec
-  const ends = new Map<number, number>([[step.index, step.expectedRunMs]])
-  let longest = step.expectedRunMs
-  for (let index = step.index + 1; index < steps.length; index++) {
-    const { after } = steps[index]!
-    const begins = after.flatMap((earlier) => ends.get(earlier) ?? [])
-    if (begins.length === 0) continue
-    const end = Math.max(...begins) + step.job.expectedRunMs(index)
-    ends.set(index, end)
-    longest = Math.max(longest, end)
-  }
-  return longest
+/** Time after acceptance within which a job is due, in ms. */
+function computeObjective ({ definition: { queue }, criticalPathMs }: TrackedJob): number {
+  return queue.stretch * criticalPathMs + queue.targetLatencyMs
 }
--- a/packages/jobs/src/runTimes/RunTimes.ts
+++ b/packages/jobs/src/runTimes/RunTimes.ts
@@ -58,7 +58,7 @@
   /** Sets the expected run times of a job. */
   apply (job: TrackedJob): void {
     if (!this.#isEnabled) return
-    for (const index of job.spec.steps.keys()) job.learnedRunMs[index] = this.#estimator.estimate(job, index)
+    job.setLearnedRunMs(job.spec.steps.map((_, index) => this.#estimator.estimate(job, index)))
   }
 
   /**
