Start no tasks on a worker before its own entry is read

Cause: after a restart the owner goes on with the entry that it has. acceptsTasks did not compare its `startedAt` with that of the reports. Labels, capacity, pool and failure domain may all differ.

Change: acceptsTasks requires an entry of the incarnation that answers, where both tell their start. countObstacles tells such workers as `outdatedEntry`.

--- a/packages/jobs/src/loadPatterns/restartedWorkers.test.ts
+++ b/packages/jobs/src/loadPatterns/restartedWorkers.test.ts
@@ -253,3 +253,31 @@
     expect(next.runs.size).to.be.greaterThan(0)
   }
 })))
+
+/** Time from the restart of a worker until the registry has its new entry, in ms. */
+const ENTRY_DELAY_MS = 1_000
+
+const otherKinds = [
+  { name: 'of another kind', changes: { labels: ['a'] }, fits: false },
+  { name: 'of less capacity', changes: { capacity: { cpuMillis: 100, memoryMb: 10_000, accelerators: 0 } }, fits: false },
+  { name: 'in another pool', changes: { pool: 'other' }, fits: false },
+  { name: 'like the one before', changes: {}, fits: true }
+]
+
+describeCells('A worker that starts again under its id', otherKinds.map(({ name, changes, fits }) => ({
+  // Guards against starts by the labels and the capacity of the incarnation before, until the new entry was read.
+  name: `${name}, gets tasks by its own entry only`,
+  options: { workers: 1 },
+  run: async (cell, clock) => {
+    cell.workers.update('w0', { labels: ['b'] })
+    submitInBackground(cell, toJobId(1), [{ demand: { cpuMillis: 500, memoryMb: 10, accelerators: 0 }, requiredLabel: 'b', longRunning: true }])
+    await clock.tickAsync(1_000)
+    cell.workers.workers.get('w0')!.crash()
+    await clock.tickAsync(100)
+    const next = cell.restartWorker('w0', changes, ENTRY_DELAY_MS)
+    await clock.tickAsync(ENTRY_DELAY_MS - 50)
+    expect(next.runs.size, 'before the entry').to.equal(0)
+    await clock.tickAsync(3_000)
+    expect(next.runs.size, 'after the entry').to.equal(fits ? 1 : 0)
+  }
+})))
--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -4,7 +4,7 @@
 import type { WorkerConnector, WorkerInventory, WorkerRegistry } from '../ports.ts'
 import type { WorkerEntry, WorkerReport } from '../types.ts'
 import { AnswerLoss } from '../workers/AnswerLoss.ts'
-import { WorkerState } from '../workers/WorkerState.ts'
+import { isOfIncarnation, WorkerState } from '../workers/WorkerState.ts'
 import type { Cell } from './Cell.ts'
 import type { CrashRecord } from './CrashRecord.ts'
 import type { DrainRecord } from './DrainRecord.ts'
@@ -302,11 +302,6 @@
   }
 }
 
-/** Whether an entry is, or may be, that of an incarnation. */
-function isOfIncarnation (entry: WorkerEntry, { startedAt }: WorkerState): boolean {
-  return entry.startedAt === undefined || startedAt === undefined || entry.startedAt === startedAt
-}
-
 /** Time that the polls of a cell with this number of workers wait for a run to end, in ms. */
 function choosePollWaitMs (workers: number): number {
   return Math.round(Math.min(Math.max(POLL_WAIT_MS, 1_000 * workers / MAX_IDLE_POLLS_PER_S), MAX_POLL_WAIT_MS))
--- a/packages/jobs/src/placement/countObstacles/index.ts
+++ b/packages/jobs/src/placement/countObstacles/index.ts
@@ -8,7 +8,8 @@
   'cpuClaimed' | HealthObstacle | 'reserved' | 'notAsked' | 'ticketExpired'
 
 /** Why a worker accepts no tasks at all. */
-type Unavailability = 'draining' | 'unlisted' | 'notPolled' | 'unreachable' | 'recordedAsLost' | 'unownedRuns'
+type Unavailability = 'draining' | 'unlisted' | 'notPolled' | 'unreachable' | 'recordedAsLost' | 'outdatedEntry' |
+  'unownedRuns'
 
 /**
  * What keeps a task off a worker with recent failures:
@@ -76,7 +77,8 @@
   if (worker.unlistedSince !== undefined) return 'unlisted'
   if (!worker.hasAnswered) return 'notPolled'
   if (!worker.reachable) return 'unreachable'
-  return worker.isRecordedAsLost ? 'recordedAsLost' : 'unownedRuns'
+  if (worker.isRecordedAsLost) return 'recordedAsLost'
+  return worker.hasOwnEntry ? 'unownedRuns' : 'outdatedEntry'
 }
 
 function needsTicket ({ job }: StepInstance): boolean {
--- a/packages/jobs/src/placement/countObstacles/test.ts
+++ b/packages/jobs/src/placement/countObstacles/test.ts
@@ -47,6 +47,11 @@
       worker: () => makeWorker('w', {}, { isRecordedAsLost: true }),
       obstacle: 'recordedAsLost'
     },
+    {
+      name: 'counts workers whose entry is that of the incarnation before',
+      worker: () => makeWorker('w', { startedAt: 1 }, { startedAt: 2 }),
+      obstacle: 'outdatedEntry'
+    },
     {
       name: 'counts workers with runs that no job owns',
       worker: () => makeWorker('w', {}, { hasUnownedRuns: true }),
--- a/packages/jobs/src/standins/MemoryCell.ts
+++ b/packages/jobs/src/standins/MemoryCell.ts
@@ -105,9 +105,9 @@
    *
    * @param changes - Fields of its registry entry that change. Default: only the time of its start.
    */
-  restartWorker (id: string, changes: Partial<WorkerEntry> = {}): MemoryWorker {
+  restartWorker (id: string, changes: Partial<WorkerEntry> = {}, entryDelayMs?: number): MemoryWorker {
     const [machine] = [...this.inventory.machines].find(([, worker]) => worker.entry.id === id)!
-    const worker = this.workers.restart(id, { startedAt: Date.now(), ...changes })
+    const worker = this.workers.restart(id, { startedAt: Date.now(), ...changes }, entryDelayMs)
     this.inventory.machines.set(machine, worker)
     return worker
   }
--- a/packages/jobs/src/standins/MemoryWorkers.ts
+++ b/packages/jobs/src/standins/MemoryWorkers.ts
@@ -30,6 +30,8 @@
   readonly #gangs = new Gangs()
   readonly #planRunEnds = new Map<string, PlanRunEnd>()
   readonly #unlisted = new Set<string>()
+  /** Entries of earlier incarnations that the registry still lists. */
+  readonly #outdatedEntries = new Map<string, WorkerEntry>()
   #version = 1
   #changes: Array<{ version: number, id: string }> = []
 
@@ -45,8 +47,9 @@
    * Starts a worker again under its id, after a crash of the incarnation before if it is still alive.
    *
    * @param changes - Fields of the registry entry that differ from those of the incarnation before.
+   * @param entryDelayMs - Time until the registry has its entry, in ms. Default: 0.
    */
-  restart (id: string, changes: Partial<WorkerEntry> = {}): MemoryWorker {
+  restart (id: string, changes: Partial<WorkerEntry> = {}, entryDelayMs = 0): MemoryWorker {
     const previous = this.workers.get(id)!
     if (previous.alive) previous.crash()
     const entry = { ...previous.entry, draining: false, leavesInMs: undefined, ...changes }
@@ -54,6 +57,13 @@
     worker.leaseLimitMs = previous.leaseLimitMs
     this.workers.set(id, worker)
     this.#unlisted.delete(id)
+    if (entryDelayMs > 0) {
+      this.#outdatedEntries.set(id, previous.entry)
+      setTimeout(() => {
+        this.#outdatedEntries.delete(id)
+        this.#recordChange(id)
+      }, entryDelayMs)
+    }
     this.#recordChange(id)
     return worker
   }
@@ -100,7 +110,8 @@
   }
 
   #listed (): WorkerEntry[] {
-    return [...this.workers.values()].filter(({ entry }) => !this.#unlisted.has(entry.id)).map(({ entry }) => entry)
+    return [...this.workers.values()].filter(({ entry }) => !this.#unlisted.has(entry.id))
+      .map(({ entry }) => this.#outdatedEntries.get(entry.id) ?? entry)
   }
 
   #recordChange (id: string): void {
--- a/packages/jobs/src/workers/WorkerState.ts
+++ b/packages/jobs/src/workers/WorkerState.ts
@@ -68,8 +68,16 @@
     this.unreachableSince = reachable ? undefined : this.unreachableSince ?? performance.now()
   }
 
+  /**
+   * Whether the entry is, or may be, that of this incarnation. Another incarnation may have other labels and another
+   * capacity, and it may be in another pool or failure domain.
+   */
+  get hasOwnEntry (): boolean {
+    return isOfIncarnation(this.entry, this)
+  }
+
   get acceptsTasks (): boolean {
-    return this.hasAnswered && this.reachable && !this.isRecordedAsLost && !this.hasUnownedRuns &&
+    return this.hasAnswered && this.reachable && !this.isRecordedAsLost && !this.hasUnownedRuns && this.hasOwnEntry &&
       !this.entry.draining && this.unlistedSince === undefined
   }
 
@@ -110,3 +118,8 @@
       (step.fills || this.usedCpuMillis + demand.cpuMillis + change.cpuMillis <= capacity.cpuMillis)
   }
 }
+
+/** Whether an entry is, or may be, that of an incarnation. */
+export function isOfIncarnation (entry: WorkerEntry, { startedAt }: WorkerState): boolean {
+  return entry.startedAt === undefined || startedAt === undefined || entry.startedAt === startedAt
+}
