Create the tasks of accepted jobs only while there is memory for them

Cause: the owner created the tasks of each occurrence as soon as it was due, 420 bytes each, for any number of jobs. Related: tasks of cancelled and failed jobs stayed in memory for minutes.

Change: OccurrenceOpener, taken out of CellOwner, opens occurrences while the tasks of the same and more urgent priorities take at most an eighth of the heap, and an occurrence at most an eighth of what is left. Others stay queued, in the order of priority and acceptance. Jobs that end free occurrences without a run.

--- a/packages/jobs/src/model/TrackedJob.ts
+++ b/packages/jobs/src/model/TrackedJob.ts
@@ -150,6 +150,8 @@
   readonly monotonicAcceptedAt: number
   cancelled = false
   readonly graph: StepGraph
+  /** Number of tasks of one occurrence. */
+  readonly taskCount: number
   #learnedRunMs: ReadonlyArray<number | undefined> = []
   /** Result of `graph.computePathsMs` for the expected run times; undefined until it is needed. */
   #pathsMs: readonly number[] | undefined
@@ -161,6 +163,7 @@
   constructor (job: Job, now: number, wallNow: number) {
     this.definition = job
     this.graph = new StepGraph(job.spec.steps)
+    this.taskCount = job.spec.steps.reduce((sum, { count }) => sum + count, 0)
     this.monotonicAcceptedAt = now - Math.max(0, Math.min(wallNow - job.acceptedAt, 600_000))
   }
 
@@ -235,6 +238,14 @@
     if (this.finishedOccurrences.size === this.occurrenceCount) this.state = 'completed'
   }
 
+  /** Frees the tasks of occurrences without a run, once the job has ended: its state is kept for minutes. */
+  dropUnassigned (): void {
+    for (const [occurrence, steps] of this.occurrences) {
+      const isAssigned = steps.some(({ tasks }) => tasks.some((task) => task.isAssigned))
+      if (!isAssigned) this.occurrences.delete(occurrence)
+    }
+  }
+
   /**
    * Restores what an earlier owner has stored. Tasks that may be running are `starting` until their worker has been
    * polled.
--- a/packages/jobs/src/owner/Cell.ts
+++ b/packages/jobs/src/owner/Cell.ts
@@ -150,6 +150,7 @@
     job.state = state
     job.endedAt = Date.now()
     this.active.delete(job)
+    job.dropUnassigned()
     this.markDirty(job)
     this.metrics.count('jobs_ended', { state })
     this.metrics.recordDuration('job_time', this.now() - job.monotonicAcceptedAt)
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -1,6 +1,6 @@
 import { throwUncaught, sleep, type Outcome } from '@gypsumspring/protocol'
 import { ShareMeter } from '../accounts/ShareMeter.ts'
-import { TrackedJob, countOpenOccurrences, decodeProgress, type Progress } from '../model/index.ts'
+import { TrackedJob, decodeProgress, type Progress } from '../model/index.ts'
 import { RENEWAL_GRACE_MS, STORE_OUTAGE_GRACE_MS, TICK_MS } from '../constants/index.ts'
 import { readInstant } from '../instant/index.ts'
 import { CONTROL_TABLE, type Ownership, type Predecessor, type Transfer } from '../ownership/index.ts'
@@ -35,6 +35,7 @@
 import { WorkerManager } from './WorkerManager.ts'
 import { chooseLeaseMs, toLongestLeaseMs, type WorkerSession } from './WorkerSession.ts'
 import { WorkerCircuitBreaker } from './WorkerCircuitBreaker.ts'
+import { OccurrenceOpener } from './OccurrenceOpener.ts'
 import { readWithRetry } from './readWithRetry.ts'
 
 /** Services that the owner uses. */
@@ -66,6 +67,8 @@
   linkMbps: number
   /** Largest value of a row that the store accepts, in bytes. */
   maxRowBytes: number
+  /** See `OccurrenceOpenerOptions`. */
+  maxOpenTasks?: number
   /** Whether run times and speeds of workers are learned from ended runs. Default: yes. */
   learnsRunTimes?: boolean
 }
@@ -130,8 +133,7 @@
   readonly #shares: ShareMeter
   /** Ids of cancelled jobs, also of those whose job row was not read yet. */
   readonly #cancelledIds = new Set<string>()
-  /** Number of occurrences that may be open at a time, by job. */
-  readonly #openOccurrences = new WeakMap<TrackedJob, number>()
+  readonly #opener: OccurrenceOpener
   readonly #abortController = new AbortController()
   readonly #onEnd: (reason: string) => void
   #recovered = false
@@ -164,6 +166,7 @@
     }, options)
     const cell = this.cell
     this.#shares = new ShareMeter((name) => cell.configuration()?.accounts?.findByName(name)?.weight)
+    this.#opener = new OccurrenceOpener(cell, options)
     const breaker = new WorkerCircuitBreaker()
     const sessions = new Map<string, WorkerSession>()
     const crashes = new CrashRecord(cell)
@@ -423,7 +426,7 @@
       this.cancel(job.id)
       return
     }
-    this.#openDueOccurrences(tracked)
+    this.#opener.openDue(tracked)
     this.#requestAdvice(tracked)
     this.#requestPlacement()
   }
@@ -502,26 +505,6 @@
     this.#tracker.stopJob(job)
   }
 
-  /** Creates the tasks of occurrences that are due and were not opened yet, as far as their progress can be stored. */
-  #openDueOccurrences (tracked: TrackedJob): void {
-    const now = Date.now()
-    const maxOpen = tracked.spec.occurrences > 1 ? this.#countOpenOccurrences(tracked) : 1
-    for (let occurrence = 0; occurrence < tracked.occurrenceCount; occurrence++) {
-      if (tracked.dueAt(occurrence) > now || tracked.occurrences.size >= maxOpen) return
-      if (tracked.finishedOccurrences.has(occurrence) || tracked.occurrences.has(occurrence)) continue
-      tracked.openOccurrence(occurrence, performance.now())
-    }
-  }
-
-  #countOpenOccurrences (tracked: TrackedJob): number {
-    let count = this.#openOccurrences.get(tracked)
-    if (count === undefined) {
-      count = Math.max(1, countOpenOccurrences(tracked.definition, this.#options.maxRowBytes))
-      this.#openOccurrences.set(tracked, count)
-    }
-    return count
-  }
-
   #requestPlacement (): void {
     if (this.#isPlacing) {
       this.#isPlacementDue = true
@@ -565,7 +548,7 @@
 
   #onTick (): void {
     const now = performance.now()
-    for (const job of this.cell.active) if (job.spec.occurrences > 0) this.#openDueOccurrences(job)
+    this.#opener.tick()
     this.#workerManager.tick(now)
     this.#control.crashes.tick(now)
     this.#rescheduler.tick(now)
--- a/packages/jobs/src/standins/MemoryCell.ts
+++ b/packages/jobs/src/standins/MemoryCell.ts
@@ -28,6 +28,10 @@
   hasInventory?: boolean
   /** Whether the nodes learn run times and speeds of workers. Default: yes. */
   learnsRunTimes?: boolean
+  /** See `OccurrenceOpenerOptions`. */
+  maxOpenTasks?: number
+  /** Receives the metrics of all nodes. Default: they are discarded. */
+  metrics?: MetricsRecorder
   /** Receives the log lines. Default: they are discarded. */
   log?: LogWriter
 }
@@ -133,7 +137,7 @@
       },
       connect: (address) => this.#connect(name, address, isUp),
       log: this.#options.log ?? NO_LOG,
-      metrics: NO_METRICS
+      metrics: this.#options.metrics ?? NO_METRICS
     }, {
       node: name,
       address: name,
@@ -143,6 +147,7 @@
       keepEndedMs: 120_000,
       maxRowBytes: MAX_ROW_BYTES,
       learnsRunTimes: this.#options.learnsRunTimes,
+      maxOpenTasks: this.#options.maxOpenTasks,
       ...this.#options.weakNodes?.includes(name) === true
         ? { processors: 0.3, linkMbps: 7 }
         : {
