Count steps when occurrences are opened, so that rounds stay short

Cause: OccurrenceOpener counts tasks only. A placement round goes through all ready steps, and outlasts its owner.

Change: each step counts as ten tasks. An occurrence that is larger than the part of a small limit opens alone.

--- a/packages/jobs/src/owner/OccurrenceOpener.ts
+++ b/packages/jobs/src/owner/OccurrenceOpener.ts
@@ -5,6 +5,9 @@
 /** Memory that a task takes, in bytes; measured with 1,400 jobs of 260 tasks. */
 const TASK_BYTES = 420
 
+/** Tasks for which a step counts: it has advice of its own, and each placement round looks at it. */
+const TASKS_PER_STEP = 10
+
 /** Part of the heap for open tasks of one priority and the more urgent ones. Rows, jobs and garbage need the rest. */
 const OPEN_TASKS_HEAP_PART = 1 / 8
 
@@ -19,8 +22,8 @@
   /** Largest value of a row that the store accepts, in bytes. */
   maxRowBytes: number
   /**
-   * Tasks of one priority and the more urgent ones that may be open. An occurrence of any legal job opens if it is at
-   * least eight times `MAX_TASKS_PER_JOB`. Default: by the largest heap of the process.
+   * Tasks of one priority and the more urgent ones that may be open, where each step counts as `TASKS_PER_STEP` more.
+   * Default: by the largest heap of the process.
    */
   maxOpenTasks?: number
 }
@@ -33,8 +36,8 @@
   readonly #cell: Cell
   readonly #maxRowBytes: number
   readonly #maxOpenTasks: number
-  /** Number of tasks in open occurrences, by priority; occurrences that have ended count until the next tick. */
-  readonly #openTasks = new Map<number, number>()
+  /** Size of the open occurrences, in tasks, by priority; those that have ended count until the next tick. */
+  readonly #openSizes = new Map<number, number>()
   /** Number of occurrences of a job whose progress fits into a row. */
   readonly #maxOpenOccurrences = new WeakMap<TrackedJob, number>()
   /** Whether an occurrence that is due has not been opened for lack of room since the last tick. */
@@ -66,27 +69,30 @@
   tick (): void {
     const wasFull = this.#isFull
     this.#isFull = false
-    this.#openTasks.clear()
+    this.#openSizes.clear()
     for (const job of this.#cell.active) this.#count(job, job.occurrences.size)
     const pending = [...this.#cell.active]
       .filter(({ spec, occurrences }) => spec.occurrences > 0 || occurrences.size === 0)
     if (wasFull) pending.sort(compareUrgency)
     for (const job of pending) this.openDue(job)
-    this.#cell.metrics.set('tasks_open', [...this.#openTasks.values()].reduce((sum, tasks) => sum + tasks, 0))
+    let tasks = 0
+    for (const { taskCount, occurrences } of this.#cell.active) tasks += taskCount * occurrences.size
+    this.#cell.metrics.set('tasks_open', tasks)
     if (this.#isFull === wasFull) return
     if (this.#isFull) this.#cell.log.warn({ maxOpenTasks: this.#maxOpenTasks }, 'jobs wait until others have ended')
     else this.#cell.log.info({}, 'no jobs wait until others have ended')
   }
 
-  #hasRoom ({ definition, taskCount }: TrackedJob): boolean {
+  #hasRoom (job: TrackedJob): boolean {
     let rest = this.#maxOpenTasks
-    for (const [priority, tasks] of this.#openTasks) if (priority <= definition.queue.priority) rest -= tasks
-    return taskCount <= rest * MAX_PART_OF_REST
+    for (const [priority, size] of this.#openSizes) if (priority <= job.definition.queue.priority) rest -= size
+    // An occurrence that is larger than this part of the limit opens alone.
+    return sizeOf(job) <= rest * MAX_PART_OF_REST || rest === this.#maxOpenTasks
   }
 
-  #count ({ definition, taskCount }: TrackedJob, occurrences: number): void {
-    const { priority } = definition.queue
-    this.#openTasks.set(priority, (this.#openTasks.get(priority) ?? 0) + occurrences * taskCount)
+  #count (job: TrackedJob, occurrences: number): void {
+    const { priority } = job.definition.queue
+    this.#openSizes.set(priority, (this.#openSizes.get(priority) ?? 0) + occurrences * sizeOf(job))
   }
 
   #countMaxOpen (job: TrackedJob): number {
@@ -104,6 +110,11 @@
   return Math.floor(getHeapStatistics().heap_size_limit * OPEN_TASKS_HEAP_PART / TASK_BYTES)
 }
 
+/** Size of one occurrence of a job, in tasks. */
+function sizeOf ({ taskCount, spec }: TrackedJob): number {
+  return taskCount + TASKS_PER_STEP * spec.steps.length
+}
+
 function compareUrgency ({ definition: a }: TrackedJob, { definition: b }: TrackedJob): number {
   return a.queue.priority - b.queue.priority || a.acceptedAt - b.acceptedAt
 }
