--- a/packages/adapters/src/httpInventory/index.ts
+++ b/packages/adapters/src/httpInventory/index.ts
@@ -1,14 +1,11 @@
-import { Type } from '@sinclair/typebox'
 import { TypeCompiler } from '@sinclair/typebox/compiler'
 import type { Outcome } from '@gypsumspring/protocol'
 import { parseOrigin } from '../_lib/parseOrigin.ts'
 import { requestValidatedJson } from '../_lib/requestValidatedJson.ts'
 import type { ConnectionPool } from '../_lib/ConnectionPool.ts'
 import type { Inventory, Machine } from '../types.ts'
-import { MachineRecord } from '../wire/index.ts'
+import { MachineRecord, MachinesResponse } from '../wire/index.ts'
 
-/** `MachinesResponse` as far as all machines are checked together: a malformed one must not hide the others. */
-const MachineList = Type.Object({ machines: Type.Array(Type.Unknown()) })
 const machineCheck = TypeCompiler.Compile(MachineRecord)
 
 /** Reads the platform's list of VMs over HTTP. Leaves malformed VMs out, which other programs may have listed. */
@@ -31,7 +28,7 @@
   }
 
   async list (): Promise<Outcome<Machine[]>> {
-    const outcome = await requestValidatedJson(this.#pool, MachineList, {
+    const outcome = await requestValidatedJson(this.#pool, MachinesResponse, {
       method: 'GET', path: '/v1/machines', timeoutMs: this.#timeoutMs, stallTimeoutMs: this.#timeoutMs
     })
     return outcome.map(({ machines }) => machines.flatMap((machine) => this.#decode(machine)))
--- a/packages/adapters/src/wire/index.ts
+++ b/packages/adapters/src/wire/index.ts
@@ -41,7 +41,8 @@
   state: literalUnion('live', 'leaving'),
   capacity: Type.Optional(Resources)
 })
-export const MachinesResponse = Type.Object({ machines: Type.Array(MachineRecord) })
+/** The machines are checked one by one, by `MachineRecord`: a malformed one must not hide the others. */
+export const MachinesResponse = Type.Object({ machines: Type.Array(Type.Unknown()) })
 
 export const AttemptId = Type.Object({ task: Type.String({ minLength: 1 }), attempt: NonNegativeInteger })
 const AttemptState = literalUnion('running', 'succeeded', 'failed', 'stopped', 'checkpointed')
