Check whose entry it is in one method of WorkerState

A getter called an exported function with the worker that it belongs to, and WorkerManager called the function. Both call mayOwn now. No change of behaviour.

--- a/packages/jobs/src/owner/WorkerManager.ts
+++ b/packages/jobs/src/owner/WorkerManager.ts
@@ -4,7 +4,7 @@
 import type { WorkerConnector, WorkerInventory, WorkerRegistry } from '../ports.ts'
 import type { WorkerEntry, WorkerReport } from '../types.ts'
 import { AnswerLoss } from '../workers/AnswerLoss.ts'
-import { isOfIncarnation, WorkerState } from '../workers/WorkerState.ts'
+import { WorkerState } from '../workers/WorkerState.ts'
 import type { Cell } from './Cell.ts'
 import type { CrashRecord } from './CrashRecord.ts'
 import type { DrainRecord } from './DrainRecord.ts'
@@ -219,7 +219,7 @@
     const { cell, drains } = this.#dependencies
     if (!entry.draining) {
       // The entry of the next incarnation doesn't show that this one, which has not been missed yet, left unplanned.
-      if (isOfIncarnation(entry, worker)) drains.remove(entry.id)
+      if (worker.mayOwn(entry)) drains.remove(entry.id)
       worker.leavesAt = undefined
     } else if (worker.leavesAt === undefined) {
       const now = performance.now()
--- a/packages/jobs/src/placement/countObstacles/index.ts
+++ b/packages/jobs/src/placement/countObstacles/index.ts
@@ -78,7 +78,7 @@
   if (!worker.hasAnswered) return 'notPolled'
   if (!worker.reachable) return 'unreachable'
   if (worker.isRecordedAsLost) return 'recordedAsLost'
-  return worker.hasOwnEntry ? 'unownedRuns' : 'outdatedEntry'
+  return worker.mayOwn() ? 'unownedRuns' : 'outdatedEntry'
 }
 
 function needsTicket ({ job }: StepInstance): boolean {
--- a/packages/jobs/src/workers/WorkerState.ts
+++ b/packages/jobs/src/workers/WorkerState.ts
@@ -69,15 +69,17 @@
   }
 
   /**
-   * Whether the entry is, or may be, that of this incarnation. Another incarnation may have other labels and another
+   * Whether an entry is, or may be, that of this incarnation. Another incarnation may have other labels and another
    * capacity, and it may be in another pool or failure domain.
+   *
+   * @param entry - The entry. Default: the one that is known.
    */
-  get hasOwnEntry (): boolean {
-    return isOfIncarnation(this.entry, this)
+  mayOwn (entry = this.entry): boolean {
+    return entry.startedAt === undefined || this.startedAt === undefined || entry.startedAt === this.startedAt
   }
 
   get acceptsTasks (): boolean {
-    return this.hasAnswered && this.reachable && !this.isRecordedAsLost && !this.hasUnownedRuns && this.hasOwnEntry &&
+    return this.hasAnswered && this.reachable && !this.isRecordedAsLost && !this.hasUnownedRuns && this.mayOwn() &&
       !this.entry.draining && this.unlistedSince === undefined
   }
 
@@ -118,8 +120,3 @@
       (step.fills || this.usedCpuMillis + demand.cpuMillis + change.cpuMillis <= capacity.cpuMillis)
   }
 }
-
-/** Whether an entry is, or may be, that of an incarnation. */
-export function isOfIncarnation (entry: WorkerEntry, { startedAt }: WorkerState): boolean {
-  return entry.startedAt === undefined || startedAt === undefined || entry.startedAt === startedAt
-}
