--- a/packages/jobs/src/owner/Cell.ts
+++ b/packages/jobs/src/owner/Cell.ts
@@ -10,6 +10,8 @@
   onChange: () => void
   /** Called when the progress of a job has to be stored. */
   onDirty: () => void
+  /** See `Cell.isCancelKnown`. Default: always. */
+  isCancelKnown?: (job: TrackedJob) => boolean
 }
 
 /** In-memory state of a cell that its owner keeps: jobs, workers and the assignment of tasks to workers. */
@@ -19,8 +21,6 @@
   readonly active = new Set<TrackedJob>()
   readonly workers = new Map<string, WorkerState>()
   readonly accounts: AccountUsages
-  /** Whether the owner has read, or has waited long enough for, a cancel of a job from before it took the cell over. */
-  isCancelKnown: (job: TrackedJob) => boolean = () => true
   /** Monotonic time of the last answer of the worker registry, in ms. */
   registryReadAt = -Infinity
   /** Jobs whose progress differs from the stored record. */
@@ -95,6 +95,11 @@
     this.#hooks.onChange()
   }
 
+  /** Whether the owner has read, or has waited long enough for, a cancel of a job from before it took the cell over. */
+  isCancelKnown (job: TrackedJob): boolean {
+    return this.#hooks.isCancelKnown?.(job) ?? true
+  }
+
   /** Assigns the next run of a task to a worker. The start order may be sent only after the assignment is stored. */
   assign (task: TaskInstance, worker: WorkerState, run: number): void {
     task.run = run
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -162,7 +162,8 @@
     this.#load = new OwnerLoadLog(metrics, log)
     this.cell = new Cell(() => dependencies.configuration.current(), log, this.#load, {
       onChange: () => this.#requestPlacement(),
-      onDirty: () => this.#commits.wake()
+      onDirty: () => this.#commits.wake(),
+      isCancelKnown: ({ id }) => this.#isCancelKnown(id)
     }, options)
     const cell = this.cell
     this.#shares = new ShareMeter((name) => cell.configuration()?.accounts?.findByName(name)?.weight)
@@ -217,9 +218,6 @@
     this.#jobPoller = new TablePoller(store, JOBS_TABLE, (row) => this.#handleJobRow(row), signal, metrics, {
       maxConcurrentReads: MAX_JOB_READS
     })
-    // Asked for each waiting step in each placement round, so that the partitions of a job are looked up last.
-    cell.isCancelKnown = ({ id }) => this.#cancelPoller.isComplete ||
-      performance.now() - ownership.ownedBy > MAX_CANCEL_WAIT_MS || this.#cancelPoller.hasRead(toJobPartitions(id))
   }
 
   get token (): number {
@@ -355,6 +353,12 @@
     return this.#abortController.signal.aborted
   }
 
+  /** Asked for each waiting step in each placement round, so that the partitions of a job are looked up last. */
+  #isCancelKnown (id: string): boolean {
+    return this.#cancelPoller.isComplete || performance.now() - this.ownedBy > MAX_CANCEL_WAIT_MS ||
+      this.#cancelPoller.hasRead(toJobPartitions(id))
+  }
+
   #handleOwnershipLost (reason: string): void {
     if (this.#isEnded) return
     this.#shutDown()
