Describe a job to callers in one place of the owner's node

cell.show and the calls of the owner's own node each put the answer together, and asked for unsettled writes also for known jobs, whose callers don't use it; each time the list of followers was copied. Both use describeJob now, which asks for them only where the owner doesn't know the job, without a copy. Cancels get the same answers as before.

--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -13,7 +13,7 @@
 import { CELL_PARTITION } from '../records/index.ts'
 import { Notifier } from '../notifier/Notifier.ts'
 import { Followers } from './Followers.ts'
-import { JobService } from './JobService.ts'
+import { JobService, type OwnerAnswer } from './JobService.ts'
 import type { CellMethod, CellParams, CellResult } from './messages.ts'
 import { FailoverStore, type Peer } from './FailoverStore.ts'
 import { createRelayHandlers, encodeRelayed } from './relayedCalls.ts'
@@ -131,7 +131,7 @@
     this.#options = options
     this.#store = new FailoverStore(dependencies.store, () => this.#listRelayPeers(), dependencies.metrics)
     const owner = {
-      local: () => this.#owner, peer: () => this.#ownerPeer, hasUnsettledWrites: () => this.#hasUnsettledWrites()
+      local: () => this.#owner, peer: () => this.#ownerPeer, describeJob: (id: string) => this.#describeJob(id)
     }
     this.jobs = new JobService(this.#store, owner, dependencies.metrics)
     for (const address of options.seeds) {
@@ -181,8 +181,9 @@
         return { taken: this.#owner?.isRecovered === true }
       },
       'cell.show': ({ id }) => {
-        const known = this.#owner?.isRecovered === true
-        return { known, state: this.#owner?.stateOf(id) ?? null, hasUnsettledWrites: this.#hasUnsettledWrites() }
+        const answer = this.#describeJob(id)
+        const hasUnsettledWrites = answer?.hasUnsettledWrites ?? true
+        return { known: answer !== undefined, state: answer?.state ?? null, hasUnsettledWrites }
       },
       'cell.fence': async ({ id }) => ({ stored: valueOf(await this.jobs.fences.raise(id)) ?? null }),
       'cell.pending': ({ queue }) => ({ pending: this.#owner?.countPending(queue) ?? null }),
@@ -479,10 +480,17 @@
     return { isOwner: true, token: owner.token, peers, time: readInstant(), needsPromise: owner.needsPromises }
   }
 
-  /** Whether the store may still carry out writes of jobs that nodes have sent, as far as the owner knows. */
-  #hasUnsettledWrites (): boolean {
+  #describeJob (id: string): OwnerAnswer | undefined {
     const owner = this.#owner
-    return owner === undefined || performance.now() - owner.ownedBy < LATE_WRITE_MS || this.jobs.unsettledMs > 0 ||
+    if (owner?.isRecovered !== true) return undefined
+    const state = owner.stateOf(id)
+    // Calls for known jobs are many and don't depend on writes of others.
+    return { state, hasUnsettledWrites: state === undefined && this.#hasUnsettledWrites(owner) }
+  }
+
+  /** Whether the store may still carry out writes of jobs that nodes have sent, as far as the owner knows. */
+  #hasUnsettledWrites ({ ownedBy }: CellOwner): boolean {
+    return performance.now() - ownedBy < LATE_WRITE_MS || this.jobs.unsettledMs > 0 ||
       this.#followers.hasUnsettledWrites
   }
 
--- a/packages/jobs/src/node/Followers.ts
+++ b/packages/jobs/src/node/Followers.ts
@@ -72,8 +72,11 @@
   get hasUnsettledWrites (): boolean {
     const now = performance.now()
     for (const [node, at] of this.#lostAt) if (now - at > LOST_FOLLOWER_MS) this.#lostAt.delete(node)
-    return this.#lostAt.size > 0 || this.list().some(({ unsettledUntil, lastHeartbeatAt, resigned }) =>
-      unsettledUntil > now || (!resigned && now - lastHeartbeatAt > LATE_HEARTBEAT_MS))
+    if (this.#lostAt.size > 0) return true
+    for (const { unsettledUntil, lastHeartbeatAt, resigned } of this.#byNode.values()) {
+      if (unsettledUntil > now || (!resigned && now - lastHeartbeatAt > LATE_HEARTBEAT_MS)) return true
+    }
+    return false
   }
 
   clear (): void {
--- a/packages/jobs/src/node/JobService.ts
+++ b/packages/jobs/src/node/JobService.ts
@@ -40,9 +40,9 @@
   | { kind: 'uncertain', reason: string }
 
 /** What the owner knows of a job. */
-interface OwnerAnswer {
+export interface OwnerAnswer {
   state: JobState | undefined
-  /** Whether the store may still carry out writes of jobs that a node of the cell has sent. */
+  /** Whether the store may still carry out writes of a job that the owner doesn't know, sent by any node. */
   hasUnsettledWrites: boolean
 }
 
@@ -52,8 +52,8 @@
   local (): CellOwner | undefined
   /** The node of the owner, when it is another one that can be reached. */
   peer (): Peer | undefined
-  /** Whether the store may still carry out writes of jobs that a node of the cell has sent; for the owner's node. */
-  hasUnsettledWrites (): boolean
+  /** What the owner on this node knows of a job; undefined without one, or while it has not recovered the cell. */
+  describeJob (id: string): OwnerAnswer | undefined
 }
 
 /**
@@ -221,11 +221,7 @@
 
   /** Asks the owner for the state of a job; undefined when the owner is unreachable or has not recovered the cell. */
   async #askOwner (id: string): Promise<OwnerAnswer | undefined> {
-    const local = this.#owner.local()
-    if (local !== undefined) {
-      const hasUnsettledWrites = this.#owner.hasUnsettledWrites()
-      return local.isRecovered ? { state: local.stateOf(id), hasUnsettledWrites } : undefined
-    }
+    if (this.#owner.local() !== undefined) return this.#owner.describeJob(id)
     const answer = await this.#owner.peer()?.call('cell.show', { id }, { timeoutMs: PEER_CALL_TIMEOUT_MS })
     const result = answer === undefined ? undefined : valueOf(answer)
     if (result?.known !== true) return undefined
--- a/packages/jobs/src/node/messages.ts
+++ b/packages/jobs/src/node/messages.ts
@@ -83,7 +83,7 @@
   'cell.cancel': { params: Type.Object({ id: Type.String() }), result: Type.Object({ taken: Type.Boolean() }) },
   /**
    * Asks the owner for the state of a job; `known` is false while it has not recovered the cell. `hasUnsettledWrites`
-   * tells whether the store may still carry out writes of jobs that a node has sent.
+   * tells whether the store may still carry out writes of a job without a state that a node has sent.
    */
   'cell.show': {
     params: Type.Object({ id: Type.String() }),
