--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -17,6 +17,8 @@
   store = new Store()
   runners = []
   nodes = []
+  /** Processes of stand-ins. */
+  helpers = []
   events = []
   startedAt = performance.now()
   #directory = mkdtempSync(join(tmpdir(), 'review-3-'))
@@ -167,6 +169,7 @@
     this.note(`verdict: exit ${code}: ${verdict}`)
     process.stdout.write(`exit ${code}: ${verdict}\n`)
     for (const node of this.nodes) node.end()
+    for (const helper of this.helpers) helper.kill('SIGKILL')
     if (process.env.KEEP_LOGS === undefined) rmSync(this.#directory, { recursive: true, force: true })
     else process.stdout.write(`logs: ${this.#directory}\n`)
     process.exit(code)
