--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,6 +1,6 @@
 /**
- * Clients hand in jobs while the store is slow, leave before the answer comes, and cancel at another node. The cancelling
- * is acknowledged, and the jobs run all the same.
+ * Clients hand in jobs while the store is slow, leave before the answer comes, and cancel at another node. The
+ * cancelling is acknowledged, and the jobs run all the same.
  */
 import { Deployment, createConfiguration } from '../standins-3/deployment.mjs'
 
@@ -65,8 +65,8 @@
 const calmAt = deployment.now
 await Promise.all(clients)
 
-// RULES.md, Words: a task of a cancelled job has to be gone after any stretch of `cancel_ms` + `stop_timeout_ms` in which the
-// core was stable, that is, without disruption for `contact_ms`.
+// RULES.md, Words: a task of a cancelled job has to be gone after any stretch of `cancel_ms` + `stop_timeout_ms` in
+// which the core was stable, that is, without disruption for `contact_ms`.
 const lastAckAt = Math.max(calmAt + CONTACT_MS, ...jobs.map(({ ackedAt = 0 }) => ackedAt))
 await deployment.sleep(lastAckAt + CANCEL_MS + STOP_TIMEOUT_MS + 4_000 - deployment.now)
 const broken = []
--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -1,4 +1,4 @@
-/** A small deployment on loopback: processes of the project, the platform's store, runners, and HTTP calls of clients. */
+/** A small deployment on loopback: processes of the project, the platform's store, runners, and calls of clients. */
 import { spawn } from 'node:child_process'
 import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { Agent, request as httpRequest } from 'node:http'
@@ -114,7 +114,7 @@
   /**
    * Makes a call as a client; resolves with status 0 when there is no complete answer in time.
    *
-   * @param options.leaveMs - Time after which the client closes the connection. Default: half a second after its deadline.
+   * @param options.leaveMs - Time after which the client closes the connection. Default: 0.5 s after its deadline.
    */
   call (node, method, path, { body, host = 'jobs.example', deadlineMs = 3_000, headers = {}, agent, leaveMs } = {}) {
     const ip = typeof node === 'string' ? node : node.ip
@@ -205,8 +205,9 @@
   start () {
     writeFileSync(this.settingsPath, this.#settings())
     const [program, ...args] = readCommand()
+    const { PATH, HOME, LANG } = process.env
     const child = spawn(program, args, {
-      env: { PATH: process.env.PATH, HOME: process.env.HOME, LANG: process.env.LANG, GYPSUMSPRING_SETTINGS: this.settingsPath },
+      env: { PATH, HOME, LANG, GYPSUMSPRING_SETTINGS: this.settingsPath },
       stdio: ['ignore', 'pipe', 'pipe']
     })
     this.#child = child
@@ -278,14 +279,41 @@
   #settings () {
     const { settings, zones } = this.#deployment.options
     const bounds = {
-      seed_lag_s: 3, addr_reuse_s: 2, contact_ms: 3000, ack_ms: 4000, catch_up_s: 4, drain_ms: 2000, grace_s: 6,
-      loss_slack_ms: 200, config_apply_ms: 2000, rollback_slack_ms: 250, max_stretch_ms: 5000, recovery_s: 12,
-      hold_max_ms: 6000, stop_timeout_ms: 900, gang_timeout_ms: 3000, cancel_ms: 3000, visible_ms: 3000, early_ms: 250,
-      finish_s: 14, status_s: 120, spread_factor: 3, checkpoint_s: 0.5, restore_ms: 600, notice_ms: 4500, move_s: 1.5,
-      maintenance_s: 2, require_fencing: true, lease_ms: 3000, thaw_slack_ms: 300, pace_ms: 100, harm_ms: 4000,
+      seed_lag_s: 3,
+      addr_reuse_s: 2,
+      contact_ms: 3000,
+      ack_ms: 4000,
+      catch_up_s: 4,
+      drain_ms: 2000,
+      grace_s: 6,
+      loss_slack_ms: 200,
+      config_apply_ms: 2000,
+      rollback_slack_ms: 250,
+      max_stretch_ms: 5000,
+      recovery_s: 12,
+      hold_max_ms: 6000,
+      stop_timeout_ms: 900,
+      gang_timeout_ms: 3000,
+      cancel_ms: 3000,
+      visible_ms: 3000,
+      early_ms: 250,
+      finish_s: 14,
+      status_s: 120,
+      spread_factor: 3,
+      checkpoint_s: 0.5,
+      restore_ms: 600,
+      notice_ms: 4500,
+      move_s: 1.5,
+      maintenance_s: 2,
+      require_fencing: true,
+      lease_ms: 3000,
+      thaw_slack_ms: 300,
+      pace_ms: 100,
+      harm_ms: 4000,
       ...settings.bounds
     }
-    const limits = { cpu_share: 0.675, cores: 1, memory_mb: 350, max_fds: 4100, link_mbps: 1000.0, disk_mb: 0, ...settings.limits }
+    const machine = { cpu_share: 0.675, cores: 1, memory_mb: 350, max_fds: 4100, link_mbps: 1000.0, disk_mb: 0 }
+    const limits = { ...machine, ...settings.limits }
     const table = (name, fields) => `[${name}]\n${Object.entries(fields).map(([key, value]) => `${key} = ${JSON.stringify(value)}`).join('\n')}\n`
     return [
       `node_name = "${this.name}"`,
@@ -311,8 +339,18 @@
       table('fault_tolerance', { machines: 1, zones: 1, regions: 0 }),
       table('bounds', bounds),
       table('platform', {
-        address: this.storeAddress, form: 'table', writes_per_s: 600, reads_per_s: 2000, tx_ms: 8.0,
-        part_writes_s: 150, row_bytes: 65536, across: false, history_s: 20, blob_bytes: 8388608, blob_ms: 25.0, blob_mb_s: 80.0
+        address: this.storeAddress,
+        form: 'table',
+        writes_per_s: 600,
+        reads_per_s: 2000,
+        tx_ms: 8.0,
+        part_writes_s: 150,
+        row_bytes: 65536,
+        across: false,
+        history_s: 20,
+        blob_bytes: 8388608,
+        blob_ms: 25.0,
+        blob_mb_s: 80.0
       })
     ].join('\n')
   }
--- a/review/standins-3/runner.mjs
+++ b/review/standins-3/runner.mjs
@@ -88,6 +88,13 @@
     })
   }
 
+  /** Is cut off from all machines: connections are reset, and new ones are refused. What runs goes on. */
+  cut () {
+    clearInterval(this.#beat)
+    for (const socket of this.#sockets) socket.destroy()
+    this.#server.close()
+  }
+
   /** Ends without a word, as in a crash: nothing that ran goes on. */
   crash () {
     clearInterval(this.#beat)
--- a/review/standins-3/store.mjs
+++ b/review/standins-3/store.mjs
@@ -1,6 +1,6 @@
 /**
- * Stand-in of the platform's store, with the calls of the pages: `rows-tx`, `rows-get`, `rows-parts` and `rows-feed`. It
- * loses nothing that it has acknowledged, and its answers are linearizable.
+ * Stand-in of the platform's store, with the calls of the pages: `rows-tx`, `rows-get`, `rows-parts` and `rows-feed`.
+ * It loses nothing that it has acknowledged, and its answers are linearizable.
  */
 import { createServer } from 'node:http'
 
@@ -26,7 +26,8 @@
   #sockets = new Set()
   /**
    * Decides how a call is treated: undefined (as usual), or an object with `delayMs` (added to the usual time), `refuse`
-   * (a status; nothing is done), `drop` (done if `apply` is not false, and the connection is closed without an answer).
+   * (a status; nothing is done), or `drop` (the connection is closed without an answer, and unless `apply` is false the
+   * call is done).
    */
   fault = () => undefined
   /** How many times as long as usual calls take. A transaction takes effect at its end. */
@@ -157,7 +158,8 @@
   async #transact ({ expected_rev: expected = [], writes = [], remove = [] }, bytes) {
     const entries = [...expected, ...writes, ...remove]
     const parts = new Set(entries.map(({ part = '' }) => part))
-    if (entries.length === 0 || entries.length > MAX_ENTRIES || bytes > MAX_BODY_BYTES || parts.size > 1) return [400, {}]
+    if (entries.length === 0 || entries.length > MAX_ENTRIES) return [400, {}]
+    if (bytes > MAX_BODY_BYTES || parts.size > 1) return [400, {}]
     if (writes.some(({ value }) => Buffer.byteLength(value, 'base64') > ROW_BYTES)) return [400, {}]
     if ([...writes, ...remove].some(({ table }) => table === 'op' || table === 'servers')) return [403, {}]
     const [part] = parts
@@ -166,7 +168,8 @@
     if (startAt - now > MAX_PART_QUEUE_MS) return [429, {}]
     this.#busyUntil.set(part, startAt + PART_INTERVAL_MS)
     await sleep(startAt - now + this.slowness * TRANSACTION_MS)
-    const current = expected.map(({ table, key }) => this.#part(table, part).get(key) ?? { table, part, key, row_version: 0 })
+    const current = expected.map(({ table, key }) =>
+      this.#part(table, part).get(key) ?? { table, part, key, row_version: 0 })
     if (current.some(({ row_version: version }, index) => version !== expected[index].row_version)) {
       return [412, { ...this.#base, rows: current }]
     }
