--- a/review/standins-3/store.mjs
+++ b/review/standins-3/store.mjs
@@ -25,9 +25,9 @@
   #server = createServer((request, response) => this.#serve(request, response))
   #sockets = new Set()
   /**
-   * Decides how a call is treated: undefined (as usual), or an object with `delayMs` (added to the usual time), `refuse`
-   * (a status; nothing is done), or `drop` (the connection is closed without an answer, and unless `apply` is false the
-   * call is done).
+   * Decides how a call is treated: undefined (as usual), or an object with `delayMs` (added to the usual time),
+   * `refuse` (a status; nothing is done), or `drop` (the connection is closed without an answer, and unless `apply` is
+   * false the call is done).
    */
   fault = () => undefined
   /** How many times as long as usual calls take. A transaction takes effect at its end. */
