Fence off the writes of an unknown job before each cancel is answered with 410

Cause: the fence was raised only if the owner knew of writes on their way. Nodes told of writes of more than 0.2 s, with a heartbeat each 250 ms, so a cancel before that was answered after three reads, which stop no write. On related paths: a call of less than 0.5 s repeated its write under the new version of the fence, the next owner dropped the ids that a fence was raised for, a node could learn the version without the ids, and a call that had waited in the socket of a stopped process was taken for a new one.

Change: the fences are raised in the store before each such 410, whatever nodes know; what they told of unanswered writes is no longer sent. The row of a fence holds the ids, with times on the store's clock, and is rewritten only under the condition that it is as it was read. A call to store a job ends if a fence shows, or can't rule out, that the job was cancelled since the call began, or since the process stood still before it read the call.

Tests: without the change twelve cases of node/JobFences.test.ts fail, ten of them since the job runs or is accepted (also after the node that took it, or the owner, was killed); with it all pass. "Costs no rows or writes for many jobs that nobody handed in" expected one commit and no rows, which only an answer after mere reads can meet. It now has the bounds of the test beside it (22 commits for each partition in 5 s, 64 rows) and one for reads of the partitions of jobs, 256 for 2,500 calls; three for each call went unnoticed before.

--- a/packages/jobs/src/instant/index.ts
+++ b/packages/jobs/src/instant/index.ts
@@ -17,8 +17,9 @@
  * Returns the longest time that may have passed since an instant, including time for which the machine was suspended.
  *
  * @param instant - An earlier instant of this process.
+ * @param until - The end of the time. Default: now.
  * @returns The time in ms; too long if the wall clock was set ahead meanwhile.
  */
-export function measureLongestElapsed ({ monotonicMs, unixMs }: Instant): number {
-  return Math.max(performance.now() - monotonicMs, Date.now() - unixMs)
+export function measureLongestElapsed ({ monotonicMs, unixMs }: Instant, until = readInstant()): number {
+  return Math.max(until.monotonicMs - monotonicMs, until.unixMs - unixMs)
 }
--- a/packages/jobs/src/node/CellNode.ts
+++ b/packages/jobs/src/node/CellNode.ts
@@ -149,6 +149,7 @@
   }
 
   start (): void {
+    this.jobs.start()
     this.#runOwnershipLoop().catch(throwUncaught)
     this.#probeStore().catch(throwUncaught)
   }
@@ -163,6 +164,7 @@
   async stop (): Promise<void> {
     this.#stopped = true
     await this.resign()
+    this.jobs.stop()
     for (const peer of this.#peersByAddress.values()) peer.close()
   }
 
@@ -182,8 +184,7 @@
       },
       'cell.show': ({ id }) => {
         const answer = this.#describeJob(id)
-        const hasUnsettledWrites = answer?.hasUnsettledWrites ?? true
-        return { known: answer !== undefined, state: answer?.state ?? null, hasUnsettledWrites }
+        return { known: answer !== undefined, state: answer?.state ?? null }
       },
       'cell.fence': async ({ id }) => ({ stored: valueOf(await this.jobs.fences.raise(id)) ?? null }),
       'cell.pending': ({ queue }) => ({ pending: this.#owner?.countPending(queue) ?? null }),
@@ -247,7 +248,6 @@
         resigned: this.#resigned,
         hasStore: this.#store.isDirectlyReachable,
         weakness: computeWeakness(this.#options),
-        unsettledMs: this.jobs.unsettledMs,
         promise: this.#promiseNoTakeover(record.token)
       }
       const answer = await peer.call('cell.follow', heartbeat, { timeoutMs: HEARTBEAT_TIMEOUT_MS })
@@ -483,15 +483,7 @@
   #describeJob (id: string): OwnerAnswer | undefined {
     const owner = this.#owner
     if (owner?.isRecovered !== true) return undefined
-    const state = owner.stateOf(id)
-    // Calls for known jobs are many and don't depend on writes of others.
-    return { state, hasUnsettledWrites: state === undefined && this.#hasUnsettledWrites(owner) }
-  }
-
-  /** Whether the store may still carry out writes of jobs that nodes have sent, as far as the owner knows. */
-  #hasUnsettledWrites ({ ownedBy }: CellOwner): boolean {
-    return performance.now() - ownedBy < LATE_WRITE_MS || this.jobs.unsettledMs > 0 ||
-      this.#followers.hasUnsettledWrites
+    return { state: owner.stateOf(id) }
   }
 
   #removeSilentFollowers (): void {
--- a/packages/jobs/src/node/FailoverStore.ts
+++ b/packages/jobs/src/node/FailoverStore.ts
@@ -1,11 +1,13 @@
-import { failureOf, notDone, unknownEffect, type Outcome } from '@gypsumspring/protocol'
+import { failureOf, notDone, unknownEffect, valueOf, type Outcome } from '@gypsumspring/protocol'
 import type {
   Commit, CommitResult, MetricsRecorder, ReadOptions, RecordStore, RowChanges, StoredRow
 } from '../ports.ts'
 import { CONTROL_TABLE } from '../ownership/index.ts'
 import { CELL_PARTITION } from '../records/index.ts'
+import { readInstant } from '../instant/index.ts'
 import { LatencyAverage } from '../latencyAverage/LatencyAverage.ts'
 import { readHedged } from '../readHedged/index.ts'
+import { StoreClock } from '../storeClock/StoreClock.ts'
 import type { CellMethod, CellParams, CellResult } from './messages.ts'
 import { decodeChanges, decodeRelayed, decodeRow, type RelayMethod, type RelayedValue } from './relayedCalls.ts'
 
@@ -60,6 +62,8 @@
   readonly #pendingDirectCalls = new Set<AbortController>()
   /** Monotonic time at which a peer last failed to relay a call, in ms. */
   readonly #peerFailedAt = new WeakMap<Peer, number>()
+  /** The store's clock, as its answers to commits and to reads of partitions have shown it. */
+  readonly clock = new StoreClock()
   /** Monotonic time of the last answer of the store, in ms. */
   lastAnswerAt = 0
   /** Monotonic time of the last answer over this node's own connection, in ms. */
@@ -109,6 +113,18 @@
   }
 
   async commit (commit: Commit): Promise<Outcome<CommitResult>> {
+    return await this.#recordTime(() => this.#commitOrRelay(commit))
+  }
+
+  /** Records the time on the store's clock from the answer to a call. */
+  async #recordTime<Value extends { nowMs?: number }> (call: () => Promise<Outcome<Value>>): Promise<Outcome<Value>> {
+    const sentAt = readInstant()
+    const outcome = await call()
+    this.clock.record(valueOf(outcome)?.nowMs, sentAt)
+    return outcome
+  }
+
+  async #commitOrRelay (commit: Commit): Promise<Outcome<CommitResult>> {
     if (this.#mayCallDirectly) {
       const outcome = await this.#commitDirectly(commit)
       if (!isUnreachable(outcome)) {
@@ -121,12 +137,12 @@
     }
     const puts = commit.puts.map(({ value, ...row }) => ({ ...row, value: Buffer.from(value).toString('base64') }))
     return await this.#relay('cell.store.commit', { ...commit, puts }, (result) =>
-      result.kind === 'conflict' ? { kind: 'conflict', rows: result.rows.map(decodeRow) } : result)
+      result.kind === 'conflict' ? { ...result, rows: result.rows.map(decodeRow) } : result)
   }
 
   async read (table: string, partition: string): Promise<Outcome<RowChanges>> {
-    return await this.#read((options) => this.#direct.read(table, partition, options), 'cell.store.read',
-      { table, partition }, decodeChanges)
+    return await this.#recordTime(() => this.#read((options) => this.#direct.read(table, partition, options),
+      'cell.store.read', { table, partition }, decodeChanges))
   }
 
   async readRow (table: string, partition: string, key: string): Promise<Outcome<StoredRow | undefined>> {
--- a/packages/jobs/src/node/Followers.test.ts
+++ b/packages/jobs/src/node/Followers.test.ts
@@ -10,9 +10,7 @@
   for (let index = 0; index < count; index++) {
     const node = `n${index}`
     const weakness = index % 10 / 10
-    const heartbeat = {
-      node, address: node, uptimeMs: 0, resigned: false, hasStore: hasStore(index), weakness, unsettledMs: 0
-    }
+    const heartbeat = { node, address: node, uptimeMs: 0, resigned: false, hasStore: hasStore(index), weakness }
     followers.recordHeartbeat(heartbeat, { ...peer, address: node })
   }
   return followers
@@ -42,7 +40,7 @@
     const followers = createFollowers(1)
     expect(followers.listRelays()).to.have.length(1)
     const { node, ...state } = followers.list()[0]!
-    followers.recordHeartbeat({ ...state, node, address: node, hasStore: false, unsettledMs: 0 }, state.peer)
+    followers.recordHeartbeat({ ...state, node, address: node, hasStore: false }, state.peer)
     clock.tick(250)
     expect(followers.listRelays()).to.have.length(0)
   })
--- a/packages/jobs/src/node/Followers.ts
+++ b/packages/jobs/src/node/Followers.ts
@@ -1,4 +1,3 @@
-import { LATE_WRITE_MS } from '../constants/index.ts'
 import type { CellParams } from './messages.ts'
 import type { Peer } from './FailoverStore.ts'
 
@@ -14,27 +13,17 @@
 /** Age after which the list of relays is made again, in ms; a quarter of a second is the interval of heartbeats. */
 const RELAYS_VALID_MS = 250
 
-/** Age of the last heartbeat from which a follower may have sent writes that it could not tell the owner of, in ms. */
-const LATE_HEARTBEAT_MS = 600
-
-/** Time for which a node that follows no longer may send writes that the owner is not told of, in ms. */
-const LOST_FOLLOWER_MS = 60_000
-
 /** A node that follows the owner, with the state from its last heartbeat. */
 export interface Follower extends Pick<CellParams<'cell.follow'>, 'weakness' | 'uptimeMs' | 'hasStore' | 'resigned'> {
   node: string
   peer: Peer
   /** Monotonic time of its last heartbeat, in ms. */
   lastHeartbeatAt: number
-  /** Monotonic time until which the store may carry out writes of jobs that it has sent, in ms. */
-  unsettledUntil: number
 }
 
 /** The owner's list of the nodes that follow it. */
 export class Followers {
   readonly #byNode = new Map<string, Follower>()
-  /** Monotonic time of the last heartbeat of nodes that may have sent writes of jobs since, in ms. */
-  readonly #lostAt = new Map<string, number>()
   #relays: { followers: Follower[], madeAt: number } | undefined
 
   get size (): number {
@@ -43,17 +32,9 @@
 
   /** Records a heartbeat. Returns whether the follower is new or has a new address. */
   recordHeartbeat (heartbeat: CellParams<'cell.follow'>, peer: Peer): boolean {
-    const { node, weakness, uptimeMs, hasStore, resigned, unsettledMs } = heartbeat
+    const { node, weakness, uptimeMs, hasStore, resigned } = heartbeat
     const previous = this.#byNode.get(node)
-    const now = performance.now()
-    // A process that has started again does not know what the one before has sent.
-    const isRestarted = previous !== undefined && uptimeMs < previous.uptimeMs
-    const lostAt = this.#lostAt.get(node) ?? (isRestarted ? previous.lastHeartbeatAt : -Infinity)
-    const unsettledUntil = Math.max(now + unsettledMs, lostAt + LATE_WRITE_MS)
-    this.#lostAt.delete(node)
-    this.#byNode.set(node, {
-      node, peer, weakness, uptimeMs, hasStore, resigned, lastHeartbeatAt: now, unsettledUntil
-    })
+    this.#byNode.set(node, { node, peer, weakness, uptimeMs, hasStore, resigned, lastHeartbeatAt: performance.now() })
     return previous?.peer !== peer
   }
 
@@ -61,27 +42,12 @@
   removeSilent (): string[] {
     const silent = [...this.#byNode.values()].filter(({ lastHeartbeatAt }) =>
       performance.now() - lastHeartbeatAt >= FOLLOWER_TIMEOUT_MS)
-    for (const { node, resigned, lastHeartbeatAt, unsettledUntil } of silent) {
-      this.#byNode.delete(node)
-      if (!resigned || unsettledUntil > lastHeartbeatAt) this.#lostAt.set(node, lastHeartbeatAt)
-    }
+    for (const { node } of silent) this.#byNode.delete(node)
     return silent.map(({ node }) => node)
   }
 
-  /** Whether the store may still carry out writes of jobs that followers, or nodes that were, have sent. */
-  get hasUnsettledWrites (): boolean {
-    const now = performance.now()
-    for (const [node, at] of this.#lostAt) if (now - at > LOST_FOLLOWER_MS) this.#lostAt.delete(node)
-    if (this.#lostAt.size > 0) return true
-    for (const { unsettledUntil, lastHeartbeatAt, resigned } of this.#byNode.values()) {
-      if (unsettledUntil > now || (!resigned && now - lastHeartbeatAt > LATE_HEARTBEAT_MS)) return true
-    }
-    return false
-  }
-
   clear (): void {
     this.#byNode.clear()
-    this.#lostAt.clear()
     this.#relays = undefined
   }
 
--- a/packages/jobs/src/node/JobFences.test.ts
+++ b/packages/jobs/src/node/JobFences.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai'
 import { notDone, sleep, valueOf } from '@gypsumspring/protocol'
 import { JOB_PARTITIONS } from '../constants/index.ts'
-import { FENCES_TABLE, JOBS_TABLE } from '../records/index.ts'
+import { FENCES_TABLE, FENCE_KEY, JOBS_TABLE, toJobPartitions } from '../records/index.ts'
 import { MemoryCell, createQueue, createStep, type StoreFault } from '../standins/index.ts'
 
 const ID = '00000000000000a1'
@@ -60,11 +60,22 @@
   return [owner, ...[...cell.nodes.values()].flatMap(({ name, up }) => up && name !== owner ? [name] : [])]
 }
 
+/** Returns the id of another job of which the first partition is the given one of the job. */
+function findNeighbor (index: number): string {
+  const partition = toJobPartitions(ID)[index]
+  for (let number = 0; ; number++) {
+    const id = number.toString(16).padStart(16, 'b')
+    if (toJobPartitions(id)[0] === partition) return id
+  }
+}
+
 /** Where a job is handed in and cancelled, as positions in `listNodes`, and what happens to nodes meanwhile. */
 interface Case {
   name: string
   handedInAt: number
   cancelledAt: number
+  /** Time after which the caller gives up and cancels, in ms; only writes of jobs are late. Default: `OUTAGE_MS`. */
+  leavesAfterMs?: number
   beforeCancel?: (cell: MemoryCell, nodes: readonly string[]) => void
   afterCancel?: (cell: MemoryCell, nodes: readonly string[]) => void
 }
@@ -116,16 +127,45 @@
       afterCancel: (started, nodes) => {
         started.nodes.get(nodes[0]!)!.cellNode.resign().catch((error) => { throw error })
       }
+    },
+    // The owner did not know of these writes, so that nothing but reads went before the answer.
+    { name: 'holds 15 ms later at the node that took the job', handedInAt: 1, cancelledAt: 1, leavesAfterMs: 15 },
+    { name: 'holds 15 ms later at another node', handedInAt: 1, cancelledAt: 2, leavesAfterMs: 15 },
+    { name: 'holds 15 ms later at the owner', handedInAt: 1, cancelledAt: 0, leavesAfterMs: 15 },
+    { name: 'holds 15 ms later for a job that the owner took', handedInAt: 0, cancelledAt: 1, leavesAfterMs: 15 },
+    { name: 'holds 150 ms later at another node', handedInAt: 1, cancelledAt: 2, leavesAfterMs: 150 },
+    {
+      name: 'holds 15 ms later after the node that took the job was killed',
+      handedInAt: 2,
+      cancelledAt: 1,
+      leavesAfterMs: 15,
+      beforeCancel: (started, nodes) => started.killNode(nodes[2]!)
+    },
+    {
+      name: 'holds 15 ms later after the owner, which took the job, was killed',
+      handedInAt: 0,
+      cancelledAt: 1,
+      leavesAfterMs: 15,
+      beforeCancel: (started, nodes) => started.killNode(nodes[0]!)
+    },
+    {
+      name: 'holds 15 ms later after the owner was killed',
+      handedInAt: 1,
+      cancelledAt: 2,
+      leavesAfterMs: 15,
+      afterCancel: (started, nodes) => started.killNode(nodes[0]!)
     }
   ]
-  for (const { name, handedInAt, cancelledAt, beforeCancel, afterCancel } of cases) {
+  for (const { name, handedInAt, cancelledAt, leavesAfterMs, beforeCancel, afterCancel } of cases) {
     it(name, async () => {
       const nodes = listNodes(cell)
-      setFaults(cell, (call) => call === 'commit' ? 'late' : 'silent')
+      setFaults(cell, leavesAfterMs === undefined
+        ? (call) => call === 'commit' ? 'late' : 'silent'
+        : (call, partition) => call === 'commit' && partition.startsWith('jobs-') ? 'late' : undefined)
       const submitted = cell.submit(ID, [{ longRunning: true }], { node: nodes[handedInAt] })
-      await clock.tickAsync(OUTAGE_MS)
+      await clock.tickAsync(leavesAfterMs ?? OUTAGE_MS)
       setFaults(cell, () => undefined)
-      expect(await settle(clock, submitted)).to.equal('uncertain')
+      if (leavesAfterMs === undefined) expect(await settle(clock, submitted)).to.equal('uncertain')
       beforeCancel?.(cell, nodes)
       expect(await settle(clock, cancelUntilAcknowledged(cell, nodes[cancelledAt]!))).to.equal(false)
       afterCancel?.(cell, nodes)
@@ -135,15 +175,37 @@
     })
   }
 
-  it('ends a call that still tries to store the job', async () => {
+  const callsInProgress: Array<{ name: string, cancelledAfterMs: number, isOwnerLost?: boolean }> = [
+    { name: 'ends a call that still tries to store the job', cancelledAfterMs: 1_500 },
+    // Such a call counted as begun after the cancelling, and stored the job.
+    { name: 'ends a call that began shortly before', cancelledAfterMs: 100 },
+    // Only the node that had raised the fence remembered for which jobs.
+    { name: 'ends a call after another owner has raised the same fence', cancelledAfterMs: 100, isOwnerLost: true }
+  ]
+  for (const { name, cancelledAfterMs, isOwnerLost } of callsInProgress) {
+    it(name, async () => {
+      const [owner, handingIn, cancelling] = listNodes(cell)
+      let isRefusing = true
+      refuseJobs(cell, () => isRefusing)
+      const submitted = cell.submit(ID, [{ longRunning: true }], { node: handingIn })
+      await clock.tickAsync(cancelledAfterMs)
+      expect(await settle(clock, cancel(cell, cancelling!))).to.equal(false)
+      if (isOwnerLost === true) {
+        cell.killNode(owner!)
+        expect(await settle(clock, cancel(cell, cancelling!, findNeighbor(0)))).to.equal(false)
+      }
+      isRefusing = false
+      expect(await settle(clock, submitted)).to.equal('refused')
+      await clock.tickAsync(5_000)
+      expect(cell.checker.starts).to.equal(0)
+    })
+  }
+
+  it('holds when the call to store the job is read after the node stood still', async () => {
     const [, handingIn, cancelling] = listNodes(cell)
-    let isRefusing = true
-    refuseJobs(cell, () => isRefusing)
-    const submitted = cell.submit(ID, [{ longRunning: true }], { node: handingIn })
-    await clock.tickAsync(1_500)
     expect(await settle(clock, cancel(cell, cancelling!))).to.equal(false)
-    isRefusing = false
-    expect(await settle(clock, submitted)).to.equal('refused')
+    clock.jump(300)
+    expect(await settle(clock, cell.submit(ID, [{ longRunning: true }], { node: handingIn }))).to.equal('refused')
     await clock.tickAsync(5_000)
     expect(cell.checker.starts).to.equal(0)
   })
@@ -200,47 +262,60 @@
     expect(cell.checker.starts).to.equal(3)
   })
 
-  /** Cancels 500 unknown jobs a second for 5 s at all nodes, and then hands in a job. */
-  async function cancelMany (): Promise<{ commits: number, rows: number }> {
-    const nodes = listNodes(cell)
-    const rowsBefore = cell.rows.rows.size
-    let commits = 0
-    for (const { store } of cell.nodes.values()) {
-      const commit = store.commit.bind(store)
-      store.commit = async (row) => {
-        if (row.partition !== 'cell') commits++
-        return await commit(row)
-      }
-    }
-    const answers: Array<Promise<boolean | undefined>> = []
-    for (let passedMs = 0; passedMs < 5_000; passedMs += 10) {
-      for (let call = 0; call < 5; call++) {
-        const id = (passedMs * 5 + call).toString(16).padStart(16, 'f')
-        answers.push(cancel(cell, nodes[call % nodes.length]!, id))
-      }
-      await clock.tickAsync(10)
+  it('is possible, and jobs can be handed in, after a fence row has become unreadable', async () => {
+    const [, handingIn, cancelling] = listNodes(cell)
+    for (const partition of toJobPartitions(ID)) {
+      const puts = [{ table: FENCES_TABLE, key: FENCE_KEY, value: Buffer.from('{"cancelled":7}') }]
+      cell.rows.apply({ partition, expected: [], puts, removes: [] })
     }
-    const rows = cell.rows.rows.size - rowsBefore
-    const submittedAt = performance.now()
-    expect(await settle(clock, cell.submit(ID, [{}], { node: nodes[1] }))).to.equal('accepted')
-    expect(performance.now() - submittedAt).to.be.lessThan(100)
-    const results = await settle(clock, Promise.all(answers))
-    expect(results.filter((found) => found === false)).to.have.length(2_500)
-    return { commits, rows }
-  }
-
-  it('costs no rows or writes for many jobs that nobody handed in', async () => {
-    expect(await cancelMany()).to.deep.equal({ commits: 1, rows: 0 })
-    expect(countRows(cell, FENCES_TABLE)).to.equal(0)
+    expect(await settle(clock, cancel(cell, cancelling!, findNeighbor(1)))).to.equal(false)
+    // The job may have been cancelled during the first call, for all that its node can tell.
+    expect(await settle(clock, cell.submit(ID, [{}], { node: handingIn }))).to.equal('refused')
+    expect(await settle(clock, cell.submit(ID, [{}], { node: handingIn }))).to.equal('accepted')
+    await clock.tickAsync(3_000)
+    expect(cell.checker.starts).to.equal(1)
   })
 
-  it('costs few rows and writes for such jobs while writes may be on their way', async () => {
-    cell.killNode(listNodes(cell)[2]!)
-    cell.startNode('n3')
-    await clock.tickAsync(2_000)
-    const { commits, rows } = await cancelMany()
-    expect(rows).to.be.at.most(JOB_PARTITIONS)
-    // Four commits a second for each partition.
-    expect(commits).to.be.at.most(22 * JOB_PARTITIONS)
-  })
+  const crowds: Array<{ name: string, isNodeLost: boolean }> = [
+    { name: 'costs few calls and rows for many jobs that nobody handed in', isNodeLost: false },
+    { name: 'costs few calls and rows for such jobs after a node was lost', isNodeLost: true }
+  ]
+  for (const { name, isNodeLost } of crowds) {
+    it(name, async () => {
+      if (isNodeLost) {
+        cell.killNode(listNodes(cell)[2]!)
+        cell.startNode('n3')
+        await clock.tickAsync(2_000)
+      }
+      const nodes = listNodes(cell)
+      const rowsBefore = cell.rows.rows.size
+      let commits = 0
+      let jobReads = 0
+      for (const { store } of cell.nodes.values()) {
+        store.fault = (call, partition) => {
+          if (partition.startsWith('jobs-')) call === 'commit' ? commits++ : jobReads++
+          return undefined
+        }
+      }
+      // 500 calls a second for 5 s at all nodes.
+      const answers: Array<Promise<boolean | undefined>> = []
+      for (let passedMs = 0; passedMs < 5_000; passedMs += 10) {
+        for (let call = 0; call < 5; call++) {
+          const id = (passedMs * 5 + call).toString(16).padStart(16, 'f')
+          answers.push(cancel(cell, nodes[call % nodes.length]!, id))
+        }
+        await clock.tickAsync(10)
+      }
+      const rows = cell.rows.rows.size - rowsBefore
+      const submittedAt = performance.now()
+      expect(await settle(clock, cell.submit(ID, [{}], { node: nodes[1] }))).to.equal('accepted')
+      expect(performance.now() - submittedAt).to.be.lessThan(100)
+      const results = await settle(clock, Promise.all(answers))
+      expect(results.filter((found) => found === false)).to.have.length(2_500)
+      expect(rows).to.be.at.most(JOB_PARTITIONS)
+      // Four commits a second for each partition, and reads only to learn of its fence.
+      expect(commits).to.be.at.most(22 * JOB_PARTITIONS)
+      expect(jobReads).to.be.at.most(4 * JOB_PARTITIONS)
+    })
+  }
 })
--- a/packages/jobs/src/node/JobService.ts
+++ b/packages/jobs/src/node/JobService.ts
@@ -1,6 +1,7 @@
-import { done, notDone, throwUncaught, sleep, unknownEffect, valueOf, type Outcome } from '@gypsumspring/protocol'
+import { done, failureOf, notDone, throwUncaught, sleep, unknownEffect, valueOf, type Outcome } from '@gypsumspring/protocol'
+import { ArrivalEstimator } from '../arrivalEstimator/ArrivalEstimator.ts'
 import { decodeProgress } from '../model/index.ts'
-import { LATE_WRITE_MS, PEER_CALL_TIMEOUT_MS } from '../constants/index.ts'
+import { PEER_CALL_TIMEOUT_MS } from '../constants/index.ts'
 import type { CellOwner } from '../owner/CellOwner.ts'
 import { commitHedged } from '../commitHedged/index.ts'
 import type { MetricsRecorder } from '../ports.ts'
@@ -19,18 +20,9 @@
 /** Wait before storing a job is tried again, in ms. */
 const ACCEPT_RETRY_DELAY_MS = 60
 
-/**
- * A call that stores a job counts as begun after the cancelling of that job if it has taken no longer than this, in ms.
- * The caller of a longer one may have given it up and cancelled the job.
- */
-const CONCURRENT_CALL_MS = 500
-
 /** Longest wait for the writes of a job to be fenced off, in ms. */
 const FENCE_TIMEOUT_MS = 2_000
 
-/** Time after which the owner is told that the store may carry out a write of a job late, in ms. */
-const OVERDUE_WRITE_MS = 200
-
 /** Result of accepting a job. */
 export type Acceptance =
   | { kind: 'accepted' }
@@ -41,9 +33,8 @@
 
 /** What the owner knows of a job. */
 export interface OwnerAnswer {
+  /** State of the job; undefined if the owner doesn't know it. */
   state: JobState | undefined
-  /** Whether the store may still carry out writes of a job that the owner doesn't know, sent by any node. */
-  hasUnsettledWrites: boolean
 }
 
 /** Access to the owner of the cell, which is on this node, on another one, or unknown. */
@@ -65,10 +56,7 @@
   readonly #owner: OwnerAccess
   readonly #metrics: MetricsRecorder
   readonly fences: JobFences
-  /** Calls that are storing a job, the oldest one first. */
-  readonly #storing = new Set<{ id: string, startedAt: number }>()
-  /** Monotonic time until which the store may carry out writes of jobs that it has not answered, in ms. */
-  #unsettledUntil = -Infinity
+  readonly #arrivals = new ArrivalEstimator()
 
   constructor (store: FailoverStore, owner: OwnerAccess, metrics: MetricsRecorder) {
     this.#store = store
@@ -77,6 +65,14 @@
     this.#metrics = metrics
   }
 
+  start (): void {
+    this.#arrivals.start()
+  }
+
+  stop (): void {
+    this.#arrivals.stop()
+  }
+
   /** Whether jobs can be accepted on this node, that is, whether the store has answered recently. */
   get canAccept (): boolean {
     return this.#store.isAnswering
@@ -95,57 +91,34 @@
    * @param isAbandoned - Whether the caller waits no longer; no further attempt is made then. Default: it does.
    */
   async accept (job: Job, timeoutMs: number, isAbandoned = () => false): Promise<Acceptance> {
-    const call = { id: job.id, startedAt: performance.now() }
-    this.#storing.add(call)
-    try {
-      return await this.#storeJob(job, call.startedAt, timeoutMs, isAbandoned)
-    } finally {
-      this.#storing.delete(call)
-    }
-  }
-
-  /** Time for which the store may still carry out writes of jobs that this node has sent, in ms. */
-  get unsettledMs (): number {
-    const now = performance.now()
-    const [oldest] = this.#storing
-    if (oldest !== undefined && now - oldest.startedAt > OVERDUE_WRITE_MS) return LATE_WRITE_MS
-    return Math.max(0, this.#unsettledUntil - now)
-  }
-
-  async #storeJob (
-    job: Job, startedAt: number, timeoutMs: number, isAbandoned: () => boolean
-  ): Promise<Acceptance> {
-    const deadline = startedAt + timeoutMs
+    const beganAt = this.#arrivals.earliest
+    const deadline = performance.now() + timeoutMs
     const value = encodeJob(job)
     let uncertain = false
+    const giveUp = (reason: string): Acceptance => ({ kind: uncertain ? 'uncertain' : 'refused', reason })
     let reason = 'unavailable'
     while (performance.now() < deadline) {
-      if (isAbandoned()) return { kind: uncertain ? 'uncertain' : 'refused', reason: 'abandoned' }
-      if (!this.canAccept) return uncertain ? { kind: 'uncertain', reason } : { kind: 'refused', reason: 'unavailable' }
+      if (isAbandoned()) return giveUp('abandoned')
+      if (!this.canAccept) return giveUp(uncertain ? reason : 'unavailable')
+      if (this.fences.isCancelled(job.id, beganAt)) return giveUp('cancelled')
       const commits = this.fences.createCommits(job.id, value)
       const outcome = await this.#awaitWhileAnswering(commitHedged(this.#store, commits), deadline)
       const result = valueOf(outcome)
-      const conflict = result?.kind === 'conflict' ? this.fences.resolveConflict(job.id, result.rows) : undefined
+      const isRefused = result?.kind === 'conflict'
       // The job may be stored already, for instance by an earlier attempt or at another node.
-      if (result?.kind === 'committed' || conflict === 'stored') {
+      const isStored = isRefused && this.fences.resolveConflict(job.id, result.rows, result.nowMs).isStored
+      if (result?.kind === 'committed' || isStored) {
         this.#notifyOwner('cell.accept', { job }, (owner) => owner.accept(job)).catch(throwUncaught)
         return { kind: 'accepted' }
       }
-      if (conflict === 'cancelled' && performance.now() - startedAt > CONCURRENT_CALL_MS) {
-        return { kind: uncertain ? 'uncertain' : 'refused', reason: 'cancelled' }
-      }
-      if (conflict !== undefined) continue
-      outcome.ifLeft((failure) => {
-        if (failure.certainty === 'unknown') {
-          uncertain = true
-          this.#unsettledUntil = performance.now() + LATE_WRITE_MS
-        }
-        reason = failure.reason
-      })
+      if (isRefused) continue
+      const failure = failureOf(outcome)
+      reason = failure?.reason ?? reason
+      uncertain ||= failure?.certainty === 'unknown'
       this.#metrics.count('store_retries', { what: 'accept' })
       await sleep(ACCEPT_RETRY_DELAY_MS)
     }
-    return uncertain ? { kind: 'uncertain', reason } : { kind: 'refused', reason }
+    return giveUp(reason)
   }
 
   /** Waits for a write; fails with certainty `unknown` when the store stops answering or the deadline has passed. */
@@ -186,7 +159,7 @@
    */
   async cancel (id: string): Promise<Outcome<boolean>> {
     const answer = await this.#askOwner(id)
-    const found = answer?.state === undefined ? await this.#settle(id, answer) : done(true)
+    const found = answer?.state === undefined ? await this.#fenceOff(id, answer !== undefined) : done(true)
     if (found.isLeft() || found.extract() === false) return found
     const outcome = await commitHedged(this.#store, toJobPartitions(id).map((partition) => (
       { partition, expected: [], puts: [{ table: CANCELS_TABLE, key: id, value: Buffer.from('{}') }], removes: [] })))
@@ -195,14 +168,12 @@
   }
 
   /**
-   * Finds out whether a job that the owner doesn't know is stored, after which it stays so. Writes that may still be on
-   * their way to the store are fenced off. The owner does so for all nodes as long as it answers, so that calls for
-   * unknown jobs at many nodes cause no more writes than at one.
+   * Finds out whether a job that the owner doesn't know is stored, and fences off the writes of it that may be on their
+   * way to the store. Any node may have sent some, also one that has ended, so that only the store can tell. The owner
+   * does so for all nodes as long as it answers: calls for unknown jobs at many nodes cause no more writes than at one.
    */
-  async #settle (id: string, answer: OwnerAnswer | undefined): Promise<Outcome<boolean>> {
-    const isStoring = [...this.#storing].some((call) => call.id === id)
-    if (answer?.hasUnsettledWrites === false && !isStoring) return await this.#isStored(id)
-    if (answer !== undefined && this.#owner.local() === undefined) {
+  async #fenceOff (id: string, isOwnerAnswering: boolean): Promise<Outcome<boolean>> {
+    if (isOwnerAnswering && this.#owner.local() === undefined) {
       const raised = await this.#owner.peer()?.call('cell.fence', { id }, { timeoutMs: FENCE_TIMEOUT_MS })
       const stored = raised === undefined ? undefined : valueOf(raised)?.stored
       if (stored !== undefined && stored !== null) return done(stored)
@@ -225,7 +196,7 @@
     const answer = await this.#owner.peer()?.call('cell.show', { id }, { timeoutMs: PEER_CALL_TIMEOUT_MS })
     const result = answer === undefined ? undefined : valueOf(answer)
     if (result?.known !== true) return undefined
-    return { state: (result.state as JobState | null) ?? undefined, hasUnsettledWrites: result.hasUnsettledWrites }
+    return { state: (result.state as JobState | null) ?? undefined }
   }
 
   /** Notifies the owner of what was stored. A lost message only adds delay, since the owner polls the tables. */
--- a/packages/jobs/src/node/messages.ts
+++ b/packages/jobs/src/node/messages.ts
@@ -47,8 +47,6 @@
       hasStore: Type.Boolean(),
       /** How far its machine falls short of what an owner needs, from 0 (sufficient) to 1. */
       weakness: Type.Number(),
-      /** Time for which the store may still carry out writes of jobs that the follower has sent, in ms. */
-      unsettledMs: Type.Number({ minimum: 0 }),
       promise: Type.Optional(TakeoverPromise)
     }),
     result: Type.Object({
@@ -81,15 +79,10 @@
   'cell.accept': { params: Type.Object({ job: Job }), result: Type.Object({ taken: Type.Boolean() }) },
   /** Notifies the owner of a cancellation that was stored. */
   'cell.cancel': { params: Type.Object({ id: Type.String() }), result: Type.Object({ taken: Type.Boolean() }) },
-  /**
-   * Asks the owner for the state of a job; `known` is false while it has not recovered the cell. `hasUnsettledWrites`
-   * tells whether the store may still carry out writes of a job without a state that a node has sent.
-   */
+  /** Asks the owner for the state of a job; `known` is false while it has not recovered the cell. */
   'cell.show': {
     params: Type.Object({ id: Type.String() }),
-    result: Type.Object({
-      known: Type.Boolean(), state: Type.Union([JobStateName, Type.Null()]), hasUnsettledWrites: Type.Boolean()
-    })
+    result: Type.Object({ known: Type.Boolean(), state: Type.Union([JobStateName, Type.Null()]) })
   },
   /**
    * Asks the owner to fence off the writes of a job that may still be on their way to the store. `stored` tells whether
@@ -115,7 +108,7 @@
     params: CommitParams,
     result: relayedResult(Type.Union([
       Type.Object({ kind: Type.Literal('committed'), version: Count, nowMs: Type.Optional(Type.Number()) }),
-      Type.Object({ kind: Type.Literal('conflict'), rows: Type.Array(Row) })
+      Type.Object({ kind: Type.Literal('conflict'), rows: Type.Array(Row), nowMs: Type.Optional(Type.Number()) })
     ]))
   },
   'cell.store.read': {
--- a/packages/jobs/src/node/relayedCalls.ts
+++ b/packages/jobs/src/node/relayedCalls.ts
@@ -13,7 +13,8 @@
 interface WireRow { table: string, partition: string, key: string, version: number, value: string | null }
 interface WireChanges { rows: WireRow[], version: number, nowMs?: number }
 interface RelayedValues {
-  'cell.store.commit': { kind: 'committed', version: number, nowMs?: number } | { kind: 'conflict', rows: WireRow[] }
+  'cell.store.commit':
+    { kind: 'committed', version: number, nowMs?: number } | { kind: 'conflict', rows: WireRow[], nowMs?: number }
   'cell.store.read': WireChanges
   'cell.store.readRow': WireRow | null
   'cell.store.changes': WireChanges
@@ -33,7 +34,7 @@
       const decoded = puts.map(({ value, ...row }) => ({ ...row, value: Buffer.from(value, 'base64') }))
       const outcome = await store.commit({ ...commit, puts: decoded })
       return encodeRelayed(outcome, (result) => result.kind === 'conflict'
-        ? { kind: 'conflict' as const, rows: result.rows.map(encodeRow) }
+        ? { ...result, rows: result.rows.map(encodeRow) }
         : result)
     },
     'cell.store.read': async ({ table, partition }) =>
--- a/packages/jobs/src/ports.ts
+++ b/packages/jobs/src/ports.ts
@@ -30,7 +30,7 @@
   /** `nowMs` is the time on the store's steady clock when it answered; undefined when it doesn't tell. */
   | { kind: 'committed', version: number, nowMs?: number }
   /** An expected version did not match and nothing was written; `rows` are the current rows of `expected`. */
-  | { kind: 'conflict', rows: StoredRow[] }
+  | { kind: 'conflict', rows: StoredRow[], nowMs?: number }
 
 export interface RowChanges {
   rows: StoredRow[]
--- a/packages/jobs/src/standins/MemoryRecordStore.ts
+++ b/packages/jobs/src/standins/MemoryRecordStore.ts
@@ -54,7 +54,7 @@
     const current = commit.expected.map(({ table, key }) => this.rows.get(name(table, partition, key)) ??
       { table, partition, key, version: 0, value: undefined })
     if (current.some(({ version }, index) =>
-      version !== commit.expected[index]!.version)) return { kind: 'conflict', rows: current }
+      version !== commit.expected[index]!.version)) return { kind: 'conflict', rows: current, nowMs: this.nowMs }
     this.version++
     for (const { table, key, value } of commit.puts) {
       this.#write({
--- a/packages/jobs/src/storeClock/StoreClock.ts
+++ b/packages/jobs/src/storeClock/StoreClock.ts
@@ -21,6 +21,11 @@
     if (storeMs !== undefined) this.#reading = { storeMs, sentAt, receivedAt: performance.now() }
   }
 
+  /** Time since the last reading, in ms; infinite before the first one. */
+  get ageMs (): number {
+    return performance.now() - (this.#reading?.receivedAt ?? -Infinity)
+  }
+
   /** Returns the latest time that the store's clock may show at a monotonic time; undefined without a reading. */
   toStore (at: number): number | undefined {
     if (this.#reading === undefined) return undefined
