Refuse a job only when the store has refused each copy of its write

What callers saw: a job ran whose acceptance was answered with 503 (3 of 3 jobs on real processes). The first copy of its write is carried out late and not answered, the copy for the next partition meets a raised fence, and the store then refuses all calls until the deadline.

Cause: commitHedged ends with the first result and dropped the copies that were unanswered, and JobService took a conflict in one partition for the end of the copies in all three.

Change: the copies of a call's writes are recorded from when they are sent until the store has refused them for certain. A conflict clears only those with the same condition. While one is left, the call ends with 504. Raising the fences before a 503 would take three writes to a store that refuses calls, and was not built.

Tests: the case of node/JobFences.test.ts fails on the code before ('refused' instead of 'uncertain', and the job runs); so does the case of commitHedged if a conflict clears all copies.

--- a/packages/jobs/src/commitHedged/index.ts
+++ b/packages/jobs/src/commitHedged/index.ts
@@ -1,6 +1,7 @@
 import { failureOf, sleep, throwUncaught, type Outcome } from '@gypsumspring/protocol'
 import { LatencyAverage } from '../latencyAverage/LatencyAverage.ts'
 import type { Commit, CommitResult, RecordStore } from '../ports.ts'
+import { PendingCopies } from './PendingCopies.ts'
 
 /** Minimum delay before an unanswered commit is sent again, in ms; a commit takes about 13 ms. */
 const MIN_RESEND_MS = 60
@@ -34,9 +35,13 @@
  *
  * @param store - The store.
  * @param commits - The commit for each partition that may be tried, in order of preference.
+ * @param pending - Records the copies that are sent. Those that are unanswered when the first result arrives may still
+ * be applied; when nothing may be, no further copy is sent. Default: they are not recorded.
  * @returns The first result, else the last failure; a failure with certainty `unknown` takes precedence.
  */
-export async function commitHedged (store: RecordStore, commits: readonly Commit[]): Promise<Outcome<CommitResult>> {
+export async function commitHedged (
+  store: RecordStore, commits: readonly Commit[], pending = new PendingCopies()
+): Promise<Outcome<CommitResult>> {
   const condition = getCondition(store)
   const isLossy = () => performance.now() - condition.lostAnswerAt < LOSSY_PERIOD_MS
   const unanswered = new Set<number>()
@@ -52,7 +57,10 @@
       const copy = sent++
       const sentAt = performance.now()
       unanswered.add(copy)
-      const outcome = await store.commit(commits[copy % commits.length]!)
+      const commit = commits[copy % commits.length]!
+      pending.recordSent(commit)
+      const outcome = await store.commit(commit)
+      pending.recordOutcome(commit, outcome)
       unanswered.delete(copy)
       if (outcome.isRight()) condition.latency.record(performance.now() - sentAt)
       if (isSettled) return
--- a/packages/jobs/src/commitHedged/test.ts
+++ b/packages/jobs/src/commitHedged/test.ts
@@ -3,9 +3,11 @@
 import { MemoryRecordStore, MemoryRows, type StoreFault } from '../standins/index.ts'
 import type { Commit } from '../ports.ts'
 import { commitHedged } from './index.ts'
+import { PendingCopies } from './PendingCopies.ts'
 
 const commit: Commit = { partition: 'p0', expected: [{ table: 't', key: 'k', version: 0 }], puts: [], removes: [] }
 const elsewhere: Commit = { ...commit, partition: 'p1' }
+const conflicting: Commit = { ...elsewhere, expected: [{ table: 't', key: 'k', version: 5 }] }
 
 describe('commitHedged', () => {
   let clock: Clock
@@ -18,40 +20,56 @@
     faults: StoreFault[] | StoreFault,
     commits?: Commit[],
     withinMs: number,
-    expected: { isRight: boolean, calls: number }
+    /** `mayApply` tells whether the store may have applied a copy, or may still do so. */
+    expected: { isRight: boolean, calls: number, mayApply: boolean }
   }> = [
     {
       name: 'sends one copy while the store answers',
       faults: [],
       withinMs: 50,
-      expected: { isRight: true, calls: 1 }
+      expected: { isRight: true, calls: 1, mayApply: true }
     },
     {
       // Three lost answers in a row made a commit wait for the timeout of the first copy, up to 3 s.
       name: 'goes on sending copies after three lost answers',
       faults: ['lost', 'late', 'lost'],
       withinMs: 1_000,
-      expected: { isRight: true, calls: 4 }
+      expected: { isRight: true, calls: 4, mayApply: true }
     },
     {
       name: 'sends few copies to a store that answers nothing',
       faults: 'silent',
       withinMs: 4_000,
-      expected: { isRight: false, calls: 5 }
+      expected: { isRight: false, calls: 5, mayApply: true }
     },
     {
       name: 'tries the next partition at once when one is out of service',
       faults: ['refused'],
       commits: [commit, elsewhere],
       withinMs: 20,
-      expected: { isRight: true, calls: 2 }
+      expected: { isRight: true, calls: 2, mayApply: true }
     },
     {
       name: 'gives up when all partitions are out of service',
       faults: 'refused',
       commits: [commit, elsewhere],
       withinMs: 20,
-      expected: { isRight: false, calls: 2 }
+      expected: { isRight: false, calls: 2, mayApply: false }
+    },
+    {
+      name: 'reports nothing pending after a conflict',
+      faults: [],
+      commits: [conflicting],
+      withinMs: 20,
+      expected: { isRight: true, calls: 1, mayApply: false }
+    },
+    {
+      // The conflict was taken for the end of all copies: a job was refused, and stored later.
+      name: 'reports a copy that is unanswered when another one meets a conflict',
+      faults: ['late'],
+      commits: [commit, conflicting],
+      withinMs: 100,
+      expected: { isRight: true, calls: 2, mayApply: true }
     }
   ]
   for (const { name, faults, commits = [commit], withinMs, expected } of cases) {
@@ -60,9 +78,10 @@
       let calls = 0
       store.fault = () => Array.isArray(faults) ? faults[calls++] : (calls++, faults)
       let isRight: boolean | undefined
-      commitHedged(store, commits).then((outcome) => { isRight = outcome.isRight() }, () => {})
+      const copies = new PendingCopies()
+      commitHedged(store, commits, copies).then((outcome) => { isRight = outcome.isRight() }, () => {})
       await clock.tickAsync(withinMs)
-      expect({ isRight, calls }).to.deep.equal(expected)
+      expect({ isRight, calls, mayApply: copies.mayApply }).to.deep.equal(expected)
     })
   }
 
--- a/packages/jobs/src/node/JobFences.test.ts
+++ b/packages/jobs/src/node/JobFences.test.ts
@@ -319,3 +319,29 @@
     })
   }
 })
+
+describe('Handing in a job', () => {
+  let clock: Clock
+  beforeEach(() => { clock = install() })
+  afterEach(() => clock.uninstall())
+
+  it('is not refused while a copy of its write is on its way', async () => {
+    // The copy for the next partition met a fence that was raised, which was taken for the end of all copies.
+    const cell = new MemoryCell()
+    await clock.tickAsync(START_MS)
+    const [, handingIn, cancelling] = listNodes(cell)
+    expect(await settle(clock, cancel(cell, cancelling!, findNeighbor(1)))).to.equal(false)
+    const faults: StoreFault[] = ['late', undefined]
+    setFaults(cell, (call, partition) => {
+      if (call === 'read' || !partition.startsWith('jobs-')) return undefined
+      return faults.length > 0 ? faults.shift() : 'refused'
+    })
+    expect(await settle(clock, cell.submit(ID, [{}], { node: handingIn }))).to.equal('uncertain')
+    await clock.tickAsync(3_000)
+    expect(cell.checker.starts).to.equal(1)
+    const stopped = cell.stop()
+    await clock.tickAsync(10_000)
+    await stopped
+    expect(cell.checker.violations).to.deep.equal([])
+  })
+})
--- a/packages/jobs/src/node/JobService.ts
+++ b/packages/jobs/src/node/JobService.ts
@@ -4,6 +4,7 @@
 import { PEER_CALL_TIMEOUT_MS } from '../constants/index.ts'
 import type { CellOwner } from '../owner/CellOwner.ts'
 import { commitHedged } from '../commitHedged/index.ts'
+import { PendingCopies } from '../commitHedged/PendingCopies.ts'
 import type { MetricsRecorder } from '../ports.ts'
 import {
   CANCELS_TABLE, CELL_PARTITION, JOBS_TABLE, PROGRESS_TABLE, encodeJob, toJobPartitions
@@ -94,15 +95,15 @@
     const beganAt = this.#arrivals.earliest
     const deadline = performance.now() + timeoutMs
     const value = encodeJob(job)
-    let uncertain = false
-    const giveUp = (reason: string): Acceptance => ({ kind: uncertain ? 'uncertain' : 'refused', reason })
+    const copies = new PendingCopies()
+    const giveUp = (reason: string): Acceptance => ({ kind: copies.mayApply ? 'uncertain' : 'refused', reason })
     let reason = 'unavailable'
     while (performance.now() < deadline) {
       if (isAbandoned()) return giveUp('abandoned')
-      if (!this.canAccept) return giveUp(uncertain ? reason : 'unavailable')
+      if (!this.canAccept) return giveUp(copies.mayApply ? reason : 'unavailable')
       if (this.fences.isCancelled(job.id, beganAt)) return giveUp('cancelled')
       const commits = this.fences.createCommits(job.id, value)
-      const outcome = await this.#awaitWhileAnswering(commitHedged(this.#store, commits), deadline)
+      const outcome = await this.#awaitWhileAnswering(commitHedged(this.#store, commits, copies), deadline)
       const result = valueOf(outcome)
       const isRefused = result?.kind === 'conflict'
       // The job may be stored already, for instance by an earlier attempt or at another node.
@@ -112,9 +113,7 @@
         return { kind: 'accepted' }
       }
       if (isRefused) continue
-      const failure = failureOf(outcome)
-      reason = failure?.reason ?? reason
-      uncertain ||= failure?.certainty === 'unknown'
+      reason = failureOf(outcome)?.reason ?? reason
       this.#metrics.count('store_retries', { what: 'accept' })
       await sleep(ACCEPT_RETRY_DELAY_MS)
     }
