Decode the rows of fences like other rows, and remove a getter without users

JobFence parsed and checked its row in its own way, beside decodeRow, which does the same for jobs and ownership. CellOwner.ownedBy served the question for unanswered writes, which is no longer asked; the one place in the class that used it reads the ownership. One import was split in two, and the description of the record of commitHedged was unclear. No change of behaviour: the cases of node/JobFences.test.ts and commitHedged pass as before.

--- a/packages/jobs/src/commitHedged/index.ts
+++ b/packages/jobs/src/commitHedged/index.ts
@@ -36,7 +36,7 @@
  * @param store - The store.
  * @param commits - The commit for each partition that may be tried, in order of preference.
  * @param pending - Records the copies that are sent. Those that are unanswered when the first result arrives may still
- * be applied; when nothing may be, no further copy is sent. Default: they are not recorded.
+ * be applied; no further copy is sent then. Default: a record that is dropped.
  * @returns The first result, else the last failure; a failure with certainty `unknown` takes precedence.
  */
 export async function commitHedged (
--- a/packages/jobs/src/node/JobFence.ts
+++ b/packages/jobs/src/node/JobFence.ts
@@ -1,10 +1,9 @@
 import { randomUUID } from 'node:crypto'
-import { parseJson } from '@gypsumspring/protocol'
 import { Type, type Static } from '@sinclair/typebox'
-import { Value } from '@sinclair/typebox/value'
 import { CLOCK_DRIFT } from '../constants/index.ts'
 import { measureLongestElapsed, readInstant, type Instant } from '../instant/index.ts'
 import type { StoredRow } from '../ports.ts'
+import { decodeRow } from '../records/index.ts'
 
 /** Time for which a fence lists the ids that it was raised for, in ms; most calls that store a job take up to 3 s. */
 const LISTED_MS = 4_000
@@ -54,9 +53,8 @@
     const version = row?.version ?? 0
     // Answers may overtake each other.
     if (this.#seen !== undefined && version <= this.version && version > 0) return
-    const value = row?.value === undefined ? undefined : parseJson(row.value)
     this.version = version
-    this.#value = Value.Check(FenceValue, value) ? value : undefined
+    this.#value = decodeRow(FenceValue, row?.value)
     this.#seen = { at: readInstant(), storeMs }
   }
 
--- a/packages/jobs/src/node/JobFences.ts
+++ b/packages/jobs/src/node/JobFences.ts
@@ -1,5 +1,4 @@
-import type { Outcome } from '@gypsumspring/protocol'
-import { done, valueOf } from '@gypsumspring/protocol'
+import { done, valueOf, type Outcome } from '@gypsumspring/protocol'
 import type { Instant } from '../instant/index.ts'
 import type { Commit, StoredRow } from '../ports.ts'
 import { FENCE_KEY, FENCES_TABLE, JOBS_TABLE, toJobPartitions } from '../records/index.ts'
--- a/packages/jobs/src/owner/CellOwner.ts
+++ b/packages/jobs/src/owner/CellOwner.ts
@@ -224,11 +224,6 @@
     return this.#ownership.token
   }
 
-  /** Monotonic time at which this node took the cell over, in ms. */
-  get ownedBy (): number {
-    return this.#ownership.ownedBy
-  }
-
   get isRecovered (): boolean {
     return this.#recovered
   }
@@ -355,7 +350,7 @@
 
   /** Asked for each waiting step in each placement round, so that the partitions of a job are looked up last. */
   #isCancelKnown (id: string): boolean {
-    return this.#cancelPoller.isComplete || performance.now() - this.ownedBy > MAX_CANCEL_WAIT_MS ||
+    return this.#cancelPoller.isComplete || performance.now() - this.#ownership.ownedBy > MAX_CANCEL_WAIT_MS ||
       this.#cancelPoller.hasRead(toJobPartitions(id))
   }
 
